--- /dev/null
+++ b/cmd/wallrack/daemon.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/wallrack/wallrack/internal/alert"
+	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/fleet"
+	"github.com/wallrack/wallrack/internal/intake"
+	"github.com/wallrack/wallrack/internal/machine"
+	"github.com/wallrack/wallrack/internal/membership"
+	"github.com/wallrack/wallrack/internal/mesh"
+	"github.com/wallrack/wallrack/internal/owner"
+	"github.com/wallrack/wallrack/internal/statestore"
+)
+
+// memoryShare is the part of the memory limit that the runtime aims to stay
+// below; the rest is the program itself and what the runtime does not count.
+const memoryShare = 0.6
+
+// run assembles the slices and runs them until ctx ends.
+func run(ctx context.Context, p *config.Platform, op *config.Operator, log *slog.Logger) error {
+	runtime.GOMAXPROCS(1) // a controller has a share of one core
+	debug.SetMemoryLimit(int64(p.Params.Limits.RAMMB * memoryShare * (1 << 20)))
+
+	addrs := map[string]string{}
+	for _, s := range p.Peers {
+		addrs[s.Node] = s.Addr
+	}
+	links, err := mesh.New(addrs)
+	if err != nil {
+		return err
+	}
+	defer links.Close()
+
+	st := p.Params.State
+	store := statestore.New(p.Endpoints.State, st.RPS, st.WriteRPS, st.TxnOps)
+	member := membership.New(store, p.Node, config.Seconds(op.LeaseS), op.Shards, op.Spread, log)
+	cloud := fleet.NewCloud(p.Endpoints.Cloud, p.Params.Cloud.RPS)
+	catalog := fleet.NewCatalog(cloud, store, log)
+
+	g, ctx := errgroup.WithContext(ctx)
+	n := &node{cfg: p, op: op, store: store, member: member, links: links, log: log, peers: map[string]peerState{}}
+	n.owner = owner.New(p, op, store, member, n, catalog, log)
+	n.holder = machine.New(ctx, p.Node, config.Seconds(p.Params.Workers.LeaseS), n, member, catalog, n, log)
+	n.intake = intake.New(p, op, store, n.owner, catalog, n, log)
+	boxes := fleet.New(p, op, cloud, catalog, store, member, n.owner, n.holder, log)
+	alerts := alert.New(p.Params.Objectives, n.owner, log)
+	member.OnChange(n.owner.Changed)
+	n.handle()
+
+	mux := http.NewServeMux()
+	n.intake.Register(mux)
+	alerts.Register(mux)
+	mux.HandleFunc("POST /v1/report", n.holder.ServeReport)
+	lis, err := net.Listen("tcp", p.Listen)
+	if err != nil {
+		return fmt.Errorf("serve_on: %w", err)
+	}
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 15 * time.Second,
+		WriteTimeout: 15 * time.Second, IdleTimeout: 90 * time.Second, MaxHeaderBytes: 16 << 10,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+
+	g.Go(func() error {
+		if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serve: %w", err)
+		}
+		return nil
+	})
+	g.Go(func() error {
+		<-ctx.Done()
+		sctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		return srv.Shutdown(sctx)
+	})
+	g.Go(func() error { return links.Serve(ctx, p.Mesh) })
+	g.Go(func() error { return member.Run(ctx) })
+	g.Go(func() error { return n.owner.Run(ctx) })
+	g.Go(func() error { return catalog.Run(ctx, n.owner.Ready) })
+	g.Go(func() error { return boxes.Run(ctx) })
+	g.Go(func() error { return alerts.Run(ctx) })
+	g.Go(func() error { return n.ping(ctx) })
+	g.Go(func() error { return n.publish(ctx) })
+	g.Go(func() error { return n.vouch(ctx) })
+	log.Info("started", "version", version)
+	err = g.Wait()
+	n.holder.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/cmd/wallrack/main.go
@@ -0,0 +1,87 @@
+// Command wallrack is a cluster scheduler's controller.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/wallrack/wallrack/internal/config"
+)
+
+const version = "0.1.0"
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "wallrack:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var platform, operator string
+	load := func() (*config.Platform, *config.Operator, error) {
+		if platform == "" {
+			return nil, nil, errors.New("--config: a settings file is needed")
+		}
+		p, err := config.LoadPlatform(platform)
+		if err != nil {
+			return nil, nil, err
+		}
+		op, err := config.LoadOperator(operator)
+		return p, op, err
+	}
+	root := &cobra.Command{
+		Use:           "wallrack --config FILE",
+		Short:         "A cluster scheduler's controller",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			p, op, err := load()
+			if err != nil {
+				return err
+			}
+			log, err := logger()
+			if err != nil {
+				return err
+			}
+			return run(cmd.Context(), p, op, log.With("node", p.Node))
+		},
+	}
+	root.PersistentFlags().StringVar(&platform, "config", "", "the platform's settings file (TOML)")
+	root.PersistentFlags().StringVar(&operator, "operator", "", "the operators' settings file (S-expressions)")
+	root.AddCommand(&cobra.Command{
+		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "wallrack", version) },
+	}, &cobra.Command{
+		Use: "check", Short: "Check the settings and exit", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			p, _, err := load()
+			if err == nil {
+				fmt.Fprintf(cmd.OutOrStdout(), "settings of %s are in order\n", p.Node)
+			}
+			return err
+		},
+	})
+	return root
+}
+
+func logger() (*slog.Logger, error) {
+	var level slog.Level
+	if s := os.Getenv("LOG_LEVEL"); s != "" {
+		if err := level.UnmarshalText([]byte(strings.ToUpper(s))); err != nil {
+			return nil, fmt.Errorf("LOG_LEVEL: %w", err)
+		}
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})), nil
+}
--- /dev/null
+++ b/internal/alert/alert.go
@@ -0,0 +1,169 @@
+// Package alert tells on-call when a job of a class waits past its aim or
+// misses its deadline: once per occurrence, with a plain message that support
+// or sales can pass on, and a clear when it is over.
+package alert
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/owner"
+)
+
+const (
+	every    = time.Second
+	keepPast = 200
+)
+
+// Jobs gives the living jobs and the counters.
+type Jobs interface {
+	Statuses() []owner.Status
+	Counters() owner.Stats
+}
+
+// Alert is one occurrence.
+type Alert struct {
+	Job     string     `json:"job"`
+	Class   string     `json:"class"`
+	Aim     string     `json:"aim"`
+	Page    string     `json:"page"`    // for on-call
+	Message string     `json:"message"` // for support and sales to pass on
+	Since   time.Time  `json:"since"`
+	Cleared *time.Time `json:"cleared,omitempty"`
+}
+
+// Alerts watches the living jobs.
+type Alerts struct {
+	aims []config.Objective
+	jobs Jobs
+	log  *slog.Logger
+
+	mu   sync.Mutex
+	open map[string]*Alert
+	past []Alert
+	seen map[string]owner.Status
+	wait *hdrhistogram.Histogram // ms from submission to the last start
+	late *hdrhistogram.Histogram // ms past the deadline at the end
+}
+
+// New returns alerts for the users' aims.
+func New(aims []config.Objective, jobs Jobs, log *slog.Logger) *Alerts {
+	return &Alerts{aims: aims, jobs: jobs, log: log, open: map[string]*Alert{}, seen: map[string]owner.Status{},
+		wait: hdrhistogram.New(1, 3_600_000, 2), late: hdrhistogram.New(1, 3_600_000, 2)}
+}
+
+// Run looks at the jobs until ctx ends.
+func (a *Alerts) Run(ctx context.Context) error {
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			a.look(time.Now())
+		}
+	}
+}
+
+// breach says whether a job misses an aim now, and how to say so.
+func breach(aim config.Objective, s owner.Status) (page, message string, yes bool) {
+	age := s.Age.Seconds()
+	switch {
+	case s.Cancelled || aim.Class != s.Class:
+		return "", "", false
+	case aim.Kind == "wait" && s.Started < s.Tasks && age > aim.WithinS:
+		return fmt.Sprintf("%d of %d tasks not started after %.0f s (aim %.0f s)", s.Tasks-s.Started, s.Tasks, age, aim.WithinS),
+			fmt.Sprintf("Work of kind %q is starting later than usual. It is safe and will run; results may come late.", s.Class), true
+	case aim.Kind == "finished" && age > aim.WithinS:
+		return fmt.Sprintf("%d of %d tasks done after %.0f s (aim %.0f s)", s.Done, s.Tasks, age, aim.WithinS),
+			fmt.Sprintf("Results of kind %q are later than usual. Figures seen before they arrive may be out of date.", s.Class), true
+	case aim.Kind == "deadline" && s.DueS != nil && age > *s.DueS*max(aim.Times, 1):
+		return fmt.Sprintf("%d of %d tasks done %.0f s past the deadline", s.Done, s.Tasks, age-*s.DueS),
+			fmt.Sprintf("Results of kind %q have missed their time. They are still being worked on.", s.Class), true
+	}
+	return "", "", false
+}
+
+func (a *Alerts) look(now time.Time) {
+	list := a.jobs.Statuses()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	live := make(map[string]owner.Status, len(list))
+	standing := map[string]bool{}
+	for _, s := range list {
+		live[s.UID] = s
+		if old := a.seen[s.UID]; old.Started < s.Tasks && s.Started >= s.Tasks {
+			_ = a.wait.RecordValue(max(1, s.Age.Milliseconds())) // beyond an hour it is not counted
+		}
+		for i, aim := range a.aims {
+			page, message, yes := breach(aim, s)
+			if !yes {
+				continue
+			}
+			key := fmt.Sprintf("%s#%d", s.UID, i)
+			standing[key] = true
+			if a.open[key] == nil {
+				a.open[key] = &Alert{Job: s.UID, Class: s.Class, Aim: aim.Kind, Page: page, Message: message, Since: now}
+				a.log.Warn("aim missed", "job", s.UID, "class", s.Class, "aim", aim.Kind, "page", page, "message", message)
+			}
+		}
+	}
+	for uid, s := range a.seen {
+		if _, ok := live[uid]; !ok && s.DueS != nil && !s.Cancelled {
+			if late := s.Age.Seconds() - *s.DueS; late > 0 {
+				_ = a.late.RecordValue(int64(late * 1000)) // beyond an hour it is not counted
+			}
+		}
+	}
+	a.seen = live
+	for key, al := range a.open {
+		if standing[key] {
+			continue
+		}
+		delete(a.open, key)
+		al.Cleared = &now
+		a.past = append(a.past, *al)
+		a.past = a.past[max(0, len(a.past)-keepPast):]
+		a.log.Info("aim missed: over", "job", al.Job, "class", al.Class, "aim", al.Aim, "after_s", now.Sub(al.Since).Seconds())
+	}
+}
+
+// Register adds the operators' paths.
+func (a *Alerts) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /ops/alerts", func(w http.ResponseWriter, _ *http.Request) {
+		a.mu.Lock()
+		open := make([]Alert, 0, len(a.open))
+		for _, al := range a.open {
+			open = append(open, *al)
+		}
+		past := append([]Alert{}, a.past...)
+		a.mu.Unlock()
+		sort.Slice(open, func(i, j int) bool { return open[i].Since.Before(open[j].Since) })
+		send(w, map[string]any{"open": open, "past": past})
+	})
+	mux.HandleFunc("GET /ops/stats", func(w http.ResponseWriter, _ *http.Request) {
+		counters := a.jobs.Counters()
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		send(w, map[string]any{"counters": counters, "wait_ms": quantiles(a.wait), "late_ms": quantiles(a.late)})
+	})
+}
+
+func quantiles(h *hdrhistogram.Histogram) map[string]int64 {
+	return map[string]int64{"count": h.TotalCount(), "p50": h.ValueAtQuantile(50), "p95": h.ValueAtQuantile(95), "p99": h.ValueAtQuantile(99), "max": h.Max()}
+}
+
+func send(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // the operator asks again
+}
--- /dev/null
+++ b/internal/config/operator.sexp
@@ -0,0 +1,14 @@
+; The built-in operators' settings. A file given with --operator may repeat
+; any of them with another value.
+(wallrack
+  (shards 4)              ; shards that jobs hash to
+  (spread 1)              ; controllers that shards are spread over
+  (lease-s 7)             ; life of a controller's lease
+  (k-fail 4)              ; cost of losing a machine, the paper's K_fail
+  (queue-horizon-s 5)     ; longest wait at which a match is dispatched
+  (random-s 0.2)          ; size of the random term in C
+  (publish-s 0.5)         ; how often holders publish to owners elsewhere
+  (replace-s 4)           ; excess wait that makes a queued task look elsewhere
+  (silent-s 14)           ; silence after which a machine is returned
+  (idle-s 30)             ; idle time after which a machine is returned
+  (headroom-percent 20))  ; capacity kept beyond the demand
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,657 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/owner"
+	"github.com/wallrack/wallrack/internal/placement"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+const (
+	hireKey      = "fleet/hire/"
+	minimumS     = 60 // a machine costs at least so many seconds
+	maxHire      = 50 // machines in one request
+	maxRelease   = 100
+	planEvery    = time.Second
+	takenAfter   = 30 * time.Second // unlisted and unheard for so long: taken
+	refusedPause = 12 * time.Second // before asking again for what was refused
+)
+
+// Owner is what the fleet needs of the jobs' owner.
+type Owner interface {
+	Ready() bool
+	Demand() ([]owner.Demand, []owner.Load)
+	Suspects() map[string]time.Duration
+	Gone(name string)
+}
+
+// Holder is what the fleet needs of the machines' holder.
+type Holder interface {
+	Drain(name string) bool
+	Gone(name string)
+}
+
+// Membership guards what the fleet writes.
+type Membership interface {
+	Term() uint64
+	Claimed() map[int]uint64
+	ShardKey(shard int) string
+}
+
+// offer is a kind of machine to be had.
+type offer struct {
+	Type string
+	Zone string
+	Spot bool
+}
+
+// box is a machine as the fleet knows it.
+type box struct {
+	name     string
+	offer    offer
+	hired    time.Time // when it was rented, as near as known
+	known    time.Time // when the fleet first knew of it
+	listed   time.Time // when it last was in the cloud's list
+	heard    time.Time
+	idle     time.Time // since when it does nothing
+	draining time.Time
+	stage    string
+	load     *owner.Load
+}
+
+// Fleet rents and returns machines.
+type Fleet struct {
+	cfg     *config.Platform
+	op      *config.Operator
+	cloud   *Cloud
+	catalog *Catalog
+	store   Store
+	member  Membership
+	owner   Owner
+	holder  Holder
+	log     *slog.Logger
+
+	mu      sync.Mutex
+	boxes   map[string]*box
+	hires   map[string]*hire
+	seq     int
+	refused map[offer]time.Time
+	leading bool
+	loaded  bool
+	busy    float64 // running average of CPUs in use
+	listAt  time.Time
+	sending map[string]bool // being returned
+}
+
+type hire struct {
+	req     wire.HireRequest
+	made    time.Time
+	sending bool
+}
+
+// New returns a fleet that knows no machines yet.
+func New(cfg *config.Platform, op *config.Operator, cloud *Cloud, catalog *Catalog, store Store, member Membership, o Owner, h Holder, log *slog.Logger) *Fleet {
+	return &Fleet{cfg: cfg, op: op, cloud: cloud, catalog: catalog, store: store, member: member, owner: o, holder: h, log: log,
+		boxes: map[string]*box{}, hires: map[string]*hire{}, refused: map[offer]time.Time{}, sending: map[string]bool{}}
+}
+
+// Run leads the fleet whenever this controller sees all demand.
+func (f *Fleet) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	tick := time.NewTicker(planEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+		if !f.owner.Ready() {
+			f.leading, f.loaded = false, false
+			continue
+		}
+		if !f.leading {
+			f.leading = true
+			f.mu.Lock()
+			f.boxes, f.hires = map[string]*box{}, map[string]*hire{}
+			f.mu.Unlock()
+		}
+		if !f.loaded {
+			if err := f.load(ctx); err != nil {
+				f.log.Info("loading hires failed", "err", err)
+				continue
+			}
+			f.loaded = true
+		}
+		if time.Since(f.listAt) > seconds(max(2, 2.5/f.cfg.Params.Cloud.RPS)) {
+			f.listAt = time.Now()
+			wg.Add(1)
+			go func() { defer wg.Done(); f.refresh(ctx) }()
+		}
+		f.step(ctx, &wg)
+	}
+}
+
+var seconds = config.Seconds
+
+// load finds hires that were recorded but perhaps not answered: they are
+// repeated under their names.
+func (f *Fleet) load(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	items, _, err := f.store.List(ctx, hireKey)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, it := range items {
+		var r wire.HireRequest
+		if err := json.Unmarshal(it.Value, &r); err != nil {
+			f.log.Error("unreadable hire", "key", it.Key, "err", err)
+			continue
+		}
+		f.hires[r.Name] = &hire{req: r, made: time.Now()}
+	}
+	return nil
+}
+
+// refresh reads the cloud's list, which lags and may be older than the last.
+func (f *Fleet) refresh(ctx context.Context) {
+	asked := time.Now()
+	list, err := f.cloud.list(ctx)
+	if err != nil {
+		f.log.Info("no machine list", "err", err)
+		return
+	}
+	f.mu.Lock()
+	var failed []string
+	for _, l := range list {
+		if f.sending[l.Name] {
+			continue
+		}
+		b := f.boxes[l.Name]
+		if b == nil {
+			b = &box{name: l.Name, known: asked, hired: asked.Add(-seconds(l.AgeS))}
+			f.boxes[l.Name] = b
+		}
+		b.offer, b.listed, b.stage = offer{l.Type, l.Zone, l.Spot}, asked, l.Stage
+		if l.Stage == wire.MachineFailed {
+			failed = append(failed, l.Name)
+		}
+	}
+	f.mu.Unlock()
+	if len(failed) > 0 {
+		f.giveBack(ctx, failed, "failed")
+	}
+}
+
+// step looks at everything once.
+func (f *Fleet) step(ctx context.Context, wg *sync.WaitGroup) {
+	demand, loads := f.owner.Demand()
+	suspects := f.owner.Suspects()
+	now := time.Now()
+	f.mu.Lock()
+	busy := 0.0
+	for i := range loads {
+		l := &loads[i]
+		busy += l.Used.CPUs
+		if l.Heard.IsZero() {
+			continue
+		}
+		b := f.boxes[l.Name]
+		if b == nil {
+			if f.sending[l.Name] {
+				continue
+			}
+			b = &box{name: l.Name, known: now, hired: now}
+			f.boxes[l.Name] = b
+		}
+		b.load, b.heard, b.offer = l, l.Heard, offer{l.Type, l.Zone, l.Spot}
+	}
+	f.busy += 0.05 * (busy - f.busy)
+	var back []string
+	for name := range suspects {
+		back = append(back, name)
+	}
+	f.sortOut(now, &back)
+	wants := f.plan(now, demand)
+	if len(wants) == 0 {
+		f.idle(now)
+	}
+	var send []*hire
+	for _, h := range f.hires {
+		if !h.sending {
+			h.sending = true
+			send = append(send, h)
+		}
+	}
+	f.mu.Unlock()
+	if len(back) > 0 {
+		wg.Add(1)
+		go func() { defer wg.Done(); f.giveBack(ctx, back, "silent, idle or no-show") }()
+	}
+	for _, h := range send {
+		wg.Add(1)
+		go func() { defer wg.Done(); f.rent(ctx, h, false) }()
+	}
+	for o, n := range wants {
+		f.mu.Lock()
+		f.seq++
+		// Terms are never shared, so neither is the name.
+		name := fmt.Sprintf("r-%d-%d", f.member.Term(), f.seq)
+		h := &hire{req: wire.HireRequest{Name: name, Type: o.Type, Zone: o.Zone, Spot: o.Spot, Number: min(n, maxHire)}, made: now, sending: true}
+		f.hires[name] = h
+		f.mu.Unlock()
+		wg.Add(1)
+		go func() { defer wg.Done(); f.rent(ctx, h, true) }()
+	}
+}
+
+// sortOut forgets machines that the cloud took and returns those that never
+// came up or went silent.
+func (f *Fleet) sortOut(now time.Time, back *[]string) {
+	lag := seconds(2*f.cfg.Params.Cloud.ListLagS) + 5*time.Second
+	for name, b := range f.boxes {
+		t, _ := f.catalog.Type(b.offer.Type)
+		switch {
+		case f.sending[name]:
+		case !b.draining.IsZero() && b.load != nil && b.load.Places == 0 && now.Sub(b.draining) > planEvery:
+			*back = append(*back, name)
+		case b.heard.IsZero() && now.Sub(later(b.hired, b.known)) > seconds(3*t.BootS+25) && now.Sub(b.hired) > seconds(3*t.BootS+25):
+			f.log.Info("machine did not come up", "machine", name, "type", b.offer.Type)
+			*back = append(*back, name)
+		case !b.heard.IsZero() && now.Sub(b.heard) > seconds(2.5*f.op.SilentS) && now.Sub(b.known) > seconds(2.5*f.op.SilentS):
+			*back = append(*back, name)
+		case b.heard.IsZero() && now.Sub(b.listed) > takenAfter && now.Sub(b.known) > lag+takenAfter:
+			delete(f.boxes, name)
+		case b.load != nil && b.load.Faulty && b.load.Places == 0:
+			f.log.Info("machine seems faulty", "machine", name)
+			*back = append(*back, name)
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// sim is a machine in the plan: one that is up, one that boots, or one to be
+// rented.
+type sim struct {
+	offer  offer
+	matrix placement.Matrix
+	boot   float64
+}
+
+func (f *Fleet) fits(d *owner.Demand, o offer) bool {
+	if o.Spot && !d.Job.Spot || d.Job.Zone != nil && *d.Job.Zone != o.Zone {
+		return false
+	}
+	if d.Job.Types == nil {
+		return true
+	}
+	for _, t := range d.Job.Types {
+		if t == o.Type {
+			return true
+		}
+	}
+	return false
+}
+
+// plan simulates the waiting work on what there is, and returns what to rent
+// for the work that would wait longer than a new machine takes to boot.
+func (f *Fleet) plan(now time.Time, demand []owner.Demand) map[offer]int {
+	var sims []*sim
+	for name, b := range f.boxes {
+		if f.sending[name] || !b.draining.IsZero() || b.load != nil && (b.load.Notice || b.load.Faulty) {
+			continue
+		}
+		t, ok := f.catalog.Type(b.offer.Type)
+		if !ok {
+			continue
+		}
+		switch {
+		case b.load != nil && len(b.load.Matrix) > 0 && now.Sub(b.heard) < seconds(f.op.SilentS):
+			sims = append(sims, &sim{offer: b.offer, matrix: b.load.Matrix})
+		case b.heard.IsZero() && b.stage != wire.MachineFailed:
+			left := max(3, t.BootS-now.Sub(b.hired).Seconds())
+			sims = append(sims, &sim{offer: b.offer, matrix: placement.Matrix{{Wait: 0, Free: Size(t)}}, boot: left})
+		}
+	}
+	for _, h := range f.hires {
+		if t, ok := f.catalog.Type(h.req.Type); ok {
+			for i := 0; i < h.req.Number; i++ {
+				sims = append(sims, &sim{offer: offer{h.req.Type, h.req.Zone, h.req.Spot}, matrix: placement.Matrix{{Wait: 0, Free: Size(t)}}, boot: t.BootS})
+			}
+		}
+	}
+	offers := f.offers(now)
+	wants := map[offer]int{}
+	for i := range demand {
+		d := &demand[i]
+		n := f.fill(d, sims, f.patience(d))
+		for n > 0 {
+			o, t, ok := f.best(d, n, offers, wants)
+			if !ok {
+				break
+			}
+			wants[o]++
+			s := &sim{offer: o, matrix: placement.Matrix{{Wait: 0, Free: Size(t)}}, boot: t.BootS}
+			sims = append(sims, s)
+			left := f.fillOne(d, s, n, f.patience(d)+t.BootS)
+			if left == n {
+				break
+			}
+			n = left
+		}
+	}
+	f.headroom(sims, offers, wants)
+	return wants
+}
+
+// patience is how long work may wait before a machine is rented for it: about
+// what a new machine would take to come up.
+func (f *Fleet) patience(d *owner.Demand) float64 {
+	boot := math.Inf(1)
+	for _, t := range f.catalog.All() {
+		boot = min(boot, t.BootS)
+	}
+	if math.IsInf(boot, 1) {
+		boot = 30
+	}
+	return boot
+}
+
+func (f *Fleet) fill(d *owner.Demand, sims []*sim, patience float64) int {
+	n := d.Count
+	for _, s := range sims {
+		if n == 0 {
+			break
+		}
+		if f.fits(d, s.offer) {
+			n = f.fillOne(d, s, n, max(patience, s.boot+5))
+		}
+	}
+	return n
+}
+
+func (f *Fleet) fillOne(d *owner.Demand, s *sim, n int, patience float64) int {
+	for n > 0 {
+		w := s.matrix.Wait(d.Shape, d.Run)
+		if s.boot+w > patience {
+			break
+		}
+		s.matrix = s.matrix.Reserve(d.Shape, w, d.Run)
+		n--
+	}
+	return n
+}
+
+// offers lists what may be rented now.
+func (f *Fleet) offers(now time.Time) []offer {
+	var out []offer
+	for _, t := range f.catalog.All() {
+		for _, z := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				o := offer{t.Name, z, spot}
+				if now.Sub(f.refused[o]) > refusedPause {
+					out = append(out, o)
+				}
+			}
+		}
+	}
+	sort.Slice(out, func(i, j int) bool {
+		a, b := out[i], out[j]
+		if a.Type != b.Type {
+			return a.Type < b.Type
+		}
+		if a.Zone != b.Zone {
+			return a.Zone < b.Zone
+		}
+		return a.Spot && !b.Spot
+	})
+	return out
+}
+
+func (f *Fleet) price(o offer, t wire.MachineType) float64 {
+	if o.Spot {
+		return t.SpotPrice
+	}
+	return t.Price
+}
+
+// best is the offer at which the waiting tasks cost least: the price of a
+// machine by the tasks that it would run.
+func (f *Fleet) best(d *owner.Demand, n int, offers []offer, wants map[offer]int) (offer, wire.MachineType, bool) {
+	var best offer
+	var bestT wire.MachineType
+	cost := math.Inf(1)
+	for _, o := range offers {
+		t, ok := f.catalog.Type(o.Type)
+		if !ok || !f.fits(d, o) || !d.Shape.Fits(Size(t)) {
+			continue
+		}
+		k := tasksIn(d.Shape, Size(t))
+		// A machine much larger than the work is mostly idle, but the
+		// rest of it serves what comes next.
+		used := min(float64(k), float64(n))
+		c := f.price(o, t) / (0.5*used + 0.5*float64(k))
+		c *= 1 + 0.1*t.BootS/minimumS + 0.02*float64(wants[o])
+		if c < cost {
+			best, bestT, cost = o, t, c
+		}
+	}
+	return best, bestT, !math.IsInf(cost, 1)
+}
+
+func tasksIn(s, size placement.Shape) int {
+	k := math.Inf(1)
+	if s.CPUs > 0 {
+		k = min(k, size.CPUs/s.CPUs)
+	}
+	if s.GPUs > 0 {
+		k = min(k, size.GPUs/s.GPUs)
+	}
+	if s.MemoryGB > 0 {
+		k = min(k, size.MemoryGB/s.MemoryGB)
+	}
+	return max(1, int(min(k, 1e6)))
+}
+
+// headroom keeps some capacity beyond what is in use.
+func (f *Fleet) headroom(sims []*sim, offers []offer, wants map[offer]int) {
+	want := f.busy * f.op.HeadroomPct / 100
+	free := 0.0
+	for _, s := range sims {
+		free += max(0, s.matrix[0].Free.CPUs)
+	}
+	for free < want {
+		var best offer
+		var size, cost float64 = 0, math.Inf(1)
+		for _, o := range offers {
+			t, ok := f.catalog.Type(o.Type)
+			if ok && t.GPUs == 0 && t.CPUs <= max(want-free, want/2)*2 && f.price(o, t)/t.CPUs < cost {
+				best, size, cost = o, t.CPUs, f.price(o, t)/t.CPUs
+			}
+		}
+		if size == 0 {
+			return
+		}
+		wants[best]++
+		free += size
+	}
+}
+
+// idle drains machines that have done nothing for a while, the dearest
+// first, as long as the headroom stays.
+func (f *Fleet) idle(now time.Time) {
+	var free float64
+	var idle []*box
+	for name, b := range f.boxes {
+		if b.load == nil || f.sending[name] || now.Sub(b.heard) > seconds(f.op.SilentS) {
+			continue
+		}
+		if len(b.load.Matrix) > 0 {
+			free += max(0, b.load.Matrix[0].Free.CPUs)
+		}
+		if b.load.Places > 0 {
+			b.idle = time.Time{}
+			continue
+		}
+		if b.idle.IsZero() {
+			b.idle = now
+		}
+		idle = append(idle, b)
+	}
+	perCPU := func(b *box) float64 {
+		t, _ := f.catalog.Type(b.offer.Type)
+		return f.price(b.offer, t) / max(1, t.CPUs)
+	}
+	sort.Slice(idle, func(i, j int) bool {
+		if pi, pj := perCPU(idle[i]), perCPU(idle[j]); pi != pj {
+			return pi > pj
+		}
+		return idle[i].name < idle[j].name
+	})
+	for _, b := range idle {
+		t, _ := f.catalog.Type(b.offer.Type)
+		if now.Sub(b.idle) < seconds(f.op.IdleS) || now.Sub(b.hired) < (minimumS-5)*time.Second {
+			continue
+		}
+		if free-t.CPUs < f.busy*f.op.HeadroomPct/100 {
+			continue
+		}
+		free -= t.CPUs
+		if b.draining.IsZero() && f.holder.Drain(b.name) {
+			b.draining = now // returned by the next step
+		}
+	}
+}
+
+// rent asks for machines under a recorded name, and repeats that name until
+// the cloud has answered.
+func (f *Fleet) rent(ctx context.Context, h *hire, record bool) {
+	key := hireKey + h.req.Name
+	drop := true
+	defer func() {
+		f.mu.Lock()
+		h.sending = false
+		if drop {
+			delete(f.hires, h.req.Name)
+		}
+		f.mu.Unlock()
+	}()
+	if record {
+		v, ok := f.member.Claimed()[0]
+		if !ok {
+			return
+		}
+		tctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		_, err := f.store.Txn(tctx, []wire.Guard{{Key: f.member.ShardKey(0), Version: v}, {Key: key}}, wire.Op{Put: key, Value: h.req})
+		cancel()
+		if err != nil {
+			// Nothing was rented, and the name is not used again.
+			f.log.Info("hire not recorded", "hire", h.req.Name, "err", err)
+			return
+		}
+	}
+	names, err := f.cloud.hire(ctx, h.req)
+	o := offer{h.req.Type, h.req.Zone, h.req.Spot}
+	now := time.Now()
+	switch {
+	case err == nil:
+		f.log.Info("rented", "hire", h.req.Name, "type", o.Type, "zone", o.Zone, "spot", o.Spot, "machines", len(names), "asked", h.req.Number)
+		f.mu.Lock()
+		for _, n := range names {
+			if f.boxes[n] == nil && !f.sending[n] {
+				f.boxes[n] = &box{name: n, offer: o, hired: h.made, known: now, listed: now, stage: wire.MachineBooting}
+			}
+		}
+		if len(names) < h.req.Number {
+			f.refused[o] = now
+		}
+		f.mu.Unlock()
+	case errors.Is(err, errNoCapacity):
+		f.log.Info("no capacity", "type", o.Type, "zone", o.Zone, "spot", o.Spot)
+		f.mu.Lock()
+		f.refused[o] = now
+		f.mu.Unlock()
+	case errors.Is(err, errMalformed):
+		f.log.Error("hire refused", "hire", h.req.Name, "err", err)
+		f.mu.Lock()
+		f.refused[o] = now
+		f.mu.Unlock()
+	default:
+		f.log.Info("hire unanswered", "hire", h.req.Name, "err", err)
+		drop = false
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Second):
+		}
+		return
+	}
+	tctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	if _, err := f.store.Txn(tctx, nil, wire.Op{Delete: key}); err != nil {
+		f.log.Debug("hire stays recorded", "hire", h.req.Name, "err", err)
+	}
+}
+
+// giveBack returns machines; when the cloud has answered, they are gone.
+func (f *Fleet) giveBack(ctx context.Context, names []string, why string) {
+	f.mu.Lock()
+	var batch []string
+	for _, n := range names {
+		if !f.sending[n] && len(batch) < maxRelease {
+			f.sending[n] = true
+			batch = append(batch, n)
+		}
+	}
+	f.mu.Unlock()
+	if len(batch) == 0 {
+		return
+	}
+	err := f.cloud.release(ctx, batch)
+	if err != nil {
+		f.log.Info("returning failed", "machines", batch, "err", err)
+		f.mu.Lock()
+		for _, n := range batch {
+			delete(f.sending, n)
+		}
+		f.mu.Unlock()
+		return
+	}
+	f.log.Info("returned", "machines", batch, "why", why)
+	for _, n := range batch {
+		f.holder.Gone(n)
+		f.owner.Gone(n)
+	}
+	f.mu.Lock()
+	for _, n := range batch {
+		delete(f.boxes, n)
+	}
+	f.mu.Unlock()
+	// The list lags: for a while it may still show them.
+	time.AfterFunc(seconds(4*f.cfg.Params.Cloud.ListLagS)+time.Minute, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, n := range batch {
+			delete(f.sending, n)
+		}
+	})
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,360 @@
+// Package intake is the users' interface: submissions, polls and cancels, on
+// any controller, and the health check of the load balancer.
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/owner"
+	"github.com/wallrack/wallrack/internal/statestore"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+const (
+	answerWithin = 3500 * time.Millisecond // submissions and cancels; users wait 5 s
+	pollWithin   = 1500 * time.Millisecond // users wait 2 s
+	peerWithin   = 700 * time.Millisecond
+	maxInFlight  = 256 // requests worked on at once; more are told to come back
+)
+
+// Store is what intake needs of the state service.
+type Store interface {
+	Get(ctx context.Context, key string) (wire.Item, error)
+	Txn(ctx context.Context, guards []wire.Guard, ops ...wire.Op) (uint64, error)
+}
+
+// Jobs is the owner in this process.
+type Jobs interface {
+	Known(uid string) (wire.JobState, bool)
+	Accepted(job *wire.Job, shard int, atMs int64, version uint64)
+	Cancel(ctx context.Context, uid string) (wire.JobState, error)
+}
+
+// Catalog knows the machine types.
+type Catalog interface {
+	All() []wire.MachineType
+}
+
+// Request is a user's request that one controller hands to another.
+type Request struct {
+	Verb string `json:"verb"` // submit, poll or cancel
+	UID  string `json:"uid"`
+	Body []byte `json:"body,omitempty"`
+}
+
+// Reply is its answer; status 0 means that the peer can't tell either.
+type Reply struct {
+	Status int           `json:"status"`
+	State  wire.JobState `json:"state"`
+	Reason string        `json:"reason,omitempty"`
+}
+
+// Verbs of a Request.
+const (
+	VerbSubmit = "submit"
+	VerbPoll   = "poll"
+	VerbCancel = "cancel"
+)
+
+// Peers are the other controllers.
+type Peers interface {
+	// Owners names the other controllers that own shards.
+	Owners() []string
+	// Served names the other controllers that reach the state service.
+	Served() []string
+	// Ask hands a request to a peer.
+	Ask(ctx context.Context, peer string, r Request) (*Reply, error)
+	// Up reports whether this controller should take users.
+	Up() bool
+}
+
+// Intake serves users.
+type Intake struct {
+	cfg     *config.Platform
+	op      *config.Operator
+	store   Store
+	jobs    Jobs
+	catalog Catalog
+	peers   Peers
+	log     *slog.Logger
+	slots   chan struct{}
+}
+
+// New returns the users' interface.
+func New(cfg *config.Platform, op *config.Operator, store Store, jobs Jobs, catalog Catalog, peers Peers, log *slog.Logger) *Intake {
+	return &Intake{cfg: cfg, op: op, store: store, jobs: jobs, catalog: catalog, peers: peers, log: log, slots: make(chan struct{}, maxInFlight)}
+}
+
+// Register adds the interface's paths.
+func (in *Intake) Register(mux *http.ServeMux) {
+	mux.HandleFunc("POST /api/jobs", in.limited(in.submit))
+	mux.HandleFunc("GET /api/jobs/{id}", in.limited(in.poll))
+	mux.HandleFunc("POST /api/jobs/{id}/cancel", in.limited(in.cancel))
+	mux.HandleFunc("GET /up", in.up)
+}
+
+func (in *Intake) limited(f http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case in.slots <- struct{}{}:
+			defer func() { <-in.slots }()
+			f(w, r)
+		default:
+			refuse(w, http.StatusServiceUnavailable, "too many requests at once")
+		}
+	}
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		status, data = http.StatusInternalServerError, nil
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(data) // the user asks again if it did not get it
+}
+
+func refuse(w http.ResponseWriter, status int, why string) {
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", "1")
+	}
+	answer(w, status, wire.Problem{Error: why})
+}
+
+func (in *Intake) up(w http.ResponseWriter, _ *http.Request) {
+	if !in.peers.Up() {
+		refuse(w, http.StatusServiceUnavailable, "another controller serves better")
+		return
+	}
+	answer(w, http.StatusOK, struct{}{})
+}
+
+func (in *Intake) reply(w http.ResponseWriter, rep Reply) {
+	switch {
+	case rep.Status/100 == 2:
+		answer(w, rep.Status, rep.State)
+	case rep.Status == 0:
+		refuse(w, http.StatusServiceUnavailable, "can't tell now")
+	default:
+		refuse(w, rep.Status, rep.Reason)
+	}
+}
+
+func (in *Intake) submit(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody))
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "body unreadable or over 64 KiB")
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
+	defer cancel()
+	rep := in.Serve(ctx, Request{Verb: VerbSubmit, Body: body})
+	if rep.Status == 0 {
+		rep = in.elsewhere(ctx, Request{Verb: VerbSubmit, Body: body})
+	}
+	in.reply(w, rep)
+}
+
+func (in *Intake) poll(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), pollWithin)
+	defer cancel()
+	req := Request{Verb: VerbPoll, UID: r.PathValue("id")}
+	if !wire.ValidJobID(req.UID) {
+		refuse(w, http.StatusNotFound, "no such job")
+		return
+	}
+	if s, ok := in.jobs.Known(req.UID); ok {
+		answer(w, http.StatusOK, s)
+		return
+	}
+	for _, p := range in.peers.Owners() {
+		if rep, ok := in.ask(ctx, p, Request{Verb: VerbKnown, UID: req.UID}); ok {
+			in.reply(w, rep)
+			return
+		}
+	}
+	rep := in.Serve(ctx, req)
+	if rep.Status == 0 {
+		rep = in.elsewhere(ctx, req)
+	}
+	in.reply(w, rep)
+}
+
+// VerbKnown asks an owner for what it has in memory.
+const VerbKnown = "known"
+
+func (in *Intake) cancel(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
+	defer cancel()
+	req := Request{Verb: VerbCancel, UID: r.PathValue("id")}
+	if !wire.ValidJobID(req.UID) {
+		refuse(w, http.StatusNotFound, "no such job")
+		return
+	}
+	rep := in.Serve(ctx, req)
+	if rep.Status == 0 {
+		rep = in.elsewhere(ctx, req)
+	}
+	in.reply(w, rep)
+}
+
+func (in *Intake) ask(ctx context.Context, peer string, req Request) (Reply, bool) {
+	actx, cancel := context.WithTimeout(ctx, peerWithin)
+	defer cancel()
+	rep, err := in.peers.Ask(actx, peer, req)
+	if err != nil {
+		in.log.Debug("peer did not answer", "peer", peer, "err", err)
+		return Reply{}, false
+	}
+	return *rep, rep.Status != 0
+}
+
+// elsewhere hands a request to a peer that reaches the state service.
+func (in *Intake) elsewhere(ctx context.Context, req Request) Reply {
+	for _, p := range in.peers.Served() {
+		if rep, ok := in.ask(ctx, p, req); ok {
+			return rep
+		}
+	}
+	return Reply{}
+}
+
+// Serve answers a request with this controller's own means.
+func (in *Intake) Serve(ctx context.Context, req Request) Reply {
+	switch req.Verb {
+	case VerbSubmit:
+		return in.accept(ctx, req.Body)
+	case VerbKnown:
+		if s, ok := in.jobs.Known(req.UID); ok {
+			return Reply{Status: http.StatusOK, State: s}
+		}
+		return Reply{}
+	case VerbPoll:
+		s, err := in.lookup(ctx, req.UID)
+		return in.found(s, err, http.StatusOK)
+	case VerbCancel:
+		s, err := in.jobs.Cancel(ctx, req.UID)
+		return in.found(s, err, http.StatusOK)
+	}
+	return Reply{Status: http.StatusBadRequest, Reason: "unknown verb"}
+}
+
+func (in *Intake) found(s wire.JobState, err error, status int) Reply {
+	switch {
+	case err == nil:
+		return Reply{Status: status, State: s}
+	case errors.Is(err, statestore.ErrNotFound):
+		return Reply{Status: http.StatusNotFound, Reason: "no such job"}
+	}
+	in.log.Debug("unsure", "err", err)
+	return Reply{}
+}
+
+func (in *Intake) lookup(ctx context.Context, uid string) (wire.JobState, error) {
+	if s, ok := in.jobs.Known(uid); ok {
+		return s, nil
+	}
+	return owner.Stored(ctx, in.store, uid)
+}
+
+// accept records a submission. A known id is answered with its state,
+// whatever the body says.
+func (in *Intake) accept(ctx context.Context, body []byte) Reply {
+	job, bad := wire.ParseJob(body)
+	status, reason := http.StatusBadRequest, ""
+	if bad == nil {
+		status, reason = in.runnable(job)
+	} else {
+		reason = bad.Error()
+	}
+	if reason != "" {
+		uid := ""
+		if job != nil && wire.ValidJobID(job.UID) {
+			uid = job.UID
+		}
+		if uid != "" {
+			s, err := in.lookup(ctx, uid)
+			if err == nil {
+				return Reply{Status: http.StatusOK, State: s}
+			}
+			if !errors.Is(err, statestore.ErrNotFound) {
+				return Reply{}
+			}
+		}
+		return Reply{Status: status, Reason: reason}
+	}
+	if s, ok := in.jobs.Known(job.UID); ok {
+		return Reply{Status: http.StatusOK, State: s}
+	}
+	shard := owner.ShardOf(job, in.cfg.Params.Teams, in.op.Shards)
+	at := time.Now().UnixMilli()
+	guards, op := owner.AcceptTxn(job, shard, at)
+	for n := 0; ; n++ {
+		tctx, cancel := context.WithTimeout(ctx, 1200*time.Millisecond)
+		rev, err := in.store.Txn(tctx, guards, op)
+		cancel()
+		var conflict *statestore.Conflict
+		switch {
+		case err == nil:
+			in.jobs.Accepted(job, shard, at, rev)
+			return Reply{Status: http.StatusCreated, State: wire.JobState{UID: job.UID, Stage: wire.StageQueued}}
+		case errors.As(err, &conflict):
+			// Known already, or our own attempt whose answer was lost.
+			s, err := owner.Stored(ctx, in.store, job.UID)
+			return in.found(s, err, http.StatusOK)
+		case errors.Is(err, statestore.ErrUnknown) && ctx.Err() == nil && n < 2:
+			continue
+		}
+		in.log.Debug("submission not recorded", "job", job.UID, "err", err)
+		return Reply{}
+	}
+}
+
+// runnable says why a job can never run, or that it can't be told yet.
+func (in *Intake) runnable(job *wire.Job) (status int, reason string) {
+	types := in.catalog.All()
+	if len(types) == 0 {
+		return http.StatusServiceUnavailable, "machine types not known yet"
+	}
+	var team *config.Team
+	for i := range in.cfg.Params.Teams {
+		if in.cfg.Params.Teams[i].Name == job.Team {
+			team = &in.cfg.Params.Teams[i]
+		}
+	}
+	if team == nil {
+		return http.StatusUnprocessableEntity, "unknown team"
+	}
+	n := 1.0
+	if job.Service() {
+		n = float64(job.Tasks)
+	}
+	const tiny = 1e-6
+	if team.CPUsMax > 0 && n*job.CPUs > team.CPUsMax+tiny || team.GPUsMax > 0 && n*job.GPUs > team.GPUsMax+tiny {
+		return http.StatusUnprocessableEntity, "more than the team's limit"
+	}
+	for _, t := range types {
+		if job.CPUs <= t.CPUs+tiny && job.GPUs <= t.GPUs+tiny && job.MemoryGB <= t.MemoryGB+tiny &&
+			(job.Types == nil || has(job.Types, t.Name)) && (job.Zone == nil || has(t.Zones, *job.Zone)) {
+			return 0, ""
+		}
+	}
+	return http.StatusUnprocessableEntity, "a task fits no allowed machine type"
+}
+
+func has(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/machine/messages.go
@@ -0,0 +1,128 @@
+// Package machine is the holder's side of the design: the controller that
+// hears a worker holds that machine's queue, writes its wait-time matrix and
+// gives it commands. A task starts only after its owner granted it.
+package machine
+
+import (
+	"context"
+
+	"github.com/wallrack/wallrack/internal/placement"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// Ref names one attempt of a task on a machine.
+type Ref struct {
+	Machine string `json:"m"`
+	Task    string `json:"t"`
+	Attempt uint64 `json:"a"`
+}
+
+// Entry is a task placed on a machine by its owner, with what the holder
+// needs to queue it.
+type Entry struct {
+	Ref
+	Owner  string          `json:"o"`
+	Shape  placement.Shape `json:"s"`
+	Run    float64         `json:"r"` // expected run time
+	Fetch  float64         `json:"f"` // expected image fetch
+	Rank   int             `json:"p"` // priority, larger first
+	DueAt  float64         `json:"d"` // order within a priority, earlier first
+	Listed bool            `json:"l"` // facts about a task that already runs: not to be queued
+}
+
+// Halt stops a task; the holder repeats it until the task is gone.
+type Halt struct {
+	Ref
+	GraceS float64 `json:"g"`
+}
+
+// Direction is what an owner tells a holder.
+type Direction struct {
+	From   string  `json:"from"`
+	Assign []Entry `json:"assign,omitempty"`
+	Halt   []Halt  `json:"halt,omitempty"`
+	Clear  []Ref   `json:"clear,omitempty"`
+	// RaiseAbove asks the holder to answer workers with a higher token, so
+	// that their reports prove which late commands can no longer run.
+	RaiseAbove uint64 `json:"raise,omitempty"`
+}
+
+// Unlaunched answers a direction: the halted tasks for which no start command
+// was ever sent by this holder.
+type Unlaunched struct {
+	Refs []Ref `json:"refs"`
+}
+
+// GrantRequest asks a task's owner whether it may start now, with this token
+// and in this session.
+type GrantRequest struct {
+	Ref
+	Holder  string `json:"h"`
+	Token   uint64 `json:"k"`
+	Session uint64 `json:"s"`
+}
+
+// GrantReply answers: start it, drop it from the queue, or neither for now.
+type GrantReply struct {
+	OK   bool `json:"ok"`
+	Drop bool `json:"drop"`
+}
+
+// TaskView is a listed task.
+type TaskView struct {
+	wire.Task
+	ForS float64 `json:"for"` // seconds since the holder first saw it in this state
+}
+
+// QueueView is a queued task and its expected wait.
+type QueueView struct {
+	Ref
+	WaitS float64 `json:"w"`
+}
+
+// View is what a holder publishes of a machine.
+type View struct {
+	Name     string           `json:"name"`
+	Type     string           `json:"type"`
+	Zone     string           `json:"zone"`
+	Spot     bool             `json:"spot"`
+	Session  uint64           `json:"session"`
+	Seq      uint64           `json:"seq"`
+	Token    uint64           `json:"token"`
+	Holder   string           `json:"holder"`
+	NoticeS  *float64         `json:"notice"`
+	Draining bool             `json:"draining"`
+	Tasks    []TaskView       `json:"tasks"`
+	Queue    []QueueView      `json:"queue"`
+	Matrix   placement.Matrix `json:"matrix"`
+}
+
+// Owners is what a holder needs of the tasks' owners, here or elsewhere.
+type Owners interface {
+	// Observe hands a fresh view to the owner in this process.
+	Observe(View)
+	// GrantHere asks the owner in this process.
+	GrantHere(GrantRequest) GrantReply
+	// GrantThere asks an owner elsewhere.
+	GrantThere(ctx context.Context, owner string, req GrantRequest) (GrantReply, error)
+}
+
+// Tokens are this controller's terms.
+type Tokens interface {
+	Term() uint64
+	Raise(ctx context.Context, above uint64) (uint64, error)
+}
+
+// Types knows the cloud's machine types.
+type Types interface {
+	Type(name string) (wire.MachineType, bool)
+}
+
+// Routing says whether this controller may act for a worker, and which one
+// should instead.
+type Routing interface {
+	// Foreman names the controller that should hold workers, "" for none.
+	Foreman() string
+	// Entitled reports whether this controller may answer workers.
+	Entitled() bool
+}
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,508 @@
+// Package membership keeps this controller's lease in the state service, its
+// term (the workers' token) and the shards it owns. An incarnation holds one
+// lease; the keys attached to it say who is alive and who owns what.
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/statestore"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+const (
+	prefix    = "c/"
+	termKey   = "c/term"
+	nodeKey   = "c/node/"
+	shardKey  = "c/shard/"
+	driftRate = 0.002                 // four times the largest drift between two steady clocks
+	slack     = 60 * time.Millisecond // timers fire late
+)
+
+// Store is what membership needs of the state service.
+type Store interface {
+	Get(ctx context.Context, key string) (wire.Item, error)
+	Txn(ctx context.Context, guards []wire.Guard, ops ...wire.Op) (uint64, error)
+	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
+	Touch(ctx context.Context, lease uint64) error
+	Revoke(ctx context.Context, lease uint64) error
+	Watch(ctx context.Context, prefix string, hold time.Duration, reset func([]wire.Item), change func([]wire.Event))
+}
+
+type nodeRecord struct {
+	Lease uint64 `json:"lease"`
+	Term  uint64 `json:"term"`
+}
+
+type shardRecord struct {
+	Node string `json:"node"`
+	Term uint64 `json:"term"`
+}
+
+type termRecord struct {
+	N uint64 `json:"n"`
+}
+
+// Member is this controller's place among the others.
+type Member struct {
+	store  Store
+	name   string
+	ttl    time.Duration
+	shards int
+	spread int
+	log    *slog.Logger
+	wake   chan struct{}
+
+	raising sync.Mutex // one change of the term at a time
+
+	mu       sync.Mutex
+	lease    uint64
+	goodSend time.Time
+	term     uint64
+	nodes    map[string]nodeRecord
+	owners   map[int]shardRecord
+	own      map[int]uint64 // shard -> version of its key
+	synced   bool
+	onChange []func()
+}
+
+// New returns a member that has not joined yet.
+func New(store Store, name string, ttl time.Duration, shards, spread int, log *slog.Logger) *Member {
+	return &Member{
+		store: store, name: name, ttl: ttl, shards: shards, spread: spread, log: log,
+		wake: make(chan struct{}, 1), nodes: map[string]nodeRecord{}, owners: map[int]shardRecord{}, own: map[int]uint64{},
+	}
+}
+
+// OnChange registers a callback for changes of ownership; call it before Run.
+func (m *Member) OnChange(f func()) { m.onChange = append(m.onChange, f) }
+
+// Name returns this controller's name.
+func (m *Member) Name() string { return m.name }
+
+// ShardKey names the key that says who owns a shard.
+func (m *Member) ShardKey(shard int) string { return keyOf(shard) }
+
+func keyOf(shard int) string { return fmt.Sprintf("%s%03d", shardKey, shard) }
+
+// Held returns how much longer the lease surely holds: it counts from the
+// send of the last good touch, less drift.
+func (m *Member) Held() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.heldLocked()
+}
+
+func (m *Member) heldLocked() time.Duration {
+	if m.lease == 0 {
+		return 0
+	}
+	safe := m.ttl - time.Duration(float64(m.ttl)*driftRate) - slack
+	return max(0, safe-time.Since(m.goodSend))
+}
+
+// Term returns the token that this controller answers workers with, or 0.
+func (m *Member) Term() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.term
+}
+
+// Own returns the shards owned under a lease that surely holds, with the
+// versions of their keys.
+func (m *Member) Own() map[int]uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.heldLocked() <= 0 {
+		return nil
+	}
+	return m.claimedLocked()
+}
+
+// Claimed returns the shards this incarnation has claimed and not lost, even
+// while its lease can't be shown to hold.
+func (m *Member) Claimed() map[int]uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.claimedLocked()
+}
+
+func (m *Member) claimedLocked() map[int]uint64 {
+	out := make(map[int]uint64, len(m.own))
+	for s, v := range m.own {
+		out[s] = v
+	}
+	return out
+}
+
+// Owners returns the controllers known to own shards, the one with most first.
+func (m *Member) Owners() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	count := map[string]int{}
+	for _, r := range m.owners {
+		count[r.Node]++
+	}
+	names := make([]string, 0, len(count))
+	for n := range count {
+		names = append(names, n)
+	}
+	sort.Slice(names, func(i, j int) bool {
+		if count[names[i]] != count[names[j]] {
+			return count[names[i]] > count[names[j]]
+		}
+		return names[i] < names[j]
+	})
+	return names
+}
+
+// Raise makes the term larger than above, and returns it. A term whose
+// transaction was not surely applied by this incarnation is never used.
+func (m *Member) Raise(ctx context.Context, above uint64) (uint64, error) {
+	m.raising.Lock()
+	defer m.raising.Unlock()
+	if t := m.Term(); t > above {
+		return t, nil
+	}
+	return m.raiseLocked(ctx, above, nil)
+}
+
+// Fresh takes a term that no token given out before is equal to or above.
+func (m *Member) Fresh(ctx context.Context) (uint64, error) {
+	m.raising.Lock()
+	defer m.raising.Unlock()
+	return m.raiseLocked(ctx, 0, nil)
+}
+
+func (m *Member) raiseLocked(ctx context.Context, above uint64, with func(term uint64) ([]wire.Guard, []wire.Op)) (uint64, error) {
+	for n := 0; ; n++ {
+		it, err := m.store.Get(ctx, termKey)
+		var rec termRecord
+		if err == nil {
+			if err := json.Unmarshal(it.Value, &rec); err != nil {
+				return 0, fmt.Errorf("read term: %w", err)
+			}
+		} else if !errors.Is(err, statestore.ErrNotFound) {
+			return 0, fmt.Errorf("read term: %w", err)
+		}
+		next := max(rec.N, above) + 1
+		guards := []wire.Guard{{Key: termKey, Version: it.Version}}
+		ops := []wire.Op{{Put: termKey, Value: termRecord{N: next}}}
+		if with != nil {
+			g, o := with(next)
+			guards, ops = append(guards, g...), append(ops, o...)
+		}
+		_, err = m.store.Txn(ctx, guards, ops...)
+		var conflict *statestore.Conflict
+		if errors.As(err, &conflict) && conflict.Has(termKey) {
+			statestore.Backoff(ctx, n, 20*time.Millisecond, 200*time.Millisecond)
+			continue
+		}
+		if err != nil {
+			return 0, fmt.Errorf("raise term: %w", err)
+		}
+		m.mu.Lock()
+		m.term = max(m.term, next)
+		t := m.term
+		m.mu.Unlock()
+		return t, nil
+	}
+}
+
+// Run joins, renews the lease, follows the others and claims shards until ctx
+// ends. A lost lease makes a new incarnation.
+func (m *Member) Run(ctx context.Context) error {
+	watching := make(chan struct{})
+	go func() {
+		defer close(watching)
+		m.store.Watch(ctx, prefix, 20*time.Second, m.reset, m.change)
+	}()
+	for n := 0; ctx.Err() == nil; n++ {
+		if err := m.join(ctx); err != nil {
+			m.log.Info("joining failed", "err", err)
+			statestore.Backoff(ctx, n, 100*time.Millisecond, time.Second)
+			continue
+		}
+		n = 0
+		m.hold(ctx)
+		m.lost()
+	}
+	<-watching
+	return ctx.Err()
+}
+
+func (m *Member) join(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	key := nodeKey + m.name
+	var old nodeRecord
+	it, err := m.store.Get(ctx, key)
+	if err == nil {
+		if err := json.Unmarshal(it.Value, &old); err != nil {
+			return fmt.Errorf("read %s: %w", key, err)
+		}
+		// The predecessor is dead, or is this process before it lost its
+		// lease: its shards are freed at once instead of when the lease ends.
+		if err := m.store.Revoke(ctx, old.Lease); err != nil && !errors.Is(err, statestore.ErrNotFound) {
+			return fmt.Errorf("end predecessor's lease: %w", err)
+		}
+	} else if !errors.Is(err, statestore.ErrNotFound) {
+		return fmt.Errorf("read %s: %w", key, err)
+	}
+	sent := time.Now()
+	lease, err := m.store.Grant(ctx, m.ttl)
+	if err != nil {
+		return fmt.Errorf("open lease: %w", err)
+	}
+	m.raising.Lock()
+	term, err := m.raiseLocked(ctx, 0, func(term uint64) ([]wire.Guard, []wire.Op) {
+		return []wire.Guard{{Key: key}}, []wire.Op{{Put: key, Value: nodeRecord{Lease: lease, Term: term}, Lease: lease}}
+	})
+	m.raising.Unlock()
+	if err != nil {
+		return fmt.Errorf("register: %w", err)
+	}
+	m.mu.Lock()
+	m.lease, m.goodSend = lease, sent
+	m.own = map[int]uint64{}
+	m.mu.Unlock()
+	m.log.Info("joined", "lease", lease, "term", term)
+	m.notify()
+	return nil
+}
+
+func (m *Member) hold(ctx context.Context) {
+	tick := time.NewTicker(m.ttl / 5)
+	defer tick.Stop()
+	var excessSince time.Time
+	for {
+		m.claim(ctx)
+		if m.excess() > 0 {
+			if excessSince.IsZero() {
+				excessSince = time.Now()
+			} else if time.Since(excessSince) > m.ttl {
+				m.release(ctx)
+			}
+		} else {
+			excessSince = time.Time{}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.wake:
+			continue
+		case <-tick.C:
+		}
+		m.mu.Lock()
+		lease := m.lease
+		m.mu.Unlock()
+		sent := time.Now()
+		tctx, cancel := context.WithTimeout(ctx, m.ttl/4)
+		err := m.store.Touch(tctx, lease)
+		cancel()
+		switch {
+		case err == nil:
+			m.mu.Lock()
+			was := m.heldLocked()
+			m.goodSend = sent
+			m.mu.Unlock()
+			if was <= 0 {
+				m.log.Info("lease holds again")
+				m.notify()
+			}
+		case errors.Is(err, statestore.ErrNotFound):
+			m.log.Info("lease lost", "lease", lease)
+			return
+		default:
+			m.log.Debug("touch failed", "err", err)
+		}
+	}
+}
+
+func (m *Member) lost() {
+	m.mu.Lock()
+	m.lease = 0
+	m.own = map[int]uint64{}
+	m.mu.Unlock()
+	m.notify()
+}
+
+// wanted is how many shards each owner should have.
+func (m *Member) wantedLocked() int {
+	n := max(1, min(m.spread, len(m.nodes)))
+	return (m.shards + n - 1) / n
+}
+
+func (m *Member) excess() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.own) - m.wantedLocked()
+}
+
+// claim takes free shards, up to this controller's share, in one transaction:
+// of two controllers that race, one takes them all.
+func (m *Member) claim(ctx context.Context) {
+	m.mu.Lock()
+	var free []int
+	room := m.wantedLocked() - len(m.own)
+	if m.synced && m.heldLocked() > time.Second {
+		for s := 0; s < m.shards && len(free) < room; s++ {
+			if _, taken := m.owners[s]; !taken {
+				free = append(free, s)
+			}
+		}
+	}
+	lease, term := m.lease, m.term
+	m.mu.Unlock()
+	if len(free) == 0 {
+		return
+	}
+	guards := make([]wire.Guard, len(free))
+	ops := make([]wire.Op, len(free))
+	for i, s := range free {
+		guards[i] = wire.Guard{Key: keyOf(s)}
+		ops[i] = wire.Op{Put: keyOf(s), Value: shardRecord{Node: m.name, Term: term}, Lease: lease}
+	}
+	cctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	rev, err := m.store.Txn(cctx, guards, ops...)
+	if err != nil {
+		m.log.Debug("claim failed", "shards", free, "err", err)
+		return
+	}
+	m.mu.Lock()
+	if m.lease == lease {
+		for _, s := range free {
+			m.own[s] = rev
+			m.owners[s] = shardRecord{Node: m.name, Term: term}
+		}
+	}
+	m.mu.Unlock()
+	m.log.Info("claimed shards", "shards", free)
+	m.notify()
+}
+
+// release gives up shards beyond this controller's share.
+func (m *Member) release(ctx context.Context) {
+	m.mu.Lock()
+	var guards []wire.Guard
+	var ops []wire.Op
+	for s := m.shards - 1; s >= 0 && len(m.own) > m.wantedLocked(); s-- {
+		if v, ok := m.own[s]; ok {
+			delete(m.own, s)
+			guards = append(guards, wire.Guard{Key: keyOf(s), Version: v})
+			ops = append(ops, wire.Op{Delete: keyOf(s)})
+		}
+	}
+	m.mu.Unlock()
+	m.notify()
+	cctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	if _, err := m.store.Txn(cctx, guards, ops...); err != nil {
+		m.log.Info("releasing shards failed", "err", err)
+	}
+}
+
+func (m *Member) notify() {
+	for _, f := range m.onChange {
+		f()
+	}
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Member) reset(items []wire.Item) {
+	m.mu.Lock()
+	m.nodes, m.owners = map[string]nodeRecord{}, map[int]shardRecord{}
+	for _, it := range items {
+		m.applyLocked(it.Key, it.Value, it.Version)
+	}
+	for s := range m.own {
+		if r, ok := m.owners[s]; !ok || r.Node != m.name {
+			// A listing may be older than the claim: keep what the claim
+			// said, since every write is guarded anyway.
+			m.owners[s] = shardRecord{Node: m.name, Term: m.term}
+		}
+	}
+	m.synced = true
+	m.mu.Unlock()
+	m.notify()
+}
+
+func (m *Member) change(events []wire.Event) {
+	m.mu.Lock()
+	relevant := false
+	for _, e := range events {
+		key := e.Put + e.Delete
+		if key == termKey {
+			continue
+		}
+		relevant = true
+		if e.Delete != "" {
+			m.dropLocked(e.Delete, e.Version)
+			continue
+		}
+		m.applyLocked(e.Put, e.Value, e.Version)
+	}
+	m.mu.Unlock()
+	if relevant {
+		m.notify()
+	}
+}
+
+func (m *Member) applyLocked(key string, value json.RawMessage, version uint64) {
+	if name, ok := strings.CutPrefix(key, nodeKey); ok {
+		var r nodeRecord
+		if json.Unmarshal(value, &r) == nil {
+			m.nodes[name] = r
+		}
+		return
+	}
+	s, ok := shardOf(key)
+	var r shardRecord
+	if !ok || json.Unmarshal(value, &r) != nil {
+		return
+	}
+	m.owners[s] = r
+	if v, mine := m.own[s]; mine && version > v {
+		delete(m.own, s) // somebody else wrote it since: it is no longer ours
+	}
+}
+
+func (m *Member) dropLocked(key string, version uint64) {
+	if name, ok := strings.CutPrefix(key, nodeKey); ok {
+		delete(m.nodes, name)
+		return
+	}
+	if s, ok := shardOf(key); ok {
+		if v, mine := m.own[s]; mine {
+			if version <= v {
+				return // an event from before the claim
+			}
+			delete(m.own, s)
+		}
+		delete(m.owners, s)
+	}
+}
+
+func shardOf(key string) (int, bool) {
+	rest, ok := strings.CutPrefix(key, shardKey)
+	var s int
+	if !ok {
+		return 0, false
+	}
+	if _, err := fmt.Sscanf(rest, "%d", &s); err != nil {
+		return 0, false
+	}
+	return s, true
+}
--- /dev/null
+++ b/internal/owner/observe.go
@@ -0,0 +1,579 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/machine"
+	"github.com/wallrack/wallrack/internal/placement"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// learning is the weight of a newly finished task in its class's ratio.
+const learning = 0.08
+
+// Observe takes a holder's view of a machine and settles what it shows.
+func (o *Owner) Observe(v machine.View) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.loaded) == 0 {
+		return
+	}
+	m := o.machineOf(v.Name)
+	old := &m.view
+	if m.gone || v.Session < old.Session || v.Session == old.Session && v.Seq < old.Seq {
+		return
+	}
+	if old.Zone == "" && v.Zone != "" {
+		// Places counted in every zone move to the right one.
+		for p := range m.places {
+			o.count(p, -1)
+		}
+		m.view.Zone = v.Zone
+		for p := range m.places {
+			o.count(p, 1)
+		}
+	}
+	now := time.Now()
+	m.view, m.at, m.matrix = v, now, v.Matrix
+	m.notice = time.Time{}
+	if v.NoticeS != nil {
+		m.notice = now.Add(time.Duration(*v.NoticeS * float64(time.Second)))
+	}
+	shown := make(map[machine.Ref]bool, len(v.Tasks)+len(v.Queue))
+	for i := range v.Tasks {
+		t := &v.Tasks[i]
+		ref := machine.Ref{Machine: v.Name, Task: t.Task.Task, Attempt: t.Attempt}
+		shown[ref] = true
+		o.shown(m, ref, t)
+	}
+	for _, q := range v.Queue {
+		shown[q.Ref] = true
+	}
+	for p := range m.places {
+		if !shown[p.ref()] {
+			o.absent(m, p)
+		}
+	}
+	o.drainNotice(m)
+	poke(o.wake)
+}
+
+// shown handles a task that the worker reported.
+func (o *Owner) shown(m *mach, ref machine.Ref, t *machine.TaskView) {
+	uid, n, err := wire.ParseTask(ref.Task)
+	if err != nil {
+		return
+	}
+	j := o.jobs[uid]
+	if j == nil {
+		if len(o.loaded) < o.op.Shards {
+			return // another owner's, perhaps
+		}
+		if _, over := o.final[uid]; !over && time.Since(o.loadedAt) < 3*time.Second {
+			return // just accepted, perhaps
+		}
+		o.stray(m, ref, t)
+		return
+	}
+	var p *place
+	for _, x := range j.places[n] {
+		if x.mach == m && x.attempt == ref.Attempt {
+			p = x
+		}
+	}
+	if p == nil {
+		o.stray(m, ref, t)
+		return
+	}
+	if p.exited {
+		o.afterDone(p)
+		return
+	}
+	if t.State == wire.TaskExited {
+		o.exited(m, p, t)
+		return
+	}
+	if p.state != placeSeen {
+		if !p.on() {
+			o.log.Error("a task runs without a grant", "task", ref.Task, "machine", m.name)
+		}
+		unsettled := p.state == placeUnsettled
+		p.whole = !unsettled
+		o.count(p, -1)
+		p.state, p.session = placeSeen, m.view.Session
+		o.count(p, 1)
+		if unsettled || p.sentTo != m.view.Holder {
+			o.tell(p, true)
+		}
+	} else if p.sentTo != m.view.Holder {
+		o.tell(p, true)
+	}
+	p.session = max(p.session, m.view.Session)
+	if t.State != wire.TaskFetching && j.spec.Image != "" {
+		o.cache(j, m)
+	}
+	if (t.State == wire.TaskRunning || t.State == wire.TaskSaving) && p.running.IsZero() {
+		p.running = time.Now().Add(-time.Duration(t.ForS * float64(time.Second)))
+		j.running++
+		j.started++
+	}
+	if j.cancelled {
+		o.halt(p, 0)
+	}
+}
+
+// stray handles a task that has no place in the books: a leftover.
+func (o *Owner) stray(m *mach, ref machine.Ref, t *machine.TaskView) {
+	if t.State == wire.TaskExited {
+		o.direction(m.view.Holder).Clear = append(o.direction(m.view.Holder).Clear, ref)
+	} else {
+		d := o.direction(m.view.Holder)
+		d.Halt = append(d.Halt, machine.Halt{Ref: ref})
+	}
+	poke(o.out)
+}
+
+// exited handles the end of an attempt.
+func (o *Owner) exited(m *mach, p *place, t *machine.TaskView) {
+	j := p.job
+	if t.Cause == wire.CauseDone {
+		o.stats.Done++
+		m.done, m.errors = m.done*0.98+1, 0
+		if m.view.Spot {
+			o.spotDone = o.spotDone*0.995 + 1
+		}
+		o.cache(j, m)
+		if p.whole && !p.running.IsZero() && !j.cancelled {
+			ran := time.Since(p.running).Seconds()
+			j.runs.add(ran)
+			j.class.runs.add(ran)
+			if j.spec.Estimate > 0 {
+				r := min(4, max(0.25, ran/j.spec.Estimate))
+				j.class.ratio += learning * (r - j.class.ratio)
+			}
+		}
+		if !j.spec.Service() && !p.chunk.isDone(p.task) {
+			p.chunk.setDone(p.task)
+			j.done++
+			p.exited = true
+			// Every other place of the task is needless now; the ones
+			// that were never granted simply go.
+			for _, q := range append([]*place(nil), j.places[p.task]...) {
+				if q != p && !q.on() {
+					o.unqueue(q)
+				}
+			}
+			// The place itself stays until the completion is recorded:
+			// only then may the worker forget it.
+			o.count(p, -1)
+			if !p.running.IsZero() {
+				j.running--
+				p.running = time.Time{}
+			}
+			p.state = placeWriting
+			o.touch(j, p.chunk)
+			p.gen = p.chunk.gen
+			o.finish(j)
+			return
+		}
+	}
+	switch t.Cause {
+	case wire.CauseError:
+		o.stats.Errors++
+		m.errors++
+		m.errJobs[j.spec.UID] = true
+		j.errors++
+		j.avoid[m.index] = time.Now().Add(time.Minute)
+		if j.errors > 3 {
+			j.notBefore = time.Now().Add(min(30*time.Second, time.Second<<min(j.errors-3, 5)))
+		}
+	case wire.CauseNoRoom, wire.CauseBusy:
+		j.avoid[m.index] = time.Now().Add(2 * time.Second)
+	case wire.CauseUnknown:
+		j.errors++
+		j.notBefore = time.Now().Add(2 * time.Second)
+	}
+	ref := p.ref()
+	o.detach(p)
+	o.direction(m.view.Holder).Clear = append(o.direction(m.view.Holder).Clear, ref)
+	poke(o.out)
+}
+
+// afterDone clears a finished task once its completion is recorded.
+func (o *Owner) afterDone(p *place) {
+	if p.chunk.flushed < p.gen && o.dirty[p.chunk] != nil {
+		return
+	}
+	ref, holder := p.ref(), p.mach.view.Holder
+	o.detach(p)
+	d := o.direction(holder)
+	d.Clear = append(d.Clear, ref)
+	poke(o.out)
+}
+
+// absent handles a place that the worker's report does not show.
+func (o *Owner) absent(m *mach, p *place) {
+	switch {
+	case p.exited:
+		if p.chunk.flushed >= p.gen {
+			o.detach(p)
+		}
+	case !p.on():
+		if p.state == placeRecorded && (p.sentTo != m.view.Holder || time.Since(p.sentAt) > 2*time.Second) {
+			o.tell(p, false)
+		}
+	case m.view.Token > p.token || p.state != placeUnsettled && m.view.Session > p.session:
+		// Newer than any start command for this attempt can be, and the
+		// task is not there: it is off this machine.
+		if p.state == placeSeen {
+			o.lose(p)
+		}
+		o.detach(p)
+	case p.state == placeGranted && !p.job.cancelled && p.haltAt.IsZero():
+		if p.sentTo != m.view.Holder || time.Since(p.sentAt) > 2*time.Second {
+			o.tell(p, false)
+		}
+	default:
+		// Perhaps a late command: a newer token settles it.
+		if time.Since(p.haltAt) > time.Second {
+			p.haltAt = time.Now()
+			d := o.direction(m.view.Holder)
+			d.Halt = append(d.Halt, machine.Halt{Ref: p.ref()})
+			d.RaiseAbove = max(d.RaiseAbove, p.token)
+			poke(o.out)
+		}
+	}
+}
+
+func (o *Owner) lose(p *place) {
+	o.stats.Lost++
+	p.mach.lost = p.mach.lost*0.98 + 1
+	if p.mach.view.Spot {
+		o.spotLost = o.spotLost*0.995 + 1
+	}
+}
+
+// direction returns what is to be told to a holder next.
+func (o *Owner) direction(holder string) *machine.Direction {
+	d := o.pend[holder]
+	if d == nil {
+		d = &machine.Direction{From: o.member.Name()}
+		o.pend[holder] = d
+	}
+	return d
+}
+
+// tell sends a place to the machine's holder, to be queued, or as facts about
+// a task that it lists.
+func (o *Owner) tell(p *place, isListed bool) {
+	m, j := p.mach, p.job
+	if m.view.Holder == "" {
+		return
+	}
+	p.sentTo, p.sentAt = m.view.Holder, time.Now()
+	d := o.direction(m.view.Holder)
+	d.Assign = append(d.Assign, machine.Entry{
+		Ref: p.ref(), Owner: o.member.Name(), Shape: j.shape, Run: j.runEstimate(), Fetch: o.fetchTime(j, m),
+		Rank: j.spec.Rank(), DueAt: j.dueAt(), Listed: isListed,
+	})
+	poke(o.out)
+}
+
+// halt stops a task; it is repeated until the task is off its machine.
+func (o *Owner) halt(p *place, grace float64) {
+	if !p.on() {
+		o.unqueue(p)
+		return
+	}
+	if time.Since(p.haltAt) < time.Second {
+		return
+	}
+	p.haltAt = time.Now()
+	if p.halted.IsZero() {
+		p.halted = p.haltAt
+	}
+	if p.mach.view.Holder == "" {
+		return
+	}
+	d := o.direction(p.mach.view.Holder)
+	d.Halt = append(d.Halt, machine.Halt{Ref: p.ref(), GraceS: grace})
+	poke(o.out)
+}
+
+// unqueue takes back a place that was never granted, so that nothing can have
+// been started by it.
+func (o *Owner) unqueue(p *place) {
+	if p.sentTo != "" {
+		d := o.direction(p.sentTo)
+		d.Halt = append(d.Halt, machine.Halt{Ref: p.ref()})
+		poke(o.out)
+	}
+	o.detach(p)
+}
+
+// drainNotice saves what can be saved before the cloud takes a machine.
+func (o *Owner) drainNotice(m *mach) {
+	if m.notice.IsZero() {
+		return
+	}
+	left := time.Until(m.notice).Seconds()
+	for p := range m.places {
+		if p.exited {
+			continue
+		}
+		if !p.on() {
+			o.unqueue(p)
+			continue
+		}
+		s := p.job.spec
+		if s.MarkS > 0 && !p.running.IsZero() && p.halted.IsZero() && left < s.SaveS+2*o.cfg.Params.Workers.ReportS+1 {
+			o.halt(p, s.SaveS+1)
+		}
+	}
+}
+
+// GrantHere decides whether a task may start now. One place of a task is
+// granted at a time; quota, place and kind are checked against everything
+// that may still be on.
+func (o *Owner) GrantHere(r machine.GrantRequest) machine.GrantReply {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	no, drop := machine.GrantReply{}, machine.GrantReply{Drop: true}
+	if o.member.Held() < 200*time.Millisecond || len(o.loaded) == 0 {
+		return no
+	}
+	uid, n, err := wire.ParseTask(r.Task)
+	if err != nil {
+		return drop
+	}
+	j := o.jobs[uid]
+	if j == nil {
+		return machine.GrantReply{Drop: len(o.loaded) == o.op.Shards}
+	}
+	if v, ok := o.member.Own()[j.shard]; !ok || o.loaded[j.shard] != v {
+		return no
+	}
+	var p *place
+	for _, x := range j.places[n] {
+		if x.mach.name == r.Machine && x.attempt == r.Attempt {
+			p = x
+		} else if x.on() || x.exited {
+			o.stats.Refused++
+			return no // settled later, or dropped by unqueue
+		}
+	}
+	if p == nil {
+		return drop
+	}
+	m := p.mach
+	switch {
+	case j.cancelled || p.chunk.isDone(n):
+		return drop
+	case p.state == placeWriting || p.state == placeUnsettled || p.state == placeSeen || !p.haltAt.IsZero():
+		return no
+	case m.gone || m.view.Draining || !o.allowed(j, m):
+		return no
+	}
+	o.count(p, -1)
+	if !o.within(j, m) || !o.underLimit(j) {
+		o.count(p, 1)
+		o.stats.Refused++
+		return no
+	}
+	p.state = placeGranted
+	p.token, p.session = max(p.token, r.Token), max(p.session, r.Session)
+	o.count(p, 1)
+	o.stats.Granted++
+	for _, x := range append([]*place(nil), j.places[n]...) {
+		if x != p {
+			o.unqueue(x)
+		}
+	}
+	return machine.GrantReply{OK: true}
+}
+
+// allowed reports whether the job may run on that machine at all.
+func (o *Owner) allowed(j *job, m *mach) bool {
+	s := j.spec
+	if m.view.Spot && !s.Spot || s.Zone != nil && *s.Zone != m.view.Zone {
+		return false
+	}
+	if s.Types == nil {
+		return true
+	}
+	for _, t := range s.Types {
+		if t == m.view.Type {
+			return true
+		}
+	}
+	return false
+}
+
+// within reports whether one more task of the job may be in the machine's
+// zone, counting all that may be on.
+func (o *Owner) within(j *job, m *mach) bool {
+	zone := m.view.Zone
+	if j.spec.OneZone {
+		if j.unzoned > 0 {
+			return false
+		}
+		for z, n := range j.zones {
+			if n > 0 && z != zone {
+				return false
+			}
+		}
+	}
+	if j.spec.Spread && j.zones[zone]+j.unzoned+1 > (j.spec.Tasks+1)/2 {
+		return false
+	}
+	return true
+}
+
+// underLimit reports whether the job's team may use one more task of it.
+func (o *Owner) underLimit(j *job) bool {
+	t := j.team
+	u := t.use.Add(j.shape, 1)
+	const tiny = 1e-6
+	return (t.CPUsMax <= 0 || u.CPUs <= t.CPUsMax+tiny) && (t.GPUsMax <= 0 || u.GPUs <= t.GPUsMax+tiny)
+}
+
+// Gone settles every place on a machine that the cloud has deleted.
+func (o *Owner) Gone(name string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	m := o.machines[name]
+	if m == nil {
+		return
+	}
+	m.gone = true
+	o.settleLost(m, time.Now())
+	// The name never comes back; the index stays taken.
+	o.byIndex[m.index] = nil
+	delete(o.machines, name)
+}
+
+// Vouched settles what was on a machine when all controllers vouched that
+// none has answered it for a full lease: its worker has killed every task.
+func (o *Owner) Vouched(name string, asked time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if m := o.machines[name]; m != nil && m.at.Before(asked) {
+		o.settleLost(m, asked)
+	}
+}
+
+func (o *Owner) settleLost(m *mach, before time.Time) {
+	for p := range m.places {
+		if p.made.After(before) {
+			continue
+		}
+		if p.state == placeSeen || p.state == placeGranted {
+			o.lose(p)
+		}
+		if !p.exited || p.chunk.flushed >= p.gen {
+			o.detach(p)
+		}
+	}
+}
+
+// Suspects returns the machines that tasks may be on and that have been
+// silent for too long: the cloud's deletion settles them.
+func (o *Owner) Suspects() map[string]time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := map[string]time.Duration{}
+	for name, m := range o.machines {
+		if len(m.places) == 0 {
+			continue
+		}
+		silent := time.Since(later(m.at, m.since))
+		for p := range m.places {
+			// A cancelled task that can't be stopped in time goes with
+			// its machine.
+			if p.on() && p.job.cancelled && !p.halted.IsZero() && time.Since(p.halted).Seconds() > o.cfg.Params.Workers.CancelS/3 {
+				silent = max(silent, seconds(o.op.SilentS))
+			}
+		}
+		if silent >= seconds(o.op.SilentS) {
+			out[name] = silent
+		}
+	}
+	return out
+}
+
+var seconds = config.Seconds
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Demand is work that waits.
+type Demand struct {
+	Shape placement.Shape
+	Job   *wire.Job
+	Count int
+	Run   float64
+	Rank  int
+}
+
+// Demand returns the work that has no machine yet, most urgent first, and what
+// each machine's future looks like.
+func (o *Owner) Demand() ([]Demand, []Load) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var ds []Demand
+	for _, j := range o.order {
+		if j.cancelled || j.ended != "" {
+			continue
+		}
+		n := len(j.pending)
+		for _, ps := range j.places {
+			waits := true
+			for _, p := range ps {
+				waits = waits && !p.on() && !p.exited
+			}
+			if waits {
+				n++
+			}
+		}
+		if j.errors > 6 {
+			n = min(n, 2)
+		}
+		if n > 0 {
+			ds = append(ds, Demand{Shape: j.shape, Job: j.spec, Count: n, Run: j.runEstimate(), Rank: j.spec.Rank()})
+		}
+	}
+	var ls []Load
+	for _, m := range o.machines {
+		l := Load{Name: m.name, Type: m.view.Type, Zone: m.view.Zone, Spot: m.view.Spot, Matrix: m.matrix, Heard: m.at,
+			Places: len(m.places), Notice: !m.notice.IsZero(), Faulty: m.errors >= 4 && len(m.errJobs) >= 2}
+		for p := range m.places {
+			if p.on() {
+				l.Used = l.Used.Add(p.job.shape, 1)
+			}
+		}
+		ls = append(ls, l)
+	}
+	return ds, ls
+}
+
+// Load is a machine as fleet planning sees it.
+type Load struct {
+	Name, Type, Zone     string
+	Spot, Notice, Faulty bool
+	Matrix               placement.Matrix
+	Used                 placement.Shape
+	Heard                time.Time
+	Places               int
+}
+
+// Ready reports whether this owner owns every shard and so sees all demand.
+func (o *Owner) Ready() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.loaded) == o.op.Shards && o.member.Held() > 0
+}
--- /dev/null
+++ b/internal/owner/place.go
@@ -0,0 +1,328 @@
+package owner
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/placement"
+)
+
+const (
+	matchRounds  = 4   // rounds of proposals in a batch
+	batchTasks   = 96  // tasks in a batch
+	batchJobs    = 24  // jobs that a batch takes tasks from
+	wholeFleet   = 64  // up to so many machines, every one is a candidate
+	maxPlaces    = 2   // machines that a task is queued at, at once
+	placesAtOnce = 400 // bounds what one pass writes
+)
+
+// place is one scheduling pass: batches of matches, most urgent jobs first,
+// until nothing more starts within the horizon.
+func (o *Owner) place() {
+	if o.member.Held() < time.Second || len(o.loaded) == 0 {
+		return
+	}
+	o.lookAgain()
+	var open []*mach
+	now := time.Now()
+	fresh := seconds(3*o.cfg.Params.Workers.ReportS + 1)
+	for _, m := range o.machines {
+		if !m.gone && !m.view.Draining && m.notice.IsZero() && len(m.matrix) > 0 && now.Sub(m.at) < fresh {
+			open = append(open, m)
+		}
+	}
+	if len(open) == 0 {
+		return
+	}
+	sort.Slice(open, func(a, b int) bool { return open[a].index < open[b].index })
+	var waiting []*job
+	for _, j := range o.order {
+		if len(j.pending) > 0 && !j.cancelled && j.ended == "" && now.After(j.notBefore) {
+			waiting = append(waiting, j)
+		}
+	}
+	o.sortJobs(waiting)
+	budget := placesAtOnce
+	for len(waiting) > 0 && budget > 0 {
+		// A batch holds tasks of similar priority.
+		rank := waiting[0].spec.Rank()
+		var jobs []*job
+		for _, j := range waiting {
+			if j.spec.Rank() == rank && len(jobs) < batchJobs {
+				jobs = append(jobs, j)
+			}
+		}
+		placed := o.batch(jobs, open, min(budget, batchTasks))
+		budget -= len(placed)
+		// A job that got nothing in this batch is left for later passes.
+		rest := waiting[:0]
+		considered := map[*job]bool{}
+		for _, j := range jobs {
+			considered[j] = true
+		}
+		for _, j := range waiting {
+			if len(j.pending) > 0 && (!considered[j] || placed[j] > 0) {
+				rest = append(rest, j)
+			}
+		}
+		waiting = rest
+	}
+}
+
+// sortJobs orders jobs: within their team's guarantee first, then by
+// priority, then by when they are due.
+func (o *Owner) sortJobs(jobs []*job) {
+	within := map[*job]bool{}
+	for _, j := range jobs {
+		t := j.team
+		within[j] = t.CPUs > 0 && t.use.CPUs+j.shape.CPUs <= t.CPUs+1e-6 || t.GPUs > 0 && t.use.GPUs+j.shape.GPUs <= t.GPUs+1e-6
+	}
+	sort.SliceStable(jobs, func(a, b int) bool {
+		x, y := jobs[a], jobs[b]
+		if within[x] != within[y] {
+			return within[x]
+		}
+		if x.spec.Rank() != y.spec.Rank() {
+			return x.spec.Rank() > y.spec.Rank()
+		}
+		return x.dueAt() < y.dueAt()
+	})
+}
+
+// candidates limits the search for a job: in a large fleet to machines that
+// cache the image, those in their zones, and two random light ones.
+func (o *Owner) candidates(j *job, open []*mach) []*mach {
+	if len(open) <= wholeFleet {
+		return open
+	}
+	image := o.images.Of(j.spec.Image)
+	zones := map[string]bool{}
+	for _, m := range open {
+		if m.images[image] != nil {
+			zones[m.view.Zone] = true
+		}
+	}
+	var out, light []*mach
+	near := 0
+	for _, i := range rand.Perm(len(open)) {
+		m := open[i]
+		switch {
+		case m.images[image] != nil && len(out) < wholeFleet:
+			out = append(out, m)
+		case zones[m.view.Zone] && near < wholeFleet/2:
+			near++
+			out = append(out, m)
+		case len(light) < 2 && j.shape.Fits(m.matrix[0].Free):
+			light = append(light, m)
+		}
+	}
+	return append(out, light...)
+}
+
+// wait looks a wait up; an older matrix is read at a larger cell.
+func (o *Owner) wait(m *mach, s placement.Shape, run float64) float64 {
+	age := time.Since(m.at).Seconds()
+	if over := age - 1.5*o.cfg.Params.Workers.ReportS; over > 0 {
+		s = s.Scale(1 + min(0.5, 0.05*over))
+	}
+	return max(0, m.matrix.Wait(s, run)-age)
+}
+
+type estimate struct{ wait, cost, fetch float64 }
+
+func (o *Owner) estimate(j *job, m *mach) (estimate, bool) {
+	if !o.allowed(j, m) || !o.within(j, m) || !o.underLimit(j) {
+		return estimate{}, false
+	}
+	if until, ok := j.avoid[m.index]; ok {
+		if time.Now().Before(until) {
+			return estimate{}, false
+		}
+		delete(j.avoid, m.index)
+	}
+	run, fetch := j.runEstimate(), o.fetchTime(j, m)
+	w := o.wait(m, j.shape, fetch+run)
+	if math.IsInf(w, 1) {
+		return estimate{}, false
+	}
+	return estimate{w, placement.Cost(fetch, w, run, o.success(m), o.op.KFail), fetch}, true
+}
+
+// batch matches up to limit tasks of the jobs and dispatches the matches that
+// wait no longer than the horizon.
+func (o *Owner) batch(jobs []*job, open []*mach, limit int) map[*job]int {
+	var options [][]placement.Option
+	var of []*job
+	for _, j := range jobs {
+		var opts []placement.Option
+		for _, m := range o.candidates(j, open) {
+			if e, ok := o.estimate(j, m); ok && e.wait <= o.op.HorizonS {
+				opts = append(opts, placement.Option{Machine: m.index, Wait: e.wait, Cost: e.cost})
+			}
+		}
+		if len(opts) == 0 {
+			continue
+		}
+		for k := 0; k < min(len(j.pending), len(opts)) && len(options) < limit; k++ {
+			mine := opts
+			if o.op.RandomS > 0 {
+				mine = make([]placement.Option, len(opts))
+				for i, x := range opts {
+					x.Cost += rand.Float64() * o.op.RandomS
+					mine[i] = x
+				}
+			}
+			options = append(options, mine)
+			of = append(of, j)
+		}
+	}
+	placed := map[*job]int{}
+	for _, pair := range placement.Match(options, matchRounds) {
+		j := of[pair.Task]
+		m := o.byIndex[pair.Machine]
+		if !o.roomInLimit(j) {
+			continue
+		}
+		t := j.pending[len(j.pending)-1]
+		j.pending = j.pending[:len(j.pending)-1]
+		o.put(j, t, m, pair.Wait)
+		placed[j]++
+	}
+	return placed
+}
+
+// roomInLimit keeps a team's queued work within its limit too, so that tasks
+// that can't be granted yet do not clog the queues.
+func (o *Owner) roomInLimit(j *job) bool {
+	t := j.team
+	if t.CPUsMax <= 0 && t.GPUsMax <= 0 {
+		return true
+	}
+	queued := t.use
+	for _, x := range o.order {
+		if x.team != t {
+			continue
+		}
+		for _, ps := range x.places {
+			for _, p := range ps {
+				if !p.on() && !p.exited {
+					queued = queued.Add(x.shape, 1)
+				}
+			}
+		}
+	}
+	queued = queued.Add(j.shape, 1)
+	return (t.CPUsMax <= 0 || queued.CPUs <= t.CPUsMax+1e-6) && (t.GPUsMax <= 0 || queued.GPUs <= t.GPUsMax+1e-6)
+}
+
+// put places a task on a machine; the holder hears of it once it is recorded.
+func (o *Owner) put(j *job, task int, m *mach, wait float64) {
+	c := j.chunks[task/chunkSize]
+	p := &place{job: j, chunk: c, task: task, attempt: c.next, mach: m, planned: wait, made: time.Now()}
+	c.next++
+	o.attach(p)
+	o.touch(j, c)
+	p.gen = c.gen
+	o.stats.Placed++
+	run := j.runEstimate() + o.fetchTime(j, m)
+	if w := m.matrix.Wait(j.shape, run); !math.IsInf(w, 1) {
+		m.matrix = m.matrix.Reserve(j.shape, w, run)
+	}
+}
+
+// lookAgain re-places queued tasks that wait much longer than planned, with a
+// duplicate where another machine is now better.
+func (o *Owner) lookAgain() {
+	now := time.Now()
+	fresh := seconds(3*o.cfg.Params.Workers.ReportS + 1)
+	waits := map[*place]float64{}
+	stage := map[*job]*average{}
+	for _, m := range o.machines {
+		for _, q := range m.view.Queue {
+			for p := range m.places {
+				if p.state == placeRecorded && p.attempt == q.Attempt && p.ref() == q.Ref {
+					waits[p] = q.WaitS
+					a := stage[p.job]
+					if a == nil {
+						a = &average{}
+						stage[p.job] = a
+					}
+					a.add(min(q.WaitS, 600))
+				}
+			}
+		}
+	}
+	for _, j := range o.order {
+		if j.cancelled || j.ended != "" {
+			continue
+		}
+		for task, ps := range j.places {
+			if len(ps) >= maxPlaces {
+				continue
+			}
+			p := ps[0]
+			if p.state != placeRecorded {
+				continue
+			}
+			silent := now.Sub(later(p.mach.at, p.made)) > fresh || !p.mach.notice.IsZero() || p.mach.view.Draining
+			if silent {
+				// Never granted: the task can simply look elsewhere.
+				o.unqueue(p)
+				continue
+			}
+			w, known := waits[p]
+			if !known {
+				continue
+			}
+			avg := 0.0
+			if a := stage[j]; a != nil {
+				avg = a.mean()
+			}
+			elapsed := now.Sub(p.made).Seconds()
+			if !placement.LookAgain(p.planned, elapsed, w, max(avg, p.planned), o.op.ReplaceS) {
+				continue
+			}
+			current := placement.Cost(o.fetchTime(j, p.mach), w, j.runEstimate(), o.success(p.mach), o.op.KFail)
+			var best *mach
+			bestE := estimate{cost: current - 1}
+			for _, m := range o.machines {
+				if m == p.mach || len(m.matrix) == 0 || m.view.Draining || !m.notice.IsZero() || now.Sub(m.at) > fresh {
+					continue
+				}
+				if e, ok := o.estimate(j, m); ok && e.cost < bestE.cost {
+					best, bestE = m, e
+				}
+			}
+			if best != nil {
+				o.stats.Duplicates++
+				o.put(j, task, best, bestE.wait)
+			}
+		}
+	}
+}
+
+// sweep repeats what may have been lost on the way.
+func (o *Owner) sweep() {
+	for _, j := range o.order {
+		if !j.cancelled {
+			continue
+		}
+		for _, ps := range j.places {
+			for _, p := range append([]*place(nil), ps...) {
+				if !p.exited {
+					o.halt(p, 0)
+				} else if p.chunk.flushed >= p.gen {
+					o.detach(p)
+				}
+			}
+		}
+	}
+	for _, m := range o.machines {
+		if len(m.places) == 0 && time.Since(later(m.at, m.since)) > 10*time.Minute {
+			o.byIndex[m.index] = nil
+			delete(o.machines, m.name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/owner/users.go
@@ -0,0 +1,166 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/statestore"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// ErrUnsure means that nobody can tell now.
+var ErrUnsure = errors.New("the job's state can't be told now")
+
+// Known answers for a living or ended job from memory, if this controller
+// surely owns it.
+func (o *Owner) Known(uid string) (wire.JobState, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if f, ok := o.final[uid]; ok {
+		return wire.JobState{UID: uid, Stage: f.Stage, Done: f.Done}, true
+	}
+	j := o.jobs[uid]
+	if j == nil {
+		return wire.JobState{}, false
+	}
+	// An owner whose lease may have ended could miss a later end.
+	if v, ok := o.member.Own()[j.shard]; !ok || v != o.loaded[j.shard] {
+		return wire.JobState{}, false
+	}
+	return j.state(), true
+}
+
+func (j *job) state() wire.JobState {
+	s := wire.JobState{UID: j.spec.UID, Stage: wire.StageQueued, Done: j.done, Running: j.running}
+	switch {
+	case j.cancelled:
+		s.Stage, s.Running = wire.StageCancelled, 0
+	case j.running > 0:
+		s.Stage = wire.StageRunning
+	}
+	return s
+}
+
+// Stored answers from the store, and says whether the job was ever accepted.
+func Stored(ctx context.Context, store Reader, uid string) (wire.JobState, error) {
+	// The living record first: it goes only when the final one is there.
+	it, err := store.Get(ctx, liveKey+uid)
+	if err == nil {
+		var r liveRecord
+		if err := json.Unmarshal(it.Value, &r); err != nil {
+			return wire.JobState{}, fmt.Errorf("read job: %w", err)
+		}
+		s := wire.JobState{UID: uid, Stage: wire.StageQueued}
+		if r.Cancelled {
+			s.Stage = wire.StageCancelled
+		}
+		return s, nil
+	}
+	if !errors.Is(err, statestore.ErrNotFound) {
+		return wire.JobState{}, err
+	}
+	it, err = store.Get(ctx, finalKey+uid)
+	if err != nil {
+		return wire.JobState{}, err
+	}
+	var f finalRecord
+	if err := json.Unmarshal(it.Value, &f); err != nil {
+		return wire.JobState{}, fmt.Errorf("read job: %w", err)
+	}
+	return wire.JobState{UID: uid, Stage: f.Stage, Done: f.Done}, nil
+}
+
+// Cancel records that a job is cancelled, wherever the job's owner is: it
+// learns of it through its watch, and its own writes fail until it does.
+func (o *Owner) Cancel(ctx context.Context, uid string) (wire.JobState, error) {
+	for {
+		it, err := o.store.Get(ctx, liveKey+uid)
+		if errors.Is(err, statestore.ErrNotFound) {
+			return Stored(ctx, o.store, uid)
+		}
+		if err != nil {
+			return wire.JobState{}, err
+		}
+		var r liveRecord
+		if err := json.Unmarshal(it.Value, &r); err != nil {
+			return wire.JobState{}, fmt.Errorf("read job: %w", err)
+		}
+		if r.Cancelled {
+			return wire.JobState{UID: uid, Stage: wire.StageCancelled}, nil
+		}
+		r.Cancelled = true
+		rev, err := o.store.Txn(ctx, []wire.Guard{{Key: liveKey + uid, Version: it.Version}}, wire.Op{Put: liveKey + uid, Value: r})
+		var conflict *statestore.Conflict
+		if errors.As(err, &conflict) {
+			continue
+		}
+		if err != nil {
+			return wire.JobState{}, err
+		}
+		o.mu.Lock()
+		if j := o.jobs[uid]; j != nil {
+			j.version = max(j.version, rev)
+			o.cancelLocked(j)
+		}
+		o.mu.Unlock()
+		return wire.JobState{UID: uid, Stage: wire.StageCancelled}, nil
+	}
+}
+
+// cancelLocked stops everything of a job whose cancel is recorded.
+func (o *Owner) cancelLocked(j *job) {
+	if j.cancelled {
+		return
+	}
+	j.cancelled = true
+	if j.ended == wire.StageDone {
+		j.ended = "" // the cancel was recorded first
+	}
+	for _, ps := range j.places {
+		for _, p := range append([]*place(nil), ps...) {
+			if !p.exited {
+				o.halt(p, 0)
+			}
+		}
+	}
+	for _, ps := range j.places {
+		for _, p := range append([]*place(nil), ps...) {
+			if p.exited && p.chunk.flushed >= p.gen {
+				o.detach(p)
+			}
+		}
+	}
+	o.finish(j)
+}
+
+// Status is a living job as alerts see it.
+type Status struct {
+	UID, Class, Team string
+	Age              time.Duration
+	DueS             *float64
+	Tasks, Started   int
+	Done             int
+	Cancelled        bool
+}
+
+// Statuses returns the living jobs.
+func (o *Owner) Statuses() []Status {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := make([]Status, 0, len(o.order))
+	for _, j := range o.order {
+		out = append(out, Status{UID: j.spec.UID, Class: j.spec.Class, Team: j.spec.Team, Age: time.Since(j.accepted),
+			DueS: j.spec.DueS, Tasks: j.spec.Tasks, Started: max(j.started, j.done), Done: j.done, Cancelled: j.cancelled})
+	}
+	return out
+}
+
+// Counters returns the counters for operators.
+func (o *Owner) Counters() Stats {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.stats
+}
--- /dev/null
+++ b/internal/placement/matrix.go
@@ -0,0 +1,143 @@
+// Package placement holds the pure decisions of the design: wait-time
+// matrices, the cost C of a machine for a task, batch matching, and when a
+// queued task is to look elsewhere.
+package placement
+
+import (
+	"math"
+	"sort"
+)
+
+// Shape is an amount of each resource.
+type Shape struct {
+	CPUs     float64 `json:"c"`
+	GPUs     float64 `json:"g,omitempty"`
+	MemoryGB float64 `json:"m"`
+}
+
+const epsilon = 1e-6
+
+// Fits reports whether s fits into free.
+func (s Shape) Fits(free Shape) bool {
+	return s.CPUs <= free.CPUs+epsilon && s.GPUs <= free.GPUs+epsilon && s.MemoryGB <= free.MemoryGB+epsilon
+}
+
+// Add returns s plus f times o.
+func (s Shape) Add(o Shape, f float64) Shape {
+	return Shape{s.CPUs + f*o.CPUs, s.GPUs + f*o.GPUs, s.MemoryGB + f*o.MemoryGB}
+}
+
+// Scale returns f times s.
+func (s Shape) Scale(f float64) Shape { return Shape{}.Add(s, f) }
+
+// Use is a task that holds, or will hold, resources of a machine.
+type Use struct {
+	Shape Shape
+	Left  float64 // seconds it will still hold them
+}
+
+// Row is a row of a wait-time matrix: what is free from a wait on, until the
+// next row's.
+type Row struct {
+	Wait float64 `json:"w"`
+	Free Shape   `json:"f"`
+}
+
+// Matrix is a machine's wait-time matrix with cells where they matter: its
+// rows stand at the waits at which the free amounts change, so that a look-up
+// is exact for every size of task, GPUs included.
+type Matrix []Row
+
+// NewMatrix simulates a machine: what runs leaves after its remaining time,
+// and what is queued starts in order as soon as it fits.
+func NewMatrix(total Shape, running []Use, queued []Use) Matrix {
+	sorted := append([]Use(nil), running...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i].Left < sorted[j].Left })
+	free := total
+	for _, u := range sorted {
+		free = free.Add(u.Shape, -1)
+	}
+	m := Matrix{{0, free}}
+	for _, u := range sorted {
+		free = free.Add(u.Shape, 1)
+		left := math.Max(0, u.Left)
+		if last := &m[len(m)-1]; last.Wait >= left {
+			last.Free = free
+			continue
+		}
+		m = append(m, Row{left, free})
+	}
+	for _, u := range queued {
+		if w := m.Wait(u.Shape, u.Left); !math.IsInf(w, 1) {
+			m = m.Reserve(u.Shape, w, u.Left)
+		}
+	}
+	return m
+}
+
+// Wait looks up how long a task of this shape would wait; infinite if it
+// never fits.
+func (m Matrix) Wait(s Shape, run float64) float64 {
+	for i := 0; i < len(m); i++ {
+		if !s.Fits(m[i].Free) {
+			continue
+		}
+		end, ok := m[i].Wait+run, true
+		for j := i + 1; j < len(m) && m[j].Wait < end; j++ {
+			if !s.Fits(m[j].Free) {
+				i, ok = j, false // the next start to try is after this row
+				break
+			}
+		}
+		if ok {
+			return m[i].Wait
+		}
+	}
+	return math.Inf(1)
+}
+
+// Reserve returns the matrix after a task takes its resources from a wait on.
+func (m Matrix) Reserve(s Shape, wait, run float64) Matrix {
+	end := wait + run
+	out := make(Matrix, 0, len(m)+2)
+	at := func(t float64) Shape {
+		f := m[0].Free
+		for _, r := range m {
+			if r.Wait > t {
+				break
+			}
+			f = r.Free
+		}
+		return f
+	}
+	put := func(t float64) {
+		f := at(t)
+		if t >= wait && t < end {
+			f = f.Add(s, -1)
+		}
+		out = append(out, Row{t, f})
+	}
+	startIn, endIn := false, false
+	for _, r := range m {
+		if !startIn && r.Wait >= wait {
+			if r.Wait > wait {
+				put(wait)
+			}
+			startIn = true
+		}
+		if !endIn && r.Wait >= end {
+			if r.Wait > end {
+				put(end)
+			}
+			endIn = true
+		}
+		put(r.Wait)
+	}
+	if !startIn {
+		put(wait)
+	}
+	if !endIn {
+		put(end)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/statestore/statestore.go
@@ -0,0 +1,302 @@
+// Package statestore is the client of the state service. It keeps within the
+// service's budgets, leases first, and tells apart the three ways in which a
+// request can end badly: refused, not executed, and unknown.
+package statestore
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+var (
+	// ErrNotFound means that the key or lease does not exist.
+	ErrNotFound = errors.New("not found")
+	// ErrUnavailable means that the request was not executed.
+	ErrUnavailable = errors.New("state service unavailable")
+	// ErrUnknown means that the request may have been executed, or may be later.
+	ErrUnknown = errors.New("no answer from the state service")
+	// ErrNoLease means that a write named a lease that has ended.
+	ErrNoLease = errors.New("no such lease")
+	// ErrCompacted means that a watch fell too far behind.
+	ErrCompacted = errors.New("watch too old")
+)
+
+// Conflict is the error of a transaction whose conditions failed.
+type Conflict struct{ Keys []string }
+
+func (c *Conflict) Error() string { return fmt.Sprintf("conditions failed: %v", c.Keys) }
+
+// Has reports whether key is among those that failed.
+func (c *Conflict) Has(key string) bool {
+	for _, k := range c.Keys {
+		if k == key {
+			return true
+		}
+	}
+	return false
+}
+
+// Client talks to the state service.
+type Client struct {
+	base   string
+	http   *http.Client
+	reqs   *rate.Limiter
+	writes *rate.Limiter
+	lastOK atomic.Int64 // monotonic-ish nanoseconds of the last answer
+	start  time.Time
+	MaxOps int
+}
+
+// share is the part of the service's limits that one controller may use: the
+// owner needs most of it, and the others hardly any.
+const share = 0.6
+
+// New returns a client within the given limits.
+func New(addr string, rps, writeRPS float64, maxOps int) *Client {
+	tr := &http.Transport{MaxIdleConnsPerHost: 12, MaxConnsPerHost: 24, IdleConnTimeout: time.Minute}
+	return &Client{
+		base: "http://" + addr, http: &http.Client{Transport: tr},
+		reqs:   rate.NewLimiter(rate.Limit(rps*share), max(1, int(rps*share))),
+		writes: rate.NewLimiter(rate.Limit(writeRPS*share), max(maxOps, int(writeRPS*share))),
+		start:  time.Now(), MaxOps: maxOps,
+	}
+}
+
+// SinceOK returns how long ago the service last executed a request.
+func (c *Client) SinceOK() time.Duration {
+	at := c.lastOK.Load()
+	if at == 0 {
+		return time.Hour
+	}
+	return time.Since(c.start) - time.Duration(at)
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body, out any) (int, error) {
+	var rd io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return 0, fmt.Errorf("encode %s: %w", path, err)
+		}
+		rd = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, rd)
+	if err != nil {
+		return 0, fmt.Errorf("request %s: %w", path, err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, 32<<20))
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	switch resp.StatusCode {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return resp.StatusCode, ErrUnavailable
+	}
+	c.lastOK.Store(int64(time.Since(c.start)))
+	if out != nil && len(data) > 0 && resp.StatusCode != http.StatusGone {
+		if err := json.Unmarshal(data, out); err != nil {
+			return resp.StatusCode, fmt.Errorf("%w: malformed answer: %w", ErrUnknown, err)
+		}
+	}
+	if resp.StatusCode == http.StatusBadRequest {
+		var p wire.Problem
+		_ = json.Unmarshal(data, &p) // the status alone decides when the body says nothing
+		if p.Error == ErrNoLease.Error() {
+			return resp.StatusCode, ErrNoLease
+		}
+		return resp.StatusCode, fmt.Errorf("state service refused %s: %.200s", path, data)
+	}
+	return resp.StatusCode, nil
+}
+
+// Get reads a key.
+func (c *Client) Get(ctx context.Context, key string) (wire.Item, error) {
+	var it wire.Item
+	if err := c.reqs.Wait(ctx); err != nil {
+		return it, ErrUnavailable
+	}
+	code, err := c.do(ctx, http.MethodGet, "/store/"+key, nil, &it)
+	switch {
+	case err != nil:
+		return it, err
+	case code == http.StatusNotFound:
+		return it, ErrNotFound
+	case code != http.StatusOK:
+		return it, fmt.Errorf("%w: status %d", ErrUnavailable, code)
+	}
+	return it, nil
+}
+
+// List reads every key with the prefix, and the oldest revision it may show.
+func (c *Client) List(ctx context.Context, prefix string) ([]wire.Item, uint64, error) {
+	var all []wire.Item
+	var rev uint64
+	after := ""
+	for {
+		if err := c.reqs.Wait(ctx); err != nil {
+			return nil, 0, ErrUnavailable
+		}
+		q := url.Values{"starts": {prefix}, "limit": {"500"}}
+		if after != "" {
+			q.Set("after", after)
+		}
+		var page wire.Items
+		code, err := c.do(ctx, http.MethodGet, "/store?"+q.Encode(), nil, &page)
+		if err != nil {
+			return nil, 0, err
+		}
+		if code != http.StatusOK {
+			return nil, 0, fmt.Errorf("%w: status %d", ErrUnavailable, code)
+		}
+		if rev == 0 {
+			rev = page.Revision
+		}
+		all = append(all, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return all, rev, nil
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+}
+
+// Txn applies a transaction and returns its revision.
+func (c *Client) Txn(ctx context.Context, guards []wire.Guard, ops ...wire.Op) (uint64, error) {
+	if err := c.reqs.Wait(ctx); err != nil {
+		return 0, ErrUnavailable
+	}
+	if err := c.writes.WaitN(ctx, max(1, len(ops))); err != nil {
+		return 0, ErrUnavailable
+	}
+	var ans wire.TxnAnswer
+	code, err := c.do(ctx, http.MethodPost, "/txn", wire.Txn{If: guards, Then: ops}, &ans)
+	switch {
+	case err != nil:
+		return 0, err
+	case code == http.StatusConflict:
+		return 0, &Conflict{Keys: ans.Failed}
+	case code != http.StatusOK:
+		return 0, fmt.Errorf("%w: status %d", ErrUnknown, code)
+	}
+	return ans.Revision, nil
+}
+
+// Grant opens a lease. Lease calls do not wait for the budget.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	c.reqs.Allow()
+	var ans wire.LeaseAnswer
+	code, err := c.do(ctx, http.MethodPost, "/grants", wire.LeaseRequest{TTLMs: ttl.Milliseconds()}, &ans)
+	if err != nil {
+		return 0, err
+	}
+	if code/100 != 2 || ans.Lease == 0 {
+		return 0, fmt.Errorf("%w: status %d", ErrUnknown, code)
+	}
+	return ans.Lease, nil
+}
+
+// Touch renews a lease.
+func (c *Client) Touch(ctx context.Context, lease uint64) error {
+	c.reqs.Allow()
+	return c.lease(ctx, http.MethodPost, "/grants/"+strconv.FormatUint(lease, 10)+"/touch")
+}
+
+// Revoke ends a lease.
+func (c *Client) Revoke(ctx context.Context, lease uint64) error {
+	c.reqs.Allow()
+	return c.lease(ctx, http.MethodDelete, "/grants/"+strconv.FormatUint(lease, 10))
+}
+
+func (c *Client) lease(ctx context.Context, method, path string) error {
+	code, err := c.do(ctx, method, path, nil, nil)
+	switch {
+	case err != nil:
+		return err
+	case code == http.StatusNotFound:
+		return ErrNotFound
+	case code/100 != 2:
+		return fmt.Errorf("%w: status %d", ErrUnknown, code)
+	}
+	return nil
+}
+
+// Follow waits for changes under the prefix.
+func (c *Client) Follow(ctx context.Context, prefix string, after uint64, hold time.Duration) (wire.Events, error) {
+	var ev wire.Events
+	if err := c.reqs.Wait(ctx); err != nil {
+		return ev, ErrUnavailable
+	}
+	q := url.Values{"starts": {prefix}, "after": {strconv.FormatUint(after, 10)}, "holdMs": {strconv.FormatInt(hold.Milliseconds(), 10)}}
+	code, err := c.do(ctx, http.MethodGet, "/follow?"+q.Encode(), nil, &ev)
+	switch {
+	case err != nil:
+		return ev, err
+	case code == http.StatusGone:
+		return ev, ErrCompacted
+	case code != http.StatusOK:
+		return ev, fmt.Errorf("%w: status %d", ErrUnavailable, code)
+	}
+	return ev, nil
+}
+
+// Backoff sleeps for about the n-th step of a jittered exponential delay.
+func Backoff(ctx context.Context, n int, first, most time.Duration) {
+	d := min(most, first<<min(n, 10))
+	d = d/2 + rand.N(d)
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// Watch lists the prefix, calls reset with the result, and then change with
+// every later change, until ctx ends. It lists again whenever it fell behind.
+func (c *Client) Watch(ctx context.Context, prefix string, hold time.Duration, reset func([]wire.Item), change func([]wire.Event)) {
+	for n := 0; ctx.Err() == nil; n++ {
+		listCtx, cancel := context.WithTimeout(ctx, 5*time.Second)
+		items, rev, err := c.List(listCtx, prefix)
+		cancel()
+		if err != nil {
+			Backoff(ctx, n, 100*time.Millisecond, time.Second)
+			continue
+		}
+		n = 0
+		reset(items)
+		for fails := 0; ctx.Err() == nil; {
+			wctx, cancel := context.WithTimeout(ctx, hold+5*time.Second)
+			ev, err := c.Follow(wctx, prefix, rev, hold)
+			cancel()
+			if errors.Is(err, ErrCompacted) {
+				break
+			}
+			if err != nil {
+				fails++
+				Backoff(ctx, fails, 100*time.Millisecond, time.Second)
+				continue
+			}
+			fails = 0
+			rev = max(rev, ev.Revision)
+			if len(ev.Events) > 0 {
+				change(ev.Events)
+			}
+		}
+	}
+}
