Stop settling the same report twice: directions looped through Observe

A direction changed a queue, the changed view was observed again, and the leftovers it still listed were directed again, without end.

--- a/internal/machine/holder.go
+++ b/internal/machine/holder.go
@@ -491,6 +491,7 @@
 	}
 	s.busy = false
 	again := s.again
+	s.again = false
 	switch {
 	case err != nil && !neverSent(err):
 		// The order may still arrive, minutes late, while its token and
@@ -516,7 +517,6 @@
 	}
 	if view, ok := h.take(rep, false); ok {
 		h.owners.Observe(view)
-		again = again || executed
 	}
 	if again && rep.Token <= h.tokens.Term() {
 		h.Push(name)
--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"math"
 	"time"
 
 	"github.com/wallrack/wallrack/internal/config"
@@ -24,6 +25,13 @@
 	if m.gone || v.Session < old.Session || v.Session == old.Session && v.Seq < old.Seq {
 		return
 	}
+	if v.Session == old.Session && v.Seq == old.Seq && v.Holder == old.Holder {
+		// The same report with a changed queue: settling it again would only
+		// repeat the directions that changed the queue.
+		m.view, m.matrix = v, v.Matrix
+		o.reserveUnshown(m)
+		return
+	}
 	if old.Zone == "" && v.Zone != "" {
 		// Places counted in every zone move to the right one.
 		for p := range m.places {
@@ -51,14 +59,39 @@
 		shown[q.Ref] = true
 	}
 	for p := range m.places {
-		if !shown[p.ref()] {
+		if !shown[p.ref] {
 			o.absent(m, p)
 		}
 	}
 	o.drainNotice(m)
+	o.reserveUnshown(m)
 	poke(o.wake)
 }
 
+// reserveUnshown takes what this owner has placed on the machine, and its
+// holder does not know yet, off the published matrix.
+func (o *Owner) reserveUnshown(m *mach) {
+	if len(m.matrix) == 0 {
+		return
+	}
+	for p := range m.places {
+		if p.exited || p.on() || p.sentTo == m.view.Holder && p.sentAt.Before(m.at) {
+			continue
+		}
+		queued := false
+		for _, q := range m.view.Queue {
+			queued = queued || q.Ref == p.ref
+		}
+		if queued {
+			continue
+		}
+		run := p.job.runEstimate() + o.fetchTime(p.job, m)
+		if w := m.matrix.Wait(p.job.shape, run); !math.IsInf(w, 1) {
+			m.matrix = m.matrix.Reserve(p.job.shape, w, run)
+		}
+	}
+}
+
 // shown handles a task that the worker reported.
 func (o *Owner) shown(m *mach, ref machine.Ref, t *machine.TaskView) {
 	uid, n, err := wire.ParseTask(ref.Task)
@@ -194,7 +227,7 @@
 		j.errors++
 		j.notBefore = time.Now().Add(2 * time.Second)
 	}
-	ref := p.ref()
+	ref := p.ref
 	o.detach(p)
 	o.direction(m.view.Holder).Clear = append(o.direction(m.view.Holder).Clear, ref)
 	poke(o.out)
@@ -205,7 +238,7 @@
 	if p.chunk.flushed < p.gen && o.dirty[p.chunk] != nil {
 		return
 	}
-	ref, holder := p.ref(), p.mach.view.Holder
+	ref, holder := p.ref, p.mach.view.Holder
 	o.detach(p)
 	d := o.direction(holder)
 	d.Clear = append(d.Clear, ref)
@@ -239,7 +272,7 @@
 		if time.Since(p.haltAt) > time.Second {
 			p.haltAt = time.Now()
 			d := o.direction(m.view.Holder)
-			d.Halt = append(d.Halt, machine.Halt{Ref: p.ref()})
+			d.Halt = append(d.Halt, machine.Halt{Ref: p.ref})
 			d.RaiseAbove = max(d.RaiseAbove, p.token)
 			poke(o.out)
 		}
@@ -274,7 +307,7 @@
 	p.sentTo, p.sentAt = m.view.Holder, time.Now()
 	d := o.direction(m.view.Holder)
 	d.Assign = append(d.Assign, machine.Entry{
-		Ref: p.ref(), Owner: o.member.Name(), Shape: j.shape, Run: j.runEstimate(), Fetch: o.fetchTime(j, m),
+		Ref: p.ref, Owner: o.member.Name(), Shape: j.shape, Run: j.runEstimate(), Fetch: o.fetchTime(j, m),
 		Rank: j.spec.Rank(), DueAt: j.dueAt(), Listed: isListed,
 	})
 	poke(o.out)
@@ -297,7 +330,7 @@
 		return
 	}
 	d := o.direction(p.mach.view.Holder)
-	d.Halt = append(d.Halt, machine.Halt{Ref: p.ref(), GraceS: grace})
+	d.Halt = append(d.Halt, machine.Halt{Ref: p.ref, GraceS: grace})
 	poke(o.out)
 }
 
@@ -306,7 +339,7 @@
 func (o *Owner) unqueue(p *place) {
 	if p.sentTo != "" {
 		d := o.direction(p.sentTo)
-		d.Halt = append(d.Halt, machine.Halt{Ref: p.ref()})
+		d.Halt = append(d.Halt, machine.Halt{Ref: p.ref})
 		poke(o.out)
 	}
 	o.detach(p)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -67,6 +67,7 @@
 	task    int
 	attempt uint64
 	mach    *mach
+	ref     machine.Ref
 	state   placeState
 	token   uint64 // highest token a start command may carry
 	session uint64 // highest session a start command may be for
@@ -84,10 +85,6 @@
 
 func (p *place) on() bool { return p.state >= placeGranted }
 
-func (p *place) ref() machine.Ref {
-	return machine.Ref{Machine: p.mach.name, Task: wire.TaskName(p.job.spec.UID, p.task), Attempt: p.attempt}
-}
-
 // chunk is a run of a job's tasks that share a record.
 type chunk struct {
 	n       int
@@ -239,6 +236,10 @@
 	return o
 }
 
+// passShare is how many times longer than a scheduling pass the pause after it
+// is.
+const passShare = 9
+
 func poke(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
@@ -259,6 +260,7 @@
 	tick := time.NewTicker(250 * time.Millisecond)
 	defer tick.Stop()
 	var sweep time.Time
+	var took time.Duration
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -266,17 +268,21 @@
 		case <-o.wake:
 		}
 		o.syncShards(ctx)
+		start := time.Now()
 		o.mu.Lock()
 		o.place()
 		if time.Since(sweep) > time.Second {
 			sweep = time.Now()
+			o.lookAgain()
 			o.sweep()
 		}
 		o.mu.Unlock()
-		// Gather what comes in the meantime into one batch.
+		took = time.Since(start)
+		// Gather what comes in the meantime into one batch, and keep passes
+		// to a small part of the processor, however long they take.
 		select {
 		case <-ctx.Done():
-		case <-time.After(15 * time.Millisecond):
+		case <-time.After(20*time.Millisecond + passShare*took):
 		}
 	}
 	wg.Wait()
@@ -487,6 +493,7 @@
 }
 
 func (o *Owner) attach(p *place) {
+	p.ref = machine.Ref{Machine: p.mach.name, Task: wire.TaskName(p.job.spec.UID, p.task), Attempt: p.attempt}
 	p.job.places[p.task] = append(p.job.places[p.task], p)
 	p.chunk.places = append(p.chunk.places, p)
 	p.mach.places[p] = struct{}{}
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -24,7 +24,6 @@
 	if o.member.Held() < time.Second || len(o.loaded) == 0 {
 		return
 	}
-	o.lookAgain()
 	var open []*mach
 	now := time.Now()
 	fresh := seconds(3*o.cfg.Params.Workers.ReportS + 1)
@@ -127,16 +126,16 @@
 	if over := age - 1.5*o.cfg.Params.Workers.ReportS; over > 0 {
 		s = s.Scale(1 + min(0.5, 0.05*over))
 	}
-	return max(0, m.matrix.Wait(s, run)-age)
+	return max(0, m.matrix.WaitWithin(s, run, o.op.HorizonS+age)-age)
 }
 
 type estimate struct{ wait, cost, fetch float64 }
 
 func (o *Owner) estimate(j *job, m *mach) (estimate, bool) {
-	if !o.allowed(j, m) || !o.within(j, m) || !o.underLimit(j) {
+	if run := j.runEstimate(); math.IsInf(o.wait(m, j.shape, run), 1) || !o.allowed(j, m) || !o.within(j, m) || !o.underLimit(j) {
 		return estimate{}, false
 	}
-	if until, ok := j.avoid[m.index]; ok {
+	if until, ok := j.avoid[m.index]; len(j.avoid) > 0 && ok {
 		if time.Now().Before(until) {
 			return estimate{}, false
 		}
@@ -242,7 +241,7 @@
 	for _, m := range o.machines {
 		for _, q := range m.view.Queue {
 			for p := range m.places {
-				if p.state == placeRecorded && p.attempt == q.Attempt && p.ref() == q.Ref {
+				if p.state == placeRecorded && p.attempt == q.Attempt && p.ref == q.Ref {
 					waits[p] = q.WaitS
 					a := stage[p.job]
 					if a == nil {
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -178,7 +178,7 @@
 		}
 		switch {
 		case p.exited:
-			holder, ref := p.mach.view.Holder, p.ref()
+			holder, ref := p.mach.view.Holder, p.ref
 			o.detachQuiet(p)
 			d := o.direction(holder)
 			d.Clear = append(d.Clear, ref)
@@ -220,9 +220,9 @@
 		for _, p := range ps {
 			d := o.direction(p.mach.view.Holder)
 			if p.exited {
-				d.Clear = append(d.Clear, p.ref())
+				d.Clear = append(d.Clear, p.ref)
 			} else {
-				d.Halt = append(d.Halt, machine.Halt{Ref: p.ref()})
+				d.Halt = append(d.Halt, machine.Halt{Ref: p.ref})
 			}
 		}
 	}
--- a/internal/placement/matrix.go
+++ b/internal/placement/matrix.go
@@ -76,24 +76,33 @@
 }
 
 // Wait looks up how long a task of this shape would wait; infinite if it
-// never fits.
+// never fits for as long as it runs.
 func (m Matrix) Wait(s Shape, run float64) float64 {
-	for i := 0; i < len(m); i++ {
-		if !s.Fits(m[i].Free) {
-			continue
+	return m.WaitWithin(s, run, math.Inf(1))
+}
+
+// WaitWithin is Wait for a caller to whom any wait above most is the same as
+// an infinite one.
+func (m Matrix) WaitWithin(s Shape, run, most float64) float64 {
+	start := -1
+	for i := range m {
+		if start >= 0 && m[i].Wait >= m[start].Wait+run {
+			break
 		}
-		end, ok := m[i].Wait+run, true
-		for j := i + 1; j < len(m) && m[j].Wait < end; j++ {
-			if !s.Fits(m[j].Free) {
-				i, ok = j, false // the next start to try is after this row
-				break
-			}
+		switch {
+		case !s.Fits(m[i].Free):
+			start = -1
+		case start < 0:
+			start = i
 		}
-		if ok {
-			return m[i].Wait
+		if start < 0 && i+1 < len(m) && m[i+1].Wait > most {
+			return math.Inf(1)
 		}
 	}
-	return math.Inf(1)
+	if start < 0 {
+		return math.Inf(1)
+	}
+	return m[start].Wait
 }
 
 // Reserve returns the matrix after a task takes its resources from a wait on.
