--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -30,7 +30,8 @@
 // Owner is what the fleet needs of the jobs' owner.
 type Owner interface {
 	Ready() bool
-	Demand() ([]owner.Demand, []owner.Load)
+	Demand(boot float64) ([]owner.Demand, []owner.Load)
+	Admitted() float64
 	Suspects() map[string]time.Duration
 	Gone(name string)
 }
@@ -89,6 +90,9 @@
 	leading bool
 	loaded  bool
 	busy    float64 // running average of CPUs in use
+	rate    float64 // running average of CPUs that new work keeps busy
+	work    float64 // work accepted when the rate was last taken
+	workAt  time.Time
 	listAt  time.Time
 	sending map[string]bool // being returned
 }
@@ -199,7 +203,7 @@
 
 // step looks at everything once.
 func (f *Fleet) step(ctx context.Context, wg *sync.WaitGroup) {
-	demand, loads := f.owner.Demand()
+	demand, loads := f.owner.Demand(f.boot())
 	suspects := f.owner.Suspects()
 	now := time.Now()
 	f.mu.Lock()
@@ -220,7 +224,8 @@
 		}
 		b.load, b.heard, b.offer = l, l.Heard, offer{l.Type, l.Zone, l.Spot}
 	}
-	f.busy += 0.05 * (busy - f.busy)
+	f.busy += 0.1 * (busy - f.busy)
+	f.measure(now, f.owner.Admitted())
 	var back []string
 	for name := range suspects {
 		back = append(back, name)
@@ -342,31 +347,44 @@
 	}
 	offers := f.offers(now)
 	wants := map[offer]int{}
+	boot := f.boot()
 	for i := range demand {
 		d := &demand[i]
-		n := f.fill(d, sims, f.patience(d))
-		for n > 0 {
-			o, t, ok := f.best(d, n, offers, wants)
-			if !ok {
-				break
+		// Spot machines are cheap: they are rented for what would wait for
+		// about as long as they take to come up. Ordinary ones only for
+		// what would be late without them.
+		for _, spot := range []bool{true, false} {
+			patience := min(boot, d.Slack)
+			if !spot {
+				patience = max(boot, d.Slack)
+			}
+			n := f.fill(d, sims, patience, !spot)
+			for n > 0 {
+				o, t, ok := f.best(d, n, offers, wants, spot)
+				if !ok {
+					break
+				}
+				wants[o]++
+				s := &sim{offer: o, matrix: placement.Matrix{{Wait: 0, Free: Size(t)}}, boot: t.BootS}
+				sims = append(sims, s)
+				left := f.fillOne(d, s, n, patience+t.BootS)
+				if left == n {
+					break
+				}
+				n = left
 			}
-			wants[o]++
-			s := &sim{offer: o, matrix: placement.Matrix{{Wait: 0, Free: Size(t)}}, boot: t.BootS}
-			sims = append(sims, s)
-			left := f.fillOne(d, s, n, f.patience(d)+t.BootS)
-			if left == n {
+			d.Count = n
+			if n == 0 {
 				break
 			}
-			n = left
 		}
 	}
 	f.headroom(sims, offers, wants)
 	return wants
 }
 
-// patience is how long work may wait before a machine is rented for it: about
-// what a new machine would take to come up.
-func (f *Fleet) patience(d *owner.Demand) float64 {
+// boot is how long the quickest machine type takes to come up.
+func (f *Fleet) boot() float64 {
 	boot := math.Inf(1)
 	for _, t := range f.catalog.All() {
 		boot = min(boot, t.BootS)
@@ -377,14 +395,42 @@
 	return boot
 }
 
-func (f *Fleet) fill(d *owner.Demand, sims []*sim, patience float64) int {
+// rateWindow is the time over which arrivals are averaged.
+const rateWindow = 60.0
+
+// measure follows how many CPUs the arriving work keeps busy.
+func (f *Fleet) measure(now time.Time, work float64) {
+	if f.workAt.IsZero() || work < f.work {
+		f.work, f.workAt = work, now
+		return
+	}
+	dt := now.Sub(f.workAt).Seconds()
+	if dt <= 0 {
+		return
+	}
+	f.rate += (1 - math.Exp(-dt/rateWindow)) * ((work-f.work)/dt - f.rate)
+	f.work, f.workAt = work, now
+}
+
+// target is the capacity, in CPUs, to be kept.
+func (f *Fleet) target() float64 {
+	return max(f.busy, f.rate) * (1 + f.op.HeadroomPct/100)
+}
+
+// fill puts waiting work on what there is. late says that a machine that
+// still boots is no excuse for a longer wait.
+func (f *Fleet) fill(d *owner.Demand, sims []*sim, patience float64, late bool) int {
 	n := d.Count
 	for _, s := range sims {
 		if n == 0 {
 			break
 		}
 		if f.fits(d, s.offer) {
-			n = f.fillOne(d, s, n, max(patience, s.boot+5))
+			limit := patience
+			if !late {
+				limit = max(limit, s.boot+5)
+			}
+			n = f.fillOne(d, s, n, limit)
 		}
 	}
 	return n
@@ -437,13 +483,13 @@
 
 // best is the offer at which the waiting tasks cost least: the price of a
 // machine by the tasks that it would run.
-func (f *Fleet) best(d *owner.Demand, n int, offers []offer, wants map[offer]int) (offer, wire.MachineType, bool) {
+func (f *Fleet) best(d *owner.Demand, n int, offers []offer, wants map[offer]int, spot bool) (offer, wire.MachineType, bool) {
 	var best offer
 	var bestT wire.MachineType
 	cost := math.Inf(1)
 	for _, o := range offers {
 		t, ok := f.catalog.Type(o.Type)
-		if !ok || !f.fits(d, o) || !d.Shape.Fits(Size(t)) {
+		if !ok || o.Spot != spot || !f.fits(d, o) || !d.Shape.Fits(Size(t)) {
 			continue
 		}
 		k := tasksIn(d.Shape, Size(t))
@@ -473,41 +519,43 @@
 	return max(1, int(min(k, 1e6)))
 }
 
-// headroom keeps some capacity beyond what is in use.
+// headroom rents spot machines ahead of the demand, up to the target.
 func (f *Fleet) headroom(sims []*sim, offers []offer, wants map[offer]int) {
-	want := f.busy * f.op.HeadroomPct / 100
-	free := 0.0
+	have := 0.0
 	for _, s := range sims {
-		free += max(0, s.matrix[0].Free.CPUs)
+		if t, ok := f.catalog.Type(s.offer.Type); ok {
+			have += t.CPUs
+		}
 	}
-	for free < want {
+	for have < f.target() {
+		missing := f.target() - have
 		var best offer
 		var size, cost float64 = 0, math.Inf(1)
 		for _, o := range offers {
 			t, ok := f.catalog.Type(o.Type)
-			if ok && t.GPUs == 0 && t.CPUs <= max(want-free, want/2)*2 && f.price(o, t)/t.CPUs < cost {
-				best, size, cost = o, t.CPUs, f.price(o, t)/t.CPUs
+			if ok && o.Spot && t.GPUs == 0 && t.CPUs <= 2*missing && t.SpotPrice/t.CPUs < cost {
+				best, size, cost = o, t.CPUs, t.SpotPrice/t.CPUs
 			}
 		}
-		if size == 0 {
+		if size == 0 || wants[best] >= maxHire {
 			return
 		}
 		wants[best]++
-		free += size
+		have += size
 	}
 }
 
 // idle drains machines that have done nothing for a while, the dearest
 // first, as long as the headroom stays.
 func (f *Fleet) idle(now time.Time) {
-	var free float64
+	var have float64
 	var idle []*box
 	for name, b := range f.boxes {
 		if b.load == nil || f.sending[name] || now.Sub(b.heard) > seconds(f.op.SilentS) {
 			continue
 		}
-		if len(b.load.Matrix) > 0 {
-			free += max(0, b.load.Matrix[0].Free.CPUs)
+		if t, ok := f.catalog.Type(b.offer.Type); ok {
+			have += t.CPUs
 		}
 		if b.load.Places > 0 {
 			b.idle = time.Time{}
@@ -533,10 +581,10 @@
 		if now.Sub(b.idle) < seconds(f.op.IdleS) || now.Sub(b.hired) < (minimumS-5)*time.Second {
 			continue
 		}
-		if free-t.CPUs < f.busy*f.op.HeadroomPct/100 {
+		if have-t.CPUs < f.target() {
 			continue
 		}
-		free -= t.CPUs
+		have -= t.CPUs
 		if b.draining.IsZero() && f.holder.Drain(b.name) {
 			b.draining = now // returned by the next step
 		}
--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -551,14 +551,16 @@
 	Count int
 	Run   float64
 	Rank  int
+	Slack float64 // how long it may wait and still meet an aim that a new machine can help with
 }
 
 // Demand returns the work that has no machine yet, most urgent first, and what
-// each machine's future looks like.
-func (o *Owner) Demand() ([]Demand, []Load) {
+// each machine's future looks like. boot is how long a new machine takes.
+func (o *Owner) Demand(boot float64) ([]Demand, []Load) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	var ds []Demand
+	var waiting []*job
+	count := map[*job]int{}
 	for _, j := range o.order {
 		if j.cancelled || j.ended != "" {
 			continue
@@ -577,9 +579,15 @@
 			n = min(n, 2)
 		}
 		if n > 0 {
-			ds = append(ds, Demand{Shape: j.shape, Job: j.spec, Count: n, Run: j.runEstimate(), Rank: j.spec.Rank()})
+			waiting = append(waiting, j)
+			count[j] = n
 		}
 	}
+	o.sortJobs(waiting)
+	ds := make([]Demand, 0, len(waiting))
+	for _, j := range waiting {
+		ds = append(ds, Demand{Shape: j.shape, Job: j.spec, Count: count[j], Run: j.runEstimate(), Rank: j.spec.Rank(), Slack: o.slack(j, boot)})
+	}
 	var ls []Load
 	for _, m := range o.machines {
 		l := Load{Name: m.name, Type: m.view.Type, Zone: m.view.Zone, Spot: m.view.Spot, Matrix: m.matrix, Heard: m.at,
@@ -594,6 +602,53 @@
 	return ds, ls
 }
 
+// lateSlack is the patience with work that a new machine can't bring in time
+// any more: it should still move on.
+const lateSlack = 20
+
+// slack is how long the job's tasks may still wait and meet the next aim that
+// a machine rented now can help to meet.
+func (o *Owner) slack(j *job, boot float64) float64 {
+	age := time.Since(j.accepted).Seconds()
+	run := 1.3*j.runEstimate() + 4
+	best := math.Inf(1)
+	offer := func(s float64) {
+		if s >= boot && s < best {
+			best = s
+		}
+	}
+	for _, aim := range o.cfg.Params.Objectives {
+		if aim.Class != j.spec.Class {
+			continue
+		}
+		switch aim.Kind {
+		case "wait":
+			offer(aim.WithinS - age)
+		case "finished":
+			offer(aim.WithinS - age - run)
+		case "deadline":
+			if j.spec.DueS != nil {
+				offer(*j.spec.DueS*max(1, aim.Times) - age - run)
+			}
+		}
+	}
+	if j.spec.DueS != nil {
+		offer(*j.spec.DueS - age - run)
+	}
+	if math.IsInf(best, 1) {
+		return lateSlack
+	}
+	return best
+}
+
+// Admitted returns how much work, in CPU-seconds, has been accepted since this
+// owner began.
+func (o *Owner) Admitted() float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.admitted
+}
+
 // Load is a machine as fleet planning sees it.
 type Load struct {
 	Name, Type, Zone     string
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -211,6 +211,7 @@
 	finalQ   []string
 	garbage  []string // chunk keys of ended jobs
 	pend     map[string]*machine.Direction
+	admitted float64 // CPU-seconds of work
 	spotDone float64
 	spotLost float64
 	stats    Stats
@@ -463,6 +464,9 @@
 			j.pending = append(j.pending, t)
 		}
 	}
+	if fence == 0 && !spec.Service() {
+		o.admitted += float64(spec.Tasks) * spec.CPUs * j.runEstimate()
+	}
 	o.jobs[spec.UID] = j
 	o.order = append(o.order, j)
 	o.finish(j)
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -146,7 +146,24 @@
 	if math.IsInf(w, 1) {
 		return estimate{}, false
 	}
-	return estimate{w, placement.Cost(fetch, w, run, o.success(m), o.op.KFail), fetch}, true
+	c := placement.Cost(fetch, w, run, o.success(m), o.op.KFail)
+	return estimate{w, c + o.packing(m), fetch}, true
+}
+
+// packing is added to C so that of machines which would finish a task at about
+// the same time the cheap and the fuller one wins, and others fall idle and
+// can be returned.
+func (o *Owner) packing(m *mach) float64 {
+	t, ok := o.types.Type(m.view.Type)
+	if !ok || t.CPUs <= 0 || o.op.PackS == 0 {
+		return 0
+	}
+	free := max(0, m.matrix[0].Free.CPUs) / t.CPUs
+	dear := 0.0
+	if !m.view.Spot {
+		dear = 1
+	}
+	return o.op.PackS * (free + dear)
 }
 
 // batch matches up to limit tasks of the jobs and dispatches the matches that
