--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -180,7 +180,7 @@
 		return
 	}
 	f.mu.Lock()
-	var failed []string
+	failed := map[string]string{}
 	for _, l := range list {
 		if f.sending[l.Name] {
 			continue
@@ -192,12 +192,12 @@
 		}
 		b.offer, b.listed, b.stage = offer{l.Type, l.Zone, l.Spot}, asked, l.Stage
 		if l.Stage == wire.MachineFailed {
-			failed = append(failed, l.Name)
+			failed[l.Name] = "failed"
 		}
 	}
 	f.mu.Unlock()
 	if len(failed) > 0 {
-		f.giveBack(ctx, failed, "failed")
+		f.giveBack(ctx, failed)
 	}
 }
 
@@ -226,11 +226,11 @@
 	}
 	f.busy += 0.1 * (busy - f.busy)
 	f.measure(now, f.owner.Admitted())
-	var back []string
-	for name := range suspects {
-		back = append(back, name)
+	back := map[string]string{} // why, by name
+	for name, silent := range suspects {
+		back[name] = fmt.Sprintf("silent for %.0f s with tasks on it", silent.Seconds())
 	}
-	f.sortOut(now, &back)
+	f.sortOut(now, back)
 	wants := f.plan(now, demand)
 	if len(wants) == 0 {
 		f.idle(now)
@@ -245,7 +245,7 @@
 	f.mu.Unlock()
 	if len(back) > 0 {
 		wg.Add(1)
-		go func() { defer wg.Done(); f.giveBack(ctx, back, "silent, idle or no-show") }()
+		go func() { defer wg.Done(); f.giveBack(ctx, back) }()
 	}
 	for _, h := range send {
 		wg.Add(1)
@@ -266,24 +266,22 @@
 
 // sortOut forgets machines that the cloud took and returns those that never
 // came up or went silent.
-func (f *Fleet) sortOut(now time.Time, back *[]string) {
+func (f *Fleet) sortOut(now time.Time, back map[string]string) {
 	lag := seconds(2*f.cfg.Params.Cloud.ListLagS) + 5*time.Second
 	for name, b := range f.boxes {
 		t, _ := f.catalog.Type(b.offer.Type)
 		switch {
 		case f.sending[name]:
 		case !b.draining.IsZero() && b.load != nil && b.load.Places == 0 && now.Sub(b.draining) > planEvery:
-			*back = append(*back, name)
+			back[name] = "idle"
 		case b.heard.IsZero() && now.Sub(later(b.hired, b.known)) > seconds(3*t.BootS+25) && now.Sub(b.hired) > seconds(3*t.BootS+25):
-			f.log.Info("machine did not come up", "machine", name, "type", b.offer.Type)
-			*back = append(*back, name)
+			back[name] = "did not come up"
 		case !b.heard.IsZero() && now.Sub(b.heard) > seconds(2.5*f.op.SilentS) && now.Sub(b.known) > seconds(2.5*f.op.SilentS):
-			*back = append(*back, name)
+			back[name] = "silent"
 		case b.heard.IsZero() && now.Sub(b.listed) > takenAfter && now.Sub(b.known) > lag+takenAfter:
 			delete(f.boxes, name)
 		case b.load != nil && b.load.Faulty && b.load.Places == 0:
-			f.log.Info("machine seems faulty", "machine", name)
-			*back = append(*back, name)
+			back[name] = "faulty"
 		}
 	}
 }
@@ -661,10 +659,10 @@
 }
 
 // giveBack returns machines; when the cloud has answered, they are gone.
-func (f *Fleet) giveBack(ctx context.Context, names []string, why string) {
+func (f *Fleet) giveBack(ctx context.Context, names map[string]string) {
 	f.mu.Lock()
 	var batch []string
-	for _, n := range names {
+	for n := range names {
 		if !f.sending[n] && len(batch) < maxRelease {
 			f.sending[n] = true
 			batch = append(batch, n)
@@ -684,8 +682,8 @@
 		f.mu.Unlock()
 		return
 	}
-	f.log.Info("returned", "machines", batch, "why", why)
 	for _, n := range batch {
+		f.log.Info("returned", "machine", n, "why", names[n])
 		f.holder.Gone(n)
 		f.owner.Gone(n)
 	}
