--- a/internal/config/operator.sexp
+++ b/internal/config/operator.sexp
@@ -10,6 +10,6 @@
   (publish-s 0.5)         ; how often holders publish to owners elsewhere
   (replace-s 4)           ; excess wait that makes a queued task look elsewhere
   (silent-s 14)           ; silence after which a machine is returned
-  (idle-s 12)             ; idle time after which a machine is returned
+  (idle-s 20)             ; idle time after which a machine is returned
   (pack-s 1)              ; seconds by which full and cheap machines are preferred
   (headroom-percent 15))  ; capacity kept beyond the demand
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -574,12 +574,18 @@
 		}
 		return idle[i].name < idle[j].name
 	})
+	cheapest := math.Inf(1)
+	for _, t := range f.catalog.All() {
+		cheapest = min(cheapest, min(t.SpotPrice, t.Price)/t.CPUs)
+	}
 	for _, b := range idle {
 		t, _ := f.catalog.Type(b.offer.Type)
-		if now.Sub(b.idle) < seconds(f.op.IdleS) || now.Sub(b.hired) < (minimumS-5)*time.Second {
+		if now.Sub(b.idle) < seconds(f.op.IdleS*cheapest/perCPU(b)) || now.Sub(b.hired) < (minimumS-5)*time.Second {
 			continue
 		}
-		if have-t.CPUs < f.target() {
+		// The nearest number of machines to the target stays, so that the
+		// last ones go too when nothing more comes.
+		if have-t.CPUs < f.target()-t.CPUs/2 {
 			continue
 		}
 		have -= t.CPUs
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -160,8 +160,8 @@
 	}
 	free := max(0, m.matrix[0].Free.CPUs) / t.CPUs
 	dear := 0.0
-	if !m.view.Spot {
-		dear = 1
+	if !m.view.Spot && t.SpotPrice > 0 {
+		dear = max(0, t.Price/t.SpotPrice-1)
 	}
 	return o.op.PackS * (free + dear)
 }
