--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -377,7 +377,10 @@
 			}
 		}
 	}
-	f.headroom(sims, offers, wants)
+	// With nothing waiting and much unused, arrivals are dying down.
+	if len(demand) > 0 || f.busy > 0.7*f.capacity(sims) {
+		f.headroom(sims, offers, wants)
+	}
 	return wants
 }
 
@@ -517,14 +520,20 @@
 	return max(1, int(min(k, 1e6)))
 }
 
-// headroom rents spot machines ahead of the demand, up to the target.
-func (f *Fleet) headroom(sims []*sim, offers []offer, wants map[offer]int) {
+// capacity is the CPUs of all machines in the plan.
+func (f *Fleet) capacity(sims []*sim) float64 {
 	have := 0.0
 	for _, s := range sims {
 		if t, ok := f.catalog.Type(s.offer.Type); ok {
 			have += t.CPUs
 		}
 	}
+	return have
+}
+
+// headroom rents spot machines ahead of the demand, up to the target.
+func (f *Fleet) headroom(sims []*sim, offers []offer, wants map[offer]int) {
+	have := f.capacity(sims)
 	for have < f.target() {
 		missing := f.target() - have
 		var best offer
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -130,6 +130,7 @@
 	zones     map[string]int
 	unzoned   int // places that count in every zone
 	started   int // tasks that were ever seen running
+	slackNow  float64
 }
 
 type average struct {
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -42,6 +42,9 @@
 			waiting = append(waiting, j)
 		}
 	}
+	for _, j := range waiting {
+		j.slackNow = o.slack(j, 0)
+	}
 	o.sortJobs(waiting)
 	budget := placesAtOnce
 	for len(waiting) > 0 && budget > 0 {
@@ -135,6 +138,9 @@
 	if run := j.runEstimate(); math.IsInf(o.wait(m, j.shape, run), 1) || !o.allowed(j, m) || !o.within(j, m) || !o.underLimit(j) {
 		return estimate{}, false
 	}
+	if !m.view.Spot && j.spec.Spot && j.slackNow > o.op.DearSlackS {
+		return estimate{}, false // it can wait for a cheap machine
+	}
 	if until, ok := j.avoid[m.index]; len(j.avoid) > 0 && ok {
 		if time.Now().Before(until) {
 			return estimate{}, false
