--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -212,6 +212,7 @@
 	finalQ   []string
 	garbage  []string // chunk keys of ended jobs
 	pend     map[string]*machine.Direction
+	spotWait float64 // about how long all that waits would keep the spot machines busy
 	admitted float64 // CPU-seconds of work
 	spotDone float64
 	spotLost float64
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -42,11 +42,20 @@
 			waiting = append(waiting, j)
 		}
 	}
+	backlog, spot := 0.0, 1e-3
 	for _, j := range waiting {
 		j.slackNow = o.slack(j, 0)
+		backlog += float64(len(j.pending)) * j.shape.CPUs * j.runEstimate()
 	}
+	for _, m := range open {
+		if t, ok := o.types.Type(m.view.Type); ok && m.view.Spot {
+			spot += t.CPUs
+		}
+	}
+	o.spotWait = backlog / spot
 	o.sortJobs(waiting)
 	budget := placesAtOnce
+	all := append([]*job(nil), waiting...)
 	for len(waiting) > 0 && budget > 0 {
 		// A batch holds tasks of similar priority.
 		rank := waiting[0].spec.Rank()
@@ -71,6 +80,7 @@
 		}
 		waiting = rest
 	}
+	o.preempt(all, open)
 }
 
 // sortJobs orders jobs: within their team's guarantee first, then by
@@ -138,7 +148,7 @@
 	if run := j.runEstimate(); math.IsInf(o.wait(m, j.shape, run), 1) || !o.allowed(j, m) || !o.within(j, m) || !o.underLimit(j) {
 		return estimate{}, false
 	}
-	if !m.view.Spot && j.spec.Spot && j.slackNow > o.op.DearSlackS {
+	if !m.view.Spot && j.spec.Spot && j.slackNow > max(o.op.DearSlackS, o.spotWait) {
 		return estimate{}, false // it can wait for a cheap machine
 	}
 	if until, ok := j.avoid[m.index]; len(j.avoid) > 0 && ok {
--- /dev/null
+++ b/internal/owner/preempt.go
@@ -0,0 +1,128 @@
+package owner
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+const (
+	preemptsAtOnce = 24  // bounds what one pass stops
+	preemptShare   = 0.5 // work lost by stopping, at most, to the work it lets start
+)
+
+// victim is a running task that may make room.
+type victim struct {
+	p    *place
+	loss float64 // seconds of its run that stopping it now wastes
+}
+
+// preempt makes room for urgent jobs whose aim to start soon is in danger, by
+// stopping tasks of lower priority that lose little and have time left.
+func (o *Owner) preempt(waiting []*job, open []*mach) {
+	budget := preemptsAtOnce
+	for _, j := range waiting {
+		if budget <= 0 {
+			return
+		}
+		if len(j.pending) == 0 || j.cancelled || !o.startAim(j) {
+			continue
+		}
+		for _, m := range open {
+			if budget <= 0 || len(j.pending) == 0 {
+				break
+			}
+			budget -= o.makeRoom(j, m, budget)
+		}
+	}
+}
+
+// startAim reports whether an aim says how soon the job's tasks should start,
+// and it has not waited much longer than that already.
+func (o *Owner) startAim(j *job) bool {
+	age := time.Since(j.accepted).Seconds()
+	for _, aim := range o.cfg.Params.Objectives {
+		if aim.Kind == "wait" && aim.Class == j.spec.Class && age < 2*aim.WithinS {
+			return true
+		}
+	}
+	return false
+}
+
+// victims lists what may be stopped on a machine for a job, least loss first.
+func (o *Owner) victims(j *job, m *mach) []victim {
+	var out []victim
+	for p := range m.places {
+		v := p.job
+		if p.state != placeSeen || p.running.IsZero() || !p.halted.IsZero() || p.exited || v.cancelled ||
+			v.spec.Service() || v.spec.Rank() >= j.spec.Rank() || o.slack(v, 0) < lateSlack {
+			continue
+		}
+		elapsed := time.Since(p.running).Seconds()
+		loss := elapsed
+		if v.spec.MarkS > 0 {
+			loss = math.Mod(elapsed, v.spec.MarkS)
+		}
+		// Nearly finished tasks leave by themselves.
+		if v.runEstimate()-elapsed < 3 && v.spec.MarkS == 0 {
+			continue
+		}
+		out = append(out, victim{p, loss})
+	}
+	sort.Slice(out, func(a, b int) bool {
+		if out[a].loss != out[b].loss {
+			return out[a].loss < out[b].loss
+		}
+		return out[a].p.attempt < out[b].p.attempt
+	})
+	return out
+}
+
+// makeRoom stops tasks on a machine and queues the job's tasks there in their
+// stead; it returns how many it stopped.
+func (o *Owner) makeRoom(j *job, m *mach, most int) int {
+	if !o.allowed(j, m) || !o.within(j, m) || !o.underLimit(j) {
+		return 0
+	}
+	free := m.matrix[0].Free
+	run := j.runEstimate()
+	stopped, lost, starts := 0, 0.0, 0
+	var chosen []victim
+	for _, v := range o.victims(j, m) {
+		if starts >= len(j.pending) || len(chosen) >= most {
+			break
+		}
+		gain := free.Add(v.p.job.shape, 1)
+		n := starts
+		for n < len(j.pending) && j.shape.Scale(float64(n+1)).Fits(gain) {
+			n++
+		}
+		cost := lost + v.loss*max(v.p.job.shape.CPUs, 0.1)
+		if n > 0 && cost > preemptShare*run*j.shape.CPUs*float64(n) {
+			break
+		}
+		free, lost, starts = gain, cost, n
+		chosen = append(chosen, v)
+	}
+	if starts == 0 {
+		return 0
+	}
+	for p := range m.places {
+		// What is queued here must not take the room.
+		if p.state == placeRecorded && p.job.spec.Rank() < j.spec.Rank() {
+			o.unqueue(p)
+		}
+	}
+	for _, v := range chosen {
+		o.halt(v.p, 0)
+		m.matrix[0].Free = m.matrix[0].Free.Add(v.p.job.shape, 1)
+		stopped++
+	}
+	o.stats.Preempted += stopped
+	for ; starts > 0 && len(j.pending) > 0; starts-- {
+		t := j.pending[len(j.pending)-1]
+		j.pending = j.pending[:len(j.pending)-1]
+		o.put(j, t, m, 0)
+	}
+	return stopped
+}
