--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -172,6 +172,7 @@
 	at      time.Time // when the view came; zero if none did
 	since   time.Time // when this owner first knew of it
 	matrix  placement.Matrix
+	held    bool // the matrix holds room for this pass only
 	places  map[*place]struct{}
 	images  map[int]*cached
 	notice  time.Time // when the cloud takes it, if it said so
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -15,6 +15,8 @@
 	batchJobs    = 24  // jobs that a batch takes tasks from
 	wholeFleet   = 64  // up to so many machines, every one is a candidate
 	maxPlaces    = 2   // machines that a task is queued at, at once
+	holdTasks    = 24  // tasks that room is held for
+	holdWithin   = 45  // seconds from now within which room is held
 	placesAtOnce = 400 // bounds what one pass writes
 )
 
@@ -78,9 +80,47 @@
 				rest = append(rest, j)
 			}
 		}
+		if len(rest) > 0 && rest[0].spec.Rank() < rank {
+			o.hold(jobs, open)
+		}
 		waiting = rest
 	}
 	o.preempt(all, open)
+	for _, m := range open {
+		if m.held {
+			m.held = false
+			m.matrix = m.view.Matrix
+			o.reserveUnshown(m)
+		}
+	}
+}
+
+// hold keeps, for this pass, the room that jobs which found no place soon
+// would get first, so that small tasks of lower priority do not fill every gap
+// before it grows large enough.
+func (o *Owner) hold(jobs []*job, open []*mach) {
+	budget := holdTasks
+	for _, j := range jobs {
+		for n := min(len(j.pending), budget); n > 0; n-- {
+			var best *mach
+			soonest := math.Inf(1)
+			run := j.runEstimate()
+			for _, m := range open {
+				if !o.allowed(j, m) {
+					continue
+				}
+				if w := m.matrix.WaitWithin(j.shape, run, min(soonest, holdWithin)); w < soonest && w <= holdWithin {
+					best, soonest = m, w
+				}
+			}
+			if best == nil {
+				break
+			}
+			best.matrix = best.matrix.Reserve(j.shape, soonest, run)
+			best.held = true
+			budget--
+		}
+	}
 }
 
 // sortJobs orders jobs: within their team's guarantee first, then by
--- a/internal/owner/preempt.go
+++ b/internal/owner/preempt.go
@@ -37,9 +37,16 @@
 	}
 }
 
-// startAim reports whether an aim says how soon the job's tasks should start,
-// and it has not waited much longer than that already.
+// urgentSlack is the slack below which an aim is in danger.
+const urgentSlack = 6
+
+// startAim reports whether the job's tasks must start now: an aim says how soon
+// they should, and they have not waited much longer than that already, or the
+// time left for the next aim runs out.
 func (o *Owner) startAim(j *job) bool {
+	if o.slack(j, 0) < urgentSlack {
+		return true
+	}
 	age := time.Since(j.accepted).Seconds()
 	for _, aim := range o.cfg.Params.Objectives {
 		if aim.Kind == "wait" && aim.Class == j.spec.Class && age < 2*aim.WithinS {
