--- a/cmd/wallrack/daemon.go
+++ b/cmd/wallrack/daemon.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"runtime"
 	"runtime/debug"
@@ -63,7 +62,7 @@
 	n.intake.Register(mux)
 	alerts.Register(mux)
 	mux.HandleFunc("POST /v1/report", n.holder.ServeReport)
-	lis, err := net.Listen("tcp", p.Listen)
+	lis, err := mesh.Listen(ctx, p.Listen)
 	if err != nil {
 		return fmt.Errorf("serve_on: %w", err)
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -348,6 +348,10 @@
 	boot := f.boot()
 	for i := range demand {
 		d := &demand[i]
+		if d.Job.Gang() || d.Job.Service() {
+			// Its tasks run side by side: none can wait for another to end.
+			d.Run = forever
+		}
 		// Spot machines are cheap: they are rented for what would wait for
 		// about as long as they take to come up. Ordinary ones only for
 		// what would be late without them.
@@ -384,6 +388,9 @@
 	return wants
 }
 
+// forever is longer than any plan looks ahead.
+const forever = 1e6
+
 // boot is how long the quickest machine type takes to come up.
 func (f *Fleet) boot() float64 {
 	boot := math.Inf(1)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -334,7 +334,7 @@
 		return http.StatusUnprocessableEntity, "unknown team"
 	}
 	n := 1.0
-	if job.Service() {
+	if job.Service() || job.Gang() {
 		n = float64(job.Tasks)
 	}
 	const tiny = 1e-6
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"syscall"
 	"time"
 
 	"google.golang.org/grpc"
@@ -97,9 +98,27 @@
 	return rep, nil
 }
 
+// listenFor is how long a busy address is tried again: a predecessor's
+// connections may still hold it.
+const listenFor = 20 * time.Second
+
+// Listen opens an address, waiting for a predecessor to let go of it.
+func Listen(ctx context.Context, addr string) (net.Listener, error) {
+	for start := time.Now(); ; {
+		lis, err := net.Listen("tcp", addr)
+		if err == nil || ctx.Err() != nil || time.Since(start) > listenFor || !errors.Is(err, syscall.EADDRINUSE) {
+			return lis, err
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
 // Serve answers the peers until ctx ends.
 func (m *Mesh) Serve(ctx context.Context, addr string) error {
-	lis, err := net.Listen("tcp", addr)
+	lis, err := Listen(ctx, addr)
 	if err != nil {
 		return fmt.Errorf("mesh: %w", err)
 	}
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -67,6 +67,11 @@
 				jobs = append(jobs, j)
 			}
 		}
+		for _, j := range jobs {
+			if j.spec.Gang() {
+				o.gang(j, open)
+			}
+		}
 		placed := o.batch(jobs, open, min(budget, batchTasks))
 		budget -= len(placed)
 		// A job that got nothing in this batch is left for later passes.
@@ -228,6 +233,9 @@
 	var options [][]placement.Option
 	var of []*job
 	for _, j := range jobs {
+		if j.spec.Gang() {
+			continue
+		}
 		var opts []placement.Option
 		for _, m := range o.candidates(j, open) {
 			if e, ok := o.estimate(j, m); ok && e.wait <= o.op.HorizonS {
@@ -254,7 +262,7 @@
 	for _, pair := range placement.Match(options, matchRounds) {
 		j := of[pair.Task]
 		m := o.byIndex[pair.Machine]
-		if !o.roomInLimit(j) {
+		if !o.roomInLimit(j, 1) || !o.zoneFits(j, m) {
 			continue
 		}
 		t := j.pending[len(j.pending)-1]
@@ -265,9 +273,116 @@
 	return placed
 }
 
+// zoneFits reports whether one more place there agrees with the zones of the
+// job's other places, granted or not.
+func (o *Owner) zoneFits(j *job, m *mach) bool {
+	if !j.spec.OneZone && !j.spec.Spread {
+		return true
+	}
+	there := 1
+	for _, ps := range j.places {
+		for _, p := range ps {
+			same := p.mach.view.Zone == m.view.Zone
+			if j.spec.OneZone && !same && !p.exited {
+				return false
+			}
+			if same && !p.exited {
+				there++
+			}
+		}
+	}
+	return !j.spec.Spread || there <= (j.spec.Tasks+1)/2
+}
+
+// gang places all waiting tasks of a gang, or none: the first would only wait
+// on their machines for the last.
+func (o *Owner) gang(j *job, open []*mach) {
+	n := len(j.pending)
+	if len(j.places) > 0 {
+		return // what is left of the last try goes first
+	}
+	if n == 0 || n > placesAtOnce || !o.roomInLimit(j, n) {
+		return
+	}
+	zones := map[string]bool{"": true}
+	if j.spec.OneZone {
+		clear(zones)
+		for _, m := range open {
+			zones[m.view.Zone] = true
+		}
+	}
+	for zone := range zones {
+		if picks := o.gangPicks(j, open, zone, n); picks != nil {
+			// Workers let tasks of one attempt wait for each other.
+			next := uint64(1)
+			for _, c := range j.chunks {
+				next = max(next, c.next)
+			}
+			for _, c := range j.chunks {
+				c.next = next
+			}
+			for _, p := range picks {
+				t := j.pending[len(j.pending)-1]
+				j.pending = j.pending[:len(j.pending)-1]
+				o.put(j, t, p.m, p.wait)
+			}
+			for _, c := range j.chunks {
+				c.next++
+			}
+			return
+		}
+	}
+}
+
+type gangPick struct {
+	m    *mach
+	wait float64
+}
+
+// gangPicks finds a machine for each of n tasks, in one zone unless it is "".
+func (o *Owner) gangPicks(j *job, open []*mach, zone string, n int) []gangPick {
+	saved := map[*mach]placement.Matrix{}
+	defer func() {
+		for m, mx := range saved {
+			m.matrix = mx
+		}
+	}()
+	there := map[string]int{}
+	for _, ps := range j.places {
+		for _, p := range ps {
+			there[p.mach.view.Zone]++
+		}
+	}
+	var picks []gangPick
+	for len(picks) < n {
+		var best *mach
+		bestE := estimate{cost: math.Inf(1)}
+		for _, m := range open {
+			z := m.view.Zone
+			if zone != "" && z != zone || j.spec.Spread && there[z]+1 > (j.spec.Tasks+1)/2 || j.spec.OneZone && !o.zoneFits(j, m) {
+				continue
+			}
+			if e, ok := o.estimate(j, m); ok && e.wait <= o.op.HorizonS && e.cost < bestE.cost {
+				best, bestE = m, e
+			}
+		}
+		if best == nil {
+			return nil
+		}
+		if _, ok := saved[best]; !ok {
+			saved[best] = best.matrix
+		}
+		run := j.runEstimate() + bestE.fetch
+		best.matrix = best.matrix.Reserve(j.shape, bestE.wait, run)
+		there[best.view.Zone]++
+		picks = append(picks, gangPick{best, bestE.wait})
+	}
+	return picks
+}
+
 // roomInLimit keeps a team's queued work within its limit too, so that tasks
 // that can't be granted yet do not clog the queues.
-func (o *Owner) roomInLimit(j *job) bool {
+func (o *Owner) roomInLimit(j *job, more int) bool {
 	t := j.team
 	if t.CPUsMax <= 0 && t.GPUsMax <= 0 {
 		return true
@@ -285,7 +400,7 @@
 			}
 		}
 	}
-	queued = queued.Add(j.shape, 1)
+	queued = queued.Add(j.shape, float64(more))
 	return (t.CPUsMax <= 0 || queued.CPUs <= t.CPUsMax+1e-6) && (t.GPUsMax <= 0 || queued.GPUs <= t.GPUsMax+1e-6)
 }
 
@@ -293,7 +408,9 @@
 func (o *Owner) put(j *job, task int, m *mach, wait float64) {
 	c := j.chunks[task/chunkSize]
 	p := &place{job: j, chunk: c, task: task, attempt: c.next, mach: m, planned: wait, made: time.Now()}
-	c.next++
+	if !j.spec.Gang() {
+		c.next++
+	}
 	o.attach(p)
 	o.touch(j, c)
 	p.gen = c.gen
@@ -331,7 +448,7 @@
 			continue
 		}
 		for task, ps := range j.places {
-			if len(ps) >= maxPlaces {
+			if len(ps) >= maxPlaces || j.spec.Gang() {
 				continue
 			}
 			p := ps[0]
--- a/internal/owner/preempt.go
+++ b/internal/owner/preempt.go
@@ -25,7 +25,7 @@
 		if budget <= 0 {
 			return
 		}
-		if len(j.pending) == 0 || j.cancelled || !o.startAim(j) {
+		if len(j.pending) == 0 || j.cancelled || j.spec.Gang() || !o.startAim(j) {
 			continue
 		}
 		for _, m := range open {
@@ -62,7 +62,7 @@
 	for p := range m.places {
 		v := p.job
 		if p.state != placeSeen || p.running.IsZero() || !p.halted.IsZero() || p.exited || v.cancelled ||
-			v.spec.Service() || v.spec.Rank() >= j.spec.Rank() || o.slack(v, 0) < lateSlack {
+			v.spec.Service() || v.spec.Gang() || v.spec.Rank() >= j.spec.Rank() || o.slack(v, 0) < lateSlack {
 			continue
 		}
 		elapsed := time.Since(p.running).Seconds()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -21,6 +21,7 @@
 const (
 	KindArray   = "sweep"
 	KindService = "daemon"
+	KindGang    = "gang" // every task runs at the same time, or none
 )
 
 // Job stages as users see them, and the stage a record in the store may add.
@@ -93,6 +94,9 @@
 // Service reports whether the job's tasks run until it is cancelled.
 func (j *Job) Service() bool { return j.Kind == KindService }
 
+// Gang reports whether the job's tasks run together or not at all.
+func (j *Job) Gang() bool { return j.Kind == KindGang }
+
 type jobMessage struct {
 	UID      *string   `json:"uid"`
 	Class    *string   `json:"docket"`
@@ -179,7 +183,7 @@
 	if m.UID != nil && !ValidJobID(j.UID) {
 		fail("uid", "not a job id")
 	}
-	if j.Kind != KindArray && j.Kind != KindService {
+	if j.Kind != KindArray && j.Kind != KindService && j.Kind != KindGang {
 		fail("sort", "unknown")
 	}
 	if _, ok := priorities[j.Priority]; !ok {
