--- a/internal/machine/holder.go
+++ b/internal/machine/holder.go
@@ -1,14 +1,12 @@
 package machine
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"io"
 	"log/slog"
 	"math"
-	"net"
 	"net/http"
 	"sort"
 	"sync"
@@ -72,7 +70,7 @@
 	types   Types
 	routing Routing
 	log     *slog.Logger
-	client  *http.Client
+	orders  Orderer
 	ctx     context.Context
 	started time.Time
 	workers sync.WaitGroup
@@ -88,13 +86,9 @@
 }
 
 // New returns a holder; ctx bounds the goroutines it starts.
-func New(ctx context.Context, name string, lease time.Duration, owners Owners, tokens Tokens, types Types, routing Routing, log *slog.Logger) *Holder {
+func New(ctx context.Context, name string, lease time.Duration, owners Owners, tokens Tokens, types Types, routing Routing, orders Orderer, log *slog.Logger) *Holder {
 	return &Holder{
-		name: name, lease: lease, owners: owners, tokens: tokens, types: types, routing: routing, log: log,
-		client: &http.Client{Transport: &http.Transport{
-			MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, MaxIdleConns: 256, IdleConnTimeout: time.Minute,
-			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
-		}},
+		name: name, lease: lease, owners: owners, tokens: tokens, types: types, routing: routing, orders: orders, log: log,
 		ctx: ctx, started: time.Now(),
 		machines: map[string]*held{}, answered: map[string]time.Time{}, gone: map[string]bool{}, dirty: map[string]bool{},
 	}
@@ -116,41 +110,44 @@
 		reply(w, http.StatusBadRequest, wire.Problem{Error: "malformed report"})
 		return
 	}
+	status, answer := h.Report(r.Context(), rep)
+	reply(w, status, answer)
+}
+
+// Report takes a worker's report and returns the status and body to answer.
+func (h *Holder) Report(ctx context.Context, rep *wire.Report) (int, any) {
 	foreman := h.routing.Foreman()
 	if !h.routing.Entitled() {
 		if foreman == h.name {
 			foreman = ""
 		}
-		reply(w, http.StatusMisdirectedRequest, wire.Redirect{ReportTo: foreman})
-		return
+		return http.StatusMisdirectedRequest, wire.Redirect{ReportTo: foreman}
 	}
 	if foreman != "" && foreman != h.name && h.sendAway(rep.Machine) {
-		reply(w, http.StatusMisdirectedRequest, wire.Redirect{ReportTo: foreman})
-		return
+		return http.StatusMisdirectedRequest, wire.Redirect{ReportTo: foreman}
 	}
 	term := h.tokens.Term()
 	if term < rep.Token || term == 0 {
-		ctx, cancel := context.WithTimeout(r.Context(), raiseTimeout)
-		term, err = h.tokens.Raise(ctx, rep.Token)
+		rctx, cancel := context.WithTimeout(ctx, raiseTimeout)
+		var err error
+		term, err = h.tokens.Raise(rctx, rep.Token)
 		cancel()
 		if err != nil {
 			// An answer with a lower token would keep the worker here
 			// while its lease runs out.
 			h.log.Info("cannot raise the term", "machine", rep.Machine, "token", rep.Token, "err", err)
-			reply(w, http.StatusMisdirectedRequest, wire.Redirect{})
-			return
+			return http.StatusMisdirectedRequest, wire.Redirect{}
 		}
 	}
 	view, ok := h.take(rep, true)
 	if !ok {
-		reply(w, http.StatusServiceUnavailable, wire.Problem{Error: "late report"})
-		return
+		return http.StatusServiceUnavailable, wire.Problem{Error: "late report"}
 	}
 	h.owners.Observe(view)
 	h.mu.Lock()
 	cmds := h.commands(rep.Machine, term)
 	h.mu.Unlock()
-	reply(w, http.StatusOK, wire.ReportAnswer{Token: term, Commands: cmds})
+	return http.StatusOK, wire.ReportAnswer{Token: term, Commands: cmds}
 }
 
 func reply(w http.ResponseWriter, status int, body any) {
@@ -482,7 +479,9 @@
 }
 
 func (h *Holder) order(name, endpoint string, o wire.Orders) {
-	rep, executed, err := h.post(endpoint, o)
+	ctx, cancel := context.WithTimeout(h.ctx, orderTimeout)
+	rep, executed, err := h.orders.Order(ctx, endpoint, o)
+	cancel()
 	h.mu.Lock()
 	s := h.machines[name]
 	if s == nil {
@@ -493,7 +492,7 @@
 	again := s.again
 	s.again = false
 	switch {
-	case err != nil && !neverSent(err):
+	case err != nil && !errors.Is(err, ErrNotSent):
 		// The order may still arrive, minutes late, while its token and
 		// session match: only a newer token ends that.
 		s.fate = max(s.fate, o.Token)
@@ -523,41 +522,6 @@
 	}
 }
 
-// post sends an order and reads the worker's report.
-func (h *Holder) post(endpoint string, o wire.Orders) (*wire.Report, bool, error) {
-	data, err := json.Marshal(o)
-	if err != nil {
-		return nil, false, err
-	}
-	ctx, cancel := context.WithTimeout(h.ctx, orderTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+endpoint+"/orders", bytes.NewReader(data))
-	if err != nil {
-		return nil, false, err
-	}
-	req.GetBody = nil // never repeated by the transport on its own
-	resp, err := h.client.Do(req)
-	if err != nil {
-		return nil, false, err
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, 8<<20))
-	if err != nil {
-		return nil, false, err
-	}
-	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusConflict {
-		return nil, false, errors.New("status " + resp.Status)
-	}
-	rep, err := wire.ParseReport(body)
-	return rep, resp.StatusCode == http.StatusOK, err
-}
-
-// neverSent reports whether the request failed before a connection stood.
-func neverSent(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 // raiseLocked raises the term in the background, one at a time.
 func (h *Holder) raiseLocked(above uint64) {
 	if h.raising || h.tokens.Term() > above {
--- /dev/null
+++ b/internal/machine/orders.go
@@ -0,0 +1,66 @@
+package machine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// ErrNotSent means that an order surely never left this process.
+var ErrNotSent = errors.New("order not sent")
+
+// Orderer sends direct orders to workers. It returns the worker's report and
+// whether the worker executed the order.
+type Orderer interface {
+	Order(ctx context.Context, endpoint string, o wire.Orders) (*wire.Report, bool, error)
+}
+
+// HTTPOrderer sends orders over HTTP.
+type HTTPOrderer struct{ client *http.Client }
+
+// NewHTTPOrderer returns an orderer with one connection a worker.
+func NewHTTPOrderer() *HTTPOrderer {
+	return &HTTPOrderer{&http.Client{Transport: &http.Transport{
+		MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, MaxIdleConns: 256, IdleConnTimeout: time.Minute,
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+	}}}
+}
+
+// Order implements Orderer.
+func (h *HTTPOrderer) Order(ctx context.Context, endpoint string, o wire.Orders) (*wire.Report, bool, error) {
+	data, err := json.Marshal(o)
+	if err != nil {
+		return nil, false, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+endpoint+"/orders", bytes.NewReader(data))
+	if err != nil {
+		return nil, false, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	req.GetBody = nil // never repeated by the transport on its own
+	resp, err := h.client.Do(req)
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return nil, false, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	if err != nil {
+		return nil, false, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 8<<20))
+	if err != nil {
+		return nil, false, err
+	}
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusConflict {
+		return nil, false, fmt.Errorf("worker answered %s", resp.Status)
+	}
+	rep, err := wire.ParseReport(body)
+	return rep, resp.StatusCode == http.StatusOK, err
+}
--- /dev/null
+++ b/internal/testkit/store.go
@@ -0,0 +1,301 @@
+// Package testkit has stand-ins, written from the protocol, for the state
+// service and workers. They lose, delay and repeat messages on demand, so that
+// tests need no bench.
+package testkit
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/statestore"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+type item struct {
+	value   json.RawMessage
+	version uint64
+	lease   uint64
+}
+
+type lease struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+// Store is a state service in memory. All controllers of a test share one;
+// each has its own View of it.
+type Store struct {
+	mu     sync.Mutex
+	items  map[string]item
+	leases map[uint64]*lease
+	rev    uint64
+	next   uint64
+	events []wire.Event
+	change chan struct{}
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{items: map[string]item{}, leases: map[uint64]*lease{}, change: make(chan struct{})}
+}
+
+func (s *Store) expire() {
+	now := time.Now()
+	for id, l := range s.leases {
+		if !now.Before(l.ends) {
+			s.end(id)
+		}
+	}
+}
+
+func (s *Store) end(id uint64) {
+	delete(s.leases, id)
+	var keys []string
+	for k, it := range s.items {
+		if it.lease == id {
+			keys = append(keys, k)
+		}
+	}
+	if len(keys) == 0 {
+		return
+	}
+	sort.Strings(keys)
+	s.rev++
+	for _, k := range keys {
+		delete(s.items, k)
+		s.events = append(s.events, wire.Event{Delete: k, Version: s.rev})
+	}
+	s.signal()
+}
+
+func (s *Store) signal() {
+	close(s.change)
+	s.change = make(chan struct{})
+}
+
+func (s *Store) apply(t wire.Txn) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	for _, op := range t.Then {
+		if op.Put != "" && op.Lease != 0 && s.leases[op.Lease] == nil {
+			return 0, statestore.ErrNoLease
+		}
+	}
+	var failed []string
+	for _, g := range t.If {
+		if s.items[g.Key].version != g.Version {
+			failed = append(failed, g.Key)
+		}
+	}
+	if len(failed) > 0 {
+		return 0, &statestore.Conflict{Keys: failed}
+	}
+	s.rev++
+	for _, op := range t.Then {
+		if op.Put != "" {
+			data, err := json.Marshal(op.Value)
+			if err != nil {
+				return 0, err
+			}
+			s.items[op.Put] = item{data, s.rev, op.Lease}
+			s.events = append(s.events, wire.Event{Put: op.Put, Value: data, Version: s.rev})
+			continue
+		}
+		delete(s.items, op.Delete)
+		s.events = append(s.events, wire.Event{Delete: op.Delete, Version: s.rev})
+	}
+	s.signal()
+	return s.rev, nil
+}
+
+// Keys returns the keys with a prefix, in order.
+func (s *Store) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	var out []string
+	for k := range s.items {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, k)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// View is one controller's access to the store.
+type View struct {
+	*Store
+	// Down makes every request fail without being executed.
+	Down func() bool
+	// Lose makes a transaction's answer get lost after it was applied.
+	Lose func() bool
+	// Late, if it returns true, holds a transaction back; Deliver applies it.
+	Late func() bool
+
+	lateMu sync.Mutex
+	late   []wire.Txn
+}
+
+// Deliver applies the transactions that were held back.
+func (v *View) Deliver() {
+	v.lateMu.Lock()
+	late := v.late
+	v.late = nil
+	v.lateMu.Unlock()
+	for _, t := range late {
+		_, _ = v.apply(t) // nobody waits for the answer any more
+	}
+}
+
+func ask(f func() bool) bool { return f != nil && f() }
+
+// Get reads a key.
+func (v *View) Get(_ context.Context, key string) (wire.Item, error) {
+	if ask(v.Down) {
+		return wire.Item{}, statestore.ErrUnavailable
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.expire()
+	it, ok := v.items[key]
+	if !ok {
+		return wire.Item{}, statestore.ErrNotFound
+	}
+	return wire.Item{Key: key, Value: it.value, Version: it.version, Lease: it.lease}, nil
+}
+
+// List reads the keys with a prefix.
+func (v *View) List(_ context.Context, prefix string) ([]wire.Item, uint64, error) {
+	if ask(v.Down) {
+		return nil, 0, statestore.ErrUnavailable
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.expire()
+	var out []wire.Item
+	for k, it := range v.items {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, wire.Item{Key: k, Value: it.value, Version: it.version, Lease: it.lease})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out, v.rev, nil
+}
+
+// Txn applies a transaction.
+func (v *View) Txn(_ context.Context, guards []wire.Guard, ops ...wire.Op) (uint64, error) {
+	if ask(v.Down) {
+		return 0, statestore.ErrUnavailable
+	}
+	t := wire.Txn{If: guards, Then: append([]wire.Op(nil), ops...)}
+	for i := range t.Then {
+		if t.Then[i].Value != nil {
+			data, err := json.Marshal(t.Then[i].Value)
+			if err != nil {
+				return 0, err
+			}
+			t.Then[i].Value = json.RawMessage(data)
+		}
+	}
+	if ask(v.Late) {
+		v.lateMu.Lock()
+		v.late = append(v.late, t)
+		v.lateMu.Unlock()
+		return 0, statestore.ErrUnknown
+	}
+	rev, err := v.apply(t)
+	if ask(v.Lose) {
+		return 0, statestore.ErrUnknown
+	}
+	return rev, err
+}
+
+// Grant opens a lease.
+func (v *View) Grant(_ context.Context, ttl time.Duration) (uint64, error) {
+	if ask(v.Down) {
+		return 0, statestore.ErrUnavailable
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.next++
+	v.leases[v.next] = &lease{ttl, time.Now().Add(ttl)}
+	return v.next, nil
+}
+
+// Touch renews a lease.
+func (v *View) Touch(_ context.Context, id uint64) error {
+	if ask(v.Down) {
+		return statestore.ErrUnavailable
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.expire()
+	l := v.leases[id]
+	if l == nil {
+		return statestore.ErrNotFound
+	}
+	l.ends = time.Now().Add(l.ttl)
+	return nil
+}
+
+// Revoke ends a lease.
+func (v *View) Revoke(_ context.Context, id uint64) error {
+	if ask(v.Down) {
+		return statestore.ErrUnavailable
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.expire()
+	if v.leases[id] == nil {
+		return statestore.ErrNotFound
+	}
+	v.end(id)
+	return nil
+}
+
+// Watch follows a prefix.
+func (v *View) Watch(ctx context.Context, prefix string, _ time.Duration, reset func([]wire.Item), change func([]wire.Event)) {
+	pause := func() {
+		select {
+		case <-ctx.Done():
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	items, rev, err := v.List(ctx, prefix)
+	for err != nil && ctx.Err() == nil {
+		pause()
+		items, rev, err = v.List(ctx, prefix)
+	}
+	reset(items)
+	for ctx.Err() == nil {
+		if ask(v.Down) {
+			pause()
+			continue
+		}
+		v.mu.Lock()
+		v.expire()
+		var got []wire.Event
+		for _, e := range v.events {
+			if e.Version > rev && strings.HasPrefix(e.Put+e.Delete, prefix) {
+				got = append(got, e)
+			}
+		}
+		rev = v.rev
+		wait := v.change
+		v.mu.Unlock()
+		if len(got) > 0 {
+			change(got)
+		}
+		select {
+		case <-ctx.Done():
+		case <-wait:
+		case <-time.After(100 * time.Millisecond): // leases end by time alone
+		}
+	}
+}
--- /dev/null
+++ b/internal/testkit/worker.go
@@ -0,0 +1,124 @@
+package testkit
+
+import (
+	"time"
+
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// Worker is a worker's state by the protocol: tokens, lease, session, commands.
+type Worker struct {
+	Name    string
+	Lease   time.Duration
+	Run     func(task string) time.Duration // how long a task runs
+	Started func(task string, attempt uint64)
+
+	session, seq, token uint64
+	renewed             time.Time
+	tasks               map[ref]*running
+}
+
+type ref struct {
+	task    string
+	attempt uint64
+}
+
+type running struct {
+	wire.Task
+	ends time.Time
+}
+
+// NewWorker returns a worker that has just come up.
+func NewWorker(name string, lease time.Duration, run func(string) time.Duration) *Worker {
+	return &Worker{Name: name, Lease: lease, Run: run, session: 1, renewed: time.Now(), tasks: map[ref]*running{}}
+}
+
+func (w *Worker) advance() {
+	now := time.Now()
+	if now.Sub(w.renewed) > w.Lease {
+		w.tasks = map[ref]*running{}
+		w.session++
+		w.renewed = now
+	}
+	for _, t := range w.tasks {
+		if t.State == wire.TaskRunning && !now.Before(t.ends) {
+			t.State, t.Cause = wire.TaskExited, wire.CauseDone
+		}
+	}
+}
+
+// On lists the tasks that are on the machine now.
+func (w *Worker) On() []string {
+	w.advance()
+	var out []string
+	for _, t := range w.tasks {
+		if t.State != wire.TaskExited {
+			out = append(out, t.Task.Task)
+		}
+	}
+	return out
+}
+
+// Report makes the worker's next report.
+func (w *Worker) Report() *wire.Report {
+	w.advance()
+	w.seq++
+	r := &wire.Report{Machine: w.Name, Endpoint: "127.0.0.1:1", Type: "m", Zone: "z", Session: w.session, Seq: w.seq, Token: w.token}
+	for _, t := range w.tasks {
+		r.Tasks = append(r.Tasks, t.Task)
+	}
+	return r
+}
+
+// Answer takes the answer to a report sent at the given time.
+func (w *Worker) Answer(sent time.Time, session uint64, a wire.ReportAnswer) {
+	w.advance()
+	if a.Token < w.token || a.Token == 0 || session != w.session {
+		return
+	}
+	w.token = a.Token
+	w.renewed = sent
+	w.execute(a.Commands)
+}
+
+// Orders takes a direct message, however late it comes.
+func (w *Worker) Orders(o wire.Orders) bool {
+	w.advance()
+	if o.Token < w.token || o.Session != w.session {
+		return false
+	}
+	w.token = o.Token
+	w.execute(o.Commands)
+	return true
+}
+
+func (w *Worker) execute(cmds []wire.Command) {
+	for _, c := range cmds {
+		k := ref{c.Task, c.Attempt}
+		t := w.tasks[k]
+		switch c.Verb {
+		case wire.VerbStart:
+			if t != nil {
+				continue
+			}
+			t = &running{Task: wire.Task{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning}, ends: time.Now().Add(w.Run(c.Task))}
+			for o, other := range w.tasks {
+				if o.task == c.Task && other.State != wire.TaskExited {
+					t.State, t.Cause = wire.TaskExited, wire.CauseBusy
+				}
+			}
+			w.tasks[k] = t
+			if t.State == wire.TaskRunning && w.Started != nil {
+				w.Started(c.Task, c.Attempt)
+			}
+		case wire.VerbStop:
+			if t != nil && t.State != wire.TaskExited {
+				t.State, t.Cause = wire.TaskExited, wire.CauseStopped
+			}
+		case wire.VerbForget:
+			if t != nil && t.State == wire.TaskExited {
+				delete(w.tasks, k)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/testkit/world_test.go
@@ -0,0 +1,382 @@
+package testkit_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/machine"
+	"github.com/wallrack/wallrack/internal/membership"
+	"github.com/wallrack/wallrack/internal/owner"
+	"github.com/wallrack/wallrack/internal/testkit"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+const (
+	workerLease = 10 * time.Second
+	reportEvery = time.Second
+)
+
+type types struct{}
+
+func (types) Type(string) (wire.MachineType, bool) {
+	return wire.MachineType{Name: "m", CPUs: 4, MemoryGB: 16, CacheGB: 50, FetchGBPerS: 1, Price: 1, SpotPrice: 0.3, BootS: 10, Zones: []string{"z"}}, true
+}
+
+// world is three controllers, their store and some workers, with troubles
+// drawn from a fixed seed.
+type world struct {
+	t       *testing.T
+	rnd     *rand.Rand
+	cfg     *config.Platform
+	store   *testkit.Store
+	mu      sync.Mutex
+	nodes   map[string]*node
+	workers []*testkit.Worker
+	at      map[*testkit.Worker]int // controller that a worker reports to
+	byName  map[string]*testkit.Worker
+	late    []func()
+}
+
+type node struct {
+	w      *world
+	name   string
+	view   *testkit.View
+	member *membership.Member
+	owner  *owner.Owner
+	holder *machine.Holder
+	stop   context.CancelFunc
+	done   chan struct{}
+	down   bool // crashed
+	cut    bool // cannot reach its peers
+	state  bool // cannot reach the state service
+}
+
+var errCut = errors.New("cut off")
+
+func (w *world) reach(from, to *node) bool {
+	return from != nil && to != nil && !from.down && !to.down && !from.cut && !to.cut
+}
+
+func (n *node) Foreman() string {
+	if o := n.member.Owners(); n.member.Held() > 0 && len(o) > 0 {
+		return o[0]
+	}
+	return n.name
+}
+func (n *node) Entitled() bool                                      { return n.member.Term() > 0 }
+func (n *node) Observe(v machine.View)                              { n.owner.Observe(v) }
+func (n *node) GrantHere(r machine.GrantRequest) machine.GrantReply { return n.owner.GrantHere(r) }
+func (n *node) GrantThere(_ context.Context, at string, r machine.GrantRequest) (machine.GrantReply, error) {
+	n.w.mu.Lock()
+	to := n.w.nodes[at]
+	ok := n.w.reach(n, to)
+	n.w.mu.Unlock()
+	if !ok {
+		return machine.GrantReply{}, errCut
+	}
+	return to.owner.GrantHere(r), nil
+}
+
+func (n *node) Direct(_ context.Context, holder string, d machine.Direction) (machine.Unlaunched, error) {
+	n.w.mu.Lock()
+	to := n.w.nodes[holder]
+	ok := to == n || n.w.reach(n, to)
+	n.w.mu.Unlock()
+	if !ok {
+		return machine.Unlaunched{}, errCut
+	}
+	return to.holder.Direct(d), nil
+}
+
+// Order sends a direct order; some arrive, but the answer is lost, and some
+// arrive minutes late.
+func (n *node) Order(_ context.Context, endpoint string, o wire.Orders) (*wire.Report, bool, error) {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	worker := n.w.byName[endpoint]
+	switch n.w.rnd.IntN(12) {
+	case 0:
+		n.w.late = append(n.w.late, func() { worker.Orders(o) })
+		return nil, false, errCut
+	case 1:
+		worker.Orders(o)
+		return nil, false, errCut
+	}
+	executed := worker.Orders(o)
+	r := worker.Report()
+	r.Endpoint = endpoint
+	return r, executed, nil
+}
+
+func (w *world) start(name string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{w: w, name: name, stop: cancel, done: make(chan struct{})}
+	n.view = &testkit.View{Store: w.store,
+		Down: func() bool { w.mu.Lock(); defer w.mu.Unlock(); return n.state || n.down },
+		Lose: func() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.rnd.IntN(25) == 0 },
+		Late: func() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.rnd.IntN(25) == 0 },
+	}
+	op, err := config.LoadOperator("")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	n.member = membership.New(n.view, name, config.Seconds(op.LeaseS), op.Shards, op.Spread, log)
+	cfg := *w.cfg
+	cfg.Node = name
+	n.owner = owner.New(&cfg, op, n.view, n.member, n, types{}, log)
+	n.holder = machine.New(ctx, name, workerLease, n, n.member, types{}, n, n, log)
+	n.member.OnChange(n.owner.Changed)
+	var wg sync.WaitGroup
+	for _, f := range []func(context.Context) error{n.member.Run, n.owner.Run} {
+		wg.Add(1)
+		go func() { defer wg.Done(); _ = f(ctx) }()
+	}
+	go func() { wg.Wait(); n.holder.Wait(); close(n.done) }()
+	w.mu.Lock()
+	w.nodes[name] = n
+	w.mu.Unlock()
+}
+
+func (w *world) crash(name string) {
+	w.mu.Lock()
+	n := w.nodes[name]
+	n.down = true
+	w.mu.Unlock()
+	n.stop()
+	<-n.done
+}
+
+// report lets a worker report, and checks the rule that a task is on one
+// machine at a time.
+func (w *world) report(k *testkit.Worker) {
+	names := []string{"a", "b", "c"}
+	w.mu.Lock()
+	rep := k.Report()
+	rep.Endpoint = k.Name
+	n := w.nodes[names[w.at[k]%3]]
+	sent := time.Now()
+	next := w.rnd.IntN(30) == 0 || n.down // a lost report: the worker tries the next one
+	w.mu.Unlock()
+	if next {
+		w.mu.Lock()
+		w.at[k]++
+		w.mu.Unlock()
+		return
+	}
+	status, body := n.holder.Report(context.Background(), rep)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.rnd.IntN(30) == 0 {
+		return // the answer is lost
+	}
+	switch a := body.(type) {
+	case wire.ReportAnswer:
+		k.Answer(sent, rep.Session, a)
+	case wire.Redirect:
+		w.at[k]++
+		for i, x := range names {
+			if x == a.ReportTo {
+				w.at[k] = i
+			}
+		}
+	default:
+		if status != http.StatusOK {
+			w.at[k]++
+		}
+	}
+}
+
+func (w *world) check() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	on := map[string]string{}
+	for _, k := range w.workers {
+		for _, task := range k.On() {
+			if other, twice := on[task]; twice {
+				w.t.Fatalf("%s is on %s and %s", task, other, k.Name)
+			}
+			on[task] = k.Name
+		}
+	}
+}
+
+// publish hands the views of each controller to the owners elsewhere, and
+// lets the owners settle silent machines by vouching.
+func (w *world) publish() {
+	w.mu.Lock()
+	nodes := make([]*node, 0, 3)
+	for _, name := range []string{"a", "b", "c"} {
+		if n := w.nodes[name]; !n.down {
+			nodes = append(nodes, n)
+		}
+	}
+	w.mu.Unlock()
+	for _, n := range nodes {
+		for _, to := range nodes {
+			w.mu.Lock()
+			ok := to != n && w.reach(n, to)
+			w.mu.Unlock()
+			if ok {
+				for _, v := range n.holder.Views() {
+					to.owner.Observe(v)
+				}
+			}
+		}
+	}
+	if len(nodes) < 3 {
+		return
+	}
+	for _, n := range nodes {
+		for name := range n.owner.Suspects() {
+			vouched := true
+			for _, peer := range nodes {
+				w.mu.Lock()
+				ok := peer == n || w.reach(n, peer)
+				w.mu.Unlock()
+				vouched = vouched && ok && peer.holder.Unanswered(name) > workerLease+500*time.Millisecond
+			}
+			if vouched {
+				n.owner.Vouched(name, time.Now())
+			}
+		}
+	}
+}
+
+func newWorld(t *testing.T, seed uint64) *world {
+	w := &world{t: t, rnd: rand.New(rand.NewPCG(seed, 7)), store: testkit.NewStore(), nodes: map[string]*node{},
+		at: map[*testkit.Worker]int{}, byName: map[string]*testkit.Worker{}}
+	w.cfg = &config.Platform{Params: config.Params{
+		Teams:   []config.Team{{Name: "t"}},
+		Workers: config.Workers{ReportS: 1, LeaseS: workerLease.Seconds(), CancelS: 40},
+		State:   config.State{RPS: 100, WriteRPS: 100, ValueKB: 8, TxnOps: 24},
+	}}
+	for i := range 4 {
+		k := testkit.NewWorker(fmt.Sprintf("n-%d", i), workerLease, func(task string) time.Duration {
+			return time.Duration(1+len(task)%3) * 3 * time.Second
+		})
+		w.workers = append(w.workers, k)
+		w.byName[k.Name] = k
+		w.at[k] = i
+	}
+	return w
+}
+
+func (w *world) submit(uid string, tasks int) {
+	job := &wire.Job{UID: uid, Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: tasks,
+		CPUs: 1, MemoryGB: 1, Image: "i", ImageGB: 0.1, Estimate: 4, Spot: true}
+	guards, op := owner.AcceptTxn(job, owner.ShardOf(job, nil, 4), time.Now().UnixMilli())
+	clean := &testkit.View{Store: w.store}
+	if _, err := clean.Txn(context.Background(), guards, op); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// trouble starts or ends one trouble.
+func (w *world) trouble() {
+	names := []string{"a", "b", "c"}
+	name := names[w.rnd.IntN(3)]
+	switch w.rnd.IntN(6) {
+	case 0:
+		if !w.nodes[name].down {
+			w.crash(name)
+			time.Sleep(time.Duration(w.rnd.IntN(6)) * time.Second)
+			w.start(name)
+		}
+	case 1:
+		w.mu.Lock()
+		w.nodes[name].cut = !w.nodes[name].cut
+		w.mu.Unlock()
+	case 2:
+		w.mu.Lock()
+		w.nodes[name].state = !w.nodes[name].state
+		w.mu.Unlock()
+	case 3:
+		w.mu.Lock()
+		late := w.late
+		w.late = nil
+		w.mu.Unlock()
+		for _, f := range late {
+			w.mu.Lock()
+			f()
+			w.mu.Unlock()
+			w.check()
+		}
+	case 4:
+		for _, n := range names {
+			w.nodes[n].view.Deliver()
+		}
+	}
+}
+
+// TestOneStartUnderTroubles drives controllers through crashes, cuts, lost and
+// late transactions, lost and late orders: a task is never on two machines,
+// every accepted job ends, and none is called done before all its tasks are.
+func TestOneStartUnderTroubles(t *testing.T) {
+	for seed := uint64(1); seed <= 12; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, seed)
+				for _, n := range []string{"a", "b", "c"} {
+					w.start(n)
+				}
+				time.Sleep(2 * time.Second)
+				const jobs = 6
+				for i := range jobs {
+					w.submit(fmt.Sprintf("j-%d", i), 4+3*i)
+				}
+				deadline := time.Now().Add(20 * time.Minute)
+				calm := time.Now().Add(2 * time.Minute)
+				for len(w.store.Keys("final/")) < jobs {
+					if time.Now().After(deadline) {
+						t.Fatalf("only %v ended", w.store.Keys("final/"))
+					}
+					for _, k := range w.workers {
+						w.report(k)
+						w.check()
+					}
+					time.Sleep(reportEvery)
+					w.check()
+					w.publish()
+					if time.Now().Before(calm) {
+						if w.rnd.IntN(4) == 0 {
+							w.trouble()
+						}
+						continue
+					}
+					w.mu.Lock()
+					for _, n := range w.nodes {
+						n.cut, n.state = false, false
+					}
+					w.mu.Unlock()
+				}
+				clean := &testkit.View{Store: w.store}
+				for i := range jobs {
+					s, err := owner.Stored(context.Background(), clean, fmt.Sprintf("j-%d", i))
+					if err != nil || s.Stage != wire.StageDone || s.Done != 4+3*i {
+						t.Errorf("job %d: %+v, %v", i, s, err)
+					}
+				}
+				for _, k := range w.store.Keys("task/") {
+					if !strings.HasPrefix(k, "task/j-") {
+						t.Errorf("stray key %s", k)
+					}
+				}
+				for _, n := range []string{"a", "b", "c"} {
+					w.crash(n)
+				}
+			})
+		})
+	}
+}
