Adopt a claim whose answer was lost; tests of formats, tokens, leases and matching

Cause: a claim of shards was applied but its answer lost. The keys stood under the claimer's lease, the claimer did not know, and all jobs stood still for ever.

--- /dev/null
+++ b/internal/machine/holder_test.go
@@ -0,0 +1,151 @@
+package machine_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/machine"
+	"github.com/wallrack/wallrack/internal/placement"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// stub is everything around a holder.
+type stub struct {
+	term   uint64
+	raises bool
+	order  func(wire.Orders) (*wire.Report, bool, error)
+	sent   []wire.Orders
+}
+
+func (s *stub) Observe(machine.View) {}
+func (s *stub) GrantHere(machine.GrantRequest) machine.GrantReply {
+	return machine.GrantReply{OK: true}
+}
+func (s *stub) GrantThere(context.Context, string, machine.GrantRequest) (machine.GrantReply, error) {
+	return machine.GrantReply{}, errors.New("no peer")
+}
+func (s *stub) Term() uint64 { return s.term }
+func (s *stub) Raise(_ context.Context, above uint64) (uint64, error) {
+	if !s.raises {
+		return 0, errors.New("state service out")
+	}
+	s.term = max(s.term, above+1)
+	return s.term, nil
+}
+func (s *stub) Type(string) (wire.MachineType, bool) {
+	return wire.MachineType{Name: "m", CPUs: 4, MemoryGB: 8}, true
+}
+func (s *stub) Foreman() string { return "a" }
+func (s *stub) Entitled() bool  { return true }
+func (s *stub) Order(_ context.Context, _ string, o wire.Orders) (*wire.Report, bool, error) {
+	s.sent = append(s.sent, o)
+	return s.order(o)
+}
+
+func holder(ctx context.Context, s *stub) *machine.Holder {
+	return machine.New(ctx, "a", 10*time.Second, s, s, s, s, s, slog.New(slog.NewTextHandler(io.Discard, nil)))
+}
+
+func report(seq, token uint64, tasks ...wire.Task) *wire.Report {
+	return &wire.Report{Machine: "n-1", Endpoint: "e", Type: "m", Zone: "z", Session: 1, Seq: seq, Token: token, Tasks: tasks}
+}
+
+func entry(attempt uint64) machine.Entry {
+	return machine.Entry{Ref: machine.Ref{Machine: "n-1", Task: "j-1/0", Attempt: attempt}, Owner: "a", Shape: placement.Shape{CPUs: 1, MemoryGB: 1}, Run: 5}
+}
+
+func verbs(body any, verb string) (n int) {
+	for _, c := range body.(wire.ReportAnswer).Commands {
+		if c.Verb == verb {
+			n++
+		}
+	}
+	return n
+}
+
+// A direct order without an answer may still arrive: until a report shows a
+// newer token, nothing may be cleared, or the late order would start the task
+// again beside its next attempt.
+func TestNoClearWhileAnOrderMayBeUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &stub{term: 5, raises: true, order: func(wire.Orders) (*wire.Report, bool, error) {
+			return nil, false, context.DeadlineExceeded
+		}}
+		ctx, cancel := context.WithCancel(context.Background())
+		h := holder(ctx, s)
+		h.Report(ctx, report(1, 5))
+		h.Direct(machine.Direction{From: "a", Assign: []machine.Entry{entry(1)}})
+		synctest.Wait()
+		if len(s.sent) != 1 || s.sent[0].Commands[0].Verb != wire.VerbStart {
+			t.Fatalf("sent %+v", s.sent)
+		}
+		exited := wire.Task{Task: "j-1/0", Attempt: 1, State: wire.TaskExited, Cause: wire.CauseNoRoom}
+		h.Report(ctx, report(2, 5, exited))
+		h.Direct(machine.Direction{From: "a", Clear: []machine.Ref{entry(1).Ref}})
+		synctest.Wait()
+		if _, body := h.Report(ctx, report(3, 5, exited)); verbs(body, wire.VerbForget) != 0 {
+			t.Error("cleared while the order may still arrive")
+		} else if body.(wire.ReportAnswer).Token <= 5 {
+			t.Error("the token was not raised")
+		}
+		if _, body := h.Report(ctx, report(4, s.term, exited)); verbs(body, wire.VerbForget) != 1 {
+			t.Error("not cleared although the order is fenced off")
+		}
+		cancel()
+		h.Wait()
+	})
+}
+
+// A worker that saw a higher token must not get 200 with a lower one: it would
+// stay and lose its lease.
+func TestNeverAnswersWithALowerToken(t *testing.T) {
+	s := &stub{term: 5}
+	h := holder(t.Context(), s)
+	if status, _ := h.Report(t.Context(), report(1, 9)); status != http.StatusMisdirectedRequest {
+		t.Errorf("status %d", status)
+	}
+	s.raises = true
+	status, body := h.Report(t.Context(), report(2, 9))
+	if status != http.StatusOK || body.(wire.ReportAnswer).Token <= 9 {
+		t.Errorf("status %d, %+v", status, body)
+	}
+}
+
+// A report that is older than one already taken is refused, whatever it lists.
+func TestLateReportIsRefused(t *testing.T) {
+	s := &stub{term: 5}
+	h := holder(t.Context(), s)
+	h.Report(t.Context(), report(7, 5))
+	for _, seq := range []uint64{6, 7} {
+		if status, _ := h.Report(t.Context(), report(seq, 5)); status == http.StatusOK {
+			t.Errorf("report %d answered after report 7", seq)
+		}
+	}
+}
+
+// Starts keep within the machine, and a start is repeated until the worker
+// shows it.
+func TestStartsWhatFits(t *testing.T) {
+	s := &stub{term: 5, order: func(wire.Orders) (*wire.Report, bool, error) { return nil, false, machine.ErrNotSent }}
+	h := holder(t.Context(), s)
+	h.Report(t.Context(), report(1, 5))
+	var entries []machine.Entry
+	for i := uint64(0); i < 9; i++ {
+		e := entry(i + 1)
+		e.Task = wire.TaskName("j-1", int(i))
+		entries = append(entries, e)
+	}
+	h.Direct(machine.Direction{From: "a", Assign: entries})
+	h.Wait()
+	for seq := uint64(2); seq < 4; seq++ {
+		if _, body := h.Report(t.Context(), report(seq, 5)); verbs(body, wire.VerbStart) != 4 {
+			t.Errorf("started %d of 9 one-CPU tasks on 4 CPUs", verbs(body, wire.VerbStart))
+		}
+	}
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -43,8 +43,9 @@
 }
 
 type shardRecord struct {
-	Node string `json:"node"`
-	Term uint64 `json:"term"`
+	Node  string `json:"node"`
+	Term  uint64 `json:"term"`
+	Lease uint64 `json:"lease"`
 }
 
 type termRecord struct {
@@ -369,7 +370,7 @@
 	ops := make([]wire.Op, len(free))
 	for i, s := range free {
 		guards[i] = wire.Guard{Key: keyOf(s)}
-		ops[i] = wire.Op{Put: keyOf(s), Value: shardRecord{Node: m.name, Term: term}, Lease: lease}
+		ops[i] = wire.Op{Put: keyOf(s), Value: shardRecord{Node: m.name, Term: term, Lease: lease}, Lease: lease}
 	}
 	cctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
@@ -382,7 +383,7 @@
 	if m.lease == lease {
 		for _, s := range free {
 			m.own[s] = rev
-			m.owners[s] = shardRecord{Node: m.name, Term: term}
+			m.owners[s] = shardRecord{Node: m.name, Term: term, Lease: lease}
 		}
 	}
 	m.mu.Unlock()
@@ -431,7 +432,7 @@
 		if r, ok := m.owners[s]; !ok || r.Node != m.name {
 			// A listing may be older than the claim: keep what the claim
 			// said, since every write is guarded anyway.
-			m.owners[s] = shardRecord{Node: m.name, Term: m.term}
+			m.owners[s] = shardRecord{Node: m.name, Term: m.term, Lease: m.lease}
 		}
 	}
 	m.synced = true
@@ -474,6 +475,12 @@
 		return
 	}
 	m.owners[s] = r
+	if m.lease != 0 && r.Lease == m.lease {
+		// A claim whose answer was lost: without this, the shard would be
+		// taken for ever by an owner that does not know of it.
+		m.own[s] = max(m.own[s], version)
+		return
+	}
 	if v, mine := m.own[s]; mine && version > v {
 		delete(m.own, s) // somebody else wrote it since: it is no longer ours
 	}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,139 @@
+package placement_test
+
+import (
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/wallrack/wallrack/internal/placement"
+)
+
+var shapes = rapid.Custom(func(t *rapid.T) placement.Shape {
+	return placement.Shape{CPUs: float64(rapid.IntRange(1, 4).Draw(t, "cpus")), GPUs: float64(rapid.IntRange(0, 1).Draw(t, "gpus")),
+		MemoryGB: float64(rapid.IntRange(1, 6).Draw(t, "memory"))}
+})
+
+var uses = rapid.Custom(func(t *rapid.T) placement.Use {
+	return placement.Use{Shape: shapes.Draw(t, "shape"), Left: float64(rapid.IntRange(1, 30).Draw(t, "left"))}
+})
+
+// span is a use from a start to an end.
+type span struct {
+	placement.Use
+	from float64
+}
+
+// naive looks for the first whole second at which a task fits throughout.
+func naive(total placement.Shape, spans []span, s placement.Shape, run float64) float64 {
+	fits := func(at float64) bool {
+		free := total
+		for _, x := range spans {
+			if at >= x.from && at < x.from+x.Left {
+				free = free.Add(x.Shape, -1)
+			}
+		}
+		return s.Fits(free)
+	}
+search:
+	for w := 0.0; w < 2000; w++ {
+		for at := w; at < w+run; at++ {
+			if !fits(at) {
+				continue search
+			}
+		}
+		return w
+	}
+	return math.Inf(1)
+}
+
+// A matrix says the same wait as a simulation second by second, GPUs included.
+func TestMatrixAgainstSimulation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := placement.Shape{CPUs: 8, GPUs: 2, MemoryGB: 12}
+		var running []placement.Use
+		var spans []span
+		free := total
+		for _, u := range rapid.SliceOfN(uses, 0, 6).Draw(t, "running") {
+			if u.Shape.Fits(free) {
+				free = free.Add(u.Shape, -1)
+				running = append(running, u)
+				spans = append(spans, span{u, 0})
+			}
+		}
+		queued := rapid.SliceOfN(uses, 0, 5).Draw(t, "queued")
+		m := placement.NewMatrix(total, running, queued)
+		for _, q := range queued {
+			spans = append(spans, span{q, naive(total, spans, q.Shape, q.Left)})
+		}
+		u := uses.Draw(t, "task")
+		want := naive(total, spans, u.Shape, u.Left)
+		if got := m.Wait(u.Shape, u.Left); got != want {
+			t.Fatalf("waits %v, simulated %v; matrix %v", got, want, m)
+		}
+		most := float64(rapid.IntRange(0, 40).Draw(t, "most"))
+		if got := m.WaitWithin(u.Shape, u.Left, most); want <= most && got != want || got < want {
+			t.Fatalf("waits %v within %v, simulated %v", got, most, want)
+		}
+	})
+}
+
+// The match is stable: no task and machine would both rather have each other,
+// checked against every pair.
+func TestMatchIsStable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nt, nm := rapid.IntRange(1, 5).Draw(t, "tasks"), rapid.IntRange(1, 5).Draw(t, "machines")
+		cost := make([][]float64, nt)
+		options := make([][]placement.Option, nt)
+		for i := range cost {
+			cost[i] = rapid.Permutation([]float64{1, 2, 4, 8, 16}[:nm]).Draw(t, "costs")
+			for m, c := range cost[i] {
+				options[i] = append(options[i], placement.Option{Machine: m, Cost: c, Wait: c})
+			}
+		}
+		pairs := placement.Match(options, 10)
+		machineOf, taskOf := map[int]int{}, map[int]int{}
+		for k, p := range pairs {
+			if _, twice := taskOf[p.Machine]; twice {
+				t.Fatalf("machine %d got two tasks", p.Machine)
+			}
+			taskOf[p.Machine], machineOf[p.Task] = p.Task, p.Machine
+			if k > 0 && pairs[k-1].Wait > p.Wait {
+				t.Fatal("not in order of wait")
+			}
+		}
+		if len(pairs) != min(nt, nm) {
+			t.Fatalf("%d pairs of %d tasks and %d machines", len(pairs), nt, nm)
+		}
+		for i := range cost {
+			m, ok := machineOf[i]
+			for other := range cost[i] {
+				if _, busy := taskOf[other]; !busy && (!ok || cost[i][other] < cost[i][m]) {
+					t.Fatalf("task %d would rather have free machine %d", i, other)
+				}
+			}
+		}
+	})
+}
+
+func TestCost(t *testing.T) {
+	if got := placement.Cost(1, 2, 7, 0.9, 4); math.Abs(got-13) > 1e-9 {
+		t.Errorf("C = %v, want 0.9*10 + 4*0.1*10", got)
+	}
+}
+
+func TestLookAgain(t *testing.T) {
+	for _, c := range []struct {
+		planned, elapsed, expected, average float64
+		want                                bool
+	}{
+		{2, 1, 1, 2, false},
+		{2, 5, 3, 9, true},  // worse than planned
+		{9, 1, 8, 2, true},  // above the stage's average
+		{90, 8, 0, 2, true}, // waited longer than the average
+	} {
+		if got := placement.LookAgain(c.planned, c.elapsed, c.expected, c.average, 4); got != c.want {
+			t.Errorf("%+v: got %v", c, got)
+		}
+	}
+}
--- a/internal/testkit/world_test.go
+++ b/internal/testkit/world_test.go
@@ -283,15 +283,22 @@
 	}
 }
 
+// draw draws a number; controllers draw too, from other goroutines.
+func (w *world) draw(n int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rnd.IntN(n)
+}
+
 // trouble starts or ends one trouble.
 func (w *world) trouble() {
 	names := []string{"a", "b", "c"}
-	name := names[w.rnd.IntN(3)]
-	switch w.rnd.IntN(6) {
+	name := names[w.draw(3)]
+	switch w.draw(6) {
 	case 0:
 		if !w.nodes[name].down {
 			w.crash(name)
-			time.Sleep(time.Duration(w.rnd.IntN(6)) * time.Second)
+			time.Sleep(time.Duration(w.draw(6)) * time.Second)
 			w.start(name)
 		}
 	case 1:
@@ -350,7 +357,7 @@
 					w.check()
 					w.publish()
 					if time.Now().Before(calm) {
-						if w.rnd.IntN(4) == 0 {
+						if w.draw(4) == 0 {
 							w.trouble()
 						}
 						continue
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,118 @@
+package wire_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+const good = `{"uid":"j-000412","docket":"train","crew":"vision","sort":"sweep","urgency":"urgent","pieces":16,
+ "cpus":8.0,"cards":1.0,"memoryGb":64.0,"kit":"img-07","pullGb":6.2,"builds":["g8"],"yard":null,
+ "together":true,"apart":false,"loaners":true,"reckonS":240.0,"markS":30.0,"stashS":4.0,"dueS":900.0}`
+
+func fields(t interface{ Fatal(...any) }) map[string]any {
+	var m map[string]any
+	if err := json.Unmarshal([]byte(good), &m); err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+func TestParseJobTakesTheExample(t *testing.T) {
+	j, err := wire.ParseJob([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if j.UID != "j-000412" || j.Tasks != 16 || j.Rank() != 2 || j.Zone != nil || *j.DueS != 900 || !j.OneZone {
+		t.Errorf("read %+v", j)
+	}
+}
+
+// Any one field that is missing or of a wrong kind is refused, unless it may
+// be null; what is accepted survives being stored.
+func TestParseJobRefusesBadFields(t *testing.T) {
+	nullable := map[string]bool{"builds": true, "yard": true, "dueS": true}
+	rapid.Check(t, func(t *rapid.T) {
+		m := fields(t)
+		names := make([]string, 0, len(m))
+		for k := range m {
+			names = append(names, k)
+		}
+		name := rapid.SampledFrom(names).Draw(t, "field")
+		bad := rapid.SampledFrom([]string{"missing", "object", "negative", "huge", "empty"}).Draw(t, "how")
+		refused := true
+		switch bad {
+		case "missing":
+			delete(m, name)
+			refused = !nullable[name]
+		case "object":
+			m[name] = map[string]any{"a": 1}
+		case "negative":
+			m[name] = -1
+		case "huge":
+			m[name] = json.Number("1e400")
+		case "empty":
+			m[name] = ""
+		}
+		data, err := json.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		j, err := wire.ParseJob(data)
+		if (err != nil) != refused {
+			t.Fatalf("%s %s: %v", name, bad, err)
+		}
+		if err != nil {
+			return
+		}
+		stored, err := json.Marshal(j)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var back wire.Job
+		if err := json.Unmarshal(stored, &back); err != nil || back.UID != j.UID || back.Tasks != j.Tasks {
+			t.Fatalf("%+v became %+v: %v", j, back, err)
+		}
+	})
+}
+
+func TestParseJobRefusesOtherJSON(t *testing.T) {
+	for _, body := range []string{"", "null", "[]", `"x"`, "{", "{}", strings.Replace(good, "sweep", "sweeps", 1),
+		strings.Replace(good, `"urgent"`, `"high"`, 1), strings.Replace(good, "16", "100001", 1), strings.Replace(good, "j-000412", "k-1", 1)} {
+		if _, err := wire.ParseJob([]byte(body)); err == nil {
+			t.Errorf("accepted %.60q", body)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte(`{"bench":"n-1","endpoint":"1.2.3.4:5","build":"g8","yard":"a","stint":1,"pieces":[{"piece":"j-1/3","try":2,"stage":"running"}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		if j, err := wire.ParseJob(body); err == nil && (!wire.ValidJobID(j.UID) || j.Tasks < 1 || j.CPUs <= 0) {
+			t.Errorf("accepted %+v", j)
+		}
+		if r, err := wire.ParseReport(body); err == nil {
+			for _, x := range r.Tasks {
+				if job, n, err := wire.ParseTask(x.Task); err != nil || !wire.ValidJobID(job) || n < 0 {
+					t.Errorf("accepted task %q", x.Task)
+				}
+			}
+		}
+	})
+}
+
+func TestTaskNames(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		job := rapid.StringMatching(`j-[a-z0-9]{1,12}`).Draw(t, "job")
+		n := rapid.IntRange(0, wire.MaxTasks-1).Draw(t, "n")
+		gotJob, gotN, err := wire.ParseTask(wire.TaskName(job, n))
+		if err != nil || gotJob != job || gotN != n {
+			t.Fatalf("%s/%d became %s/%d: %v", job, n, gotJob, gotN, err)
+		}
+	})
+}
