Dispatch only what starts within 1 s

Cause: with a horizon of 5 s, work was tied to a machine before it was free, took the room of more urgent arrivals and missed machines that came free sooner.

--- a/internal/config/operator.sexp
+++ b/internal/config/operator.sexp
@@ -5,7 +5,7 @@
   (spread 1)              ; controllers that shards are spread over
   (lease-s 7)             ; life of a controller's lease
   (k-fail 4)              ; cost of losing a machine, the paper's K_fail
-  (queue-horizon-s 5)     ; longest wait at which a match is dispatched
+  (queue-horizon-s 1)     ; longest wait at which a match is dispatched
   (random-s 0.2)          ; size of the random term in C
   (publish-s 0.5)         ; how often holders publish to owners elsewhere
   (replace-s 4)           ; excess wait that makes a queued task look elsewhere
