--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"log/slog"
 	"math"
 	"strconv"
@@ -637,9 +636,6 @@
 	poke(o.wake)
 }
 
-// errNotOwner means that this controller can't answer for the job.
-var errNotOwner = errors.New("not the owner")
-
 // runEstimate is the expected run time of a task of the job.
 func (j *job) runEstimate() float64 {
 	switch {
--- a/internal/owner/users.go
+++ b/internal/owner/users.go
@@ -11,9 +11,6 @@
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
-// ErrUnsure means that nobody can tell now.
-var ErrUnsure = errors.New("the job's state can't be told now")
-
 // Known answers for a living or ended job from memory, if this controller
 // surely owns it.
 func (o *Owner) Known(uid string) (wire.JobState, bool) {
