--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -497,7 +497,7 @@
 	cost := math.Inf(1)
 	for _, o := range offers {
 		t, ok := f.catalog.Type(o.Type)
-		if !ok || o.Spot != spot || !f.fits(d, o) || !d.Shape.Fits(Size(t)) {
+		if !ok || o.Spot != spot || wants[o] >= maxHire || !f.fits(d, o) || !d.Shape.Fits(Size(t)) {
 			continue
 		}
 		k := tasksIn(d.Shape, Size(t))
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,89 @@
+package fleet
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/owner"
+	"github.com/wallrack/wallrack/internal/placement"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+func planner() *Fleet {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	catalog := NewCatalog(nil, nil, log)
+	catalog.set([]wire.MachineType{
+		{Name: "small", CPUs: 8, MemoryGB: 32, Price: 0.6, SpotPrice: 0.2, BootS: 20, Zones: []string{"a", "b"}},
+		{Name: "large", CPUs: 64, MemoryGB: 128, Price: 4, SpotPrice: 1.3, BootS: 40, Zones: []string{"a"}},
+	})
+	return New(&config.Platform{}, &config.Operator{SilentS: 14}, nil, catalog, nil, nil, nil, nil, log)
+}
+
+func demand(tasks int, spot bool, slack float64) []owner.Demand {
+	return []owner.Demand{{Shape: placement.Shape{CPUs: 2, MemoryGB: 2}, Job: &wire.Job{Spot: spot, Kind: wire.KindArray, Tasks: tasks},
+		Count: tasks, Run: 30, Slack: slack}}
+}
+
+// A job of the largest size must not make one plan rent, or even think, without
+// bound.
+func TestPlanIsBounded(t *testing.T) {
+	f := planner()
+	start := time.Now()
+	for o, n := range f.plan(time.Now(), demand(wire.MaxTasks, true, 20)) {
+		if n > maxHire {
+			t.Errorf("%d of %+v", n, o)
+		}
+	}
+	if took := time.Since(start); took > time.Second {
+		t.Errorf("took %v", took)
+	}
+}
+
+// Spot machines are rented where allowed and to be had; ordinary ones for work
+// that may not use them, or would be late.
+func TestPlanPrefersSpot(t *testing.T) {
+	f := planner()
+	now := time.Now()
+	count := func(wants map[offer]int, spot bool) (n int) {
+		for o, k := range wants {
+			if o.Spot == spot {
+				n += k
+			}
+		}
+		return n
+	}
+	if w := f.plan(now, demand(8, true, 60)); count(w, true) == 0 || count(w, false) != 0 {
+		t.Errorf("spot allowed: %v", w)
+	}
+	if w := f.plan(now, demand(8, false, 60)); count(w, true) != 0 || count(w, false) == 0 {
+		t.Errorf("spot not allowed: %v", w)
+	}
+	for _, o := range f.offers(now) {
+		if o.Spot {
+			f.refused[o] = now
+		}
+	}
+	if w := f.plan(now, demand(8, true, 60)); count(w, true) != 0 {
+		t.Errorf("refused a moment ago: %v", w)
+	}
+}
+
+// A zone or type that the job names is all that is rented for it.
+func TestPlanKeepsToTheJobsPlaces(t *testing.T) {
+	f := planner()
+	d := demand(40, true, 60)
+	zone := "b"
+	d[0].Job.Zone, d[0].Job.Types = &zone, []string{"small"}
+	w := f.plan(time.Now(), d)
+	if len(w) == 0 {
+		t.Error("nothing rented")
+	}
+	for o := range w {
+		if o.Zone != "b" || o.Type != "small" {
+			t.Errorf("rented %+v", o)
+		}
+	}
+}
