--- /dev/null
+++ b/cmd/wallrack/demand.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/mesh"
+	"github.com/wallrack/wallrack/internal/owner"
+)
+
+// demandWithin is how long the fleet's planning waits for another owner.
+const demandWithin = 500 * time.Millisecond
+
+const (
+	methodDemand = "Demand"
+	methodGone   = "Gone"
+)
+
+type demandMessage struct {
+	Boot float64 `json:"boot"`
+}
+
+type demandReply struct {
+	Demand   []owner.Demand           `json:"demand"`
+	Loads    []owner.Load             `json:"loads"`
+	Suspects map[string]time.Duration `json:"suspects"`
+	Admitted float64                  `json:"admitted"`
+}
+
+type goneMessage struct {
+	Machine string `json:"machine"`
+}
+
+// allOwners is what the fleet sees: this process's owner, together with the
+// owners elsewhere when shards are spread.
+type allOwners struct {
+	n     *node
+	ctx   context.Context
+	other []*demandReply // as of the last Demand
+}
+
+func (n *node) demand(boot float64) *demandReply {
+	d, l := n.owner.Demand(boot)
+	return &demandReply{Demand: d, Loads: l, Suspects: n.owner.Suspects(), Admitted: n.owner.Admitted()}
+}
+
+func (n *node) handleDemand() {
+	mesh.Handle(n.links, methodDemand, func(_ context.Context, m *demandMessage) (*demandReply, error) {
+		return n.demand(m.Boot), nil
+	})
+	mesh.Handle(n.links, methodGone, func(_ context.Context, m *goneMessage) (*nothing, error) {
+		n.holder.Gone(m.Machine)
+		n.owner.Gone(m.Machine)
+		return &nothing{}, nil
+	})
+}
+
+// Ready reports whether this controller leads the fleet.
+func (a *allOwners) Ready() bool { return a.n.owner.Leads() }
+
+// Demand gathers the waiting work of all owners, and the machines' loads.
+func (a *allOwners) Demand(boot float64) ([]owner.Demand, []owner.Load) {
+	own := a.n.demand(boot)
+	a.other = a.other[:0]
+	at := map[string]int{}
+	for i, l := range own.Loads {
+		at[l.Name] = i
+	}
+	for _, peer := range a.n.Owners() {
+		ctx, cancel := context.WithTimeout(a.ctx, demandWithin)
+		rep, err := mesh.Call[demandMessage, demandReply](ctx, a.n.links, peer, methodDemand, &demandMessage{Boot: boot})
+		cancel()
+		if err != nil {
+			a.n.log.Debug("no demand", "owner", peer, "err", err)
+			continue
+		}
+		a.other = append(a.other, rep)
+		own.Demand = append(own.Demand, rep.Demand...)
+		for _, l := range rep.Loads {
+			if i, ok := at[l.Name]; ok {
+				own.Loads[i].Places += l.Places
+				own.Loads[i].Used = own.Loads[i].Used.Add(l.Used, 1)
+				own.Loads[i].Faulty = own.Loads[i].Faulty || l.Faulty
+			}
+		}
+	}
+	return own.Demand, own.Loads
+}
+
+// Suspects returns the silent machines that any owner's tasks may be on.
+func (a *allOwners) Suspects() map[string]time.Duration {
+	out := a.n.owner.Suspects()
+	for _, r := range a.other {
+		for name, silent := range r.Suspects {
+			out[name] = max(out[name], silent)
+		}
+	}
+	return out
+}
+
+// Admitted returns how much work all owners have accepted.
+func (a *allOwners) Admitted() float64 {
+	sum := a.n.owner.Admitted()
+	for _, r := range a.other {
+		sum += r.Admitted
+	}
+	return sum
+}
+
+// Gone tells every owner that a machine is gone. One that can't be told finds
+// the machine silent, and has it returned again.
+func (a *allOwners) Gone(name string) {
+	a.n.owner.Gone(name)
+	for _, peer := range a.n.Owners() {
+		ctx, cancel := context.WithTimeout(a.ctx, demandWithin)
+		if _, err := mesh.Call[goneMessage, nothing](ctx, a.n.links, peer, methodGone, &goneMessage{Machine: name}); err != nil {
+			a.n.log.Debug("not told that a machine is gone", "owner", peer, "machine", name, "err", err)
+		}
+		cancel()
+	}
+}
--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -1,5 +1,5 @@
 // Package fleet rents and returns machines. One controller does so at a time:
-// the one that owns every shard and so sees all demand.
+// the one that owns the first shard.
 package fleet
 
 import (
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -109,7 +109,7 @@
 		boxes: map[string]*box{}, hires: map[string]*hire{}, refused: map[offer]time.Time{}, sending: map[string]bool{}}
 }
 
-// Run leads the fleet whenever this controller sees all demand.
+// Run leads the fleet whenever it is this controller's to lead.
 func (f *Fleet) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	defer wg.Wait()
--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -659,9 +659,10 @@
 	Places               int
 }
 
-// Ready reports whether this owner owns every shard and so sees all demand.
-func (o *Owner) Ready() bool {
+// Leads reports whether this owner leads the fleet: it owns the first shard.
+func (o *Owner) Leads() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.loaded) == o.op.Shards && o.member.Held() > 0
+	_, first := o.loaded[0]
+	return first && o.member.Held() > 0
 }
