--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -199,6 +199,12 @@
 		refuse(w, http.StatusNotFound, "no such job")
 		return
 	}
+	for _, p := range in.peers.Owners() {
+		if rep, ok := in.ask(ctx, p, req); ok {
+			in.reply(w, rep)
+			return
+		}
+	}
 	rep := in.Serve(ctx, req)
 	if rep.Status == 0 {
 		rep = in.elsewhere(ctx, req)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -113,6 +113,7 @@
 	accepted  time.Time
 	atMs      int64
 	cancelled bool
+	unsure    bool   // a cancel was sent, and may have been applied
 	ended     string // stage to finish with
 	chunks    []*chunk
 	pending   []int // tasks with no place, a stack
--- a/internal/owner/users.go
+++ b/internal/owner/users.go
@@ -27,6 +27,11 @@
 	if v, ok := o.member.Own()[j.shard]; !ok || v != o.loaded[j.shard] {
 		return wire.JobState{}, false
 	}
+	// A write of its end may have been applied although the answer is out:
+	// others may tell its user already, so only the store is sure.
+	if j.ended != "" || j.unsure {
+		return wire.JobState{}, false
+	}
 	return j.state(), true
 }
 
@@ -70,8 +75,9 @@
 	return wire.JobState{UID: uid, Stage: f.Stage, Done: f.Done}, nil
 }
 
-// Cancel records that a job is cancelled, wherever the job's owner is: it
-// learns of it through its watch, and its own writes fail until it does.
+// Cancel records that a job is cancelled. Only the shard's owner may do so, or
+// anybody while nobody owns it: an owner that answers from memory would go on
+// calling the job running after its user heard that it is cancelled.
 func (o *Owner) Cancel(ctx context.Context, uid string) (wire.JobState, error) {
 	for {
 		it, err := o.store.Get(ctx, liveKey+uid)
@@ -89,30 +95,55 @@
 			return wire.JobState{UID: uid, Stage: wire.StageCancelled}, nil
 		}
 		r.Cancelled = true
-		rev, err := o.store.Txn(ctx, []wire.Guard{{Key: liveKey + uid, Version: it.Version}}, wire.Op{Put: liveKey + uid, Value: r})
+		version, mine := o.member.Own()[r.Shard]
+		o.mu.Lock()
+		if mine && o.loaded[r.Shard] != version {
+			o.mu.Unlock()
+			return wire.JobState{}, fmt.Errorf("shard %d is being taken over: %w", r.Shard, statestore.ErrUnavailable)
+		}
+		if j := o.jobs[uid]; j != nil {
+			j.unsure = true
+		}
+		o.mu.Unlock()
+		guards := []wire.Guard{{Key: o.member.ShardKey(r.Shard), Version: version}, {Key: liveKey + uid, Version: it.Version}}
+		rev, err := o.store.Txn(ctx, guards, wire.Op{Put: liveKey + uid, Value: r})
 		var conflict *statestore.Conflict
-		if errors.As(err, &conflict) {
+		if errors.As(err, &conflict) && !conflict.Has(guards[0].Key) {
 			continue
 		}
 		if err != nil {
 			return wire.JobState{}, err
 		}
-		o.mu.Lock()
-		if j := o.jobs[uid]; j != nil {
-			j.version = max(j.version, rev)
-			o.cancelLocked(j)
+		if mine {
+			o.cancelled(&r, rev)
 		}
-		o.mu.Unlock()
 		return wire.JobState{UID: uid, Stage: wire.StageCancelled}, nil
 	}
 }
 
+// cancelled acts on a cancel that this owner has just recorded.
+func (o *Owner) cancelled(r *liveRecord, version uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	j := o.jobs[r.Job.UID]
+	if _, loaded := o.loaded[r.Shard]; j == nil && loaded {
+		if _, over := o.final[r.Job.UID]; !over {
+			o.admit(r, version, nil, 0)
+		}
+		return
+	}
+	if j != nil {
+		j.version = max(j.version, version)
+		o.cancelLocked(j)
+	}
+}
+
 // cancelLocked stops everything of a job whose cancel is recorded.
 func (o *Owner) cancelLocked(j *job) {
 	if j.cancelled {
 		return
 	}
-	j.cancelled = true
+	j.cancelled, j.unsure = true, false
 	if j.ended == wire.StageDone {
 		j.ended = "" // the cancel was recorded first
 	}
