Record tasks in a log of the shard instead of a record a chunk

Now changes of all jobs share one record of a log; chunks are saved only when a log record is to be written over; bulk leaves 30 % of a node's writes to acceptances and cancels.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -96,6 +96,7 @@
 		"(wallrack (shards 2.5))":          "shards: 2.5 is not a whole number",
 		`(wallrack (k-fail "2"))`:          "k-fail: not a number",
 		"(wallrack) (wallrack)":            "more than one",
+		"(wallrack (shards 2) (spread 3))": "spread: 3 controllers can't share 2 shards",
 	} {
 		if _, err := config.ParseOperator([]byte(text), &config.Operator{}); err == nil || !strings.Contains(err.Error(), part) {
 			t.Errorf("%s: %v does not say %q", text, err, part)
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -127,5 +127,8 @@
 		}
 		s.set(&op, v)
 	}
+	if op.Spread > op.Shards {
+		return nil, fmt.Errorf("spread: %d controllers can't share %d shards", op.Spread, op.Shards)
+	}
 	return &op, nil
 }
--- a/internal/config/operator.sexp
+++ b/internal/config/operator.sexp
@@ -1,7 +1,7 @@
 ; The built-in operators' settings. A file given with --operator may repeat
 ; any of them with another value.
 (wallrack
-  (shards 4)              ; shards that jobs hash to
+  (shards 1)              ; shards that jobs hash to; at least spread
   (spread 1)              ; controllers that shards are spread over
   (lease-s 7)             ; life of a controller's lease
   (k-fail 4)              ; cost of losing a machine, the paper's K_fail
--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -120,8 +120,7 @@
 		return
 	}
 	if p.exited {
-		o.afterDone(p)
-		return
+		return // until its completion is recorded
 	}
 	if t.State == wire.TaskExited {
 		o.exited(m, p, t)
@@ -205,8 +204,8 @@
 				p.running = time.Time{}
 			}
 			p.state = placeWriting
-			o.touch(j, p.chunk)
-			p.gen = p.chunk.gen
+			o.record(change{doneChange, p})
+			poke(o.flush)
 			o.finish(j)
 			return
 		}
@@ -227,31 +226,21 @@
 		j.errors++
 		j.notBefore = time.Now().Add(2 * time.Second)
 	}
-	ref := p.ref
-	o.detach(p)
-	o.direction(m.view.Holder).Clear = append(o.direction(m.view.Holder).Clear, ref)
-	poke(o.out)
+	o.clear(p)
 }
 
-// afterDone clears a finished task once its completion is recorded.
-func (o *Owner) afterDone(p *place) {
-	if p.chunk.flushed < p.gen && o.dirty[p.chunk] != nil {
-		return
-	}
-	ref, holder := p.ref, p.mach.view.Holder
+// clear ends the place of an exited task and lets its worker forget it.
+func (o *Owner) clear(p *place) {
 	o.detach(p)
-	d := o.direction(holder)
-	d.Clear = append(d.Clear, ref)
+	d := o.direction(p.mach.view.Holder)
+	d.Clear = append(d.Clear, p.ref)
 	poke(o.out)
 }
 
 // absent handles a place that the worker's report does not show.
 func (o *Owner) absent(m *mach, p *place) {
 	switch {
-	case p.exited:
-		if p.chunk.flushed >= p.gen {
-			o.detach(p)
-		}
+	case p.exited: // goes when its completion is recorded
 	case !p.on():
 		if p.state == placeRecorded && (p.sentTo != m.view.Holder || time.Since(p.sentAt) > 2*time.Second) {
 			o.tell(p, false)
@@ -504,7 +493,7 @@
 		if p.state == placeSeen || p.state == placeGranted {
 			o.lose(p)
 		}
-		if !p.exited || p.chunk.flushed >= p.gen {
+		if !p.exited {
 			o.detach(p)
 		}
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -25,6 +25,8 @@
 	Reader
 	List(ctx context.Context, prefix string) ([]wire.Item, uint64, error)
 	Txn(ctx context.Context, guards []wire.Guard, ops ...wire.Op) (uint64, error)
+	// BulkTxn is Txn for writes that must not hold up others.
+	BulkTxn(ctx context.Context, guards []wire.Guard, ops ...wire.Op) (uint64, error)
 	Watch(ctx context.Context, prefix string, hold time.Duration, reset func([]wire.Item), change func([]wire.Event))
 }
 
@@ -70,7 +72,7 @@
 	state   placeState
 	token   uint64 // highest token a start command may carry
 	session uint64 // highest session a start command may be for
-	gen     uint64 // chunk generation that records it
+	logged  bool   // the store may know of it
 	planned float64
 	made    time.Time
 	sentTo  string // holder that was told
@@ -87,12 +89,13 @@
 // chunk is a run of a job's tasks that share a record.
 type chunk struct {
 	n       int
-	version uint64
+	version uint64 // of its own record; 0: it has none
+	saved   uint64 // log record up to which its own record speaks
 	done    []byte
 	next    uint64
 	places  []*place
-	gen     uint64
-	flushed uint64
+	job     *job
+	over    bool // the job has ended, or left this owner
 }
 
 func (c *chunk) isDone(task int) bool {
@@ -185,6 +188,8 @@
 
 // Owner owns jobs.
 type Owner struct {
+	KeepSlots int // log records of a shard that are kept before they are written over; set it before Run
+
 	cfg     *config.Platform
 	op      *config.Operator
 	store   Store
@@ -194,10 +199,9 @@
 	log     *slog.Logger
 	teams   map[string]*team
 
-	wake    chan struct{} // place again
-	flush   chan struct{} // write
-	out     chan struct{} // direct holders
-	writing sync.Mutex    // one transaction of this owner at a time
+	wake  chan struct{} // place again
+	flush chan struct{} // write
+	out   chan struct{} // direct holders
 
 	mu       sync.Mutex
 	loaded   map[int]uint64 // shard -> version of its key when loaded
@@ -208,7 +212,8 @@
 	byIndex  []*mach
 	images   wire.Index
 	classes  map[string]*class
-	dirty    map[*chunk]*job
+	logs     map[int]*shardLog
+	open     *batch                 // a transaction whose outcome is open
 	final    map[string]finalRecord // of jobs that ended here, for answers
 	finalQ   []string
 	garbage  []string // chunk keys of ended jobs
@@ -228,11 +233,12 @@
 // New returns an owner of nothing yet.
 func New(cfg *config.Platform, op *config.Operator, store Store, member Membership, holders Holders, types Types, log *slog.Logger) *Owner {
 	o := &Owner{
-		cfg: cfg, op: op, store: store, member: member, holders: holders, types: types, log: log,
+		KeepSlots: defaultSlots,
+		cfg:       cfg, op: op, store: store, member: member, holders: holders, types: types, log: log,
 		teams: map[string]*team{},
 		wake:  make(chan struct{}, 1), flush: make(chan struct{}, 1), out: make(chan struct{}, 1),
 		loaded: map[int]uint64{}, jobs: map[string]*job{}, machines: map[string]*mach{}, classes: map[string]*class{},
-		dirty: map[*chunk]*job{}, final: map[string]finalRecord{}, pend: map[string]*machine.Direction{},
+		logs: map[int]*shardLog{}, final: map[string]finalRecord{}, pend: map[string]*machine.Direction{},
 	}
 	for _, t := range cfg.Params.Teams {
 		o.teams[t.Name] = &team{Team: t}
@@ -323,6 +329,7 @@
 
 func (o *Owner) unload(shard int) {
 	delete(o.loaded, shard)
+	delete(o.logs, shard)
 	for uid, j := range o.jobs {
 		if j.shard == shard {
 			o.forget(uid, j)
@@ -340,7 +347,7 @@
 		}
 	}
 	for _, c := range j.chunks {
-		delete(o.dirty, c)
+		c.over = true
 	}
 	delete(o.jobs, uid)
 	for i, x := range o.order {
@@ -367,9 +374,13 @@
 	if err != nil {
 		return err
 	}
-	// Chunks are listed first: a job that ended in between has chunks but no
-	// live record, and is left out. One whose chunk was written in between
-	// fails its guards later and is read again.
+	slots, _, err := o.store.List(ctx, logKey)
+	if err != nil {
+		return err
+	}
+	// Nobody else writes chunks and logs of the shards any more, since every
+	// such write is guarded by the shard's key. A chunk whose job ended is
+	// garbage.
 	want := map[int]bool{}
 	for _, s := range shards {
 		want[s] = true
@@ -381,6 +392,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	logs, entries := o.readLogs(slots, want)
 	n := 0
 	for _, it := range jobs {
 		var r liveRecord
@@ -393,9 +405,15 @@
 		if !want[r.Shard] || o.jobs[r.Job.UID] != nil {
 			continue
 		}
-		o.admit(&r, it.Version, own, fence)
+		o.admit(&r, it.Version, own, entries[r.Job.UID], fence)
 		n++
 	}
+	for s, l := range logs {
+		o.logs[s] = l
+		for _, sl := range l.slots {
+			o.touchSlot(sl)
+		}
+	}
 	for uid, items := range byJob {
 		if o.jobs[uid] == nil && len(o.loaded)+len(shards) == o.op.Shards {
 			for _, it := range items {
@@ -418,7 +436,7 @@
 }
 
 // admit makes a living job of its records.
-func (o *Owner) admit(r *liveRecord, version uint64, chunks []wire.Item, fence uint64) *job {
+func (o *Owner) admit(r *liveRecord, version uint64, chunks []wire.Item, entries []logged, fence uint64) *job {
 	spec := r.Job
 	j := &job{
 		spec: &spec, shard: r.Shard, version: version, atMs: r.AtMs, cancelled: r.Cancelled,
@@ -431,7 +449,7 @@
 		j.team = &team{}
 	}
 	for n := 0; n*chunkSize < spec.Tasks; n++ {
-		j.chunks = append(j.chunks, &chunk{n: n, done: make([]byte, chunkSize/8), next: 1})
+		j.chunks = append(j.chunks, &chunk{n: n, done: make([]byte, chunkSize/8), next: 1, job: j})
 	}
 	for _, it := range chunks {
 		_, num, _ := strings.Cut(strings.TrimPrefix(it.Key, taskKey), "/")
@@ -448,15 +466,20 @@
 			continue
 		}
 		copy(c.done, rec.Done)
-		c.next = max(1, rec.Next)
+		c.next, c.saved = max(1, rec.Next), rec.Seq
 		for i := 0; i < len(rec.Places); i += 3 {
-			p := &place{job: j, chunk: c, task: int(rec.Places[i]), attempt: rec.Places[i+1],
-				mach: o.machineOf(rec.Machines[rec.Places[i+2]]), state: placeUnsettled, token: fence - 1, session: math.MaxUint64,
-				made: time.Now()}
+			o.found(j, int(rec.Places[i]), rec.Places[i+1], rec.Machines[rec.Places[i+2]], fence)
+		}
+	}
+	for _, e := range entries {
+		o.replay(j, e, fence)
+	}
+	for _, c := range j.chunks {
+		for _, p := range append([]*place(nil), c.places...) {
 			if c.isDone(p.task) {
+				o.drop(p)
 				continue
 			}
-			o.attach(p)
 			o.count(p, 1)
 		}
 	}
@@ -476,6 +499,30 @@
 	return j
 }
 
+// found attaches a place that the store knows of.
+func (o *Owner) found(j *job, task int, attempt uint64, machine string, fence uint64) {
+	c := j.chunks[task/chunkSize]
+	c.next = max(c.next, attempt+1)
+	for _, p := range j.places[task] {
+		if p.attempt == attempt {
+			return
+		}
+	}
+	o.attach(&place{job: j, chunk: c, task: task, attempt: attempt, mach: o.machineOf(machine), state: placeUnsettled,
+		token: fence - 1, session: math.MaxUint64, made: time.Now(), logged: true})
+}
+
+// drop takes a place out of the books.
+func (o *Owner) drop(p *place) {
+	delete(p.mach.places, p)
+	p.chunk.places = remove(p.chunk.places, p)
+	if rest := remove(p.job.places[p.task], p); len(rest) > 0 {
+		p.job.places[p.task] = rest
+	} else {
+		delete(p.job.places, p.task)
+	}
+}
+
 func (o *Owner) classOf(name string) *class {
 	c := o.classes[name]
 	if c == nil {
@@ -528,18 +575,14 @@
 	if !p.running.IsZero() {
 		p.job.running--
 	}
-	delete(p.mach.places, p)
-	p.chunk.places = remove(p.chunk.places, p)
-	rest := remove(p.job.places[p.task], p)
-	if len(rest) > 0 {
-		p.job.places[p.task] = rest
-	} else {
-		delete(p.job.places, p.task)
-		if !p.chunk.isDone(p.task) {
-			p.job.pending = append(p.job.pending, p.task)
-		}
+	o.drop(p)
+	if len(p.job.places[p.task]) == 0 && !p.chunk.isDone(p.task) {
+		p.job.pending = append(p.job.pending, p.task)
+	}
+	if p.logged && !p.job.cancelled && !p.chunk.isDone(p.task) {
+		// Not urgent: a new owner would only have to settle it.
+		o.record(change{goneChange, p})
 	}
-	o.touch(p.job, p.chunk)
 	o.finish(p.job)
 	poke(o.wake)
 }
@@ -554,13 +597,6 @@
 	return ps
 }
 
-// touch marks a chunk to be written.
-func (o *Owner) touch(j *job, c *chunk) {
-	c.gen++
-	o.dirty[c] = j
-	poke(o.flush)
-}
-
 // finish marks a job that has nothing left to do.
 func (o *Owner) finish(j *job) {
 	switch {
@@ -595,7 +631,7 @@
 		}
 		j := o.jobs[r.Job.UID]
 		if j == nil {
-			o.admit(&r, version, nil, 0)
+			o.admit(&r, version, nil, nil, 0)
 			poke(o.wake)
 			return
 		}
@@ -633,7 +669,7 @@
 	if _, over := o.final[spec.UID]; over {
 		return
 	}
-	o.admit(&liveRecord{Job: *spec, Shard: shard, AtMs: atMs}, version, nil, 0)
+	o.admit(&liveRecord{Job: *spec, Shard: shard, AtMs: atMs}, version, nil, nil, 0)
 	poke(o.wake)
 }
 
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -412,8 +412,8 @@
 		c.next++
 	}
 	o.attach(p)
-	o.touch(j, c)
-	p.gen = c.gen
+	o.record(change{placeChange, p})
+	poke(o.flush)
 	o.stats.Placed++
 	run := j.runEstimate() + o.fetchTime(j, m)
 	if w := m.matrix.Wait(j.shape, run); !math.IsInf(w, 1) {
@@ -502,12 +502,11 @@
 			for _, p := range append([]*place(nil), ps...) {
 				if !p.exited {
 					o.halt(p, 0)
-				} else if p.chunk.flushed >= p.gen {
-					o.detach(p)
 				}
 			}
 		}
 	}
+	poke(o.flush) // for changes that were not urgent
 	for _, m := range o.machines {
 		if len(m.places) == 0 && time.Since(later(m.at, m.since)) > 10*time.Minute {
 			o.byIndex[m.index] = nil
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -6,19 +6,23 @@
 	"fmt"
 	"hash/fnv"
 	"sort"
+	"strings"
 
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
 // Keys of the state service. A job is under liveKey from its acceptance to its
-// end and under finalKey ever after; its tasks are recorded in chunks.
+// end and under finalKey ever after. What happens to its tasks is recorded in
+// the log of its shard: many jobs' changes make one record. A chunk of tasks
+// gets a record of its own only when a log record that names it is reused.
 const (
 	liveKey  = "live/"
 	finalKey = "final/"
 	taskKey  = "task/"
+	logKey   = "log/"
 
-	chunkSize = 128 // tasks in a chunk: its record fits the smallest value limit
+	chunkSize = 96 // tasks in a chunk: its record fits the smallest value limit
 )
 
 // liveRecord is an accepted job that has not ended.
@@ -36,14 +40,58 @@
 }
 
 // chunkRecord is the tasks of a chunk: which are done, and on which machines
-// the others may be.
+// the others may be, as of the shard's log record Seq.
 type chunkRecord struct {
+	Seq      uint64   `json:"seq"`
 	Done     []byte   `json:"done"`
 	Next     uint64   `json:"next"` // attempts below it may have been used
 	Machines []string `json:"machines,omitempty"`
 	Places   []uint64 `json:"places,omitempty"` // triples: task, attempt, index into Machines
 }
 
+// logRecord is one write of a shard's log.
+type logRecord struct {
+	Seq      uint64     `json:"seq"`
+	Machines []string   `json:"m,omitempty"`
+	Jobs     []jobEntry `json:"j"`
+}
+
+// jobEntry is what changed of a job's tasks.
+type jobEntry struct {
+	UID    string   `json:"u"`
+	Places []uint64 `json:"p,omitempty"` // new places, triples as in a chunk's record
+	Gone   []uint64 `json:"x,omitempty"` // places that are no more, pairs: task, attempt
+	Done   []uint64 `json:"d,omitempty"` // tasks
+}
+
+func slotKey(shard, n int) string { return fmt.Sprintf("%s%03d/%05d", logKey, shard, n) }
+
+func parseSlotKey(key string) (shard, n int, err error) {
+	if _, err := fmt.Sscanf(strings.TrimPrefix(key, logKey), "%d/%d", &shard, &n); err != nil || n < 0 {
+		return 0, 0, fmt.Errorf("not a log key: %.60q", key)
+	}
+	return shard, n, nil
+}
+
+// parseLog reads a log record. Tasks are checked against their jobs later.
+func parseLog(data json.RawMessage) (logRecord, error) {
+	var r logRecord
+	if err := json.Unmarshal(data, &r); err != nil {
+		return r, err
+	}
+	for _, e := range r.Jobs {
+		if len(e.Places)%3 != 0 || len(e.Gone)%2 != 0 {
+			return r, fmt.Errorf("malformed entry of a log record")
+		}
+		for i := 2; i < len(e.Places); i += 3 {
+			if e.Places[i] >= uint64(len(r.Machines)) {
+				return r, fmt.Errorf("malformed place in a log record")
+			}
+		}
+	}
+	return r, nil
+}
+
 func chunkKey(uid string, n int) string { return fmt.Sprintf("%s%s/%05d", taskKey, uid, n) }
 
 // ShardOf says which shard a job belongs to: jobs of a team with a limit stay
@@ -72,12 +120,15 @@
 	Get(ctx context.Context, key string) (wire.Item, error)
 }
 
-func (c *chunk) record() chunkRecord {
-	r := chunkRecord{Done: c.done, Next: c.next}
+func (c *chunk) record(seq uint64) chunkRecord {
+	r := chunkRecord{Seq: seq, Done: c.done, Next: c.next}
 	index := map[string]int{}
 	places := append([]*place(nil), c.places...)
 	sort.Slice(places, func(i, j int) bool { return places[i].attempt < places[j].attempt })
 	for _, p := range places {
+		if p.exited {
+			continue
+		}
 		i, ok := index[p.mach.name]
 		if !ok {
 			i = len(r.Machines)
--- a/internal/owner/users.go
+++ b/internal/owner/users.go
@@ -128,7 +128,7 @@
 	j := o.jobs[r.Job.UID]
 	if _, loaded := o.loaded[r.Shard]; j == nil && loaded {
 		if _, over := o.final[r.Job.UID]; !over {
-			o.admit(r, version, nil, 0)
+			o.admit(r, version, nil, nil, 0)
 		}
 		return
 	}
@@ -149,18 +149,13 @@
 	}
 	for _, ps := range j.places {
 		for _, p := range append([]*place(nil), ps...) {
-			if !p.exited {
+			if p.exited {
+				o.clear(p) // nothing of the job starts again
+			} else {
 				o.halt(p, 0)
 			}
 		}
 	}
-	for _, ps := range j.places {
-		for _, p := range append([]*place(nil), ps...) {
-			if p.exited && p.chunk.flushed >= p.gen {
-				o.detach(p)
-			}
-		}
-	}
 	o.finish(j)
 }
 
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -17,15 +17,22 @@
 	keepFinal  = 20_000 // ended jobs that are remembered for quick answers
 )
 
+// writeShare is the part of the state service's writes that pays for logs:
+// it bounds how often they are written.
+const writeShare = 0.2
+
 // write records changes, one transaction at a time.
 func (o *Owner) write(ctx context.Context) {
+	pause := seconds(1 / max(1, writeShare*o.cfg.Params.State.WriteRPS))
 	for n := 0; ctx.Err() == nil; {
+		sent := time.Now()
 		more, err := o.writeOnce(ctx)
 		switch {
 		case err != nil:
 			o.log.Debug("write failed", "err", err)
 			n++
 			statestore.Backoff(ctx, n, 50*time.Millisecond, time.Second)
+			continue
 		case more:
 			n = 0
 		default:
@@ -35,175 +42,239 @@
 			case <-o.flush:
 			}
 		}
+		// What comes in the meantime shares a record.
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause - time.Since(sent)):
+		}
 	}
 }
 
-type chunkWrite struct {
+// batch is a transaction, kept until its outcome is known.
+type batch struct {
+	guards []wire.Guard
+	ops    []wire.Op
+	logs   []logWrite
+	saves  []chunkSave
+	ended  []*job
+	trash  int
+}
+
+type logWrite struct {
+	shard   int
+	log     *shardLog
+	slot    *slot
+	fresh   bool // the slot is a new key
+	seq     uint64
+	changes []change
+	chunks  map[*chunk]struct{}
+}
+
+type chunkSave struct {
 	c   *chunk
-	j   *job
-	gen uint64
+	seq uint64
 }
 
-// writeOnce records as much as fits one transaction.
-func (o *Owner) writeOnce(ctx context.Context) (more bool, err error) {
-	o.writing.Lock()
-	defer o.writing.Unlock()
-	claimed := o.member.Claimed()
-	if len(claimed) == 0 {
-		return false, nil
-	}
+// build gathers what is to be written into a transaction; nil if there is
+// nothing.
+func (o *Owner) build() (b *batch, more bool, err error) {
+	b = &batch{}
 	maxOps := o.cfg.Params.State.TxnOps
-	var guards []wire.Guard
-	var ops []wire.Op
-	shards := map[int]bool{}
+	value := int(o.cfg.Params.State.ValueKB*1024*0.9) - 64
 	size := 0
-	var chunks []chunkWrite
-	var ended []*job
-	var trash int
+	shards := map[int]bool{}
 	guardShard := func(s int) {
 		if !shards[s] {
 			shards[s] = true
-			guards = append(guards, wire.Guard{Key: o.member.ShardKey(s), Version: o.loaded[s]})
+			b.guards = append(b.guards, wire.Guard{Key: o.member.ShardKey(s), Version: o.loaded[s]})
 		}
 	}
-	o.mu.Lock()
-	for _, j := range o.order {
-		if j.ended == "" {
-			continue
-		}
-		need := 2 + min(len(j.chunks), maxOps-2)
-		if len(ops)+need > maxOps {
-			more = true
+	put := func(key string, version uint64, v any) error {
+		data, err := json.Marshal(v)
+		size += len(data)
+		b.guards = append(b.guards, wire.Guard{Key: key, Version: version})
+		b.ops = append(b.ops, wire.Op{Put: key, Value: json.RawMessage(data)})
+		return err
+	}
+	for s, l := range o.logs {
+		if _, mine := o.loaded[s]; !mine || len(l.queue) == 0 {
 			continue
 		}
-		if size += 200 + 80*need; size > txnBytes {
+		if len(b.ops) >= maxOps || size+value > txnBytes {
 			more = true
 			break
 		}
-		guardShard(j.shard)
-		uid := j.spec.UID
-		guards = append(guards, wire.Guard{Key: liveKey + uid, Version: j.version})
-		ops = append(ops, wire.Op{Put: finalKey + uid, Value: finalRecord{Stage: j.ended, Done: j.done}}, wire.Op{Delete: liveKey + uid})
-		for i, c := range j.chunks {
-			if c.version == 0 && o.dirty[c] == nil {
-				continue
+		lb := newLogBuilder(l.seq + 1)
+		taken := 0
+		for _, c := range l.queue {
+			if lb.size >= value {
+				break
+			}
+			taken++
+			if o.matters(c) {
+				lb.add(c)
 			}
-			if i < need-2 {
-				ops = append(ops, wire.Op{Delete: chunkKey(uid, c.n)})
+		}
+		l.queue = append([]change(nil), l.queue[taken:]...)
+		more = more || len(l.queue) > 0
+		if len(lb.changes) == 0 {
+			continue
+		}
+		l.seq++
+		guardShard(s)
+		w := logWrite{shard: s, log: l, seq: l.seq, changes: lb.changes, chunks: lb.chunks}
+		if len(l.slots) >= o.KeepSlots && !l.slots[0].free() {
+			// Save what the oldest record is still needed for.
+			for c := range l.slots[0].chunks {
+				if len(b.ops) >= maxOps/2 || size+2*value > txnBytes {
+					break
+				}
+				for _, p := range c.places {
+					p.logged = true
+				}
+				if err := put(chunkKey(c.job.spec.UID, c.n), c.version, c.record(l.seq)); err != nil {
+					return nil, false, err
+				}
+				b.saves = append(b.saves, chunkSave{c, l.seq})
 			}
 		}
-		ended = append(ended, j)
+		if len(l.slots) > 0 && l.slots[0].free() {
+			w.slot = l.slots[0]
+		} else {
+			w.slot, w.fresh = &slot{n: l.next}, true
+		}
+		if err := put(slotKey(s, w.slot.n), w.slot.version, lb.rec); err != nil {
+			return nil, false, err
+		}
+		b.logs = append(b.logs, w)
 	}
-	for c, j := range o.dirty {
-		if j.ended != "" {
+	for _, j := range o.order {
+		if j.ended == "" {
 			continue
 		}
-		rec := c.record()
-		n := 300 + len(rec.Done)*2 + 16*len(rec.Machines) + 8*len(rec.Places)
-		if len(ops) >= maxOps || size+n > txnBytes {
+		need := 2
+		for _, c := range j.chunks {
+			if c.version != 0 && need < maxOps {
+				need++
+			}
+		}
+		if len(b.ops)+need > maxOps || size+200+80*need > txnBytes {
 			more = true
-			break
+			continue
 		}
-		size += n
-		key := chunkKey(j.spec.UID, c.n)
+		size += 200 + 80*need
 		guardShard(j.shard)
-		guards = append(guards, wire.Guard{Key: key, Version: c.version})
-		ops = append(ops, wire.Op{Put: key, Value: rec})
-		chunks = append(chunks, chunkWrite{c, j, c.gen})
-		if len(chunks) >= maxOps {
-			more = true
-			break
+		uid := j.spec.UID
+		b.guards = append(b.guards, wire.Guard{Key: liveKey + uid, Version: j.version})
+		b.ops = append(b.ops, wire.Op{Put: finalKey + uid, Value: finalRecord{Stage: j.ended, Done: j.done}}, wire.Op{Delete: liveKey + uid})
+		need -= 2
+		for _, c := range j.chunks {
+			if c.version != 0 && need > 0 {
+				need--
+				b.ops = append(b.ops, wire.Op{Delete: chunkKey(uid, c.n)})
+			}
 		}
+		b.ended = append(b.ended, j)
 	}
-	if len(ops) == 0 {
-		for trash < len(o.garbage) && len(ops) < maxOps {
-			ops = append(ops, wire.Op{Delete: o.garbage[trash]})
-			trash++
+	if len(b.ops) == 0 {
+		for b.trash < len(o.garbage) && len(b.ops) < maxOps {
+			b.ops = append(b.ops, wire.Op{Delete: o.garbage[b.trash]})
+			b.trash++
 		}
 		for s := range o.loaded {
 			guardShard(s)
 		}
 	}
-	o.mu.Unlock()
-	if len(ops) == 0 {
+	if len(b.ops) == 0 {
+		return nil, more, nil
+	}
+	return b, more, nil
+}
+
+// writeOnce records as much as fits one transaction, or repeats the one whose
+// outcome is open.
+func (o *Owner) writeOnce(ctx context.Context) (more bool, err error) {
+	if len(o.member.Claimed()) == 0 {
 		return false, nil
 	}
-	// The records above are encoded here, before anything else changes them:
-	// record() copied what it needs, but for the bitmaps.
-	for i := range ops {
-		if ops[i].Value != nil {
-			o.mu.Lock()
-			data, err := json.Marshal(ops[i].Value)
+	o.mu.Lock()
+	b := o.open
+	if b == nil {
+		if b, more, err = o.build(); b == nil {
 			o.mu.Unlock()
-			if err != nil {
-				return false, err
-			}
-			ops[i].Value = json.RawMessage(data)
+			return more, err
 		}
+		o.open = b
 	}
+	o.mu.Unlock()
 	tctx, cancel := context.WithTimeout(ctx, txnTimeout)
-	rev, err := o.store.Txn(tctx, guards, ops...)
+	rev, err := o.store.BulkTxn(tctx, b.guards, b.ops...)
 	cancel()
 	var conflict *statestore.Conflict
 	if errors.As(err, &conflict) {
-		return true, o.reread(ctx, conflict.Keys)
+		return true, o.reread(ctx, b, conflict.Keys)
 	}
 	if err != nil {
 		return true, err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.garbage = o.garbage[trash:]
-	for _, w := range chunks {
-		w.c.version = rev
-		w.c.flushed = max(w.c.flushed, w.gen)
-		if w.c.gen == w.gen {
-			delete(o.dirty, w.c)
+	o.commit(b, rev)
+	return more || len(o.garbage) > 0, nil
+}
+
+// commit acts on a transaction that was applied.
+func (o *Owner) commit(b *batch, rev uint64) {
+	o.open = nil
+	o.garbage = o.garbage[b.trash:]
+	for _, s := range b.saves {
+		s.c.version, s.c.saved = rev, max(s.c.saved, s.seq)
+	}
+	for _, w := range b.logs {
+		if w.fresh {
+			w.log.next++
 		} else {
-			more = true
+			w.log.slots = w.log.slots[1:]
+		}
+		w.slot.version, w.slot.seq, w.slot.chunks = rev, w.seq, w.chunks
+		w.log.slots = append(w.log.slots, w.slot)
+		for _, c := range w.changes {
+			o.recorded(c)
 		}
-		o.recorded(w.c)
 	}
-	for _, j := range ended {
-		o.endLocked(j, maxOps)
+	for _, j := range b.ended {
+		if o.jobs[j.spec.UID] == j {
+			o.endLocked(j)
+		}
 	}
-	return more || len(o.garbage) > 0 || len(o.dirty) > 0, nil
 }
 
-// recorded acts on what has just been written of a chunk.
-func (o *Owner) recorded(c *chunk) {
-	for _, p := range append([]*place(nil), c.places...) {
-		if p.gen > c.flushed {
-			continue
-		}
-		switch {
-		case p.exited:
-			holder, ref := p.mach.view.Holder, p.ref
-			o.detachQuiet(p)
-			d := o.direction(holder)
-			d.Clear = append(d.Clear, ref)
-			poke(o.out)
-		case p.state == placeWriting:
-			p.state = placeRecorded
-			o.tell(p, false)
-		}
+// recorded acts on a change that has just been written.
+func (o *Owner) recorded(c change) {
+	p := c.p
+	if _, attached := p.mach.places[p]; !attached {
+		return
+	}
+	switch {
+	case c.kind == doneChange:
+		o.clear(p)
+	case c.kind == placeChange && p.state == placeWriting && !p.exited:
+		p.state = placeRecorded
+		o.tell(p, false)
 	}
 }
 
-// detachQuiet ends the place of a finished task; its record may keep it.
-func (o *Owner) detachQuiet(p *place) {
-	gen, wasDirty := p.chunk.gen, o.dirty[p.chunk] != nil
-	o.detach(p)
-	if !wasDirty && p.job.ended == "" {
-		// A done task's place needs no settling, so this alone is no
-		// reason to write.
-		p.chunk.gen = gen
-		delete(o.dirty, p.chunk)
+// undo puts what a transaction that surely was not applied wanted to write
+// back to where it came from.
+func (o *Owner) undo(b *batch) {
+	o.open = nil
+	for _, w := range b.logs {
+		w.log.queue = append(w.changes, w.log.queue...)
 	}
 }
 
 // endLocked forgets a job whose end is recorded.
-func (o *Owner) endLocked(j *job, maxOps int) {
+func (o *Owner) endLocked(j *job) {
 	uid := j.spec.UID
 	o.final[uid] = finalRecord{Stage: j.ended, Done: j.done}
 	o.finalQ = append(o.finalQ, uid)
@@ -211,9 +282,13 @@
 		delete(o.final, o.finalQ[0])
 		o.finalQ = o.finalQ[1:]
 	}
-	for i := maxOps - 2; i < len(j.chunks); i++ {
-		if j.chunks[i].version != 0 {
-			o.garbage = append(o.garbage, chunkKey(uid, j.chunks[i].n))
+	most := o.cfg.Params.State.TxnOps - 2 // so many went with the end's own transaction
+	for _, c := range j.chunks {
+		if c.version == 0 {
+			continue
+		}
+		if most--; most < 0 {
+			o.garbage = append(o.garbage, chunkKey(uid, c.n))
 		}
 	}
 	for _, ps := range j.places {
@@ -230,57 +305,70 @@
 	o.forget(uid, j)
 }
 
-// reread finds out what became of keys whose condition failed: mostly an
-// earlier write of ours whose answer was lost.
-func (o *Owner) reread(ctx context.Context, keys []string) error {
+// reread finds out what became of a transaction whose conditions failed: often
+// it had been applied, and the answer was lost.
+func (o *Owner) reread(ctx context.Context, b *batch, keys []string) error {
+	items := map[string]wire.Item{}
 	for _, key := range keys {
 		rctx, cancel := context.WithTimeout(ctx, txnTimeout)
 		it, err := o.store.Get(rctx, key)
 		cancel()
-		missing := errors.Is(err, statestore.ErrNotFound)
-		if err != nil && !missing {
+		if err != nil && !errors.Is(err, statestore.ErrNotFound) {
 			return err
 		}
-		o.mu.Lock()
-		o.adopt(key, it, missing)
-		o.mu.Unlock()
+		items[key] = it // without a version if there is none
 	}
-	return nil
-}
-
-func (o *Owner) adopt(key string, it wire.Item, missing bool) {
-	for c, j := range o.dirty {
-		if chunkKey(j.spec.UID, c.n) == key {
-			// Only the shard's owner writes chunks, so this is an older
-			// state of ours; the version makes any still later copy fail.
-			c.version = it.Version
-		}
-	}
-	for uid, j := range o.jobs {
-		if liveKey+uid != key {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, w := range b.logs {
+		it, failed := items[slotKey(w.shard, w.slot.n)]
+		if !failed {
 			continue
 		}
-		if missing {
-			// Its end was recorded although the answer was lost.
-			if j.ended != "" {
-				o.endLocked(j, o.cfg.Params.State.TxnOps)
-			} else {
-				o.log.Error("a living job's record is gone", "job", uid)
-				o.forget(uid, j)
-			}
-			return
+		if r, err := parseLog(it.Value); err == nil && r.Seq == w.seq && it.Version != 0 {
+			o.commit(b, it.Version) // all of a transaction's keys share a version
+			return nil
 		}
-		var r liveRecord
-		if err := json.Unmarshal(it.Value, &r); err != nil {
-			o.log.Error("unreadable job record", "key", key, "err", err)
-			return
+		// Only the shard's owner writes there: an older state of ours.
+		w.slot.version = it.Version
+	}
+	o.undo(b)
+	for _, s := range b.saves {
+		if it, failed := items[chunkKey(s.c.job.spec.UID, s.c.n)]; failed {
+			s.c.version = it.Version
+		}
+	}
+	for _, j := range b.ended {
+		it, failed := items[liveKey+j.spec.UID]
+		if failed && o.jobs[j.spec.UID] == j {
+			o.adoptLive(j, it)
 		}
-		j.version = max(j.version, it.Version)
-		if r.Cancelled {
-			o.cancelLocked(j)
+	}
+	return nil
+}
+
+// adoptLive takes the living record of a job as it was found in the store.
+func (o *Owner) adoptLive(j *job, it wire.Item) {
+	uid := j.spec.UID
+	if it.Version == 0 {
+		// Its end was recorded although the answer was lost.
+		if j.ended != "" {
+			o.endLocked(j)
+		} else {
+			o.log.Error("a living job's record is gone", "job", uid)
+			o.forget(uid, j)
 		}
 		return
 	}
+	var r liveRecord
+	if err := json.Unmarshal(it.Value, &r); err != nil {
+		o.log.Error("unreadable job record", "key", it.Key, "err", err)
+		return
+	}
+	j.version = max(j.version, it.Version)
+	if r.Cancelled {
+		o.cancelLocked(j)
+	}
 }
 
 // direct sends what was gathered for the holders.
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -56,7 +56,8 @@
 	http   *http.Client
 	reqs   *rate.Limiter
 	writes *rate.Limiter
-	lastOK atomic.Int64 // monotonic-ish nanoseconds of the last answer
+	bulk   *rate.Limiter // part of writes
+	lastOK atomic.Int64  // monotonic-ish nanoseconds of the last answer
 	start  time.Time
 	MaxOps int
 }
@@ -65,6 +66,10 @@
 // owner needs most of it, and the others hardly any.
 const share = 0.6
 
+// bulkShare is the part of the writes' budget that bulk may use, so that
+// acceptances, cancels and rentals never queue behind it.
+const bulkShare = 0.7
+
 // New returns a client within the given limits.
 func New(addr string, rps, writeRPS float64, maxOps int) *Client {
 	tr := &http.Transport{MaxIdleConnsPerHost: 12, MaxConnsPerHost: 24, IdleConnTimeout: time.Minute}
@@ -72,6 +77,7 @@
 		base: "http://" + addr, http: &http.Client{Transport: tr},
 		reqs:   rate.NewLimiter(rate.Limit(rps*share), max(1, int(rps*share))),
 		writes: rate.NewLimiter(rate.Limit(writeRPS*share), max(maxOps, int(writeRPS*share))),
+		bulk:   rate.NewLimiter(rate.Limit(writeRPS*share*bulkShare), maxOps),
 		start:  time.Now(), MaxOps: maxOps,
 	}
 }
@@ -155,7 +161,7 @@
 		if err := c.reqs.Wait(ctx); err != nil {
 			return nil, 0, ErrUnavailable
 		}
-		q := url.Values{"starts": {prefix}, "limit": {"500"}}
+		q := url.Values{"starts": {prefix}, "limit": {"1000"}}
 		if after != "" {
 			q.Set("after", after)
 		}
@@ -199,6 +205,14 @@
 	return ans.Revision, nil
 }
 
+// BulkTxn is Txn for writes that must not hold up others.
+func (c *Client) BulkTxn(ctx context.Context, guards []wire.Guard, ops ...wire.Op) (uint64, error) {
+	if err := c.bulk.WaitN(ctx, max(1, len(ops))); err != nil {
+		return 0, ErrUnavailable
+	}
+	return c.Txn(ctx, guards, ops...)
+}
+
 // Grant opens a lease. Lease calls do not wait for the budget.
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
 	c.reqs.Allow()
--- a/internal/testkit/store.go
+++ b/internal/testkit/store.go
@@ -188,6 +188,11 @@
 	return out, v.rev, nil
 }
 
+// BulkTxn implements the owner's Store.
+func (v *View) BulkTxn(ctx context.Context, guards []wire.Guard, ops ...wire.Op) (uint64, error) {
+	return v.Txn(ctx, guards, ops...)
+}
+
 // Txn applies a transaction.
 func (v *View) Txn(_ context.Context, guards []wire.Guard, ops ...wire.Op) (uint64, error) {
 	if ask(v.Down) {
--- a/internal/testkit/world_test.go
+++ b/internal/testkit/world_test.go
@@ -131,11 +131,13 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	op.Shards = 4
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	n.member = membership.New(n.view, name, config.Seconds(op.LeaseS), op.Shards, op.Spread, log)
 	cfg := *w.cfg
 	cfg.Node = name
 	n.owner = owner.New(&cfg, op, n.view, n.member, n, types{}, log)
+	n.owner.KeepSlots = 4 // so that records are written over, and chunks saved
 	n.holder = machine.New(ctx, name, workerLease, n, n.member, types{}, n, n, log)
 	n.member.OnChange(n.owner.Changed)
 	var wg sync.WaitGroup
