--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -28,7 +28,10 @@
 	errMalformed = errors.New("cloud refused the request")
 )
 
-const cloudTimeout = 4 * time.Second
+const (
+	cloudTimeout = 4 * time.Second
+	listPage     = 500 // machines in an answer
+)
 
 // Cloud is the client of the cloud's interface.
 type Cloud struct {
@@ -47,11 +50,13 @@
 }
 
 func (c *Cloud) do(ctx context.Context, method, path string, body, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, cloudTimeout)
-	defer cancel()
+	// Waiting for the budget is not the cloud's fault, and not part of the
+	// time that it gets to answer.
 	if err := c.limit.Wait(ctx); err != nil {
 		return errTrouble
 	}
+	ctx, cancel := context.WithTimeout(ctx, cloudTimeout)
+	defer cancel()
 	var rd io.Reader
 	if body != nil {
 		data, err := json.Marshal(body)
@@ -112,10 +117,11 @@
 	return c.do(ctx, http.MethodPost, "/hosts/release", wire.MachineNames{Machines: names}, nil)
 }
 
+// list reads the whole list, a page a request.
 func (c *Cloud) list(ctx context.Context) ([]wire.ListedMachine, error) {
 	var all []wire.ListedMachine
 	for after := ""; ; {
-		q := url.Values{"limit": {strconv.Itoa(500)}}
+		q := url.Values{"limit": {strconv.Itoa(listPage)}}
 		if after != "" {
 			q.Set("after", after)
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,8 +23,10 @@
 	maxHire      = 50 // machines in one request
 	maxRelease   = 100
 	planEvery    = time.Second
+	tellEvery    = 10 * time.Second
 	takenAfter   = 30 * time.Second // unlisted and unheard for so long: taken
-	refusedPause = 12 * time.Second // before asking again for what was refused
+	refusedPause = 12 * time.Second // before asking again for what was refused, if some of it was lost since
+	refusedLong  = 40 * time.Second // if not
 )
 
 // Owner is what the fleet needs of the jobs' owner.
@@ -70,6 +72,12 @@
 	load     *owner.Load
 }
 
+// refusal is when an offer was refused, and how many of it were had then.
+type refusal struct {
+	at   time.Time
+	held int
+}
+
 // Fleet rents and returns machines.
 type Fleet struct {
 	cfg     *config.Platform
@@ -86,7 +94,7 @@
 	boxes   map[string]*box
 	hires   map[string]*hire
 	seq     int
-	refused map[offer]time.Time
+	refused map[offer]refusal
 	leading bool
 	loaded  bool
 	busy    float64 // running average of CPUs in use
@@ -94,6 +102,9 @@
 	work    float64 // work accepted when the rate was last taken
 	workAt  time.Time
 	listAt  time.Time
+	pages   int // of the last list
+	toldAt  time.Time
+	backAt  time.Time
 	sending map[string]bool // being returned
 }
 
@@ -106,7 +117,7 @@
 // New returns a fleet that knows no machines yet.
 func New(cfg *config.Platform, op *config.Operator, cloud *Cloud, catalog *Catalog, store Store, member Membership, o Owner, h Holder, log *slog.Logger) *Fleet {
 	return &Fleet{cfg: cfg, op: op, cloud: cloud, catalog: catalog, store: store, member: member, owner: o, holder: h, log: log,
-		boxes: map[string]*box{}, hires: map[string]*hire{}, refused: map[offer]time.Time{}, sending: map[string]bool{}}
+		boxes: map[string]*box{}, hires: map[string]*hire{}, refused: map[offer]refusal{}, sending: map[string]bool{}}
 }
 
 // Run leads the fleet whenever it is this controller's to lead.
@@ -138,7 +149,7 @@
 			}
 			f.loaded = true
 		}
-		if time.Since(f.listAt) > seconds(max(2, 2.5/f.cfg.Params.Cloud.RPS)) {
+		if time.Since(f.listAt) > seconds(max(3, listShare*float64(max(1, f.pages))/f.cfg.Params.Cloud.RPS)) {
 			f.listAt = time.Now()
 			wg.Add(1)
 			go func() { defer wg.Done(); f.refresh(ctx) }()
@@ -147,6 +158,14 @@
 	}
 }
 
+// listShare is the seconds between lists, for each request a second that the
+// cloud allows and each page: lists take a fifth of the budget.
+const listShare = 5
+
+// inFlight is how many hires may be out at once. More would only queue for the
+// cloud's budget, and the plan would count on machines that nobody asked for.
+func (f *Fleet) inFlight() int { return max(2, int(2*f.cfg.Params.Cloud.RPS)) }
+
 var seconds = config.Seconds
 
 // load finds hires that were recorded but perhaps not answered: they are
@@ -180,6 +199,7 @@
 		return
 	}
 	f.mu.Lock()
+	f.pages = 1 + len(list)/listPage
 	failed := map[string]string{}
 	for _, l := range list {
 		if f.sending[l.Name] {
@@ -231,7 +251,8 @@
 		back[name] = fmt.Sprintf("silent for %.0f s with tasks on it", silent.Seconds())
 	}
 	f.sortOut(now, back)
-	wants := f.plan(now, demand)
+	f.tell(now, demand, loads)
+	wants, first := f.plan(now, demand)
 	if len(wants) == 0 {
 		f.idle(now)
 	}
@@ -242,8 +263,13 @@
 			send = append(send, h)
 		}
 	}
+	free := f.inFlight() - len(f.hires)
+	giveBack := len(back) > 0 && now.Sub(f.backAt) > seconds(2/f.cfg.Params.Cloud.RPS)
+	if giveBack {
+		f.backAt = now
+	}
 	f.mu.Unlock()
-	if len(back) > 0 {
+	if giveBack {
 		wg.Add(1)
 		go func() { defer wg.Done(); f.giveBack(ctx, back) }()
 	}
@@ -251,17 +277,46 @@
 		wg.Add(1)
 		go func() { defer wg.Done(); f.rent(ctx, h, false) }()
 	}
-	for o, n := range wants {
-		f.mu.Lock()
-		f.seq++
-		// Terms are never shared, so neither is the name.
-		name := fmt.Sprintf("r-%d-%d", f.member.Term(), f.seq)
-		h := &hire{req: wire.HireRequest{Name: name, Type: o.Type, Zone: o.Zone, Spot: o.Spot, Number: min(n, maxHire)}, made: now, sending: true}
-		f.hires[name] = h
-		f.mu.Unlock()
-		wg.Add(1)
-		go func() { defer wg.Done(); f.rent(ctx, h, true) }()
+	for _, o := range first {
+		for n := wants[o]; n > 0 && free > 0; n -= maxHire {
+			free--
+			f.mu.Lock()
+			f.seq++
+			// Terms are never shared, so neither is the name.
+			name := fmt.Sprintf("r-%d-%d", f.member.Term(), f.seq)
+			h := &hire{req: wire.HireRequest{Name: name, Type: o.Type, Zone: o.Zone, Spot: o.Spot, Number: min(n, maxHire)}, made: now, sending: true}
+			f.hires[name] = h
+			f.mu.Unlock()
+			wg.Add(1)
+			go func() { defer wg.Done(); f.rent(ctx, h, true) }()
+		}
+	}
+}
+
+// tell logs the fleet's state now and then.
+func (f *Fleet) tell(now time.Time, demand []owner.Demand, loads []owner.Load) {
+	if now.Sub(f.toldAt) < tellEvery {
+		return
+	}
+	f.toldAt = now
+	var waiting, size, used, spot float64
+	up := 0
+	for i := range demand {
+		waiting += demand[i].Shape.CPUs * float64(demand[i].Count)
 	}
+	for i := range loads {
+		t, ok := f.catalog.Type(loads[i].Type)
+		if !ok || loads[i].Heard.IsZero() {
+			continue
+		}
+		up++
+		size += t.CPUs
+		used += loads[i].Used.CPUs
+		if loads[i].Spot {
+			spot += t.CPUs
+		}
+	}
+	f.log.Info("fleet", "machines", len(f.boxes), "up", up, "cpus", size, "spot_cpus", spot, "used", used, "waiting", waiting, "arriving", math.Round(f.rate))
 }
 
 // sortOut forgets machines that the cloud took and returns those that never
@@ -317,8 +372,9 @@
 }
 
 // plan simulates the waiting work on what there is, and returns what to rent
-// for the work that would wait longer than a new machine takes to boot.
-func (f *Fleet) plan(now time.Time, demand []owner.Demand) map[offer]int {
+// for the work that would wait longer than a new machine takes to boot, and
+// the offers in the order in which they are needed.
+func (f *Fleet) plan(now time.Time, demand []owner.Demand) (wants map[offer]int, first []offer) {
 	var sims []*sim
 	for name, b := range f.boxes {
 		if f.sending[name] || !b.draining.IsZero() || b.load != nil && (b.load.Notice || b.load.Faulty) {
@@ -344,7 +400,7 @@
 		}
 	}
 	offers := f.offers(now)
-	wants := map[offer]int{}
+	wants = map[offer]int{}
 	boot := f.boot()
 	for i := range demand {
 		d := &demand[i]
@@ -366,7 +422,9 @@
 				if !ok {
 					break
 				}
-				wants[o]++
+				if wants[o]++; wants[o] == 1 {
+					first = append(first, o)
+				}
 				s := &sim{offer: o, matrix: placement.Matrix{{Wait: 0, Free: Size(t)}}, boot: t.BootS}
 				sims = append(sims, s)
 				left := f.fillOne(d, s, n, patience+t.BootS)
@@ -383,9 +441,9 @@
 	}
 	// With nothing waiting and much unused, arrivals are dying down.
 	if len(demand) > 0 || f.busy > 0.7*f.capacity(sims) {
-		f.headroom(sims, offers, wants)
+		first = f.headroom(sims, offers, wants, first)
 	}
-	return wants
+	return wants, first
 }
 
 // forever is longer than any plan looks ahead.
@@ -456,14 +514,30 @@
 	return n
 }
 
+// held counts the machines by kind.
+func (f *Fleet) held() map[offer]int {
+	n := map[offer]int{}
+	for name, b := range f.boxes {
+		if !f.sending[name] {
+			n[b.offer]++
+		}
+	}
+	return n
+}
+
+// refuse notes that no more of an offer is to be had: asking again is a waste
+// of the cloud's budget unless machines of it were lost or returned since.
+func (f *Fleet) refuse(o offer) { f.refused[o] = refusal{time.Now(), f.held()[o]} }
+
 // offers lists what may be rented now.
 func (f *Fleet) offers(now time.Time) []offer {
 	var out []offer
+	held := f.held()
 	for _, t := range f.catalog.All() {
 		for _, z := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				o := offer{t.Name, z, spot}
-				if now.Sub(f.refused[o]) > refusedPause {
+				if r, ok := f.refused[o]; !ok || now.Sub(r.at) > refusedLong || now.Sub(r.at) > refusedPause && held[o] < r.held {
 					out = append(out, o)
 				}
 			}
@@ -497,7 +571,7 @@
 	cost := math.Inf(1)
 	for _, o := range offers {
 		t, ok := f.catalog.Type(o.Type)
-		if !ok || o.Spot != spot || wants[o] >= maxHire || !f.fits(d, o) || !d.Shape.Fits(Size(t)) {
+		if !ok || o.Spot != spot || wants[o] >= maxHire*f.inFlight() || !f.fits(d, o) || !d.Shape.Fits(Size(t)) {
 			continue
 		}
 		k := tasksIn(d.Shape, Size(t))
@@ -505,7 +579,8 @@
 		// rest of it serves what comes next.
 		used := min(float64(k), float64(n))
 		c := f.price(o, t) / (0.5*used + 0.5*float64(k))
-		c *= 1 + 0.1*t.BootS/minimumS + 0.02*float64(wants[o])
+		w := float64(wants[o])
+		c *= 1 + 0.1*t.BootS/minimumS + w/(w+maxHire)
 		if c < cost {
 			best, bestT, cost = o, t, c
 		}
@@ -539,7 +614,7 @@
 }
 
 // headroom rents spot machines ahead of the demand, up to the target.
-func (f *Fleet) headroom(sims []*sim, offers []offer, wants map[offer]int) {
+func (f *Fleet) headroom(sims []*sim, offers []offer, wants map[offer]int, first []offer) []offer {
 	have := f.capacity(sims)
 	for have < f.target() {
 		missing := f.target() - have
@@ -551,12 +626,15 @@
 				best, size, cost = o, t.CPUs, t.SpotPrice/t.CPUs
 			}
 		}
-		if size == 0 || wants[best] >= maxHire {
-			return
+		if size == 0 || wants[best] >= maxHire*f.inFlight() {
+			break
+		}
+		if wants[best]++; wants[best] == 1 {
+			first = append(first, best)
 		}
-		wants[best]++
 		have += size
 	}
+	return first
 }
 
 // idle drains machines that have done nothing for a while, the dearest
@@ -651,18 +729,20 @@
 			}
 		}
 		if len(names) < h.req.Number {
-			f.refused[o] = now
+			f.refuse(o)
+		} else {
+			delete(f.refused, o)
 		}
 		f.mu.Unlock()
 	case errors.Is(err, errNoCapacity):
 		f.log.Info("no capacity", "type", o.Type, "zone", o.Zone, "spot", o.Spot)
 		f.mu.Lock()
-		f.refused[o] = now
+		f.refuse(o)
 		f.mu.Unlock()
 	case errors.Is(err, errMalformed):
 		f.log.Error("hire refused", "hire", h.req.Name, "err", err)
 		f.mu.Lock()
-		f.refused[o] = now
+		f.refuse(o)
 		f.mu.Unlock()
 	default:
 		f.log.Info("hire unanswered", "hire", h.req.Name, "err", err)
