--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -253,9 +253,7 @@
 	f.sortOut(now, back)
 	f.tell(now, demand, loads)
 	wants, first := f.plan(now, demand)
-	if len(wants) == 0 {
-		f.idle(now)
-	}
+	f.idle(now, wants)
 	var send []*hire
 	for _, h := range f.hires {
 		if !h.sending {
@@ -462,7 +460,7 @@
 }
 
 // rateWindow is the time over which arrivals are averaged.
-const rateWindow = 60.0
+const rateWindow = 40.0
 
 // measure follows how many CPUs the arriving work keeps busy.
 func (f *Fleet) measure(now time.Time, work float64) {
@@ -638,10 +636,14 @@
 }
 
 // idle drains machines that have done nothing for a while, the dearest
-// first, as long as the headroom stays.
-func (f *Fleet) idle(now time.Time) {
+// first, as long as the headroom stays; none of a kind that is wanted.
+func (f *Fleet) idle(now time.Time, wants map[offer]int) {
 	var have float64
 	var idle []*box
+	wanted := map[bool]bool{}
+	for o := range wants {
+		wanted[o.Spot] = true
+	}
 	for name, b := range f.boxes {
 		if b.load == nil || f.sending[name] || now.Sub(b.heard) > seconds(f.op.SilentS) {
 			continue
@@ -678,8 +680,13 @@
 			continue
 		}
 		// The nearest number of machines to the target stays, so that the
-		// last ones go too when nothing more comes.
-		if have-t.CPUs < f.target()-t.CPUs/2 {
+		// last ones go too when nothing more comes. Dear machines are kept
+		// for what runs, not for what may come: that can wait for them.
+		target := f.target()
+		if !b.offer.Spot && t.SpotPrice > 0 {
+			target = f.busy * (1 + f.op.HeadroomPct/100)
+		}
+		if wanted[b.offer.Spot] || have-t.CPUs < target-t.CPUs/2 {
 			continue
 		}
 		have -= t.CPUs
