--- a/cmd/wallrack/demand.go
+++ b/cmd/wallrack/demand.go
@@ -87,6 +87,9 @@
 	return own.Demand, own.Loads
 }
 
+// Closing tells the owner here; owners elsewhere only make it take longer.
+func (a *allOwners) Closing(names map[string]bool) { a.n.owner.Closing(names) }
+
 // Suspects returns the silent machines that any owner's tasks may be on.
 func (a *allOwners) Suspects() map[string]time.Duration {
 	out := a.n.owner.Suspects()
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -29,8 +29,8 @@
 	SilentS     float64 // silence after which a machine is returned
 	IdleS       float64 // idle time after which a machine is returned
 	HeadroomPct float64 // capacity kept beyond the demand, in percent
-	DearSlackS  float64 // work with more time than this waits for a spot machine
-	PackS       float64 // seconds by which full and cheap machines are preferred
+	PackS       float64 // seconds by which full machines are preferred to empty ones
+	DearShare   float64 // share of C by which a machine at twice the spot price is put back
 }
 
 type setting struct {
@@ -50,8 +50,8 @@
 	"replace-s":        {0.5, 600, func(o *Operator, v float64) { o.ReplaceS = v }, false},
 	"silent-s":         {3, 600, func(o *Operator, v float64) { o.SilentS = v }, false},
 	"idle-s":           {1, 3600, func(o *Operator, v float64) { o.IdleS = v }, false},
-	"dear-slack-s":     {0, 86400, func(o *Operator, v float64) { o.DearSlackS = v }, false},
 	"pack-s":           {0, 60, func(o *Operator, v float64) { o.PackS = v }, false},
+	"dear-share":       {0, 10, func(o *Operator, v float64) { o.DearShare = v }, false},
 	"headroom-percent": {0, 500, func(o *Operator, v float64) { o.HeadroomPct = v }, false},
 }
 
--- a/internal/config/operator.sexp
+++ b/internal/config/operator.sexp
@@ -11,6 +11,6 @@
   (replace-s 4)           ; excess wait that makes a queued task look elsewhere
   (silent-s 14)           ; silence after which a machine is returned
   (idle-s 20)             ; idle time after which a machine is returned
-  (dear-slack-s 30)       ; work with more time than this waits for a spot machine
-  (pack-s 1)              ; seconds by which full and cheap machines are preferred
+  (pack-s 1)              ; seconds by which full machines are preferred to empty ones
+  (dear-share 0.15)       ; share of C by which a machine at twice the spot price is put back
   (headroom-percent 15))  ; capacity kept beyond the demand
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -24,6 +24,7 @@
 	maxRelease   = 100
 	planEvery    = time.Second
 	tellEvery    = 10 * time.Second
+	settleFor    = 20 * time.Second // a new leader closes nothing for so long
 	takenAfter   = 30 * time.Second // unlisted and unheard for so long: taken
 	refusedPause = 12 * time.Second // before asking again for what was refused, if some of it was lost since
 	refusedLong  = 40 * time.Second // if not
@@ -36,6 +37,7 @@
 	Admitted() float64
 	Suspects() map[string]time.Duration
 	Gone(name string)
+	Closing(names map[string]bool)
 }
 
 // Holder is what the fleet needs of the machines' holder.
@@ -68,6 +70,7 @@
 	heard    time.Time
 	idle     time.Time // since when it does nothing
 	draining time.Time
+	closing  bool // takes no new work
 	stage    string
 	load     *owner.Load
 }
@@ -104,6 +107,7 @@
 	listAt  time.Time
 	pages   int // of the last list
 	toldAt  time.Time
+	ledAt   time.Time
 	backAt  time.Time
 	sending map[string]bool // being returned
 }
@@ -140,6 +144,7 @@
 			f.leading = true
 			f.mu.Lock()
 			f.boxes, f.hires = map[string]*box{}, map[string]*hire{}
+			f.ledAt = time.Now()
 			f.mu.Unlock()
 		}
 		if !f.loaded {
@@ -253,6 +258,7 @@
 	f.sortOut(now, back)
 	f.tell(now, demand, loads)
 	wants, first := f.plan(now, demand)
+	closing := f.shut(now, demand)
 	f.idle(now, wants)
 	var send []*hire
 	for _, h := range f.hires {
@@ -267,6 +273,7 @@
 		f.backAt = now
 	}
 	f.mu.Unlock()
+	f.owner.Closing(closing)
 	if giveBack {
 		wg.Add(1)
 		go func() { defer wg.Done(); f.giveBack(ctx, back) }()
@@ -352,6 +359,7 @@
 	offer  offer
 	matrix placement.Matrix
 	boot   float64
+	box    *box
 }
 
 func (f *Fleet) fits(d *owner.Demand, o offer) bool {
@@ -373,7 +381,7 @@
 // for the work that would wait longer than a new machine takes to boot, and
 // the offers in the order in which they are needed.
 func (f *Fleet) plan(now time.Time, demand []owner.Demand) (wants map[offer]int, first []offer) {
-	var sims []*sim
+	var sims, closing []*sim
 	for name, b := range f.boxes {
 		if f.sending[name] || !b.draining.IsZero() || b.load != nil && (b.load.Notice || b.load.Faulty) {
 			continue
@@ -384,7 +392,12 @@
 		}
 		switch {
 		case b.load != nil && len(b.load.Matrix) > 0 && now.Sub(b.heard) < seconds(f.op.SilentS):
-			sims = append(sims, &sim{offer: b.offer, matrix: b.load.Matrix})
+			s := &sim{offer: b.offer, matrix: b.load.Matrix, box: b}
+			if b.closing {
+				closing = append(closing, s)
+			} else {
+				sims = append(sims, s)
+			}
 		case b.heard.IsZero() && b.stage != wire.MachineFailed:
 			left := max(3, t.BootS-now.Sub(b.hired).Seconds())
 			sims = append(sims, &sim{offer: b.offer, matrix: placement.Matrix{{Wait: 0, Free: Size(t)}}, boot: left})
@@ -415,6 +428,9 @@
 				patience = max(boot, d.Slack)
 			}
 			n := f.fill(d, sims, patience, !spot)
+			if !spot {
+				sims, closing, n = f.reopen(d, sims, closing, n, patience)
+			}
 			for n > 0 {
 				o, t, ok := f.best(d, n, offers, wants, spot)
 				if !ok {
@@ -444,6 +460,68 @@
 	return wants, first
 }
 
+// reopen lets closing machines take work again before others are rented.
+func (f *Fleet) reopen(d *owner.Demand, sims, closing []*sim, n int, patience float64) (open, rest []*sim, left int) {
+	for _, s := range closing {
+		if n > 0 && f.fits(d, s.offer) {
+			if left := f.fillOne(d, s, n, patience); left < n {
+				n, s.box.closing = left, false
+				sims = append(sims, s)
+				continue
+			}
+		}
+		rest = append(rest, s)
+	}
+	return sims, rest, n
+}
+
+// shut chooses dear machines to close, the emptiest first, while there is more
+// than what runs and the headroom need. Without it, work that could as well
+// run elsewhere keeps every one of them from falling idle.
+func (f *Fleet) shut(now time.Time, demand []owner.Demand) map[string]bool {
+	if now.Sub(f.ledAt) < settleFor {
+		return nil // what runs is not known well yet
+	}
+	spare := -f.busy * (1 + f.op.HeadroomPct/100)
+	for i := range demand {
+		spare -= demand[i].Shape.CPUs * float64(demand[i].Count)
+	}
+	var dear []*box
+	for name, b := range f.boxes {
+		t, ok := f.catalog.Type(b.offer.Type)
+		if !ok || b.load == nil || f.sending[name] || b.load.Notice || now.Sub(b.heard) > seconds(f.op.SilentS) {
+			continue
+		}
+		if !b.closing {
+			spare += t.CPUs
+		}
+		if !b.offer.Spot && t.SpotPrice > 0 {
+			dear = append(dear, b)
+		}
+	}
+	fullness := func(b *box) float64 {
+		t, _ := f.catalog.Type(b.offer.Type)
+		return b.load.Used.CPUs / max(1, t.CPUs)
+	}
+	sort.Slice(dear, func(i, j int) bool {
+		if x, y := fullness(dear[i]), fullness(dear[j]); x != y {
+			return x < y
+		}
+		return dear[i].name < dear[j].name
+	})
+	names := map[string]bool{}
+	for _, b := range dear {
+		if t, _ := f.catalog.Type(b.offer.Type); !b.closing && spare > t.CPUs {
+			b.closing = true
+			spare -= t.CPUs
+		}
+		if b.closing {
+			names[b.name] = true
+		}
+	}
+	return names
+}
+
 // forever is longer than any plan looks ahead.
 const forever = 1e6
 
@@ -686,7 +764,7 @@
 		if !b.offer.Spot && t.SpotPrice > 0 {
 			target = f.busy * (1 + f.op.HeadroomPct/100)
 		}
-		if wanted[b.offer.Spot] || have-t.CPUs < target-t.CPUs/2 {
+		if !b.closing && (wanted[b.offer.Spot] || have-t.CPUs < target-t.CPUs/2) {
 			continue
 		}
 		have -= t.CPUs
--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -638,6 +638,16 @@
 	return o.admitted
 }
 
+// Closing tells which machines take no new work, so that they fall idle and
+// can be returned.
+func (o *Owner) Closing(names map[string]bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for name, m := range o.machines {
+		m.closing = names[name]
+	}
+}
+
 // Load is a machine as fleet planning sees it.
 type Load struct {
 	Name, Type, Zone     string
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -133,7 +133,6 @@
 	zones     map[string]int
 	unzoned   int // places that count in every zone
 	started   int // tasks that were ever seen running
-	slackNow  float64
 }
 
 type average struct {
@@ -184,6 +183,7 @@
 	errors  int
 	errJobs map[string]bool
 	gone    bool
+	closing bool // the fleet wants it empty
 }
 
 // Owner owns jobs.
@@ -218,7 +218,6 @@
 	finalQ   []string
 	garbage  []string // chunk keys of ended jobs
 	pend     map[string]*machine.Direction
-	spotWait float64 // about how long all that waits would keep the spot machines busy
 	admitted float64 // CPU-seconds of work
 	spotDone float64
 	spotLost float64
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -30,7 +30,7 @@
 	now := time.Now()
 	fresh := seconds(3*o.cfg.Params.Workers.ReportS + 1)
 	for _, m := range o.machines {
-		if !m.gone && !m.view.Draining && m.notice.IsZero() && len(m.matrix) > 0 && now.Sub(m.at) < fresh {
+		if !m.gone && !m.closing && !m.view.Draining && m.notice.IsZero() && len(m.matrix) > 0 && now.Sub(m.at) < fresh {
 			open = append(open, m)
 		}
 	}
@@ -44,17 +44,6 @@
 			waiting = append(waiting, j)
 		}
 	}
-	backlog, spot := 0.0, 1e-3
-	for _, j := range waiting {
-		j.slackNow = o.slack(j, 0)
-		backlog += float64(len(j.pending)) * j.shape.CPUs * j.runEstimate()
-	}
-	for _, m := range open {
-		if t, ok := o.types.Type(m.view.Type); ok && m.view.Spot {
-			spot += t.CPUs
-		}
-	}
-	o.spotWait = backlog / spot
 	o.sortJobs(waiting)
 	budget := placesAtOnce
 	all := append([]*job(nil), waiting...)
@@ -193,9 +182,6 @@
 	if run := j.runEstimate(); math.IsInf(o.wait(m, j.shape, run), 1) || !o.allowed(j, m) || !o.within(j, m) || !o.underLimit(j) {
 		return estimate{}, false
 	}
-	if !m.view.Spot && j.spec.Spot && j.slackNow > max(o.op.DearSlackS, o.spotWait) {
-		return estimate{}, false // it can wait for a cheap machine
-	}
 	if until, ok := j.avoid[m.index]; len(j.avoid) > 0 && ok {
 		if time.Now().Before(until) {
 			return estimate{}, false
@@ -208,15 +194,15 @@
 		return estimate{}, false
 	}
 	c := placement.Cost(fetch, w, run, o.success(m), o.op.KFail)
-	return estimate{w, c + o.packing(m), fetch}, true
+	return estimate{w, c + o.packing(m, c), fetch}, true
 }
 
 // packing is added to C so that of machines which would finish a task at about
 // the same time the cheap and the fuller one wins, and others fall idle and
-// can be returned.
-func (o *Owner) packing(m *mach) float64 {
+// can be returned. What a dear machine costs more grows with the task.
+func (o *Owner) packing(m *mach, c float64) float64 {
 	t, ok := o.types.Type(m.view.Type)
-	if !ok || t.CPUs <= 0 || o.op.PackS == 0 {
+	if !ok || t.CPUs <= 0 {
 		return 0
 	}
 	free := max(0, m.matrix[0].Free.CPUs) / t.CPUs
@@ -224,7 +210,7 @@
 	if !m.view.Spot && t.SpotPrice > 0 {
 		dear = max(0, t.Price/t.SpotPrice-1)
 	}
-	return o.op.PackS * (free + dear)
+	return o.op.PackS*free*(1+dear) + o.op.DearShare*c*dear
 }
 
 // batch matches up to limit tasks of the jobs and dispatches the matches that
@@ -477,7 +463,7 @@
 			var best *mach
 			bestE := estimate{cost: current - 1}
 			for _, m := range o.machines {
-				if m == p.mach || len(m.matrix) == 0 || m.view.Draining || !m.notice.IsZero() || now.Sub(m.at) > fresh {
+				if m == p.mach || len(m.matrix) == 0 || m.closing || m.view.Draining || !m.notice.IsZero() || now.Sub(m.at) > fresh {
 					continue
 				}
 				if e, ok := o.estimate(j, m); ok && e.cost < bestE.cost {
