Look only at machines with room now; bound looks of preemption and re-placing

A clear was pushed on its own. Now a pass filters the machines with room once, preemption looks at 200 machines a pass, 32 queued tasks look elsewhere, clears ride on the next report, the collector runs less often.

--- a/cmd/wallrack/daemon.go
+++ b/cmd/wallrack/daemon.go
@@ -27,9 +27,14 @@
 // below; the rest is the program itself and what the runtime does not count.
 const memoryShare = 0.6
 
+// garbagePercent trades memory, of which there is enough below the limit, for
+// processor time, of which there is not.
+const garbagePercent = 300
+
 // run assembles the slices and runs them until ctx ends.
 func run(ctx context.Context, p *config.Platform, op *config.Operator, log *slog.Logger) error {
 	runtime.GOMAXPROCS(1) // a controller has a share of one core
+	debug.SetGCPercent(garbagePercent)
 	debug.SetMemoryLimit(int64(p.Params.Limits.RAMMB * memoryShare * (1 << 20)))
 
 	addrs := map[string]string{}
--- a/internal/machine/holder.go
+++ b/internal/machine/holder.go
@@ -587,7 +587,8 @@
 			if s.fate != 0 {
 				h.raiseLocked(s.fate)
 			}
-			touched[ref.Machine] = true
+			// The next report's answer is soon enough: an exited task
+			// takes nothing but a line.
 		}
 	}
 	if d.RaiseAbove > 0 {
--- /dev/null
+++ b/internal/owner/bench_test.go
@@ -0,0 +1,111 @@
+package owner_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/machine"
+	"github.com/wallrack/wallrack/internal/owner"
+	"github.com/wallrack/wallrack/internal/placement"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// fleet is a generated fleet with one owner, whose store and holders accept
+// everything.
+type fleet struct {
+	owner *owner.Owner
+	views []machine.View
+	rev   uint64
+}
+
+var size = wire.MachineType{Name: "m", CPUs: 16, MemoryGB: 64, CacheGB: 50, FetchGBPerS: 1, Price: 1, SpotPrice: 0.3, BootS: 10, Zones: []string{"z"}}
+
+func (f *fleet) Type(string) (wire.MachineType, bool) { return size, true }
+func (f *fleet) Name() string                         { return "a" }
+func (f *fleet) Held() time.Duration                  { return time.Minute }
+func (f *fleet) Own() map[int]uint64                  { return map[int]uint64{0: 1} }
+func (f *fleet) Claimed() map[int]uint64              { return f.Own() }
+func (f *fleet) Fresh(context.Context) (uint64, error) {
+	return 7, nil
+}
+func (f *fleet) ShardKey(int) string { return "c/shard/000" }
+func (f *fleet) Direct(context.Context, string, machine.Direction) (machine.Unlaunched, error) {
+	return machine.Unlaunched{}, nil
+}
+func (f *fleet) Get(context.Context, string) (wire.Item, error) { return wire.Item{}, nil }
+func (f *fleet) List(context.Context, string) ([]wire.Item, uint64, error) {
+	return nil, 0, nil
+}
+func (f *fleet) Txn(context.Context, []wire.Guard, ...wire.Op) (uint64, error) {
+	f.rev++
+	return f.rev, nil
+}
+func (f *fleet) BulkTxn(ctx context.Context, g []wire.Guard, ops ...wire.Op) (uint64, error) {
+	return f.Txn(ctx, g, ops...)
+}
+func (f *fleet) Watch(ctx context.Context, _ string, _ time.Duration, _ func([]wire.Item), _ func([]wire.Event)) {
+	<-ctx.Done()
+}
+
+// newFleet has machines with one task each and jobs that wait for more room
+// than there is.
+func newFleet(b *testing.B, machines, jobs int) *fleet {
+	op, err := config.LoadOperator("")
+	if err != nil {
+		b.Fatal(err)
+	}
+	cfg := &config.Platform{Node: "a", Params: config.Params{
+		Teams:   []config.Team{{Name: "t"}},
+		Workers: config.Workers{ReportS: 1, LeaseS: 10, CancelS: 40},
+		State:   config.State{RPS: 100, WriteRPS: 100, ValueKB: 16, TxnOps: 48},
+	}}
+	f := &fleet{}
+	f.owner = owner.New(cfg, op, f, f, f, f, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err := f.owner.Load(context.Background()); err != nil {
+		b.Fatal(err)
+	}
+	for i := range machines {
+		total := placement.Shape{CPUs: size.CPUs, MemoryGB: size.MemoryGB}
+		use := []placement.Use{{Shape: placement.Shape{CPUs: 12, MemoryGB: 12}, Left: 20}}
+		f.views = append(f.views, machine.View{Name: fmt.Sprintf("n-%06d", i), Type: "m", Zone: "z", Spot: i%3 > 0, Session: 1, Seq: 1,
+			Token: 7, Holder: "a", Matrix: placement.NewMatrix(total, use, nil)})
+		f.owner.Observe(f.views[i])
+	}
+	for i := range jobs {
+		due := 60.0 + float64(i)
+		f.owner.Accepted(&wire.Job{UID: fmt.Sprintf("j-%06d", i), Class: fmt.Sprintf("c%d", i%2), Team: "t", Kind: wire.KindArray,
+			Priority: []string{"normal", "urgent"}[i%2], Tasks: 100, CPUs: float64(2 + 6*(i%2)), MemoryGB: 3, Image: fmt.Sprintf("i%d", i%20),
+			ImageGB: 1, Estimate: 30, Spot: true, DueS: &due}, 0, time.Now().UnixMilli(), uint64(i+1))
+	}
+	return f
+}
+
+func BenchmarkPass(b *testing.B) {
+	f := newFleet(b, 1700, 120)
+	for b.Loop() {
+		f.owner.Pass()
+	}
+}
+
+func BenchmarkReport(b *testing.B) {
+	f := newFleet(b, 1700, 120)
+	f.owner.Pass()
+	for i := 0; b.Loop(); i++ {
+		v := &f.views[i%len(f.views)]
+		v.Seq++
+		f.owner.Observe(*v)
+	}
+}
+
+func BenchmarkDemand(b *testing.B) {
+	f := newFleet(b, 1700, 120)
+	f.owner.Pass()
+	for b.Loop() {
+		f.owner.Demand(20)
+	}
+}
--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -504,22 +504,26 @@
 func (o *Owner) Suspects() map[string]time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	now := time.Now()
 	out := map[string]time.Duration{}
+	limit := seconds(o.op.SilentS)
 	for name, m := range o.machines {
-		if len(m.places) == 0 {
+		if silent := now.Sub(later(m.at, m.since)); silent >= limit && len(m.places) > 0 {
+			out[name] = silent
+		}
+	}
+	// A cancelled task that can't be stopped in time goes with its machine.
+	for _, j := range o.order {
+		if !j.cancelled {
 			continue
 		}
-		silent := time.Since(later(m.at, m.since))
-		for p := range m.places {
-			// A cancelled task that can't be stopped in time goes with
-			// its machine.
-			if p.on() && p.job.cancelled && !p.halted.IsZero() && time.Since(p.halted).Seconds() > o.cfg.Params.Workers.CancelS/3 {
-				silent = max(silent, seconds(o.op.SilentS))
+		for _, ps := range j.places {
+			for _, p := range ps {
+				if p.on() && !p.halted.IsZero() && now.Sub(p.halted).Seconds() > o.cfg.Params.Workers.CancelS/3 {
+					out[p.mach.name] = max(out[p.mach.name], limit)
+				}
 			}
 		}
-		if silent >= seconds(o.op.SilentS) {
-			out[name] = silent
-		}
 	}
 	return out
 }
@@ -548,6 +552,7 @@
 func (o *Owner) Demand(boot float64) ([]Demand, []Load) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.now = time.Now()
 	var waiting []*job
 	count := map[*job]int{}
 	for _, j := range o.order {
@@ -579,6 +584,7 @@
 	}
 	var ls []Load
 	for _, m := range o.machines {
+		m.kind, _ = o.types.Type(m.view.Type) // prices move
 		l := Load{Name: m.name, Type: m.view.Type, Zone: m.view.Zone, Spot: m.view.Spot, Matrix: m.matrix, Heard: m.at,
 			Places: len(m.places), Notice: !m.notice.IsZero(), Faulty: m.errors >= 4 && len(m.errJobs) >= 2}
 		for p := range m.places {
@@ -598,7 +604,7 @@
 // slack is how long the job's tasks may still wait and meet the next aim that
 // a machine rented now can help to meet.
 func (o *Owner) slack(j *job, boot float64) float64 {
-	age := time.Since(j.accepted).Seconds()
+	age := o.now.Sub(j.accepted).Seconds()
 	run := 1.3*j.runEstimate() + 4
 	best := math.Inf(1)
 	offer := func(s float64) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -184,6 +184,7 @@
 	errJobs map[string]bool
 	gone    bool
 	closing bool // the fleet wants it empty
+	kind    wire.MachineType
 }
 
 // Owner owns jobs.
@@ -210,18 +211,21 @@
 	order    []*job
 	machines map[string]*mach
 	byIndex  []*mach
-	images   wire.Index
-	classes  map[string]*class
-	logs     map[int]*shardLog
-	open     *batch                 // a transaction whose outcome is open
-	final    map[string]finalRecord // of jobs that ended here, for answers
-	finalQ   []string
-	garbage  []string // chunk keys of ended jobs
-	pend     map[string]*machine.Direction
-	admitted float64 // CPU-seconds of work
-	spotDone float64
-	spotLost float64
-	stats    Stats
+	now      time.Time // when the pass in progress began
+
+	preemptAt int // machine that preemption looked at last
+	images    wire.Index
+	classes   map[string]*class
+	logs      map[int]*shardLog
+	open      *batch                 // a transaction whose outcome is open
+	final     map[string]finalRecord // of jobs that ended here, for answers
+	finalQ    []string
+	garbage   []string // chunk keys of ended jobs
+	pend      map[string]*machine.Direction
+	admitted  float64 // CPU-seconds of work
+	spotDone  float64
+	spotLost  float64
+	stats     Stats
 }
 
 // Stats are counters for operators.
@@ -247,7 +251,7 @@
 
 // passShare is how many times longer than a scheduling pass the pause after it
 // is.
-const passShare = 9
+const passShare = 4
 
 func poke(c chan struct{}) {
 	select {
@@ -698,12 +702,20 @@
 	if j.spec.Image == "" || m.images[o.images.Of(j.spec.Image)] != nil {
 		return 0
 	}
-	if t, ok := o.types.Type(m.view.Type); ok && t.FetchGBPerS > 0 {
+	if t := o.typeOf(m); t.FetchGBPerS > 0 {
 		return j.spec.ImageGB / t.FetchGBPerS
 	}
 	return j.spec.ImageGB
 }
 
+// typeOf is the machine's type, without a name if it is not known.
+func (o *Owner) typeOf(m *mach) *wire.MachineType {
+	if m.kind.Name != m.view.Type {
+		m.kind, _ = o.types.Type(m.view.Type)
+	}
+	return &m.kind
+}
+
 // cache notes that a machine has a job's image.
 func (o *Owner) cache(j *job, m *mach) {
 	i := o.images.Of(j.spec.Image)
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -18,36 +18,74 @@
 	holdTasks    = 24  // tasks that room is held for
 	holdWithin   = 45  // seconds from now within which room is held
 	placesAtOnce = 400 // bounds what one pass writes
+	lookAtOnce   = 32  // queued tasks that look elsewhere in one pass
 )
 
-// place is one scheduling pass: batches of matches, most urgent jobs first,
-// until nothing more starts within the horizon.
-func (o *Owner) place() {
-	if o.member.Held() < time.Second || len(o.loaded) == 0 {
-		return
-	}
+// openMachines lists the machines that may take work, in order of their index.
+func (o *Owner) openMachines() []*mach {
 	var open []*mach
-	now := time.Now()
 	fresh := seconds(3*o.cfg.Params.Workers.ReportS + 1)
-	for _, m := range o.machines {
-		if !m.gone && !m.closing && !m.view.Draining && m.notice.IsZero() && len(m.matrix) > 0 && now.Sub(m.at) < fresh {
+	for _, m := range o.byIndex {
+		if m != nil && !m.gone && !m.closing && !m.view.Draining && m.notice.IsZero() && len(m.matrix) > 0 && o.now.Sub(m.at) < fresh {
 			open = append(open, m)
 		}
 	}
-	if len(open) == 0 {
+	return open
+}
+
+// roomy picks the machines where a task of at least this shape fits within the
+// horizon. On a busy fleet they are few, and a pass costs what they cost.
+func (o *Owner) roomy(open []*mach, least placement.Shape) []*mach {
+	var out []*mach
+	for _, m := range open {
+		most := o.op.HorizonS + o.now.Sub(m.at).Seconds()
+		for _, r := range m.matrix {
+			if r.Wait > most {
+				break
+			}
+			if least.Fits(r.Free) {
+				out = append(out, m)
+				break
+			}
+		}
+	}
+	return out
+}
+
+// least is the smallest amount of each resource that any of the jobs asks for.
+func least(jobs []*job) placement.Shape {
+	out := placement.Shape{CPUs: math.Inf(1), GPUs: math.Inf(1), MemoryGB: math.Inf(1)}
+	for _, j := range jobs {
+		out.CPUs, out.GPUs, out.MemoryGB = min(out.CPUs, j.shape.CPUs), min(out.GPUs, j.shape.GPUs), min(out.MemoryGB, j.shape.MemoryGB)
+	}
+	return out
+}
+
+// place is one scheduling pass: batches of matches, most urgent jobs first,
+// until nothing more starts within the horizon.
+func (o *Owner) place() {
+	if o.member.Held() < time.Second || len(o.loaded) == 0 {
 		return
 	}
-	sort.Slice(open, func(a, b int) bool { return open[a].index < open[b].index })
+	o.now = time.Now()
 	var waiting []*job
 	for _, j := range o.order {
-		if len(j.pending) > 0 && !j.cancelled && j.ended == "" && now.After(j.notBefore) {
+		if len(j.pending) > 0 && !j.cancelled && j.ended == "" && o.now.After(j.notBefore) {
 			waiting = append(waiting, j)
 		}
 	}
+	if len(waiting) == 0 {
+		return
+	}
+	open := o.openMachines()
 	o.sortJobs(waiting)
 	budget := placesAtOnce
 	all := append([]*job(nil), waiting...)
-	for len(waiting) > 0 && budget > 0 {
+	for len(waiting) > 0 {
+		if budget <= 0 {
+			poke(o.wake) // the rest is for the next pass
+			break
+		}
 		// A batch holds tasks of similar priority.
 		rank := waiting[0].spec.Rank()
 		var jobs []*job
@@ -61,8 +99,10 @@
 				o.gang(j, open)
 			}
 		}
-		placed := o.batch(jobs, open, min(budget, batchTasks))
-		budget -= len(placed)
+		placed := o.batch(jobs, o.roomy(open, least(jobs)), min(budget, batchTasks))
+		for _, n := range placed {
+			budget -= n
+		}
 		// A job that got nothing in this batch is left for later passes.
 		rest := waiting[:0]
 		considered := map[*job]bool{}
@@ -138,38 +178,45 @@
 }
 
 // candidates limits the search for a job: in a large fleet to machines that
-// cache the image, those in their zones, and two random light ones.
+// cache the image, those in their zones, and two light ones, looked for from a
+// random one on.
 func (o *Owner) candidates(j *job, open []*mach) []*mach {
 	if len(open) <= wholeFleet {
 		return open
 	}
 	image := o.images.Of(j.spec.Image)
 	zones := map[string]bool{}
-	for _, m := range open {
-		if m.images[image] != nil {
-			zones[m.view.Zone] = true
+	out := make([]*mach, 0, 2*wholeFleet)
+	start := rand.IntN(len(open))
+	each := func(f func(m *mach)) {
+		for i := range open {
+			f(open[(start+i)%len(open)])
 		}
 	}
-	var out, light []*mach
-	near := 0
-	for _, i := range rand.Perm(len(open)) {
-		m := open[i]
-		switch {
-		case m.images[image] != nil && len(out) < wholeFleet:
+	each(func(m *mach) {
+		if len(out) < wholeFleet && m.images[image] != nil {
+			zones[m.view.Zone] = true
 			out = append(out, m)
-		case zones[m.view.Zone] && near < wholeFleet/2:
+		}
+	})
+	near, light := 0, 0
+	each(func(m *mach) {
+		switch {
+		case near >= wholeFleet/2 && light >= 2 || m.images[image] != nil:
+		case near < wholeFleet/2 && zones[m.view.Zone]:
 			near++
 			out = append(out, m)
-		case len(light) < 2 && j.shape.Fits(m.matrix[0].Free):
-			light = append(light, m)
+		case light < 2 && j.shape.Fits(m.matrix[0].Free):
+			light++
+			out = append(out, m)
 		}
-	}
-	return append(out, light...)
+	})
+	return out
 }
 
 // wait looks a wait up; an older matrix is read at a larger cell.
 func (o *Owner) wait(m *mach, s placement.Shape, run float64) float64 {
-	age := time.Since(m.at).Seconds()
+	age := o.now.Sub(m.at).Seconds()
 	if over := age - 1.5*o.cfg.Params.Workers.ReportS; over > 0 {
 		s = s.Scale(1 + min(0.5, 0.05*over))
 	}
@@ -179,11 +226,11 @@
 type estimate struct{ wait, cost, fetch float64 }
 
 func (o *Owner) estimate(j *job, m *mach) (estimate, bool) {
-	if run := j.runEstimate(); math.IsInf(o.wait(m, j.shape, run), 1) || !o.allowed(j, m) || !o.within(j, m) || !o.underLimit(j) {
+	if !o.allowed(j, m) || !o.within(j, m) || !o.underLimit(j) {
 		return estimate{}, false
 	}
 	if until, ok := j.avoid[m.index]; len(j.avoid) > 0 && ok {
-		if time.Now().Before(until) {
+		if o.now.Before(until) {
 			return estimate{}, false
 		}
 		delete(j.avoid, m.index)
@@ -201,8 +248,8 @@
 // the same time the cheap and the fuller one wins, and others fall idle and
 // can be returned. What a dear machine costs more grows with the task.
 func (o *Owner) packing(m *mach, c float64) float64 {
-	t, ok := o.types.Type(m.view.Type)
-	if !ok || t.CPUs <= 0 {
+	t := o.typeOf(m)
+	if t.CPUs <= 0 {
 		return 0
 	}
 	free := max(0, m.matrix[0].Free.CPUs) / t.CPUs
@@ -410,8 +457,11 @@
 // lookAgain re-places queued tasks that wait much longer than planned, with a
 // duplicate where another machine is now better.
 func (o *Owner) lookAgain() {
-	now := time.Now()
+	o.now = time.Now()
+	now := o.now
 	fresh := seconds(3*o.cfg.Params.Workers.ReportS + 1)
+	open := o.openMachines()
+	budget := lookAtOnce
 	waits := map[*place]float64{}
 	stage := map[*job]*average{}
 	for _, m := range o.machines {
@@ -462,8 +512,11 @@
 			current := placement.Cost(o.fetchTime(j, p.mach), w, j.runEstimate(), o.success(p.mach), o.op.KFail)
 			var best *mach
 			bestE := estimate{cost: current - 1}
-			for _, m := range o.machines {
-				if m == p.mach || len(m.matrix) == 0 || m.closing || m.view.Draining || !m.notice.IsZero() || now.Sub(m.at) > fresh {
+			if budget--; budget < 0 {
+				return
+			}
+			for _, m := range o.candidates(j, o.roomy(open, j.shape)) {
+				if m == p.mach {
 					continue
 				}
 				if e, ok := o.estimate(j, m); ok && e.cost < bestE.cost {
--- a/internal/owner/preempt.go
+++ b/internal/owner/preempt.go
@@ -3,11 +3,11 @@
 import (
 	"math"
 	"sort"
-	"time"
 )
 
 const (
 	preemptsAtOnce = 24  // bounds what one pass stops
+	preemptLooks   = 200 // machines that one pass looks at
 	preemptShare   = 0.5 // work lost by stopping, at most, to the work it lets start
 )
 
@@ -18,22 +18,25 @@
 }
 
 // preempt makes room for urgent jobs whose aim to start soon is in danger, by
-// stopping tasks of lower priority that lose little and have time left.
+// stopping tasks of lower priority that lose little and have time left. One
+// pass looks at a part of a large fleet, the next one at another.
 func (o *Owner) preempt(waiting []*job, open []*mach) {
-	budget := preemptsAtOnce
+	var urgent []*job
 	for _, j := range waiting {
-		if budget <= 0 {
-			return
+		if len(j.pending) > 0 && !j.cancelled && !j.spec.Gang() && o.startAim(j) {
+			urgent = append(urgent, j)
 		}
-		if len(j.pending) == 0 || j.cancelled || j.spec.Gang() || !o.startAim(j) {
-			continue
+	}
+	budget := preemptsAtOnce
+	for range min(len(open), preemptLooks) {
+		for len(urgent) > 0 && len(urgent[0].pending) == 0 {
+			urgent = urgent[1:]
 		}
-		for _, m := range open {
-			if budget <= 0 || len(j.pending) == 0 {
-				break
-			}
-			budget -= o.makeRoom(j, m, budget)
+		if budget <= 0 || len(urgent) == 0 {
+			return
 		}
+		o.preemptAt++
+		budget -= o.makeRoom(urgent[0], open[o.preemptAt%len(open)], budget)
 	}
 }
 
@@ -47,7 +50,7 @@
 	if o.slack(j, 0) < urgentSlack {
 		return true
 	}
-	age := time.Since(j.accepted).Seconds()
+	age := o.now.Sub(j.accepted).Seconds()
 	for _, aim := range o.cfg.Params.Objectives {
 		if aim.Kind == "wait" && aim.Class == j.spec.Class && age < 2*aim.WithinS {
 			return true
@@ -65,7 +68,7 @@
 			v.spec.Service() || v.spec.Gang() || v.spec.Rank() >= j.spec.Rank() || o.slack(v, 0) < lateSlack {
 			continue
 		}
-		elapsed := time.Since(p.running).Seconds()
+		elapsed := o.now.Sub(p.running).Seconds()
 		loss := elapsed
 		if v.spec.MarkS > 0 {
 			loss = math.Mod(elapsed, v.spec.MarkS)
--- a/internal/placement/match.go
+++ b/internal/placement/match.go
@@ -30,7 +30,13 @@
 // one that saves most by it, and the others propose again, for a few rounds.
 // Each machine gets at most one task. Pairs come lowest wait first.
 func Match(options [][]Option, rounds int) []Pair {
-	taken := map[int]bool{}
+	most := 0
+	for _, opts := range options {
+		for i := range opts {
+			most = max(most, opts[i].Machine)
+		}
+	}
+	taken := make([]bool, most+1)
 	matched := make([]bool, len(options))
 	var pairs []Pair
 	for r := 0; r < rounds; r++ {
