Ask unheard machines after a takeover; answer overtaken reports

A clear in a direct order could have overtaken a start in an answer: clears now go only in answers (test). Orders hold a tenth of the sockets: 2,470 of 2,500 had been used.

--- a/cmd/wallrack/daemon.go
+++ b/cmd/wallrack/daemon.go
@@ -56,7 +56,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	n := &node{cfg: p, op: op, store: store, member: member, links: links, log: log, peers: map[string]peerState{}}
 	n.owner = owner.New(p, op, store, member, n, catalog, log)
-	n.holder = machine.New(ctx, p.Node, config.Seconds(p.Params.Workers.LeaseS), n, member, catalog, n, machine.NewHTTPOrderer(), log)
+	n.holder = machine.New(ctx, p.Node, config.Seconds(p.Params.Workers.LeaseS), n, member, catalog, n, machine.NewHTTPOrderer(p.Params.Limits.Sockets), log)
 	n.intake = intake.New(p, op, store, n.owner, catalog, n, log)
 	boxes := fleet.New(p, op, cloud, catalog, store, member, &allOwners{n: n, ctx: ctx}, n.holder, log)
 	alerts := alert.New(p.Params.Objectives, n.owner, log)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -44,6 +44,7 @@
 type Holder interface {
 	Drain(name string) bool
 	Gone(name string)
+	Probe(ctx context.Context, endpoints map[string]string, unheard time.Duration)
 }
 
 // Membership guards what the fleet writes.
@@ -128,8 +129,9 @@
 func (f *Fleet) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	tick := time.NewTicker(planEvery)
+	tick := time.NewTicker(planEvery / 4)
 	defer tick.Stop()
+	var stepped time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -140,6 +142,10 @@
 			f.leading, f.loaded = false, false
 			continue
 		}
+		if f.leading && time.Since(stepped) < planEvery {
+			continue
+		}
+		stepped = time.Now()
 		if !f.leading {
 			f.leading = true
 			f.mu.Lock()
@@ -220,10 +226,17 @@
 			failed[l.Name] = "failed"
 		}
 	}
+	endpoints := map[string]string{}
+	for _, l := range list {
+		if l.Stage == wire.MachineRunning && !f.sending[l.Name] && l.Endpoint != "" {
+			endpoints[l.Name] = l.Endpoint
+		}
+	}
 	f.mu.Unlock()
 	if len(failed) > 0 {
 		f.giveBack(ctx, failed)
 	}
+	f.holder.Probe(ctx, endpoints, seconds(1.5*f.cfg.Params.Workers.ReportS))
 }
 
 // step looks at everything once.
--- a/internal/machine/holder.go
+++ b/internal/machine/holder.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/wallrack/wallrack/internal/placement"
 	"github.com/wallrack/wallrack/internal/wire"
 )
@@ -139,17 +141,31 @@
 			return http.StatusMisdirectedRequest, wire.Redirect{}
 		}
 	}
-	view, ok := h.take(rep, true)
-	if !ok {
+	if view, ok := h.take(rep, true); ok {
+		h.owners.Observe(view)
+	} else if !h.overtaken(rep) {
 		return http.StatusServiceUnavailable, wire.Problem{Error: "late report"}
 	}
-	h.owners.Observe(view)
 	h.mu.Lock()
-	cmds := h.commands(rep.Machine, term)
+	cmds := h.commands(rep.Machine, term, true)
 	h.mu.Unlock()
 	return http.StatusOK, wire.ReportAnswer{Token: term, Commands: cmds}
 }
 
+// overtaken reports whether a report that take refused is only older than the
+// answer to a direct order that came in between. Its list is of no use, but the
+// worker must get its answer: refused, it would go and look for another node.
+func (h *Holder) overtaken(rep *wire.Report) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.machines[rep.Machine]
+	if s == nil || h.gone[rep.Machine] || rep.Session != s.report.Session {
+		return false
+	}
+	h.answered[rep.Machine] = time.Now()
+	return true
+}
+
 func reply(w http.ResponseWriter, status int, body any) {
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -323,8 +339,9 @@
 	return v
 }
 
-// commands collects what the worker is to do now.
-func (h *Holder) commands(name string, term uint64) []wire.Command {
+// commands collects what the worker is to do now; answer says that they go out
+// as the answer to a report.
+func (h *Holder) commands(name string, term uint64, answer bool) []wire.Command {
 	s := h.machines[name]
 	cmds := []wire.Command{}
 	if s == nil || s.report.Machine == "" {
@@ -337,9 +354,11 @@
 	}
 	for ref := range s.clears {
 		// After a clear a late copy of the start command would start the
-		// task again: first every direct order must be fenced off.
-		// one in flight counts too, since it may yet be held back.
-		if s.fate == 0 && !s.busy && len(cmds) < maxCommands {
+		// task again: first every direct order must be fenced off; one in
+		// flight counts too, since it may yet be held back. A clear in a
+		// direct order could overtake a start in the answer to a report;
+		// among answers none is late, since the worker drops those.
+		if answer && s.fate == 0 && !s.busy && len(cmds) < maxCommands {
 			cmds = append(cmds, wire.Command{Verb: wire.VerbForget, Task: ref.Task, Attempt: ref.Attempt})
 		}
 	}
@@ -465,7 +484,7 @@
 	if term == 0 || term < s.report.Token {
 		return // the next report raises the term
 	}
-	cmds := h.commands(name, term)
+	cmds := h.commands(name, term, false)
 	if len(cmds) == 0 {
 		return
 	}
@@ -522,6 +541,40 @@
 	}
 }
 
+// probesAtOnce bounds how many machines are asked for their report at a time.
+const probesAtOnce = 32
+
+// Probe asks machines that were not heard here for a while for their reports.
+// After a takeover this tells what runs long before every worker has found out
+// where to report to, and has done so.
+func (h *Holder) Probe(ctx context.Context, endpoints map[string]string, unheard time.Duration) {
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(probesAtOnce)
+	for name, endpoint := range endpoints {
+		h.mu.Lock()
+		s := h.machines[name]
+		skip := h.gone[name] || s != nil && time.Since(s.at) < unheard || len(h.machines) >= maxMachines
+		h.mu.Unlock()
+		if skip || !h.routing.Entitled() {
+			continue
+		}
+		g.Go(func() error {
+			pctx, cancel := context.WithTimeout(ctx, orderTimeout)
+			rep, err := h.orders.Show(pctx, endpoint)
+			cancel()
+			if err != nil || rep.Machine != name {
+				h.log.Debug("no report on request", "machine", name, "err", err)
+				return nil
+			}
+			if view, ok := h.take(rep, false); ok {
+				h.owners.Observe(view)
+			}
+			return nil
+		})
+	}
+	_ = g.Wait() // none returns an error
+}
+
 // raiseLocked raises the term in the background, one at a time.
 func (h *Holder) raiseLocked(above uint64) {
 	if h.raising || h.tokens.Term() > above {
--- a/internal/machine/orders.go
+++ b/internal/machine/orders.go
@@ -21,21 +21,67 @@
 // whether the worker executed the order.
 type Orderer interface {
 	Order(ctx context.Context, endpoint string, o wire.Orders) (*wire.Report, bool, error)
+	// Show asks a worker for its report.
+	Show(ctx context.Context, endpoint string) (*wire.Report, error)
 }
 
 // HTTPOrderer sends orders over HTTP.
-type HTTPOrderer struct{ client *http.Client }
+type HTTPOrderer struct {
+	client *http.Client
+	slots  chan struct{}
+}
 
-// NewHTTPOrderer returns an orderer with one connection a worker.
-func NewHTTPOrderer() *HTTPOrderer {
+// NewHTTPOrderer returns an orderer that takes at most a tenth of the sockets,
+// one connection a worker: most are for the workers' own connections.
+func NewHTTPOrderer(sockets int) *HTTPOrderer {
+	n := max(8, sockets/20)
 	return &HTTPOrderer{&http.Client{Transport: &http.Transport{
-		MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, MaxIdleConns: 256, IdleConnTimeout: time.Minute,
+		MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, MaxIdleConns: n, IdleConnTimeout: time.Minute,
 		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
-	}}}
+	}}, make(chan struct{}, n)}
+}
+
+// slot waits for one of the connections.
+func (h *HTTPOrderer) slot(ctx context.Context) error {
+	select {
+	case h.slots <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
+	}
+}
+
+// Show implements Orderer.
+func (h *HTTPOrderer) Show(ctx context.Context, endpoint string) (*wire.Report, error) {
+	if err := h.slot(ctx); err != nil {
+		return nil, err
+	}
+	defer func() { <-h.slots }()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+endpoint+"/show", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 8<<20))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("worker answered %s", resp.Status)
+	}
+	return wire.ParseReport(body)
 }
 
 // Order implements Orderer.
 func (h *HTTPOrderer) Order(ctx context.Context, endpoint string, o wire.Orders) (*wire.Report, bool, error) {
+	if err := h.slot(ctx); err != nil {
+		return nil, false, err
+	}
+	defer func() { <-h.slots }()
 	data, err := json.Marshal(o)
 	if err != nil {
 		return nil, false, fmt.Errorf("%w: %w", ErrNotSent, err)
--- a/internal/testkit/world_test.go
+++ b/internal/testkit/world_test.go
@@ -119,6 +119,15 @@
 	return r, executed, nil
 }
 
+// Show asks a worker for its report.
+func (n *node) Show(_ context.Context, endpoint string) (*wire.Report, error) {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	r := n.w.byName[endpoint].Report()
+	r.Endpoint = endpoint
+	return r, nil
+}
+
 func (w *world) start(name string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{w: w, name: name, stop: cancel, done: make(chan struct{})}
@@ -237,6 +246,15 @@
 			}
 		}
 	}
+	unheard := map[string]string{}
+	for _, k := range w.workers {
+		unheard[k.Name] = k.Name
+	}
+	for _, n := range nodes {
+		if len(n.member.Own()) > 0 {
+			n.holder.Probe(context.Background(), unheard, 3*reportEvery)
+		}
+	}
 	if len(nodes) < 3 {
 		return
 	}
