--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -438,7 +438,7 @@
 		for _, spot := range []bool{true, false} {
 			patience := min(boot, d.Slack)
 			if !spot {
-				patience = max(boot, d.Slack)
+				patience = max(boot, d.Slack/2)
 			}
 			n := f.fill(d, sims, patience, !spot)
 			if !spot {
