Missing a start aim counts in C, so that tasks go where their image is

Cause: starts count from when the image is there; fetching 0.7 GB takes 1.4 s of the 2 s, and the put-back of dear machines outweighed the fetch.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -30,6 +30,7 @@
 	IdleS       float64 // idle time after which a machine is returned
 	HeadroomPct float64 // capacity kept beyond the demand, in percent
 	PackS       float64 // seconds by which full machines are preferred to empty ones
+	LateS       float64 // seconds that missing an aim for a start counts in C
 	DearShare   float64 // share of C by which a machine at twice the spot price is put back
 }
 
@@ -52,6 +53,7 @@
 	"idle-s":           {1, 3600, func(o *Operator, v float64) { o.IdleS = v }, false},
 	"pack-s":           {0, 60, func(o *Operator, v float64) { o.PackS = v }, false},
 	"dear-share":       {0, 10, func(o *Operator, v float64) { o.DearShare = v }, false},
+	"late-start-s":     {0, 3600, func(o *Operator, v float64) { o.LateS = v }, false},
 	"headroom-percent": {0, 500, func(o *Operator, v float64) { o.HeadroomPct = v }, false},
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -150,9 +150,10 @@
 
 // class is what was learnt of a class of jobs.
 type class struct {
-	name  string
-	ratio float64 // real run time to the owner's estimate
-	runs  average
+	name   string
+	ratio  float64 // real run time to the owner's estimate
+	runs   average
+	starts []float64 // aims for its tasks' starts, in seconds
 }
 
 // team is a team's use.
@@ -533,6 +534,11 @@
 			return &class{name: name, ratio: 1}
 		}
 		c = &class{name: name, ratio: 1}
+		for _, aim := range o.cfg.Params.Objectives {
+			if aim.Kind == "wait" && aim.Class == name {
+				c.starts = append(c.starts, aim.WithinS)
+			}
+		}
 		o.classes[name] = c
 	}
 	return c
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -18,6 +18,7 @@
 	holdTasks    = 24  // tasks that room is held for
 	holdWithin   = 45  // seconds from now within which room is held
 	placesAtOnce = 400 // bounds what one pass writes
+	startTakes   = 0.3 // seconds from a match to the start, without wait and fetch
 	lookAtOnce   = 32  // queued tasks that look elsewhere in one pass
 )
 
@@ -241,9 +242,24 @@
 		return estimate{}, false
 	}
 	c := placement.Cost(fetch, w, run, o.success(m), o.op.KFail)
+	if o.startLate(j, w+fetch) {
+		c += o.op.LateS
+	}
 	return estimate{w, c + o.packing(m, c), fetch}, true
 }
 
+// startLate reports whether a task that starts after so many seconds misses an
+// aim for its class's starts that it could still meet.
+func (o *Owner) startLate(j *job, after float64) bool {
+	age := o.now.Sub(j.accepted).Seconds()
+	for _, within := range j.class.starts {
+		if age < within && age+after+startTakes > within {
+			return true
+		}
+	}
+	return false
+}
+
 // packing is added to C so that of machines which would finish a task at about
 // the same time the cheap and the fuller one wins, and others fall idle and
 // can be returned. What a dear machine costs more grows with the task.
--- a/internal/owner/preempt.go
+++ b/internal/owner/preempt.go
@@ -51,8 +51,8 @@
 		return true
 	}
 	age := o.now.Sub(j.accepted).Seconds()
-	for _, aim := range o.cfg.Params.Objectives {
-		if aim.Kind == "wait" && aim.Class == j.spec.Class && age < 2*aim.WithinS {
+	for _, within := range j.class.starts {
+		if age < 2*within {
 			return true
 		}
 	}
@@ -94,6 +94,9 @@
 	if !o.allowed(j, m) || !o.within(j, m) || !o.underLimit(j) {
 		return 0
 	}
+	if fetch := o.fetchTime(j, m); fetch > 0 && o.startLate(j, fetch) && !o.startLate(j, 0) {
+		return 0 // another machine has the image
+	}
 	free := m.matrix[0].Free
 	run := j.runEstimate()
 	stopped, lost, starts := 0, 0.0, 0
