--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -605,30 +605,18 @@
 // a machine rented now can help to meet.
 func (o *Owner) slack(j *job, boot float64) float64 {
 	age := o.now.Sub(j.accepted).Seconds()
-	run := 1.3*j.runEstimate() + 4
+	run := pessimism*j.runEstimate() + restartTakes
 	best := math.Inf(1)
 	offer := func(s float64) {
 		if s >= boot && s < best {
 			best = s
 		}
 	}
-	for _, aim := range o.cfg.Params.Objectives {
-		if aim.Class != j.spec.Class {
-			continue
-		}
-		switch aim.Kind {
-		case "wait":
-			offer(aim.WithinS - age)
-		case "finished":
-			offer(aim.WithinS - age - run)
-		case "deadline":
-			if j.spec.DueS != nil {
-				offer(*j.spec.DueS*max(1, aim.Times) - age - run)
-			}
-		}
+	for _, within := range j.class.starts {
+		offer(within - age)
 	}
-	if j.spec.DueS != nil {
-		offer(*j.spec.DueS - age - run)
+	for _, limit := range o.limits(j) {
+		offer(limit - age - run)
 	}
 	if math.IsInf(best, 1) {
 		return lateSlack
@@ -636,6 +624,31 @@
 	return best
 }
 
+const (
+	pessimism    = 1.3 // by which runs are taken to be longer than expected
+	restartTakes = 4   // seconds from a decision to a task's run, image included
+)
+
+// limits are the ages at which the job should be done.
+func (o *Owner) limits(j *job) []float64 {
+	if j.ends == nil {
+		j.ends = []float64{}
+		for _, aim := range o.cfg.Params.Objectives {
+			switch {
+			case aim.Class != j.spec.Class:
+			case aim.Kind == "finished":
+				j.ends = append(j.ends, aim.WithinS)
+			case aim.Kind == "deadline" && j.spec.DueS != nil:
+				j.ends = append(j.ends, *j.spec.DueS*max(1, aim.Times))
+			}
+		}
+		if j.spec.DueS != nil {
+			j.ends = append(j.ends, *j.spec.DueS)
+		}
+	}
+	return j.ends
+}
+
 // Admitted returns how much work, in CPU-seconds, has been accepted since this
 // owner began.
 func (o *Owner) Admitted() float64 {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -131,8 +131,10 @@
 	notBefore time.Time
 	avoid     map[int]time.Time
 	zones     map[string]int
-	unzoned   int // places that count in every zone
-	started   int // tasks that were ever seen running
+	unzoned   int          // places that count in every zone
+	started   int          // tasks that were ever seen running
+	ends      []float64    // see limits
+	moved     map[int]bool // tasks that were stopped to empty a machine
 }
 
 type average struct {
@@ -231,7 +233,7 @@
 
 // Stats are counters for operators.
 type Stats struct {
-	Placed, Duplicates, Granted, Refused, Lost, Done, Errors, Preempted, Takeovers int
+	Placed, Duplicates, Granted, Refused, Lost, Done, Errors, Preempted, Evacuated, Takeovers int
 }
 
 // New returns an owner of nothing yet.
@@ -288,6 +290,7 @@
 		if time.Since(sweep) > time.Second {
 			sweep = time.Now()
 			o.lookAgain()
+			o.evacuate()
 			o.sweep()
 		}
 		o.mu.Unlock()
