--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -30,6 +30,7 @@
 	IdleS       float64 // idle time after which a machine is returned
 	HeadroomPct float64 // capacity kept beyond the demand, in percent
 	PackS       float64 // seconds by which full machines are preferred to empty ones
+	DearHeadPct float64 // the same where only ordinary machines could give it
 	LateS       float64 // seconds that missing an aim for a start counts in C
 	DearShare   float64 // share of C by which a machine at twice the spot price is put back
 }
@@ -41,20 +42,21 @@
 }
 
 var settings = map[string]setting{
-	"shards":           {1, 256, func(o *Operator, v float64) { o.Shards = int(v) }, true},
-	"spread":           {1, 64, func(o *Operator, v float64) { o.Spread = int(v) }, true},
-	"lease-s":          {2, 60, func(o *Operator, v float64) { o.LeaseS = v }, false},
-	"k-fail":           {1, 100, func(o *Operator, v float64) { o.KFail = v }, false},
-	"queue-horizon-s":  {0, 600, func(o *Operator, v float64) { o.HorizonS = v }, false},
-	"random-s":         {0, 60, func(o *Operator, v float64) { o.RandomS = v }, false},
-	"publish-s":        {0.1, 60, func(o *Operator, v float64) { o.PublishS = v }, false},
-	"replace-s":        {0.5, 600, func(o *Operator, v float64) { o.ReplaceS = v }, false},
-	"silent-s":         {3, 600, func(o *Operator, v float64) { o.SilentS = v }, false},
-	"idle-s":           {1, 3600, func(o *Operator, v float64) { o.IdleS = v }, false},
-	"pack-s":           {0, 60, func(o *Operator, v float64) { o.PackS = v }, false},
-	"dear-share":       {0, 10, func(o *Operator, v float64) { o.DearShare = v }, false},
-	"late-start-s":     {0, 3600, func(o *Operator, v float64) { o.LateS = v }, false},
-	"headroom-percent": {0, 500, func(o *Operator, v float64) { o.HeadroomPct = v }, false},
+	"shards":                {1, 256, func(o *Operator, v float64) { o.Shards = int(v) }, true},
+	"spread":                {1, 64, func(o *Operator, v float64) { o.Spread = int(v) }, true},
+	"lease-s":               {2, 60, func(o *Operator, v float64) { o.LeaseS = v }, false},
+	"k-fail":                {1, 100, func(o *Operator, v float64) { o.KFail = v }, false},
+	"queue-horizon-s":       {0, 600, func(o *Operator, v float64) { o.HorizonS = v }, false},
+	"random-s":              {0, 60, func(o *Operator, v float64) { o.RandomS = v }, false},
+	"publish-s":             {0.1, 60, func(o *Operator, v float64) { o.PublishS = v }, false},
+	"replace-s":             {0.5, 600, func(o *Operator, v float64) { o.ReplaceS = v }, false},
+	"silent-s":              {3, 600, func(o *Operator, v float64) { o.SilentS = v }, false},
+	"idle-s":                {1, 3600, func(o *Operator, v float64) { o.IdleS = v }, false},
+	"pack-s":                {0, 60, func(o *Operator, v float64) { o.PackS = v }, false},
+	"dear-share":            {0, 10, func(o *Operator, v float64) { o.DearShare = v }, false},
+	"late-start-s":          {0, 3600, func(o *Operator, v float64) { o.LateS = v }, false},
+	"dear-headroom-percent": {0, 500, func(o *Operator, v float64) { o.DearHeadPct = v }, false},
+	"headroom-percent":      {0, 500, func(o *Operator, v float64) { o.HeadroomPct = v }, false},
 }
 
 // LoadOperator reads the operators' settings over the built-in ones; an empty
--- a/internal/config/operator.sexp
+++ b/internal/config/operator.sexp
@@ -14,4 +14,5 @@
   (pack-s 1)              ; seconds by which full machines are preferred to empty ones
   (dear-share 0.15)       ; share of C by which a machine at twice the spot price is put back
   (late-start-s 30)       ; seconds that missing an aim for a start counts in C
-  (headroom-percent 15))  ; capacity kept beyond the demand
+  (headroom-percent 15)   ; capacity kept beyond the demand
+  (dear-headroom-percent 3)) ; the same where only ordinary machines could give it
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -495,7 +495,7 @@
 	if now.Sub(f.ledAt) < settleFor {
 		return nil // what runs is not known well yet
 	}
-	spare := -f.busy * (1 + f.op.HeadroomPct/100)
+	spare := -f.busy * (1 + f.op.DearHeadPct/100)
 	for i := range demand {
 		spare -= demand[i].Shape.CPUs * float64(demand[i].Count)
 	}
@@ -775,7 +775,7 @@
 		// for what runs, not for what may come: that can wait for them.
 		target := f.target()
 		if !b.offer.Spot && t.SpotPrice > 0 {
-			target = f.busy * (1 + f.op.HeadroomPct/100)
+			target = f.busy * (1 + f.op.DearHeadPct/100)
 		}
 		if !b.closing && (wanted[b.offer.Spot] || have-t.CPUs < target-t.CPUs/2) {
 			continue
