An owner without its lease settles nothing and gives no directions

Cause: a controller cut off from the state service kept its jobs in memory and went on settling reports: it took the tasks that its successor had started on machines still reporting to it for strays, halted and cleared them. Ruled out: attempt numbers handed out twice (the same choice made by both, harmless), lost log records. Tests: no directions without the lease (fails without the mend), replay of the log.

--- a/internal/owner/bench_test.go
+++ b/internal/owner/bench_test.go
@@ -21,13 +21,14 @@
 	owner *owner.Owner
 	views []machine.View
 	rev   uint64
+	held  time.Duration
 }
 
 var size = wire.MachineType{Name: "m", CPUs: 16, MemoryGB: 64, CacheGB: 50, FetchGBPerS: 1, Price: 1, SpotPrice: 0.3, BootS: 10, Zones: []string{"z"}}
 
 func (f *fleet) Type(string) (wire.MachineType, bool) { return size, true }
 func (f *fleet) Name() string                         { return "a" }
-func (f *fleet) Held() time.Duration                  { return time.Minute }
+func (f *fleet) Held() time.Duration                  { return f.held }
 func (f *fleet) Own() map[int]uint64                  { return map[int]uint64{0: 1} }
 func (f *fleet) Claimed() map[int]uint64              { return f.Own() }
 func (f *fleet) Fresh(context.Context) (uint64, error) {
@@ -54,7 +55,7 @@
 
 // newFleet has machines with one task each and jobs that wait for more room
 // than there is.
-func newFleet(b *testing.B, machines, jobs int) *fleet {
+func newFleet(b testing.TB, machines, jobs int) *fleet {
 	op, err := config.LoadOperator("")
 	if err != nil {
 		b.Fatal(err)
@@ -64,7 +65,7 @@
 		Workers: config.Workers{ReportS: 1, LeaseS: 10, CancelS: 40},
 		State:   config.State{RPS: 100, WriteRPS: 100, ValueKB: 16, TxnOps: 48},
 	}}
-	f := &fleet{}
+	f := &fleet{held: time.Minute}
 	f.owner = owner.New(cfg, op, f, f, f, f, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err := f.owner.Load(context.Background()); err != nil {
 		b.Fatal(err)
--- a/internal/owner/export_test.go
+++ b/internal/owner/export_test.go
@@ -1,6 +1,13 @@
 package owner
 
-import "context"
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+
+	"github.com/wallrack/wallrack/internal/wire"
+)
 
 // Pass is one scheduling pass.
 func (o *Owner) Pass() {
@@ -19,3 +26,41 @@
 	}
 	return o.load(ctx, shards, claimed)
 }
+
+// Directions counts the halts and clears that wait to be sent.
+func (o *Owner) Directions() (halts, clears int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, d := range o.pend {
+		halts += len(d.Halt)
+		clears += len(d.Clear)
+	}
+	return halts, clears
+}
+
+// Replayed makes a job of so many tasks of log records, with a chunk record
+// that says nothing up to record saved.
+func (o *Owner) Replayed(tasks int, saved uint64, records []string) (places []string, done []int) {
+	var items []wire.Item
+	for i, r := range records {
+		items = append(items, wire.Item{Key: slotKey(0, i), Value: json.RawMessage(r), Version: uint64(i + 1)})
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	_, entries := o.readLogs(items, map[int]bool{0: true})
+	chunk := wire.Item{Key: chunkKey("j-1", 0), Value: json.RawMessage(fmt.Sprintf(`{"seq":%d,"next":1}`, saved)), Version: 9}
+	j := o.admit(&liveRecord{Job: wire.Job{UID: "j-1", Kind: wire.KindArray, Tasks: tasks}}, 1, []wire.Item{chunk}, entries["j-1"], 7)
+	for _, ps := range j.places {
+		for _, p := range ps {
+			places = append(places, fmt.Sprintf("%s %d %s", p.ref.Task, p.attempt, p.ref.Machine))
+		}
+	}
+	sort.Strings(places)
+	for t := range tasks {
+		if j.chunks[0].isDone(t) {
+			done = append(done, t)
+		}
+	}
+	o.forget("j-1", j)
+	return places, done
+}
--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -48,6 +48,11 @@
 	if v.NoticeS != nil {
 		m.notice = now.Add(time.Duration(*v.NoticeS * float64(time.Second)))
 	}
+	if o.member.Held() <= 0 {
+		// There may be another owner by now, whose tasks would look like
+		// strays here. If there is none, the next report settles all this.
+		return
+	}
 	shown := make(map[machine.Ref]bool, len(v.Tasks)+len(v.Queue))
 	for i := range v.Tasks {
 		t := &v.Tasks[i]
@@ -128,7 +133,8 @@
 	}
 	if p.state != placeSeen {
 		if !p.on() {
-			o.log.Error("a task runs without a grant", "task", ref.Task, "machine", m.name)
+			o.log.Error("a task runs without a grant", "task", ref.Task, "machine", m.name, "attempt", ref.Attempt, "state", p.state,
+				"told", p.sentTo, "age", time.Since(p.made), "holder", m.view.Holder, "token", m.view.Token, "reported", t.State, "for", t.ForS, "halted", p.haltAt)
 		}
 		unsettled := p.state == placeUnsettled
 		p.whole = !unsettled
--- /dev/null
+++ b/internal/owner/owner_test.go
@@ -0,0 +1,61 @@
+package owner_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/machine"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// An owner that was cut off from the state service took the tasks that its
+// successor had started on machines that still reported here for strays, and
+// stopped and cleared them; some were never settled, and their jobs never done.
+func TestNoDirectionsWithoutTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 0)
+		time.Sleep(time.Minute)
+		show := func(state, cause string) {
+			v := &f.views[0]
+			v.Seq++
+			v.Tasks = []machine.TaskView{{Task: wire.Task{Task: "j-9/0", Attempt: 1, State: state, Cause: cause}}}
+			f.owner.Observe(*v)
+		}
+		f.held = 0
+		show(wire.TaskRunning, "")
+		show(wire.TaskExited, wire.CauseError)
+		if halts, clears := f.owner.Directions(); halts+clears != 0 {
+			t.Errorf("%d halts and %d clears without the lease", halts, clears)
+		}
+		f.held = time.Minute
+		show(wire.TaskExited, wire.CauseError)
+		if _, clears := f.owner.Directions(); clears != 1 {
+			t.Error("with the lease the leftover is not cleared")
+		}
+	})
+}
+
+// A log that is written over must still tell a new owner all that it may not
+// forget: records replayed in order give the places and completions that a
+// chunk's own record, if it is newer, has not told already.
+func TestReplay(t *testing.T) {
+	f := newFleet(t, 0, 0)
+	places, done := f.owner.Replayed(4, 2, []string{
+		`{"seq":1,"m":["n-1","n-2"],"j":[{"u":"j-1","p":[0,1,0, 1,2,1, 3,3,0]}]}`,
+		`{"seq":2,"j":[{"u":"j-1","d":[3]}]}`,
+		`{"seq":3,"m":["n-3"],"j":[{"u":"j-1","x":[0,1],"p":[0,4,0]}]}`,
+		`{"seq":4,"j":[{"u":"j-1","d":[1], "x":[9,9]}]}`,
+	})
+	// The chunk's record speaks up to record 2: place 1 of task 1 was in it.
+	if len(places) != 1 || places[0] != "j-1/0 4 n-3" || len(done) != 1 || done[0] != 1 {
+		t.Errorf("places %v, done %v", places, done)
+	}
+	places, done = f.owner.Replayed(4, 0, []string{
+		`{"seq":1,"m":["n-1","n-2"],"j":[{"u":"j-1","p":[0,1,0, 1,2,1, 3,3,0]}]}`,
+		`{"seq":2,"j":[{"u":"j-1","d":[3]}]}`,
+	})
+	if len(places) != 2 || len(done) != 1 || done[0] != 3 {
+		t.Errorf("places %v, done %v", places, done)
+	}
+}
