--- a/internal/owner/bench_test.go
+++ b/internal/owner/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -22,6 +23,7 @@
 	views []machine.View
 	rev   uint64
 	held  time.Duration
+	items map[string][]wire.Item // by prefix
 }
 
 var size = wire.MachineType{Name: "m", CPUs: 16, MemoryGB: 64, CacheGB: 50, FetchGBPerS: 1, Price: 1, SpotPrice: 0.3, BootS: 10, Zones: []string{"z"}}
@@ -39,8 +41,8 @@
 	return machine.Unlaunched{}, nil
 }
 func (f *fleet) Get(context.Context, string) (wire.Item, error) { return wire.Item{}, nil }
-func (f *fleet) List(context.Context, string) ([]wire.Item, uint64, error) {
-	return nil, 0, nil
+func (f *fleet) List(_ context.Context, prefix string) ([]wire.Item, uint64, error) {
+	return f.items[prefix], 0, nil
 }
 func (f *fleet) Txn(context.Context, []wire.Guard, ...wire.Op) (uint64, error) {
 	f.rev++
@@ -93,6 +95,31 @@
 	}
 }
 
+// BenchmarkTakeover is a new owner's reading of 130 jobs and of a full log.
+func BenchmarkTakeover(b *testing.B) {
+	f := newFleet(b, 0, 0)
+	f.items = map[string][]wire.Item{}
+	add := func(prefix, key, value string) {
+		f.items[prefix] = append(f.items[prefix], wire.Item{Key: prefix + key, Value: json.RawMessage(value), Version: 1})
+	}
+	for i := range 130 {
+		add("live/", fmt.Sprintf("j-%d", i), fmt.Sprintf(`{"job":{"uid":"j-%d","docket":"c","crew":"t","sort":"sweep","pieces":100,"cpus":2}}`, i))
+	}
+	for i := range 512 {
+		places := ""
+		for k := range 20 {
+			places += fmt.Sprintf(`,{"u":"j-%d","p":[%d,%d,0]}`, (i*20+k)%130, (i+k)%100, i+1)
+		}
+		add("log/", fmt.Sprintf("000/%05d", i), fmt.Sprintf(`{"seq":%d,"m":["n-%06d"],"j":[%s]}`, i+1, i, places[1:]))
+	}
+	for b.Loop() {
+		f.owner.Unload()
+		if err := f.owner.Load(context.Background()); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 func BenchmarkReport(b *testing.B) {
 	f := newFleet(b, 1700, 120)
 	f.owner.Pass()
--- a/internal/owner/export_test.go
+++ b/internal/owner/export_test.go
@@ -27,6 +27,15 @@
 	return o.load(ctx, shards, claimed)
 }
 
+// Unload forgets every shard.
+func (o *Owner) Unload() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for s := range o.loaded {
+		o.unload(s)
+	}
+}
+
 // Directions counts the halts and clears that wait to be sent.
 func (o *Owner) Directions() (halts, clears int) {
 	o.mu.Lock()
