--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -289,8 +289,11 @@
 		o.place()
 		if time.Since(sweep) > time.Second {
 			sweep = time.Now()
-			o.lookAgain()
-			o.evacuate()
+			if o.member.Held() > 0 {
+				// Else a successor may own these tasks already.
+				o.lookAgain()
+				o.evacuate()
+			}
 			o.sweep()
 		}
 		o.mu.Unlock()
