--- a/cmd/wallrack/daemon.go
+++ b/cmd/wallrack/daemon.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -21,6 +24,7 @@
 	"github.com/wallrack/wallrack/internal/mesh"
 	"github.com/wallrack/wallrack/internal/owner"
 	"github.com/wallrack/wallrack/internal/statestore"
+	"github.com/wallrack/wallrack/internal/usage"
 )
 
 // memoryShare is the part of the memory limit that the runtime aims to stay
@@ -60,6 +64,13 @@
 	n.intake = intake.New(p, op, store, n.owner, catalog, n, log)
 	boxes := fleet.New(p, op, cloud, catalog, store, member, &allOwners{n: n, ctx: ctx}, n.holder, log)
 	alerts := alert.New(p.Params.Objectives, n.owner, log)
+	var open connections
+	meter := usage.New(func() map[string]int {
+		q := n.owner.Queues()
+		q["machines"], q["queued"], q["orders"] = n.holder.Depths()
+		q["connections"] = open.count()
+		return q
+	}, log)
 	member.OnChange(n.owner.Changed)
 	n.handle()
 	n.handleDemand()
@@ -67,6 +78,12 @@
 	mux := http.NewServeMux()
 	n.intake.Register(mux)
 	alerts.Register(mux)
+	mux.HandleFunc("GET /ops/stats", func(w http.ResponseWriter, _ *http.Request) {
+		stats := alerts.Stats()
+		stats["counters"], stats["usage"] = n.owner.Counters(), meter.Read()
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(stats) // the operator asks again
+	})
 	mux.HandleFunc("POST /v1/report", n.holder.ServeReport)
 	lis, err := mesh.Listen(ctx, p.Listen)
 	if err != nil {
@@ -74,7 +91,7 @@
 	}
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 15 * time.Second,
 		WriteTimeout: 15 * time.Second, IdleTimeout: 90 * time.Second, MaxHeaderBytes: 16 << 10,
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+		ConnState: open.note, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 
 	g.Go(func() error {
 		if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
@@ -94,6 +111,7 @@
 	g.Go(func() error { return catalog.Run(ctx, n.owner.Leads) })
 	g.Go(func() error { return boxes.Run(ctx) })
 	g.Go(func() error { return alerts.Run(ctx) })
+	g.Go(func() error { return meter.Run(ctx) })
 	g.Go(func() error { return n.ping(ctx) })
 	g.Go(func() error { return n.publish(ctx) })
 	g.Go(func() error { return n.vouch(ctx) })
@@ -105,3 +123,17 @@
 	}
 	return err
 }
+
+// connections counts the open connections of users and workers.
+type connections struct{ open atomic.Int64 }
+
+func (c *connections) note(_ net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		c.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		c.open.Add(-1)
+	}
+}
+
+func (c *connections) count() int { return int(c.open.Load()) }
--- a/cmd/wallrack/node.go
+++ b/cmd/wallrack/node.go
@@ -13,6 +13,7 @@
 	"github.com/wallrack/wallrack/internal/mesh"
 	"github.com/wallrack/wallrack/internal/owner"
 	"github.com/wallrack/wallrack/internal/statestore"
+	"github.com/wallrack/wallrack/internal/usage"
 )
 
 const (
@@ -82,6 +83,7 @@
 		return n.state(), nil
 	})
 	mesh.Handle(n.links, methodPublish, func(_ context.Context, m *publishMessage) (*nothing, error) {
+		defer usage.Count(usage.Peers, time.Now())
 		for _, v := range m.Views {
 			n.owner.Observe(v)
 		}
@@ -312,6 +314,7 @@
 				n.owner.Observe(v)
 			}
 		}
+		start := time.Now()
 		changed := n.holder.Changed()
 		if time.Since(full) > republish {
 			full = time.Now()
@@ -339,6 +342,7 @@
 			}()
 		}
 		wg.Wait()
+		usage.Count(usage.Peers, start)
 	}
 }
 
--- a/internal/alert/alert.go
+++ b/internal/alert/alert.go
@@ -24,11 +24,8 @@
 	keepPast = 200
 )
 
-// Jobs gives the living jobs and the counters.
-type Jobs interface {
-	Statuses() []owner.Status
-	Counters() owner.Stats
-}
+// Jobs gives the living jobs.
+type Jobs interface{ Statuses() []owner.Status }
 
 // Alert is one occurrence.
 type Alert struct {
@@ -151,12 +148,13 @@
 		sort.Slice(open, func(i, j int) bool { return open[i].Since.Before(open[j].Since) })
 		send(w, map[string]any{"open": open, "past": past})
 	})
-	mux.HandleFunc("GET /ops/stats", func(w http.ResponseWriter, _ *http.Request) {
-		counters := a.jobs.Counters()
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		send(w, map[string]any{"counters": counters, "wait_ms": quantiles(a.wait), "late_ms": quantiles(a.late)})
-	})
+}
+
+// Stats returns quantiles of how late starts and ends were.
+func (a *Alerts) Stats() map[string]any {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return map[string]any{"wait_ms": quantiles(a.wait), "late_ms": quantiles(a.late)}
 }
 
 func quantiles(h *hdrhistogram.Histogram) map[string]int64 {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/owner"
 	"github.com/wallrack/wallrack/internal/placement"
+	"github.com/wallrack/wallrack/internal/usage"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -241,6 +242,7 @@
 
 // step looks at everything once.
 func (f *Fleet) step(ctx context.Context, wg *sync.WaitGroup) {
+	defer usage.Count(usage.Fleet, time.Now())
 	demand, loads := f.owner.Demand(f.boot())
 	suspects := f.owner.Suspects()
 	now := time.Now()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -14,6 +14,7 @@
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/owner"
 	"github.com/wallrack/wallrack/internal/statestore"
+	"github.com/wallrack/wallrack/internal/usage"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -105,6 +106,7 @@
 		select {
 		case in.slots <- struct{}{}:
 			defer func() { <-in.slots }()
+			defer usage.Count(usage.Users, time.Now())
 			f(w, r)
 		default:
 			refuse(w, http.StatusServiceUnavailable, "too many requests at once")
--- a/internal/machine/holder.go
+++ b/internal/machine/holder.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wallrack/wallrack/internal/placement"
+	"github.com/wallrack/wallrack/internal/usage"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -101,6 +102,7 @@
 
 // ServeReport answers a worker's report.
 func (h *Holder) ServeReport(w http.ResponseWriter, r *http.Request) {
+	defer usage.Count(usage.Reports, time.Now())
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody))
 	if err != nil {
 		reply(w, http.StatusBadRequest, wire.Problem{Error: "body unreadable or too large"})
@@ -599,6 +601,7 @@
 // Direct does what an owner says and returns the halted tasks that this
 // holder surely never launched.
 func (h *Holder) Direct(d Direction) Unlaunched {
+	defer usage.Count(usage.Directed, time.Now())
 	var out Unlaunched
 	touched := map[string]bool{}
 	h.mu.Lock()
@@ -761,3 +764,17 @@
 	}
 	return time.Since(h.started)
 }
+
+// Depths counts the machines held, the tasks queued at them, and the direct
+// orders under way.
+func (h *Holder) Depths() (machines, queued, orders int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.machines {
+		queued += len(s.queue)
+		if s.busy {
+			orders++
+		}
+	}
+	return len(h.machines), queued, orders
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -17,6 +17,7 @@
 	"github.com/wallrack/wallrack/internal/machine"
 	"github.com/wallrack/wallrack/internal/placement"
 	"github.com/wallrack/wallrack/internal/statestore"
+	"github.com/wallrack/wallrack/internal/usage"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -298,6 +299,7 @@
 		}
 		o.mu.Unlock()
 		took = time.Since(start)
+		usage.Count(usage.Passes, start)
 		// Gather what comes in the meantime into one batch, and keep passes
 		// to a small part of the processor, however long they take.
 		select {
@@ -664,6 +666,7 @@
 			take(it.Key, it.Value, it.Version)
 		}
 	}, func(events []wire.Event) {
+		defer usage.Count(usage.Watches, time.Now())
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		for _, e := range events {
--- a/internal/owner/users.go
+++ b/internal/owner/users.go
@@ -187,3 +187,17 @@
 	defer o.mu.Unlock()
 	return o.stats
 }
+
+// Queues returns how much this owner has in hand.
+func (o *Owner) Queues() map[string]int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	q := map[string]int{"jobs": len(o.jobs), "known_machines": len(o.machines), "pending": 0, "unwritten": 0}
+	for _, j := range o.order {
+		q["pending"] += len(j.pending)
+	}
+	for _, l := range o.logs {
+		q["unwritten"] += len(l.queue)
+	}
+	return q
+}
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -8,6 +8,7 @@
 
 	"github.com/wallrack/wallrack/internal/machine"
 	"github.com/wallrack/wallrack/internal/statestore"
+	"github.com/wallrack/wallrack/internal/usage"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -198,6 +199,7 @@
 		return false, nil
 	}
 	o.mu.Lock()
+	start := time.Now()
 	b := o.open
 	if b == nil {
 		if b, more, err = o.build(); b == nil {
@@ -207,6 +209,7 @@
 		o.open = b
 	}
 	o.mu.Unlock()
+	usage.Count(usage.Records, start)
 	tctx, cancel := context.WithTimeout(ctx, txnTimeout)
 	rev, err := o.store.BulkTxn(tctx, b.guards, b.ops...)
 	cancel()
@@ -217,6 +220,7 @@
 	if err != nil {
 		return true, err
 	}
+	defer usage.Count(usage.Records, time.Now())
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.commit(b, rev)
