--- /dev/null
+++ b/internal/testkit/load_test.go
@@ -0,0 +1,139 @@
+package testkit_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/owner"
+	"github.com/wallrack/wallrack/internal/testkit"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// station is a worker with its connection to the controller. It spends as
+// little as it can, so that a profile shows the controller.
+type station struct {
+	worker *testkit.Worker
+	conn   net.Conn
+	in     *bufio.Reader
+}
+
+// report sends the worker's report and executes the answer.
+func (s *station) report(b *testing.B) {
+	sent := time.Now()
+	rep := s.worker.Report()
+	rep.Endpoint = s.worker.Name
+	body, err := json.Marshal(rep)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var out bytes.Buffer
+	fmt.Fprintf(&out, "POST /v1/report HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n", len(body))
+	out.Write(body)
+	if _, err := s.conn.Write(out.Bytes()); err != nil {
+		b.Fatal(err)
+	}
+	resp, err := http.ReadResponse(s.in, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var a wire.ReportAnswer
+	if resp.StatusCode == http.StatusOK && json.Unmarshal(data, &a) == nil {
+		s.worker.Answer(sent, rep.Session, a)
+	}
+}
+
+// BenchmarkLoad is one controller, from sockets to the state service's
+// stand-in, with a fleet whose machines report in turn while jobs come, run
+// and end. An operation is a report with its share of everything else: grants,
+// passes, records. Tasks run for a fiftieth of what they would, since reports
+// come about as much faster.
+func BenchmarkLoad(b *testing.B) {
+	for _, c := range []struct {
+		machines int
+		cpus     types
+		jobs     int
+	}{{246, 24, 40}, {1700, 10, 130}} {
+		b.Run(fmt.Sprintf("machines=%d", c.machines), func(b *testing.B) {
+			runtime.GOMAXPROCS(1) // as a controller has it
+			w := newWorld(b, 1)
+			w.size, w.workers, w.byName = c.cpus, nil, map[string]*testkit.Worker{}
+			w.start("a")
+			n := w.nodes["a"]
+			lis, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			mux := http.NewServeMux()
+			mux.HandleFunc("POST /v1/report", n.holder.ServeReport)
+			srv := &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 15 * time.Second, WriteTimeout: 15 * time.Second}
+			var serving sync.WaitGroup
+			serving.Go(func() { _ = srv.Serve(lis) })
+			var stations []*station
+			for i := range c.machines {
+				k := testkit.NewWorker(fmt.Sprintf("n-%06d", i), workerLease, func(task string) time.Duration {
+					return time.Duration(400+len(task)*20) * time.Millisecond
+				})
+				conn, err := net.Dial("tcp", lis.Addr().String())
+				if err != nil {
+					b.Fatal(err)
+				}
+				w.workers, w.byName[k.Name] = append(w.workers, k), k
+				stations = append(stations, &station{k, conn, bufio.NewReader(conn)})
+			}
+			submitted := 0
+			keep := func() {
+				for living := len(w.store.Keys("live/")); living < c.jobs; living++ {
+					submitted++
+					w.submitLoad(submitted)
+				}
+			}
+			keep()
+			for i := range 20 * len(stations) { // warm up
+				stations[i%len(stations)].report(b)
+			}
+			before := n.owner.Counters()
+			b.ResetTimer()
+			i := 0
+			for ; b.Loop(); i++ {
+				stations[i%len(stations)].report(b)
+				if i%100 == 0 {
+					keep()
+				}
+			}
+			b.StopTimer()
+			after := n.owner.Counters()
+			b.ReportMetric(float64(after.Granted-before.Granted)/float64(i), "grants/op")
+			b.ReportMetric(float64(after.Done-before.Done)/float64(i), "ends/op")
+			for _, s := range stations {
+				_ = s.conn.Close()
+			}
+			_ = srv.Close()
+			serving.Wait()
+			w.crash("a")
+		})
+	}
+}
+
+func (w *world) submitLoad(n int) {
+	due := 100.0
+	job := &wire.Job{UID: fmt.Sprintf("j-%06d", n), Class: fmt.Sprintf("c%d", n%3), Team: "t", Kind: wire.KindArray, Priority: []string{"low", "normal"}[n%2],
+		Tasks: 20 + n*37%150, CPUs: float64(1 + n%3), MemoryGB: 2, Image: fmt.Sprintf("i%d", n%10), ImageGB: 0.1, Estimate: 0.6, Spot: true, DueS: &due}
+	guards, op := owner.AcceptTxn(job, owner.ShardOf(job, nil, 4), time.Now().UnixMilli())
+	if _, err := (&testkit.View{Store: w.store}).Txn(context.Background(), guards, op); err != nil {
+		w.t.Fatal(err)
+	}
+}
--- a/internal/testkit/world_test.go
+++ b/internal/testkit/world_test.go
@@ -27,16 +27,18 @@
 	reportEvery = time.Second
 )
 
-type types struct{}
+// types is one machine type with so many CPUs.
+type types float64
 
-func (types) Type(string) (wire.MachineType, bool) {
-	return wire.MachineType{Name: "m", CPUs: 4, MemoryGB: 16, CacheGB: 50, FetchGBPerS: 1, Price: 1, SpotPrice: 0.3, BootS: 10, Zones: []string{"z"}}, true
+func (t types) Type(string) (wire.MachineType, bool) {
+	return wire.MachineType{Name: "m", CPUs: float64(t), MemoryGB: 4 * float64(t), CacheGB: 50, FetchGBPerS: 1, Price: 1, SpotPrice: 0.3, BootS: 10, Zones: []string{"z"}}, true
 }
 
 // world is three controllers, their store and some workers, with troubles
 // drawn from a fixed seed.
 type world struct {
-	t       *testing.T
+	t       testing.TB
+	size    types
 	rnd     *rand.Rand
 	cfg     *config.Platform
 	store   *testkit.Store
@@ -145,9 +147,9 @@
 	n.member = membership.New(n.view, name, config.Seconds(op.LeaseS), op.Shards, op.Spread, log)
 	cfg := *w.cfg
 	cfg.Node = name
-	n.owner = owner.New(&cfg, op, n.view, n.member, n, types{}, log)
+	n.owner = owner.New(&cfg, op, n.view, n.member, n, w.size, log)
 	n.owner.KeepSlots = 4 // so that records are written over, and chunks saved
-	n.holder = machine.New(ctx, name, workerLease, n, n.member, types{}, n, n, log)
+	n.holder = machine.New(ctx, name, workerLease, n, n.member, w.size, n, n, log)
 	n.member.OnChange(n.owner.Changed)
 	var wg sync.WaitGroup
 	for _, f := range []func(context.Context) error{n.member.Run, n.owner.Run} {
@@ -274,8 +276,8 @@
 	}
 }
 
-func newWorld(t *testing.T, seed uint64) *world {
-	w := &world{t: t, rnd: rand.New(rand.NewPCG(seed, 7)), store: testkit.NewStore(), nodes: map[string]*node{},
+func newWorld(t testing.TB, seed uint64) *world {
+	w := &world{t: t, size: 4, rnd: rand.New(rand.NewPCG(seed, 7)), store: testkit.NewStore(), nodes: map[string]*node{},
 		at: map[*testkit.Worker]int{}, byName: map[string]*testkit.Worker{}}
 	w.cfg = &config.Platform{Params: config.Params{
 		Teams:   []config.Team{{Name: "t"}},
