--- a/cmd/wallrack/daemon.go
+++ b/cmd/wallrack/daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -13,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/goccy/go-json"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wallrack/wallrack/internal/alert"
--- a/internal/alert/alert.go
+++ b/internal/alert/alert.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -14,6 +13,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/goccy/go-json"
 
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/owner"
--- a/internal/fleet/catalog.go
+++ b/internal/fleet/catalog.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"log/slog"
 	"reflect"
 	"sync"
 	"time"
 
+	"github.com/goccy/go-json"
+
 	"github.com/wallrack/wallrack/internal/placement"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/wire"
--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -14,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"github.com/goccy/go-json"
 	"golang.org/x/time/rate"
 
 	"github.com/wallrack/wallrack/internal/wire"
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -11,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/goccy/go-json"
+
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/owner"
 	"github.com/wallrack/wallrack/internal/placement"
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -4,13 +4,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"log/slog"
 	"net/http"
 	"time"
 
+	"github.com/goccy/go-json"
+
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/owner"
 	"github.com/wallrack/wallrack/internal/statestore"
--- a/internal/machine/holder.go
+++ b/internal/machine/holder.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"log/slog"
@@ -12,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/goccy/go-json"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wallrack/wallrack/internal/placement"
--- a/internal/machine/orders.go
+++ b/internal/machine/orders.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -11,6 +10,8 @@
 	"net/http"
 	"time"
 
+	"github.com/goccy/go-json"
+
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -14,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/goccy/go-json"
+
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/wire"
 )
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -4,13 +4,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
 	"syscall"
 	"time"
 
+	"github.com/goccy/go-json"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"math"
 	"strconv"
@@ -13,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/goccy/go-json"
+
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/machine"
 	"github.com/wallrack/wallrack/internal/placement"
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"sort"
 	"strings"
 
+	"github.com/goccy/go-json"
+
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/wire"
 )
--- a/internal/owner/users.go
+++ b/internal/owner/users.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
 
+	"github.com/goccy/go-json"
+
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/wire"
 )
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"time"
 
+	"github.com/goccy/go-json"
+
 	"github.com/wallrack/wallrack/internal/machine"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/usage"
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -6,7 +6,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -17,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/goccy/go-json"
 	"golang.org/x/time/rate"
 
 	"github.com/wallrack/wallrack/internal/wire"
--- a/internal/testkit/store.go
+++ b/internal/testkit/store.go
@@ -5,12 +5,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sort"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/goccy/go-json"
+
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/wire"
 )
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -3,12 +3,13 @@
 package wire
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
 	"strconv"
 	"strings"
+
+	"github.com/goccy/go-json"
 )
 
 // MaxBody is the largest request body that any interface accepts.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -116,3 +117,36 @@
 		}
 	})
 }
+
+// TestReportsReadAsTheStandardLibraryReadsThem guards the choice of a faster
+// JSON library: whatever happens to a report on its way, it is refused, or
+// read, as encoding/json would, and never ends the process.
+func TestReportsReadAsTheStandardLibraryReadsThem(t *testing.T) {
+	bits := []string{"{", "}", "[", "]", ",", ":", `"`, `\`, "null", "true", "1.5", "-1", "99999999999999999999999", "\x00", "\xff", `\ud800`, "bench", "pieces", "[[[[[[[["}
+	rapid.Check(t, func(t *rapid.T) {
+		r := wire.Report{Machine: "n-1", Endpoint: "e:1", Type: "m", Zone: "z", Session: 1, Seq: 2, Token: 3}
+		for i := range rapid.IntRange(0, 3).Draw(t, "tasks") {
+			r.Tasks = append(r.Tasks, wire.Task{Task: wire.TaskName("j-1", i), Attempt: 2, State: wire.TaskExited, Cause: wire.CauseDone, Saved: true})
+		}
+		body, err := json.Marshal(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range rapid.IntRange(0, 3).Draw(t, "changes") {
+			at := rapid.IntRange(0, len(body)).Draw(t, "at")
+			end := min(len(body), at+rapid.IntRange(0, 6).Draw(t, "cut"))
+			body = append(append(append([]byte(nil), body[:at]...), rapid.SampledFrom(bits).Draw(t, "bit")...), body[end:]...)
+		}
+		var want wire.Report
+		got, err := wire.ParseReport(body)
+		if json.Unmarshal(body, &want) != nil {
+			if err == nil {
+				t.Fatalf("accepted %q", body)
+			}
+			return
+		}
+		if err == nil && !reflect.DeepEqual(*got, want) {
+			t.Fatalf("%q read as %+v, not %+v", body, *got, want)
+		}
+	})
+}
