--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -21,6 +21,7 @@
 const (
 	service    = "wallrack.Mesh"
 	maxMessage = 4 << 20
+	window     = 1 << 20 // bytes under way, in a connection or stream
 )
 
 // ErrNoPeer means that no such controller is configured.
@@ -51,6 +52,9 @@
 				Backoff:           backoff.Config{BaseDelay: 200 * time.Millisecond, Multiplier: 1.5, Jitter: 0.3, MaxDelay: time.Second},
 				MinConnectTimeout: time.Second,
 			}),
+			// A window that is set turns off the probing for a better one,
+			// which costs packets with every message.
+			grpc.WithInitialWindowSize(window), grpc.WithInitialConnWindowSize(window),
 			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 3 * time.Second}),
 			grpc.WithNoProxy(), grpc.WithDisableServiceConfig(),
 		)
@@ -123,6 +127,7 @@
 		return fmt.Errorf("mesh: %w", err)
 	}
 	srv := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage), grpc.MaxConcurrentStreams(64),
+		grpc.InitialWindowSize(window), grpc.InitialConnWindowSize(window),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 2 * time.Second, PermitWithoutStream: true}))
 	srv.RegisterService(&grpc.ServiceDesc{ServiceName: service, HandlerType: (*any)(nil), Methods: m.methods}, m)
 	stop := context.AfterFunc(ctx, srv.Stop)
