A peer that has just pinged is not pinged

Every pair of controllers pinged each other both ways each second, although a ping carries one side's state and its answer the other's. Timers' lateness is looked at once a second instead of four times.

--- a/cmd/wallrack/node.go
+++ b/cmd/wallrack/node.go
@@ -134,6 +134,12 @@
 	n.peers[m.Node] = peerState{m, time.Now()}
 }
 
+func (n *node) heardWithin(peer string, d time.Duration) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Since(n.peers[peer].at) < d
+}
+
 // reachable returns the peers heard lately.
 func (n *node) reachable() []peerState {
 	n.mu.Lock()
@@ -147,12 +153,16 @@
 	return out
 }
 
-// ping keeps the peers' state fresh.
+// ping keeps the peers' state fresh: a ping carries this controller's state, its
+// answer the peer's.
 func (n *node) ping(ctx context.Context) error {
 	tick := time.NewTicker(pingEvery)
 	defer tick.Stop()
 	for {
 		for _, s := range n.cfg.Peers {
+			if n.heardWithin(s.Node, pingEvery*3/4) {
+				continue // it has just pinged this controller
+			}
 			go func() {
 				pctx, cancel := context.WithTimeout(ctx, pingEvery)
 				defer cancel()
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	probeEvery = 250 * time.Millisecond // how often the lateness of timers is looked at
+	probeEvery = time.Second // how often the lateness of timers is looked at
 	tellEvery  = 10 * time.Second
 )
 
