--- a/cmd/wallrack/daemon.go
+++ b/cmd/wallrack/daemon.go
@@ -29,11 +29,11 @@
 
 // memoryShare is the part of the memory limit that the runtime aims to stay
 // below; the rest is the program itself and what the runtime does not count.
-const memoryShare = 0.6
+const memoryShare = 0.7
 
 // garbagePercent trades memory, of which there is enough below the limit, for
 // processor time, of which there is not.
-const garbagePercent = 300
+const garbagePercent = 500
 
 // run assembles the slices and runs them until ctx ends.
 func run(ctx context.Context, p *config.Platform, op *config.Operator, log *slog.Logger) error {
