Stop the tasks that would keep a closing machine longest, not all or none

Now the tasks that would run longest are stopped as long as that saves several times what it wastes.

--- a/internal/owner/evacuate.go
+++ b/internal/owner/evacuate.go
@@ -6,13 +6,13 @@
 )
 
 const (
-	evacuateGain = 3    // times what keeping a machine must cost more than what stopping its tasks wastes
-	evacuateLoss = 0.35 // of a task's run, at most, that stopping it may waste
+	evacuateGain = 3    // times what stopping tasks wastes that it must save
+	evacuateLoss = 0.5  // of a task's run, at most, that stopping it may waste
 	countedStart = 30   // seconds within which a stop undoes a start that an aim counts
 )
 
-// evacuate stops what still runs on machines that are to be returned, where
-// that wastes much less than the machine costs until the last task ends: a few
+// evacuate stops what runs longest on machines that are to be returned, where
+// that wastes much less than the machine costs until those tasks end: a few
 // small tasks would keep a large machine for minutes. There must be room for
 // them elsewhere.
 func (o *Owner) evacuate() {
@@ -43,26 +43,14 @@
 		return x.index < y.index
 	})
 	for _, m := range closing {
-		t := o.typeOf(m)
-		if t.CPUs <= 0 || t.SpotPrice <= 0 {
-			continue
-		}
-		used, lost, can := 0.0, 0.0, len(m.places) > 0
 		for p := range m.places {
-			loss, ok := o.evacuable(p)
-			if !ok {
-				can = false
-				break
+			if !p.on() && !p.exited {
+				o.unqueue(p) // never granted: it can simply look elsewhere
 			}
-			used += p.job.shape.CPUs
-			lost += loss * p.job.shape.CPUs
-		}
-		left := m.matrix[len(m.matrix)-1].Wait
-		if !can || used > room || t.Price*left < evacuateGain*lost*t.SpotPrice/t.CPUs {
-			continue
 		}
-		room -= used
-		for p := range m.places {
+		for _, e := range o.evacuees(m, room) {
+			p := e.p
+			room -= p.job.shape.CPUs
 			if p.job.moved == nil {
 				p.job.moved = map[int]bool{}
 			}
@@ -73,6 +61,58 @@
 	}
 }
 
+// evacuee is a task that may be stopped to empty its machine sooner.
+type evacuee struct {
+	p          *place
+	left, loss float64 // seconds until it ends, and that stopping it wastes
+	ok         bool
+}
+
+// evacuees picks the tasks to be stopped on a machine: those that would keep it
+// longest, as far as that saves several times what it wastes. The others end
+// soon by themselves.
+func (o *Owner) evacuees(m *mach, room float64) []evacuee {
+	t := o.typeOf(m)
+	if t.CPUs <= 0 || t.SpotPrice <= 0 {
+		return nil
+	}
+	var all []evacuee
+	for p := range m.places {
+		if p.exited || !p.halted.IsZero() {
+			continue // as good as gone
+		}
+		e := evacuee{p: p, left: p.job.runEstimate()}
+		if !p.running.IsZero() {
+			elapsed := o.now.Sub(p.running).Seconds()
+			e.left = math.Max(e.left-elapsed, 1+0.15*elapsed)
+		}
+		e.loss, e.ok = o.evacuable(p)
+		all = append(all, e)
+	}
+	sort.Slice(all, func(a, b int) bool {
+		if all[a].left != all[b].left {
+			return all[a].left > all[b].left
+		}
+		return all[a].p.attempt < all[b].p.attempt
+	})
+	pick, best, wasted := 0, 0.0, 0.0
+	for i, e := range all {
+		cpus := e.p.job.shape.CPUs
+		if room -= cpus; !e.ok || room < 0 {
+			break
+		}
+		wasted += e.loss * cpus * t.SpotPrice / t.CPUs
+		until := 0.0
+		if i+1 < len(all) {
+			until = all[i+1].left
+		}
+		if gain := t.Price*(all[0].left-until) - evacuateGain*wasted; gain > best {
+			pick, best = i+1, gain
+		}
+	}
+	return all[:pick]
+}
+
 // evacuable reports whether a task may be stopped to empty its machine, and
 // how many seconds of its run that wastes.
 func (o *Owner) evacuable(p *place) (loss float64, ok bool) {
