Return closing machines as soon as they are idle

Cause: a closing machine takes no new work, yet waited out the idle time (6 s at ordinary prices) before its return.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -770,7 +770,8 @@
 	}
 	for _, b := range idle {
 		t, _ := f.catalog.Type(b.offer.Type)
-		if now.Sub(b.idle) < seconds(f.op.IdleS*cheapest/perCPU(b)) || now.Sub(b.hired) < (minimumS-5)*time.Second {
+		// A closing machine gets no new work: waiting would only cost.
+		if !b.closing && now.Sub(b.idle) < seconds(f.op.IdleS*cheapest/perCPU(b)) || now.Sub(b.hired) < (minimumS-5)*time.Second {
 			continue
 		}
 		// The nearest number of machines to the target stays, so that the
