--- a/internal/owner/evacuate.go
+++ b/internal/owner/evacuate.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	evacuateGain = 3    // times what stopping tasks wastes that it must save
-	evacuateLoss = 0.5  // of a task's run, at most, that stopping it may waste
-	countedStart = 30   // seconds within which a stop undoes a start that an aim counts
+	evacuateGain = 3   // times what stopping tasks wastes that it must save
+	evacuateLoss = 0.5 // of a task's run, at most, that stopping it may waste
+	countedStart = 30  // seconds within which a stop undoes a start that an aim counts
 )
 
 // evacuate stops what runs longest on machines that are to be returned, where
