Refuse connections, jobs and settings that do not fit, before the process ends

Connections beyond the sockets to spare get 503 and Retry-After at once, so that those for the lease, peers and orders remain; from 0.85 of the memory on no new job is taken; limits that no controller can run in are named at the start. Malformed reports and refusals are counted. An alert's words are made once.

--- a/cmd/wallrack/daemon.go
+++ b/cmd/wallrack/daemon.go
@@ -5,11 +5,10 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
+	"math"
 	"net/http"
 	"runtime"
 	"runtime/debug"
-	"sync/atomic"
 	"time"
 
 	"github.com/goccy/go-json"
@@ -31,6 +30,10 @@
 // below; the rest is the program itself and what the runtime does not count.
 const memoryShare = 0.7
 
+// crowdedShare is the part of the memory limit from which on no new jobs are
+// taken: the collector has not been able to stay within memoryShare.
+const crowdedShare = 0.85
+
 // garbagePercent trades memory, of which there is enough below the limit, for
 // processor time, of which there is not.
 const garbagePercent = 500
@@ -64,11 +67,18 @@
 	n.intake = intake.New(p, op, store, n.owner, catalog, n, log)
 	boxes := fleet.New(p, op, cloud, catalog, store, member, &allOwners{n: n, ctx: ctx}, n.holder, log)
 	alerts := alert.New(p.Params.Objectives, n.owner, log)
-	var open connections
-	meter := usage.New(func() map[string]int {
+	lis, err := mesh.Listen(ctx, p.Listen)
+	if err != nil {
+		return fmt.Errorf("serve_on: %w", err)
+	}
+	inbound := &door{Listener: lis, most: math.MaxInt64}
+	if limit := p.Params.Limits.Sockets; limit > 0 {
+		inbound.most = int64(limit - ownSockets(limit, len(p.Peers)))
+	}
+	meter := usage.New(int64(p.Params.Limits.RAMMB*crowdedShare*(1<<20)), func() map[string]int {
 		q := n.owner.Queues()
 		q["machines"], q["queued"], q["orders"] = n.holder.Depths()
-		q["connections"] = open.count()
+		q["connections"] = inbound.count()
 		return q
 	}, log)
 	member.OnChange(n.owner.Changed)
@@ -76,6 +86,7 @@
 	n.handleDemand()
 
 	mux := http.NewServeMux()
+	n.intake.Crowded = meter.Crowded
 	n.intake.Register(mux)
 	alerts.Register(mux)
 	mux.HandleFunc("GET /ops/stats", func(w http.ResponseWriter, _ *http.Request) {
@@ -85,16 +96,12 @@
 		_ = json.NewEncoder(w).Encode(stats) // the operator asks again
 	})
 	mux.HandleFunc("POST /v1/report", n.holder.ServeReport)
-	lis, err := mesh.Listen(ctx, p.Listen)
-	if err != nil {
-		return fmt.Errorf("serve_on: %w", err)
-	}
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 15 * time.Second,
 		WriteTimeout: 15 * time.Second, IdleTimeout: 90 * time.Second, MaxHeaderBytes: 16 << 10,
-		ConnState: open.note, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 
 	g.Go(func() error {
-		if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(inbound); !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("serve: %w", err)
 		}
 		return nil
@@ -123,17 +130,3 @@
 	}
 	return err
 }
-
-// connections counts the open connections of users and workers.
-type connections struct{ open atomic.Int64 }
-
-func (c *connections) note(_ net.Conn, s http.ConnState) {
-	switch s {
-	case http.StateNew:
-		c.open.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		c.open.Add(-1)
-	}
-}
-
-func (c *connections) count() int { return int(c.open.Load()) }
--- /dev/null
+++ b/cmd/wallrack/listen_test.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// Users, or connections that never say anything, must not take the sockets
+// that the lease's renewal needs: those beyond the limit are told to come back.
+func TestDoorAnswersBeyondItsLimit(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &door{Listener: lis, most: 2}
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })}
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(d) }()
+	defer func() { _ = srv.Close(); <-done }()
+	ask := func() int {
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
+		resp, err := client.Get("http://" + lis.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") == "" {
+			t.Error("refused without saying when to come back")
+		}
+		return resp.StatusCode
+	}
+	wait := func(open int) {
+		for start := time.Now(); d.count() != open; time.Sleep(time.Millisecond) {
+			if time.Since(start) > 5*time.Second {
+				t.Fatalf("%d connections open, not %d", d.count(), open)
+			}
+		}
+	}
+	var silent []net.Conn
+	for range 2 {
+		c, err := net.Dial("tcp", lis.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		silent = append(silent, c)
+	}
+	wait(2)
+	if got := ask(); got != http.StatusServiceUnavailable {
+		t.Errorf("status %d with the door full", got)
+	}
+	_ = silent[0].Close()
+	wait(1)
+	if got := ask(); got != http.StatusOK {
+		t.Errorf("status %d after one left", got)
+	}
+	_ = silent[1].Close()
+}
--- a/internal/alert/alert.go
+++ b/internal/alert/alert.go
@@ -45,7 +45,7 @@
 	log  *slog.Logger
 
 	mu   sync.Mutex
-	open map[string]*Alert
+	open map[occurrence]*Alert
 	past []Alert
 	seen map[string]owner.Status
 	wait *hdrhistogram.Histogram // ms from submission to the last start
@@ -54,7 +54,7 @@
 
 // New returns alerts for the users' aims.
 func New(aims []config.Objective, jobs Jobs, log *slog.Logger) *Alerts {
-	return &Alerts{aims: aims, jobs: jobs, log: log, open: map[string]*Alert{}, seen: map[string]owner.Status{},
+	return &Alerts{aims: aims, jobs: jobs, log: log, open: map[occurrence]*Alert{}, seen: map[string]owner.Status{},
 		wait: hdrhistogram.New(1, 3_600_000, 2), late: hdrhistogram.New(1, 3_600_000, 2)}
 }
 
@@ -72,23 +72,42 @@
 	}
 }
 
-// breach says whether a job misses an aim now, and how to say so.
-func breach(aim config.Objective, s owner.Status) (page, message string, yes bool) {
+// breached reports whether a job misses an aim now.
+func breached(aim *config.Objective, s *owner.Status) bool {
 	age := s.Age.Seconds()
 	switch {
 	case s.Cancelled || aim.Class != s.Class:
-		return "", "", false
-	case aim.Kind == "wait" && s.Started < s.Tasks && age > aim.WithinS:
+		return false
+	case aim.Kind == "wait":
+		return s.Started < s.Tasks && age > aim.WithinS
+	case aim.Kind == "finished":
+		return age > aim.WithinS
+	case aim.Kind == "deadline":
+		return s.DueS != nil && age > *s.DueS*max(aim.Times, 1)
+	}
+	return false
+}
+
+// describe says how a job misses an aim, to on-call and to pass on.
+func describe(aim *config.Objective, s *owner.Status) (page, message string) {
+	age := s.Age.Seconds()
+	switch aim.Kind {
+	case "wait":
 		return fmt.Sprintf("%d of %d tasks not started after %.0f s (aim %.0f s)", s.Tasks-s.Started, s.Tasks, age, aim.WithinS),
-			fmt.Sprintf("Work of kind %q is starting later than usual. It is safe and will run; results may come late.", s.Class), true
-	case aim.Kind == "finished" && age > aim.WithinS:
+			fmt.Sprintf("Work of kind %q is starting later than usual. It is safe and will run; results may come late.", s.Class)
+	case "finished":
 		return fmt.Sprintf("%d of %d tasks done after %.0f s (aim %.0f s)", s.Done, s.Tasks, age, aim.WithinS),
-			fmt.Sprintf("Results of kind %q are later than usual. Figures seen before they arrive may be out of date.", s.Class), true
-	case aim.Kind == "deadline" && s.DueS != nil && age > *s.DueS*max(aim.Times, 1):
+			fmt.Sprintf("Results of kind %q are later than usual. Figures seen before they arrive may be out of date.", s.Class)
+	default:
 		return fmt.Sprintf("%d of %d tasks done %.0f s past the deadline", s.Done, s.Tasks, age-*s.DueS),
-			fmt.Sprintf("Results of kind %q have missed their time. They are still being worked on.", s.Class), true
+			fmt.Sprintf("Results of kind %q have missed their time. They are still being worked on.", s.Class)
 	}
-	return "", "", false
+}
+
+// occurrence names a job and the aim that it misses.
+type occurrence struct {
+	uid string
+	aim int
 }
 
 func (a *Alerts) look(now time.Time) {
@@ -96,20 +115,23 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	live := make(map[string]owner.Status, len(list))
-	standing := map[string]bool{}
-	for _, s := range list {
-		live[s.UID] = s
+	standing := map[occurrence]bool{}
+	for k := range list {
+		s := &list[k]
+		live[s.UID] = *s
 		if old := a.seen[s.UID]; old.Started < s.Tasks && s.Started >= s.Tasks {
 			_ = a.wait.RecordValue(max(1, s.Age.Milliseconds())) // beyond an hour it is not counted
 		}
-		for i, aim := range a.aims {
-			page, message, yes := breach(aim, s)
-			if !yes {
+		for i := range a.aims {
+			aim := &a.aims[i]
+			if !breached(aim, s) {
 				continue
 			}
-			key := fmt.Sprintf("%s#%d", s.UID, i)
+			key := occurrence{s.UID, i}
 			standing[key] = true
 			if a.open[key] == nil {
+				// The words are made once, not at every look.
+				page, message := describe(aim, s)
 				a.open[key] = &Alert{Job: s.UID, Class: s.Class, Aim: aim.Kind, Page: page, Message: message, Since: now}
 				a.log.Warn("aim missed", "job", s.UID, "class", s.Class, "aim", aim.Kind, "page", page, "message", message)
 			}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -160,6 +160,18 @@
 			return nil, fmt.Errorf("params.%s: must be above 0", c.key)
 		}
 	}
+	// Limits that no controller can run in are named now, not found out by
+	// its ends. One that is not given is none.
+	for _, c := range []struct {
+		key      string
+		v, least float64
+	}{
+		{"ram_mb", lim.RAMMB, 24}, {"sockets", float64(lim.Sockets), 96}, {"cpu", lim.CPU, 0.01},
+	} {
+		if c.v != 0 && c.v < c.least {
+			return nil, fmt.Errorf("params.limits.%s: %v is too small, at least %v are needed", c.key, c.v, c.least)
+		}
+	}
 	if st.TxnOps < 4 {
 		return nil, errors.New("params.state.txn_ops: must be at least 4")
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -79,6 +79,8 @@
 
 // Intake serves users.
 type Intake struct {
+	Crowded func() bool // whether to take no new jobs; nil: never. Set it before Register
+
 	cfg     *config.Platform
 	op      *config.Operator
 	store   Store
@@ -110,6 +112,7 @@
 			defer usage.Count(usage.Users, time.Now())
 			f(w, r)
 		default:
+			usage.Note(usage.RefusedRequests)
 			refuse(w, http.StatusServiceUnavailable, "too many requests at once")
 		}
 	}
@@ -303,6 +306,14 @@
 	if s, ok := in.jobs.Known(job.UID); ok {
 		return Reply{Status: http.StatusOK, State: s}
 	}
+	if in.Crowded != nil && in.Crowded() {
+		// Better than to end for want of memory with all that runs.
+		if s, err := owner.Stored(ctx, in.store, job.UID); err == nil {
+			return Reply{Status: http.StatusOK, State: s}
+		}
+		usage.Note(usage.RefusedJobs)
+		return Reply{Status: http.StatusServiceUnavailable, Reason: "too much work at once"}
+	}
 	shard := owner.ShardOf(job, in.cfg.Params.Teams, in.op.Shards)
 	at := time.Now().UnixMilli()
 	guards, op := owner.AcceptTxn(job, shard, at)
--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,138 @@
+package intake_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/intake"
+	"github.com/wallrack/wallrack/internal/statestore"
+	"github.com/wallrack/wallrack/internal/testkit"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// stub is everything around the users' interface: no owner here, and peers
+// that answer nothing.
+type stub struct {
+	*testkit.View
+	types []wire.MachineType
+	up    bool
+}
+
+func (s *stub) Known(string) (wire.JobState, bool)     { return wire.JobState{}, false }
+func (s *stub) Accepted(*wire.Job, int, int64, uint64) {}
+func (s *stub) All() []wire.MachineType                { return s.types }
+func (s *stub) Owners() []string                       { return nil }
+func (s *stub) Served() []string                       { return []string{"b"} }
+func (s *stub) Up() bool                               { return s.up }
+func (s *stub) Cancel(context.Context, string) (wire.JobState, error) {
+	return wire.JobState{}, statestore.ErrUnavailable
+}
+func (s *stub) Ask(context.Context, string, intake.Request) (*intake.Reply, error) {
+	return nil, errors.New("cut off")
+}
+
+const job = `{"uid":"j-7","docket":"c","crew":"t","sort":"sweep","urgency":"normal","pieces":3,"cpus":2,"cards":0,"memoryGb":1,
+	"kit":"i","pullGb":1,"builds":null,"yard":null,"together":false,"apart":false,"loaners":true,"reckonS":9,"markS":0,"stashS":0,"dueS":null}`
+
+func serve(t *testing.T) (s *stub, in *intake.Intake, ask func(method, path, body string) (int, http.Header, wire.JobState)) {
+	s = &stub{View: &testkit.View{Store: testkit.NewStore()}, up: true, types: []wire.MachineType{{Name: "m", CPUs: 4, MemoryGB: 8, Zones: []string{"z"}}}}
+	cfg := &config.Platform{Node: "a", Params: config.Params{Teams: []config.Team{{Name: "t", CPUsMax: 8}}}}
+	op, err := config.LoadOperator("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	in = intake.New(cfg, op, s, s, s, s, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	mux := http.NewServeMux()
+	in.Register(mux)
+	return s, in, func(method, path, body string) (int, http.Header, wire.JobState) {
+		w := httptest.NewRecorder()
+		mux.ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+		var st wire.JobState
+		_ = json.Unmarshal(w.Body.Bytes(), &st) // a refusal has no state
+		return w.Code, w.Header(), st
+	}
+}
+
+// A submission is answered by what is recorded: 201 once, 200 ever after, and
+// refusals only for jobs that nobody knows.
+func TestSubmissionAnswers(t *testing.T) {
+	s, _, ask := serve(t)
+	with := func(old, new string) string { return strings.Replace(job, old, new, 1) }
+	for _, k := range []struct {
+		name, body string
+		status     int
+	}{
+		{"new", job, 201},
+		{"known", job, 200},
+		{"known, now malformed", with(`"pieces":3`, `"pieces":0`), 200},
+		{"known, now too large", with(`"cpus":2`, `"cpus":64`), 200},
+		{"not JSON", `{"uid":`, 400},
+		{"not an object", `[]`, 400},
+		{"a field missing", strings.Replace(with(`j-7`, `j-8`), `"cpus":2,`, ``, 1), 400},
+		{"unknown team", strings.Replace(with(`j-7`, `j-8`), `"crew":"t"`, `"crew":"x"`, 1), 422},
+		{"fits no type", strings.Replace(with(`j-7`, `j-8`), `"cpus":2`, `"cpus":6`, 1), 422},
+		{"over 64 KiB", with(`"kit":"i"`, `"kit":"`+strings.Repeat("i", 70_000)+`"`), 400},
+	} {
+		if status, _, _ := ask(http.MethodPost, "/api/jobs", k.body); status != k.status {
+			t.Errorf("%s: %d, not %d", k.name, status, k.status)
+		}
+	}
+	s.types = nil
+	if status, head, _ := ask(http.MethodPost, "/api/jobs", with(`j-7`, `j-9`)); status != 503 || head.Get("Retry-After") == "" {
+		t.Errorf("machine types not known yet: %d", status)
+	}
+}
+
+// Whoever can't tell says 503, never that there is no such job.
+func TestUnsureIsNeverNotFound(t *testing.T) {
+	s, _, ask := serve(t)
+	if status, _, _ := ask(http.MethodGet, "/api/jobs/j-1", ""); status != 404 {
+		t.Errorf("a job that nobody submitted: %d", status)
+	}
+	if status, _, _ := ask(http.MethodPost, "/api/jobs", job); status != 201 {
+		t.Fatalf("submission: %d", status)
+	}
+	if status, _, st := ask(http.MethodGet, "/api/jobs/j-7", ""); status != 200 || st.Stage != wire.StageQueued {
+		t.Errorf("poll: %d %+v", status, st)
+	}
+	s.Down = func() bool { return true }
+	for _, path := range []string{"/api/jobs/j-1", "/api/jobs/j-7"} {
+		if status, head, _ := ask(http.MethodGet, path, ""); status != 503 || head.Get("Retry-After") == "" {
+			t.Errorf("%s with the state service out: %d", path, status)
+		}
+	}
+	if status, _, _ := ask(http.MethodPost, "/api/jobs/j-7/cancel", ""); status != 503 {
+		t.Errorf("cancel with the state service out: %d", status)
+	}
+	s.up = false
+	if status, _, _ := ask(http.MethodGet, "/up", ""); status != 503 {
+		t.Errorf("up: %d", status)
+	}
+}
+
+// Short of memory, a controller takes no new job, but goes on answering for
+// those that it has taken.
+func TestCrowdedTakesNoNewJobs(t *testing.T) {
+	_, in, ask := serve(t)
+	if status, _, _ := ask(http.MethodPost, "/api/jobs", job); status != 201 {
+		t.Fatalf("submission: %d", status)
+	}
+	in.Crowded = func() bool { return true }
+	if status, head, _ := ask(http.MethodPost, "/api/jobs", strings.Replace(job, "j-7", "j-8", 1)); status != 503 || head.Get("Retry-After") == "" {
+		t.Errorf("a new job: %d", status)
+	}
+	if status, _, _ := ask(http.MethodGet, "/api/jobs/j-8", ""); status != 404 {
+		t.Errorf("the refused job: %d", status)
+	}
+	if status, _, _ := ask(http.MethodPost, "/api/jobs", job); status != 200 {
+		t.Errorf("a retry of the taken job: %d", status)
+	}
+}
--- a/internal/machine/holder.go
+++ b/internal/machine/holder.go
@@ -117,6 +117,7 @@
 	}
 	rep, err := wire.ParseReport(buf.Bytes())
 	if err != nil {
+		usage.Note(usage.MalformedReports)
 		h.log.Info("malformed report", "err", err)
 		reply(w, http.StatusBadRequest, wire.Problem{Error: "malformed report"})
 		return
--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,68 @@
+package mesh_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/mesh"
+)
+
+type note struct {
+	Text string `json:"text"`
+}
+
+// A call reaches the peer's handler and brings its answer or its error back; a
+// peer that is not there, or not configured, fails the call instead of holding
+// it up.
+func TestCall(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	here := lis.Addr().String()
+	_ = lis.Close()
+	m, err := mesh.New(map[string]string{"a": here, "gone": "127.0.0.1:1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer m.Close()
+	mesh.Handle(m, "Shout", func(_ context.Context, n *note) (*note, error) {
+		if n.Text == "" {
+			return nil, errors.New("nothing to say")
+		}
+		return &note{strings.ToUpper(n.Text)}, nil
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan struct{})
+	go func() { defer close(served); _ = m.Serve(ctx, here) }()
+	defer func() { cancel(); <-served }()
+	call := func(peer, text string) (*note, error) {
+		cctx, done := context.WithTimeout(ctx, 5*time.Second)
+		defer done()
+		return mesh.Call[note, note](cctx, m, peer, "Shout", &note{text})
+	}
+	var rep *note
+	for start := time.Now(); time.Since(start) < 5*time.Second; time.Sleep(10 * time.Millisecond) {
+		if rep, err = call("a", "hey"); err == nil {
+			break
+		}
+	}
+	if err != nil || rep.Text != "HEY" {
+		t.Fatalf("%+v, %v", rep, err)
+	}
+	if _, err := call("a", ""); err == nil || !strings.Contains(err.Error(), "nothing to say") {
+		t.Errorf("the handler's error was lost: %v", err)
+	}
+	if _, err := call("nobody", "hey"); !errors.Is(err, mesh.ErrNoPeer) {
+		t.Errorf("unknown peer: %v", err)
+	}
+	if start := time.Now(); true {
+		if _, err := call("gone", "hey"); err == nil || time.Since(start) > 4*time.Second {
+			t.Errorf("a refused connection: %v after %v", err, time.Since(start))
+		}
+	}
+}
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -38,6 +38,26 @@
 
 var names = [duties]string{"reports", "passes", "records", "watches", "directions", "fleet", "users", "peers"}
 
+// Event is something that happened, or was refused, which operators may want to
+// know the number of.
+type Event int
+
+// The events.
+const (
+	MalformedReports   Event = iota // reports that could not be read
+	RefusedConnections              // beyond the sockets to spare
+	RefusedRequests                 // users' requests beyond those worked on at once
+	RefusedJobs                     // submissions for want of memory
+	events
+)
+
+var eventNames = [events]string{"malformed_reports", "refused_connections", "refused_requests", "refused_jobs"}
+
+var noted [events]atomic.Int64
+
+// Note counts an event.
+func Note(e Event) { noted[e].Add(1) }
+
 type counter struct {
 	n    atomic.Int64
 	took atomic.Int64
@@ -72,6 +92,7 @@
 	LateMsMax   int64            `json:"late_ms_max"`
 	Queues      map[string]int   `json:"queues"` // depths and open connections
 	Duties      map[string]Share `json:"duties"`
+	Events      map[string]int64 `json:"events"`
 }
 
 // Meter takes readings.
@@ -80,22 +101,31 @@
 	queues  func() map[string]int
 	log     *slog.Logger
 	samples []metrics.Sample
+	held    [2]metrics.Sample // what the runtime holds, and has given back
+	limit   int64
+	crowded atomic.Bool
 
 	mu   sync.Mutex
 	late *hdrhistogram.Histogram // ms, since the last log line
 }
 
-// New returns a meter; queues names the depths that it shall show.
-func New(queues func() map[string]int, log *slog.Logger) *Meter {
-	m := &Meter{started: time.Now(), queues: queues, log: log, late: hdrhistogram.New(1, 60_000, 2)}
+// New returns a meter; the process is crowded from so many bytes on, and queues
+// names the depths that it shall show.
+func New(crowded int64, queues func() map[string]int, log *slog.Logger) *Meter {
+	m := &Meter{started: time.Now(), limit: crowded, queues: queues, log: log, late: hdrhistogram.New(1, 60_000, 2)}
 	for _, name := range []string{"/memory/classes/heap/objects:bytes", "/memory/classes/total:bytes",
 		"/memory/classes/heap/released:bytes", "/gc/cycles/total:gc-cycles", "/cpu/classes/gc/total:cpu-seconds",
 		"/sched/goroutines:goroutines"} {
 		m.samples = append(m.samples, metrics.Sample{Name: name})
 	}
+	m.held[0].Name, m.held[1].Name = "/memory/classes/total:bytes", "/memory/classes/heap/released:bytes"
 	return m
 }
 
+// Crowded reports whether this process holds so much memory that it must not
+// take on more work.
+func (m *Meter) Crowded() bool { return m.crowded.Load() }
+
 // Read takes a reading.
 func (m *Meter) Read() Reading {
 	m.mu.Lock()
@@ -108,7 +138,7 @@
 		HeapMB:    float64(s[0].Value.Uint64()) / mb,
 		RuntimeMB: float64(s[1].Value.Uint64()-s[2].Value.Uint64()) / mb, Collections: s[3].Value.Uint64(),
 		CollectorS: s[4].Value.Float64(), Goroutines: s[5].Value.Uint64(),
-		LateMsP99: m.late.ValueAtQuantile(99), LateMsMax: m.late.Max(), Queues: m.queues(), Duties: map[string]Share{},
+		LateMsP99: m.late.ValueAtQuantile(99), LateMsMax: m.late.Max(), Queues: m.queues(), Duties: map[string]Share{}, Events: map[string]int64{},
 	}
 	var ru syscall.Rusage
 	if syscall.Getrusage(syscall.RUSAGE_SELF, &ru) == nil {
@@ -118,6 +148,9 @@
 	for d := range counters {
 		r.Duties[names[d]] = Share{counters[d].n.Load(), time.Duration(counters[d].took.Load()).Seconds()}
 	}
+	for e := range noted {
+		r.Events[eventNames[e]] = noted[e].Load()
+	}
 	return r
 }
 
@@ -136,6 +169,8 @@
 		}
 		now := time.Now()
 		m.mu.Lock()
+		metrics.Read(m.held[:])
+		m.crowded.Store(int64(m.held[0].Value.Uint64()-m.held[1].Value.Uint64()) > m.limit)
 		_ = m.late.RecordValue(max(0, now.Sub(due).Milliseconds())) // later than a minute it is not counted
 		m.mu.Unlock()
 		if took := now.Sub(told); took >= tellEvery {
@@ -163,5 +198,5 @@
 	}
 	m.log.Info("usage", "cpu_percent", 100*(r.CPUSeconds-last.CPUSeconds)/took.Seconds(), "heap_mb", int(r.HeapMB), "runtime_mb", int(r.RuntimeMB),
 		"peak_mb", int(r.PeakMB), "collections", r.Collections-last.Collections, "collector_ms", int(1000*(r.CollectorS-last.CollectorS)),
-		"goroutines", r.Goroutines, "late_ms_p99", r.LateMsP99, "late_ms_max", r.LateMsMax, "queues", r.Queues, slog.Group("duties", parts...))
+		"goroutines", r.Goroutines, "late_ms_p99", r.LateMsP99, "late_ms_max", r.LateMsMax, "queues", r.Queues, "events", r.Events, slog.Group("duties", parts...))
 }
