Settle by reports what a predecessor had queued

Cause: after an owner handed its workers to a peer that then took its jobs over, the peer's machines kept queue entries of the old owner.

--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -59,10 +59,15 @@
 		o.shown(m, machine.Ref{Machine: v.Name, Task: t.Task.Task, Attempt: t.Attempt}, t)
 	}
 	for p := range m.places {
-		if p.shownIn != o.views && !queued(v.Queue, p.ref) {
+		// What a predecessor had queued is settled by the worker's word alone:
+		// its holder may go on asking that predecessor for ever.
+		if p.shownIn != o.views && (p.state == placeUnsettled || !queued(v.Queue, p.ref)) {
 			o.absent(m, p)
 		}
 	}
+	for i := range v.Queue {
+		o.checkQueued(m, v.Queue[i].Ref)
+	}
 	o.drainNotice(m)
 	o.reserveUnshown(m)
 	poke(o.wake)
@@ -105,13 +110,9 @@
 	}
 	j := o.jobs[uid]
 	if j == nil {
-		if len(o.loaded) < o.op.Shards {
-			return // another owner's, perhaps
-		}
-		if _, over := o.final[uid]; !over && time.Since(o.loadedAt) < 3*time.Second {
-			return // just accepted, perhaps
+		if o.ended(uid) {
+			o.stray(m, ref, t)
 		}
-		o.stray(m, ref, t)
 		return
 	}
 	var p *place
@@ -162,6 +163,33 @@
 	}
 }
 
+// checkQueued takes an entry that has no place in the books out of its machine's
+// queue. Nobody would ever grant it, but it would keep its room.
+func (o *Owner) checkQueued(m *mach, ref machine.Ref) {
+	for p := range m.places {
+		if p.attempt == ref.Attempt && p.ref == ref {
+			return
+		}
+	}
+	uid, _, err := wire.ParseTask(ref.Task)
+	if err != nil || o.jobs[uid] == nil && !o.ended(uid) {
+		return
+	}
+	d := o.direction(m.view.Holder)
+	d.Halt = append(d.Halt, machine.Halt{Ref: ref})
+	poke(o.out)
+}
+
+// ended reports whether a job that is not among the living was, surely, this
+// owner's to know: it ended, or was never accepted.
+func (o *Owner) ended(uid string) bool {
+	if len(o.loaded) < o.op.Shards {
+		return false // another owner's, perhaps
+	}
+	_, over := o.final[uid]
+	return over || time.Since(o.loadedAt) >= 3*time.Second // else just accepted, perhaps
+}
+
 // stray handles a task that has no place in the books: a leftover.
 func (o *Owner) stray(m *mach, ref machine.Ref, t *machine.TaskView) {
 	if t.State == wire.TaskExited {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -1,6 +1,7 @@
 package owner_test
 
 import (
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,3 +60,37 @@
 		t.Errorf("places %v, done %v", places, done)
 	}
 }
+
+// A holder kept the queue of an owner that was gone and asked that owner for
+// grants for ever; the new owner took the queued places for known, and 19 jobs
+// were never done. A report with a newer token settles them, and the entries
+// that nobody will grant leave the queue.
+func TestSettlesWhatAPredecessorQueued(t *testing.T) {
+	f := newFleet(t, 1, 0)
+	f.items = map[string][]wire.Item{
+		"live/": {{Key: "live/j-1", Version: 1, Value: json.RawMessage(`{"job":{"uid":"j-1","docket":"c","crew":"t","sort":"sweep","pieces":1,"cpus":2}}`)}},
+		"log/":  {{Key: "log/000/00000", Version: 1, Value: json.RawMessage(`{"seq":1,"m":["n-000000"],"j":[{"u":"j-1","p":[0,1,0]}]}`)}},
+	}
+	f.owner.Unload()
+	if err := f.owner.Load(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	v := f.views[0]
+	v.Queue = []machine.QueueView{{Ref: machine.Ref{Machine: v.Name, Task: "j-1/0", Attempt: 1}}}
+	report := func(token uint64) (pending, halts int) {
+		v.Seq, v.Token = v.Seq+1, token
+		f.owner.Observe(v)
+		halts, _ = f.owner.Directions()
+		return f.owner.Queues()["pending"], halts
+	}
+	if pending, _ := report(6); pending != 0 {
+		t.Error("settled by a report with an old token: its start may yet arrive")
+	}
+	pending, halts := report(7)
+	if pending != 1 {
+		t.Error("not settled by a report with the new token")
+	}
+	if halts == 0 {
+		t.Error("the entry stays in the queue")
+	}
+}
