--- /dev/null
+++ b/cmd/wallrack/start_test.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/config"
+)
+
+const settings = `
+node_name = "racker-0"
+serve_on = "127.0.0.1:0"
+mesh_addr = "127.0.0.1:0"
+[[siblings]]
+node_name = "racker-1"
+address = "127.0.0.1:1"
+[endpoints]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:1"
+[params]
+zones = ["z"]
+[[params.teams]]
+name = "t"
+[params.workers]
+report_s = 1.0
+lease_s = 11.0
+cancel_s = 41.0
+[params.state]
+rps = 80.0
+write_rps = 30.0
+value_kb = 8.0
+txn_ops = 24
+[params.cloud]
+rps = 1.5
+list_lag_s = 8.0
+[params.limits]
+cpu = 0.072
+ram_mb = 54.0
+sockets = 600
+`
+
+// start runs a controller, which reaches nobody, for a while.
+func start(t testing.TB, d time.Duration) {
+	p, err := config.ParsePlatform([]byte(settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	op, err := config.LoadOperator("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	defer cancel()
+	if err := run(ctx, p, op, slog.New(slog.NewTextHandler(io.Discard, nil))); err != nil && ctx.Err() == nil {
+		t.Fatal(err)
+	}
+}
+
+// A controller that reaches neither the state service nor the cloud nor a peer
+// goes on trying, and stops in good order when it is told to.
+func TestStartsAloneAndStops(t *testing.T) {
+	began := time.Now()
+	start(t, 300*time.Millisecond)
+	if took := time.Since(began); took < 300*time.Millisecond || took > 10*time.Second {
+		t.Errorf("ran for %v", took)
+	}
+}
+
+// BenchmarkStart is all that a process does from its settings to its duties'
+// first steps, and back.
+func BenchmarkStart(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		start(b, time.Microsecond)
+	}
+}
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -94,3 +96,28 @@
 		t.Error("the entry stays in the queue")
 	}
 }
+
+// The largest arrays must fit the smallest controller: what is kept of a task
+// that waits is its number.
+func TestLargestArraysStaySmall(t *testing.T) {
+	f := newFleet(t, 1, 0)
+	heap := func() uint64 {
+		runtime.GC()
+		var s runtime.MemStats
+		runtime.ReadMemStats(&s)
+		return s.HeapAlloc
+	}
+	before := heap()
+	const jobs = 4
+	for i := range jobs {
+		f.owner.Accepted(&wire.Job{UID: fmt.Sprintf("j-%d", i), Class: "c", Team: "t", Kind: wire.KindArray, Priority: "low",
+			Tasks: wire.MaxTasks, CPUs: 1, MemoryGB: 1, Estimate: 30, Spot: true}, 0, 0, uint64(i+1))
+	}
+	f.owner.Pass()
+	if each := (heap() - before) / jobs; each > 2<<20 {
+		t.Errorf("%d KB for a job of %d tasks", each>>10, wire.MaxTasks)
+	}
+	if got := f.owner.Queues()["pending"]; got < jobs*wire.MaxTasks-1000 {
+		t.Errorf("%d pending", got)
+	}
+}
