Take jobs that are accepted while a shard is being taken over

Cause: a new owner lists the living jobs and then reads the log; what it saw in its watch in between was dropped, since the shard was not loaded yet, and the listing did not have it. Such a job was queued until the next takeover.

--- a/internal/owner/bench_test.go
+++ b/internal/owner/bench_test.go
@@ -24,6 +24,7 @@
 	rev   uint64
 	held  time.Duration
 	items map[string][]wire.Item // by prefix
+	list  func(prefix string)    // called at every listing, if set
 }
 
 var size = wire.MachineType{Name: "m", CPUs: 16, MemoryGB: 64, CacheGB: 50, FetchGBPerS: 1, Price: 1, SpotPrice: 0.3, BootS: 10, Zones: []string{"z"}}
@@ -43,6 +44,9 @@
 }
 func (f *fleet) Get(context.Context, string) (wire.Item, error) { return wire.Item{}, nil }
 func (f *fleet) List(_ context.Context, prefix string) ([]wire.Item, uint64, error) {
+	if f.list != nil {
+		f.list(prefix)
+	}
 	return f.items[prefix], 0, nil
 }
 func (f *fleet) Txn(context.Context, []wire.Guard, ...wire.Op) (uint64, error) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -213,6 +213,8 @@
 	mu       sync.Mutex
 	loaded   map[int]uint64 // shard -> version of its key when loaded
 	loadedAt time.Time
+	loading  bool    // shards are being read
+	early    []early // what came in the meantime
 	jobs     map[string]*job
 	order    []*job
 	machines map[string]*mach
@@ -380,6 +382,14 @@
 // last owner may have granted it. All tokens given out so far are below the
 // fresh one, so a report that shows it, and not the task, settles the place.
 func (o *Owner) load(ctx context.Context, shards []int, versions map[int]uint64) error {
+	o.mu.Lock()
+	o.loading, o.early = true, nil
+	o.mu.Unlock()
+	defer func() {
+		o.mu.Lock()
+		o.loading, o.early = false, nil
+		o.mu.Unlock()
+	}()
 	fence, err := o.member.Fresh(ctx)
 	if err != nil {
 		return err
@@ -408,10 +418,18 @@
 		uid, _, _ := strings.Cut(strings.TrimPrefix(it.Key, taskKey), "/")
 		byJob[uid] = append(byJob[uid], it)
 	}
+	n := o.adopt(shards, versions, want, jobs, byJob, slots, fence)
+	o.log.Info("took shards over", "shards", shards, "jobs", n, "fence", fence)
+	poke(o.wake)
+	poke(o.flush)
+	return nil
+}
+
+// adopt makes living jobs of what a takeover has read.
+func (o *Owner) adopt(shards []int, versions map[int]uint64, want map[int]bool, jobs []wire.Item, byJob map[string][]wire.Item, slots []wire.Item, fence uint64) (n int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	logs, entries := o.readLogs(slots, want)
-	n := 0
 	for _, it := range jobs {
 		var r liveRecord
 		if err := json.Unmarshal(it.Value, &r); err != nil {
@@ -446,11 +464,12 @@
 	for _, m := range o.machines {
 		m.since = time.Now()
 	}
+	for i := range o.early {
+		o.take(&o.early[i].record, o.early[i].version)
+	}
+	o.loading, o.early = false, nil
 	o.stats.Takeovers++
-	o.log.Info("took shards over", "shards", shards, "jobs", n, "fence", fence)
-	poke(o.wake)
-	poke(o.flush)
-	return nil
+	return n
 }
 
 // admit makes a living job of its records.
@@ -646,24 +665,7 @@
 			o.log.Error("unreadable job record", "key", key, "err", err)
 			return
 		}
-		if _, mine := o.loaded[r.Shard]; !mine {
-			return
-		}
-		if _, over := o.final[r.Job.UID]; over {
-			return
-		}
-		j := o.jobs[r.Job.UID]
-		if j == nil {
-			o.admit(&r, version, nil, nil, 0)
-			poke(o.wake)
-			return
-		}
-		if version > j.version {
-			j.version = version
-			if r.Cancelled {
-				o.cancelLocked(j)
-			}
-		}
+		o.take(&r, version)
 	}
 	o.store.Watch(ctx, liveKey, 20*time.Second, func(items []wire.Item) {
 		o.mu.Lock()
@@ -683,18 +685,46 @@
 	})
 }
 
+// early is a living job's record that came while shards were being loaded.
+type early struct {
+	record  liveRecord
+	version uint64
+}
+
+// take takes a living job's record that was written just now.
+func (o *Owner) take(r *liveRecord, version uint64) {
+	if _, mine := o.loaded[r.Shard]; !mine {
+		if o.loading {
+			// The listing that is being read may be from before: without
+			// this, the job would wait until the next takeover.
+			o.early = append(o.early, early{*r, version})
+		}
+		return
+	}
+	if _, over := o.final[r.Job.UID]; over {
+		return
+	}
+	j := o.jobs[r.Job.UID]
+	if j == nil {
+		o.admit(r, version, nil, nil, 0)
+		poke(o.wake)
+		return
+	}
+	if version > j.version {
+		j.version = version
+		if r.Cancelled {
+			o.cancelLocked(j)
+		}
+	}
+}
+
 // Accepted adds a job that this process has just recorded.
 func (o *Owner) Accepted(spec *wire.Job, shard int, atMs int64, version uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if _, mine := o.loaded[shard]; !mine || o.jobs[spec.UID] != nil {
-		return
+	if o.jobs[spec.UID] == nil {
+		o.take(&liveRecord{Job: *spec, Shard: shard, AtMs: atMs}, version)
 	}
-	if _, over := o.final[spec.UID]; over {
-		return
-	}
-	o.admit(&liveRecord{Job: *spec, Shard: shard, AtMs: atMs}, version, nil, nil, 0)
-	poke(o.wake)
 }
 
 // runEstimate is the expected run time of a task of the job.
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -121,3 +121,26 @@
 		t.Errorf("%d pending", got)
 	}
 }
+
+// A job that is accepted after a new owner has listed the jobs, and before it
+// has read the rest, was in nobody's books: its user saw it queued for ever.
+func TestTakesJobsAcceptedDuringATakeover(t *testing.T) {
+	f := newFleet(t, 1, 0)
+	f.owner.Unload()
+	f.items = map[string][]wire.Item{}
+	spec := &wire.Job{UID: "j-late", Class: "c", Team: "t", Kind: wire.KindArray, Priority: "low", Tasks: 3, CPUs: 1, Estimate: 9}
+	f.list = func(prefix string) {
+		if prefix == "log/" {
+			f.owner.Accepted(spec, 0, 0, 5)
+		}
+	}
+	if err := f.owner.Load(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if q := f.owner.Queues(); q["jobs"] != 1 || q["pending"] != 3 {
+		t.Errorf("after the takeover: %v", q)
+	}
+	if s, ok := f.owner.Known("j-late"); !ok || s.Stage != wire.StageQueued {
+		t.Errorf("state %+v, %v", s, ok)
+	}
+}
