--- a/internal/owner/evacuate.go
+++ b/internal/owner/evacuate.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	evacuateGain = 3   // times what stopping tasks wastes that it must save
-	evacuateLoss = 0.5 // of a task's run, at most, that stopping it may waste
-	countedStart = 30  // seconds within which a stop undoes a start that an aim counts
+	evacuateGain = 3    // times what stopping tasks wastes that it must save
+	evacuateLoss = 0.35 // of a task's run, at most, that stopping it may waste
+	countedStart = 30   // seconds within which a stop undoes a start that an aim counts
 )
 
 // evacuate stops what runs longest on machines that are to be returned, where
@@ -70,7 +70,7 @@
 
 // evacuees picks the tasks to be stopped on a machine: those that would keep it
 // longest, as far as that saves several times what it wastes. The others end
-// soon by themselves.
+// soon by themselves. Tasks that save nothing go only if all can.
 func (o *Owner) evacuees(m *mach, room float64) []evacuee {
 	t := o.typeOf(m)
 	if t.CPUs <= 0 || t.SpotPrice <= 0 {
@@ -95,17 +95,21 @@
 		}
 		return all[a].p.attempt < all[b].p.attempt
 	})
-	pick, best, wasted := 0, 0.0, 0.0
+	pick, best, wasted, saves := 0, 0.0, 0.0, true
 	for i, e := range all {
 		cpus := e.p.job.shape.CPUs
 		if room -= cpus; !e.ok || room < 0 {
 			break
 		}
 		wasted += e.loss * cpus * t.SpotPrice / t.CPUs
+		saves = saves && (e.p.job.spec.MarkS > 0 || e.loss == 0)
 		until := 0.0
 		if i+1 < len(all) {
 			until = all[i+1].left
 		}
+		if !saves && i+1 < len(all) {
+			continue // what begins anew may come late: only to empty the machine at once
+		}
 		if gain := t.Price*(all[0].left-until) - evacuateGain*wasted; gain > best {
 			pick, best = i+1, gain
 		}
