--- a/internal/owner/bench_test.go
+++ b/internal/owner/bench_test.go
@@ -20,6 +20,7 @@
 // everything.
 type fleet struct {
 	owner *owner.Owner
+	cfg   *config.Platform
 	views []machine.View
 	rev   uint64
 	held  time.Duration
@@ -72,7 +73,7 @@
 		Workers: config.Workers{ReportS: 1, LeaseS: 10, CancelS: 40},
 		State:   config.State{RPS: 100, WriteRPS: 100, ValueKB: 16, TxnOps: 48},
 	}}
-	f := &fleet{held: time.Minute}
+	f := &fleet{held: time.Minute, cfg: cfg}
 	f.owner = owner.New(cfg, op, f, f, f, f, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err := f.owner.Load(context.Background()); err != nil {
 		b.Fatal(err)
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -8,7 +8,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/machine"
+	"github.com/wallrack/wallrack/internal/placement"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -144,3 +146,50 @@
 		t.Errorf("state %+v, %v", s, ok)
 	}
 }
+
+// A far aim for starts (100 s) made every job of its class stop work of lower
+// priority at once: three fifths of all that was started had to start again.
+// Only an aim in danger stops anybody.
+func TestOnlyAnAimInDangerStopsOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 0)
+		f.cfg.Params.Objectives = []config.Objective{{Kind: "wait", Class: "quote", WithinS: 100, Share: 0.9}}
+		now := time.Now().UnixMilli()
+		f.owner.Accepted(&wire.Job{UID: "j-1", Class: "study", Team: "t", Kind: wire.KindArray, Priority: "low", Tasks: 2, CPUs: 8, Estimate: 300, Spot: true}, 0, now, 1)
+		v := &f.views[0]
+		full := []placement.Use{{Shape: placement.Shape{CPUs: 16, MemoryGB: 1}, Left: 300}}
+		show := func() {
+			v.Seq++
+			v.Matrix = placement.NewMatrix(placement.Shape{CPUs: size.CPUs, MemoryGB: size.MemoryGB}, full, nil)
+			v.Tasks = nil
+			for i := range 2 {
+				v.Tasks = append(v.Tasks, machine.TaskView{Task: wire.Task{Task: wire.TaskName("j-1", i), Attempt: uint64(i + 1), State: wire.TaskRunning}})
+			}
+			f.owner.Observe(*v)
+		}
+		v.Matrix = placement.NewMatrix(placement.Shape{CPUs: size.CPUs, MemoryGB: size.MemoryGB}, nil, nil)
+		v.Seq++
+		f.owner.Observe(*v)
+		f.owner.Pass()
+		for i := range 2 {
+			f.owner.GrantHere(machine.GrantRequest{Ref: machine.Ref{Machine: v.Name, Task: wire.TaskName("j-1", i), Attempt: uint64(i + 1)}, Token: 7, Session: 1})
+		}
+		show()
+		f.owner.Accepted(&wire.Job{UID: "j-2", Class: "quote", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: 1, CPUs: 8, Estimate: 300, Spot: true}, 0, now, 2)
+		stopped := func() int {
+			show()
+			f.owner.Directions()
+			f.owner.Pass()
+			halts, _ := f.owner.Directions()
+			return halts
+		}
+		time.Sleep(20 * time.Second)
+		if n := stopped(); n != 0 {
+			t.Errorf("%d tasks stopped 80 s before the aim", n)
+		}
+		time.Sleep(75 * time.Second)
+		if stopped() == 0 {
+			t.Error("nothing stopped 5 s before the aim")
+		}
+	})
+}
--- a/internal/owner/preempt.go
+++ b/internal/owner/preempt.go
@@ -41,18 +41,19 @@
 }
 
 // urgentSlack is the slack below which an aim is in danger.
-const urgentSlack = 6
+const urgentSlack = 15
 
-// startAim reports whether the job's tasks must start now: an aim says how soon
-// they should, and they have not waited much longer than that already, or the
-// time left for the next aim runs out.
+// startAim reports whether the job's tasks must start now: the time left for the
+// next aim runs out, or an aim for their start was missed not long ago. An aim
+// that is far off yet stops nobody: room that falls free goes to the higher
+// priority anyway, and what is stopped is paid for twice.
 func (o *Owner) startAim(j *job) bool {
 	if o.slack(j, 0) < urgentSlack {
 		return true
 	}
 	age := o.now.Sub(j.accepted).Seconds()
 	for _, within := range j.class.starts {
-		if age < 2*within {
+		if within-age < urgentSlack && age < 2*within {
 			return true
 		}
 	}
