Time recoveries phase by phase: a log line and /ops/stats

Need: nobody could say which part of a restart or takeover is the longest.

Change: package recovery times, from a start or takeover, /up, the lease, the claim, the jobs read, the first worker heard, the first grant, and half, 95 of 100 and all machines in the books heard. No timer runs when there is nothing to time.

--- a/cmd/wallrack/daemon.go
+++ b/cmd/wallrack/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/wallrack/wallrack/internal/membership"
 	"github.com/wallrack/wallrack/internal/mesh"
 	"github.com/wallrack/wallrack/internal/owner"
+	"github.com/wallrack/wallrack/internal/recovery"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/usage"
 )
@@ -81,7 +82,9 @@
 		q["connections"] = inbound.count()
 		return q
 	}, log)
+	n.times = recovery.New(n.owner, config.Seconds(p.Params.Workers.LeaseS), log)
 	member.OnChange(n.owner.Changed)
+	member.OnChange(n.standing)
 	n.handle()
 	n.handleDemand()
 
@@ -91,7 +94,7 @@
 	alerts.Register(mux)
 	mux.HandleFunc("GET /ops/stats", func(w http.ResponseWriter, _ *http.Request) {
 		stats := alerts.Stats()
-		stats["counters"], stats["usage"] = n.owner.Counters(), meter.Read()
+		stats["counters"], stats["usage"], stats["recovery"] = n.owner.Counters(), meter.Read(), n.times.Last()
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(stats) // the operator asks again
 	})
@@ -119,6 +122,7 @@
 	g.Go(func() error { return boxes.Run(ctx) })
 	g.Go(func() error { return alerts.Run(ctx) })
 	g.Go(func() error { return meter.Run(ctx) })
+	g.Go(func() error { return n.times.Run(ctx) })
 	g.Go(func() error { return n.ping(ctx) })
 	g.Go(func() error { return n.publish(ctx) })
 	g.Go(func() error { return n.vouch(ctx) })
--- a/cmd/wallrack/node.go
+++ b/cmd/wallrack/node.go
@@ -12,6 +12,7 @@
 	"github.com/wallrack/wallrack/internal/membership"
 	"github.com/wallrack/wallrack/internal/mesh"
 	"github.com/wallrack/wallrack/internal/owner"
+	"github.com/wallrack/wallrack/internal/recovery"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/usage"
 )
@@ -72,6 +73,7 @@
 	owner  *owner.Owner
 	holder *machine.Holder
 	intake *intake.Intake
+	times  *recovery.Timeline
 
 	mu    sync.Mutex
 	peers map[string]peerState
@@ -273,15 +275,40 @@
 	if n.member.Term() == 0 {
 		return false
 	}
-	return n.storeOK() || len(n.Served()) == 0
+	up := n.storeOK() || len(n.Served()) == 0
+	if up {
+		n.times.Mark(recovery.Up)
+	}
+	return up
+}
+
+// standing notes what the membership says for the timeline.
+func (n *node) standing() {
+	if n.member.Held() <= 0 {
+		n.times.Lost()
+		return
+	}
+	n.times.Mark(recovery.Joined)
+	if len(n.member.Own()) > 0 {
+		n.times.Mark(recovery.Claimed)
+	}
 }
 
 // Observe hands a view to the owner in this process; peers get theirs by
 // publish.
-func (n *node) Observe(v machine.View) { n.owner.Observe(v) }
+func (n *node) Observe(v machine.View) {
+	n.times.Mark(recovery.Heard)
+	n.owner.Observe(v)
+}
 
 // GrantHere asks the owner in this process.
-func (n *node) GrantHere(r machine.GrantRequest) machine.GrantReply { return n.owner.GrantHere(r) }
+func (n *node) GrantHere(r machine.GrantRequest) machine.GrantReply {
+	rep := n.owner.GrantHere(r)
+	if rep.OK {
+		n.times.Mark(recovery.Granted)
+	}
+	return rep
+}
 
 // GrantThere asks an owner elsewhere.
 func (n *node) GrantThere(ctx context.Context, at string, r machine.GrantRequest) (machine.GrantReply, error) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -190,7 +190,9 @@
 	errJobs map[string]bool
 	gone    bool
 	closing bool // the fleet wants it empty
-	kind    wire.MachineType
+	// recorded is the last takeover whose records had tasks on it.
+	recorded int
+	kind     wire.MachineType
 }
 
 // Owner owns jobs.
@@ -469,6 +471,11 @@
 	}
 	o.loading, o.early = false, nil
 	o.stats.Takeovers++
+	for _, m := range o.machines {
+		if len(m.places) > 0 {
+			m.recorded = o.stats.Takeovers
+		}
+	}
 	return n
 }
 
--- a/internal/owner/users.go
+++ b/internal/owner/users.go
@@ -202,3 +202,20 @@
 	}
 	return q
 }
+
+// Recovered returns how often this owner took shards over, the machines on which
+// the records it read last had tasks, and how many of those were not heard since.
+func (o *Owner) Recovered() (takeovers, machines, silent int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, m := range o.machines {
+		if m.recorded != o.stats.Takeovers || m.recorded == 0 {
+			continue
+		}
+		machines++
+		if m.at.Before(o.loadedAt) && len(m.places) > 0 {
+			silent++
+		}
+	}
+	return o.stats.Takeovers, machines, silent
+}
