--- /dev/null
+++ b/internal/fleet/list.go
@@ -0,0 +1,86 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// listShare is the seconds between lists, for each request a second that the
+// cloud allows and each page: lists take a fifth of the budget.
+const listShare = 5
+
+// refresh reads the cloud's list, which lags and may be older than the last.
+func (f *Fleet) refresh(ctx context.Context) {
+	asked := time.Now()
+	list, err := f.cloud.list(ctx)
+	if err != nil {
+		f.log.Info("no machine list", "err", err)
+		return
+	}
+	f.mu.Lock()
+	f.pages = 1 + len(list)/listPage
+	failed := map[string]string{}
+	for _, l := range list {
+		if f.sending[l.Name] {
+			continue
+		}
+		b := f.boxes[l.Name]
+		if b == nil {
+			b = &box{name: l.Name, known: asked, hired: asked.Add(-seconds(l.AgeS))}
+			f.boxes[l.Name] = b
+		}
+		b.offer, b.listed, b.stage = offer{l.Type, l.Zone, l.Spot}, asked, l.Stage
+		if l.Stage == wire.MachineFailed {
+			failed[l.Name] = "failed"
+		}
+	}
+	endpoints := map[string]string{}
+	for _, l := range list {
+		if l.Stage == wire.MachineRunning && !f.sending[l.Name] && l.Endpoint != "" {
+			endpoints[l.Name] = l.Endpoint
+		}
+	}
+	f.mu.Unlock()
+	if len(failed) > 0 {
+		f.giveBack(ctx, failed)
+	}
+	f.holder.Probe(ctx, endpoints, seconds(1.5*f.cfg.Params.Workers.ReportS))
+}
+
+// sortOut forgets machines that the cloud took and returns those that never
+// came up or went silent.
+func (f *Fleet) sortOut(now time.Time, back map[string]string) {
+	lag := seconds(2*f.cfg.Params.Cloud.ListLagS) + 5*time.Second
+	silence := seconds(2.5 * f.op.SilentS)
+	up, silent := 0, 0
+	for _, b := range f.boxes {
+		if !b.heard.IsZero() {
+			up++
+			if now.Sub(b.heard) > silence {
+				silent++
+			}
+		}
+	}
+	if 2*silent > up {
+		// Most at once: they are not heard, but may well be there.
+		silence = max(silence, seconds(f.cfg.Params.Workers.LeaseS+2.5*f.op.SilentS))
+	}
+	for name, b := range f.boxes {
+		t, _ := f.catalog.Type(b.offer.Type)
+		switch {
+		case f.sending[name]:
+		case !b.draining.IsZero() && b.load != nil && b.load.Places == 0 && now.Sub(b.draining) > planEvery:
+			back[name] = "idle"
+		case b.heard.IsZero() && now.Sub(later(b.hired, b.known)) > seconds(3*t.BootS+25) && now.Sub(b.hired) > seconds(3*t.BootS+25):
+			back[name] = "did not come up"
+		case !b.heard.IsZero() && now.Sub(b.heard) > silence && now.Sub(b.known) > silence:
+			back[name] = "silent"
+		case b.heard.IsZero() && now.Sub(b.listed) > takenAfter && now.Sub(b.known) > lag+takenAfter:
+			delete(f.boxes, name)
+		case b.load != nil && b.load.Faulty && b.load.Places == 0:
+			back[name] = "faulty"
+		}
+	}
+}
--- /dev/null
+++ b/internal/machine/commands.go
@@ -0,0 +1,134 @@
+package machine
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// commands collects what the worker is to do now; answer says that they go out
+// as the answer to a report.
+func (h *Holder) commands(name string, term uint64, answer bool) []wire.Command {
+	s := h.machines[name]
+	cmds := []wire.Command{}
+	if s == nil || s.report.Machine == "" {
+		return cmds
+	}
+	for ref, grace := range s.halts {
+		if len(cmds) < maxCommands {
+			cmds = append(cmds, wire.Command{Verb: wire.VerbStop, Task: ref.Task, Attempt: ref.Attempt, GraceS: &grace})
+		}
+	}
+	for ref := range s.clears {
+		// After a clear a late copy of the start command would start the
+		// task again: first every direct order must be fenced off; one in
+		// flight counts too, since it may yet be held back. A clear in a
+		// direct order could overtake a start in the answer to a report;
+		// among answers none is late, since the worker drops those.
+		if answer && s.fate == 0 && !s.busy && len(cmds) < maxCommands {
+			cmds = append(cmds, wire.Command{Verb: wire.VerbForget, Task: ref.Task, Attempt: ref.Attempt})
+		}
+	}
+	total, ok := h.total(s)
+	if !ok || s.draining || len(s.queue) == 0 {
+		return cmds
+	}
+	now := time.Now()
+	free := total
+	for _, u := range h.occupied(s, total, now) {
+		free = free.Add(u.Shape, -1)
+	}
+	sort.SliceStable(s.queue, func(i, j int) bool {
+		a, b := s.queue[i], s.queue[j]
+		if a.Rank != b.Rank {
+			return a.Rank > b.Rank
+		}
+		return a.DueAt < b.DueAt
+	})
+	kept := s.queue[:0]
+	for _, q := range s.queue {
+		if q.granted && (q.token != term || q.session != s.report.Session) {
+			q.granted = false
+		}
+		counted := q.sent || q.granted
+		if counted {
+			free = free.Add(q.Shape, 1) // counted as occupied above
+		}
+		if !q.Shape.Fits(free) {
+			kept = append(kept, q)
+			if counted {
+				free = free.Add(q.Shape, -1)
+			}
+			continue
+		}
+		if !q.granted && !q.asking {
+			req := GrantRequest{Ref: q.Ref, Holder: h.name, Token: term, Session: s.report.Session}
+			if q.Owner == h.name {
+				rep := h.owners.GrantHere(req)
+				if rep.Drop {
+					if counted {
+						free = free.Add(q.Shape, -1)
+					}
+					continue
+				}
+				if rep.OK {
+					q.granted, q.token, q.session = true, term, s.report.Session
+				}
+			} else {
+				h.askElsewhere(q, req)
+			}
+		}
+		kept = append(kept, q)
+		if q.granted && len(cmds) < maxCommands {
+			q.sent, q.sentSeq = true, s.report.Seq
+			cmds = append(cmds, wire.Command{Verb: wire.VerbStart, Task: q.Task, Attempt: q.Attempt})
+		}
+		if q.granted || q.sent || q.asking {
+			free = free.Add(q.Shape, -1)
+		}
+	}
+	clear(s.queue[len(kept):])
+	s.queue = kept
+	return cmds
+}
+
+// askElsewhere asks an owner on another controller for the grant.
+func (h *Holder) askElsewhere(q *queued, req GrantRequest) {
+	q.asking = true
+	h.workers.Add(1)
+	go func() {
+		defer h.workers.Done()
+		ctx, cancel := context.WithTimeout(h.ctx, time.Second)
+		rep, err := h.owners.GrantThere(ctx, q.Owner, req)
+		cancel()
+		h.mu.Lock()
+		q.asking = false
+		if err != nil {
+			h.log.Debug("no grant", "task", q.Task, "err", err)
+		}
+		s := h.machines[req.Machine]
+		switch {
+		case s == nil:
+		case rep.Drop:
+			h.removeLocked(s, q.Ref)
+		case rep.OK:
+			q.granted, q.token, q.session = true, req.Token, req.Session
+		}
+		h.mu.Unlock()
+		if rep.OK {
+			h.Push(req.Machine)
+		}
+	}()
+}
+
+func (h *Holder) removeLocked(s *held, ref Ref) (was *queued) {
+	for i, q := range s.queue {
+		if q.Ref == ref {
+			s.queue = append(s.queue[:i], s.queue[i+1:]...)
+			return q
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/machine/direct.go
@@ -0,0 +1,86 @@
+package machine
+
+import (
+	"time"
+
+	"github.com/wallrack/wallrack/internal/usage"
+)
+
+// Direct does what an owner says and returns the halted tasks that this
+// holder surely never launched.
+func (h *Holder) Direct(d Direction) Unlaunched {
+	defer usage.Count(usage.Directed, time.Now())
+	var out Unlaunched
+	touched := map[string]bool{}
+	h.mu.Lock()
+	for _, e := range d.Assign {
+		s := h.machines[e.Machine]
+		if s == nil {
+			continue
+		}
+		if l := s.tasks[e.Ref]; l != nil {
+			if l.entry == nil {
+				h.dirty[e.Machine] = true
+			}
+			l.entry = &e
+			continue
+		}
+		if e.Listed || s.hasQueued(e) {
+			continue
+		}
+		h.nextSeq++
+		s.queue = append(s.queue, &queued{Entry: e, seq: h.nextSeq})
+		touched[e.Machine] = true
+	}
+	for _, halt := range d.Halt {
+		s := h.machines[halt.Machine]
+		if s == nil {
+			continue
+		}
+		if q := h.removeLocked(s, halt.Ref); q != nil && !q.sent && s.tasks[halt.Ref] == nil {
+			out.Refs = append(out.Refs, halt.Ref)
+			touched[halt.Machine] = true
+			continue
+		}
+		s.halts[halt.Ref] = halt.GraceS
+		touched[halt.Machine] = true
+	}
+	for _, ref := range d.Clear {
+		if s := h.machines[ref.Machine]; s != nil && s.tasks[ref] != nil {
+			s.clears[ref] = true
+			if s.fate != 0 {
+				h.raiseLocked(s.fate)
+			}
+			// The next report's answer is soon enough: an exited task
+			// takes nothing but a line.
+		}
+	}
+	if d.RaiseAbove > 0 {
+		h.raiseLocked(d.RaiseAbove)
+	}
+	var views []View
+	for name := range touched {
+		h.dirty[name] = true
+		if s := h.machines[name]; s.report.Machine != "" {
+			views = append(views, h.view(s))
+		}
+	}
+	h.mu.Unlock()
+	for _, v := range views {
+		h.owners.Observe(v)
+	}
+	for name := range touched {
+		h.Push(name)
+	}
+	return out
+}
+
+func (s *held) hasQueued(e Entry) bool {
+	for _, q := range s.queue {
+		if q.Ref == e.Ref {
+			q.Owner = e.Owner
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/machine/push.go
@@ -0,0 +1,143 @@
+package machine
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// Push sends the machine's commands directly, instead of waiting for its next
+// report.
+func (h *Holder) Push(name string) {
+	if !h.routing.Entitled() {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.machines[name]
+	if s == nil || s.report.Endpoint == "" || time.Since(s.at) > h.lease {
+		return
+	}
+	if s.busy {
+		s.again = true
+		return
+	}
+	term := h.tokens.Term()
+	if term == 0 || term < s.report.Token {
+		return // the next report raises the term
+	}
+	cmds := h.commands(name, term, false)
+	if len(cmds) == 0 {
+		return
+	}
+	s.busy, s.again = true, false
+	endpoint, session := s.report.Endpoint, s.report.Session
+	h.workers.Add(1)
+	go func() {
+		defer h.workers.Done()
+		h.order(name, endpoint, wire.Orders{Token: term, Session: session, Commands: cmds})
+	}()
+}
+
+func (h *Holder) order(name, endpoint string, o wire.Orders) {
+	ctx, cancel := context.WithTimeout(h.ctx, orderTimeout)
+	rep, executed, err := h.orders.Order(ctx, endpoint, o)
+	cancel()
+	h.mu.Lock()
+	s := h.machines[name]
+	if s == nil {
+		h.mu.Unlock()
+		return
+	}
+	s.busy = false
+	again := s.again
+	s.again = false
+	switch {
+	case err != nil && !errors.Is(err, ErrNotSent):
+		// The order may still arrive, minutes late, while its token and
+		// session match: only a newer token ends that.
+		s.fate = max(s.fate, o.Token)
+		h.raiseLocked(s.fate)
+		again = false
+	case err != nil:
+		again = false
+	case !executed:
+		for _, q := range s.queue {
+			q.granted = false
+		}
+	}
+	h.mu.Unlock()
+	if err != nil {
+		h.log.Debug("direct order failed", "machine", name, "err", err)
+		return
+	}
+	if rep.Machine != name {
+		h.log.Info("another machine answered", "machine", name, "answered", rep.Machine)
+		return
+	}
+	if view, ok := h.take(rep, false); ok {
+		h.owners.Observe(view)
+	}
+	if again && rep.Token <= h.tokens.Term() {
+		h.Push(name)
+	}
+}
+
+// probesAtOnce bounds how many machines are asked for their report at a time.
+const probesAtOnce = 32
+
+// Probe asks machines that were not heard here for a while for their reports.
+// After a takeover this tells what runs long before every worker has found out
+// where to report to, and has done so.
+func (h *Holder) Probe(ctx context.Context, endpoints map[string]string, unheard time.Duration) {
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(probesAtOnce)
+	for name, endpoint := range endpoints {
+		h.mu.Lock()
+		s := h.machines[name]
+		skip := h.gone[name] || s != nil && time.Since(s.at) < unheard || len(h.machines) >= maxMachines
+		h.mu.Unlock()
+		if skip || !h.routing.Entitled() {
+			continue
+		}
+		g.Go(func() error {
+			pctx, cancel := context.WithTimeout(ctx, orderTimeout)
+			rep, err := h.orders.Show(pctx, endpoint)
+			cancel()
+			if err != nil || rep.Machine != name {
+				h.log.Debug("no report on request", "machine", name, "err", err)
+				return nil
+			}
+			if view, ok := h.take(rep, false); ok {
+				h.owners.Observe(view)
+			}
+			return nil
+		})
+	}
+	_ = g.Wait() // none returns an error
+}
+
+// raiseLocked raises the term in the background, one at a time.
+func (h *Holder) raiseLocked(above uint64) {
+	if h.raising || h.tokens.Term() > above {
+		return
+	}
+	h.raising = true
+	h.workers.Add(1)
+	go func() {
+		defer h.workers.Done()
+		ctx, cancel := context.WithTimeout(h.ctx, 5*time.Second)
+		_, err := h.tokens.Raise(ctx, above)
+		cancel()
+		h.mu.Lock()
+		h.raising = false
+		h.mu.Unlock()
+		if err != nil {
+			h.log.Info("raising the term failed", "err", err)
+		}
+	}()
+}
--- /dev/null
+++ b/internal/machine/view.go
@@ -0,0 +1,106 @@
+package machine
+
+import (
+	"math"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/placement"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// total is the machine's size, if its type is known.
+func (h *Holder) total(s *held) (placement.Shape, bool) {
+	t, ok := h.types.Type(s.report.Type)
+	return placement.Shape{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}, ok
+}
+
+// occupied lists what holds resources now: reported tasks that have not
+// exited, and starts that may be under way.
+// The result is good until the next call.
+func (h *Holder) occupied(s *held, total placement.Shape, now time.Time) []placement.Use {
+	uses := h.uses[:0]
+	for _, l := range s.tasks {
+		switch {
+		case l.state == wire.TaskExited:
+		case l.entry == nil:
+			// Nobody told yet what it takes: count the whole machine.
+			uses = append(uses, placement.Use{Shape: total, Left: 3})
+		default:
+			left := l.entry.Run
+			elapsed := now.Sub(l.since).Seconds()
+			if l.state == wire.TaskFetching {
+				left += math.Max(0.5, l.entry.Fetch-elapsed)
+			} else {
+				left = math.Max(left-elapsed, 1+0.15*elapsed)
+			}
+			uses = append(uses, placement.Use{Shape: l.entry.Shape, Left: left})
+		}
+	}
+	for _, q := range s.queue {
+		if q.sent || q.granted {
+			uses = append(uses, placement.Use{Shape: q.Shape, Left: q.Fetch + q.Run})
+		}
+	}
+	h.uses = uses
+	return uses
+}
+
+func (h *Holder) view(s *held) View {
+	now := time.Now()
+	r := &s.report
+	v := View{Name: r.Machine, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Session: r.Session, Seq: r.Seq, Token: r.Token,
+		Holder: h.name, AgeS: now.Sub(s.at).Seconds(), NoticeS: r.NoticeS, Draining: s.draining}
+	v.Tasks = make([]TaskView, 0, len(r.Tasks))
+	for _, t := range r.Tasks {
+		l := s.tasks[Ref{r.Machine, t.Task, t.Attempt}]
+		v.Tasks = append(v.Tasks, TaskView{Task: t, ForS: now.Sub(l.since).Seconds()})
+	}
+	total, ok := h.total(s)
+	if !ok {
+		return v
+	}
+	v.Matrix = placement.NewMatrix(total, h.occupied(s, total, now), nil)
+	for _, q := range s.queue {
+		if q.sent || q.granted {
+			v.Queue = append(v.Queue, QueueView{q.Ref, 0})
+			continue
+		}
+		w := v.Matrix.Wait(q.Shape, q.Fetch+q.Run)
+		if math.IsInf(w, 1) {
+			w = 1e6
+		} else {
+			v.Matrix = v.Matrix.Reserve(q.Shape, w, q.Fetch+q.Run)
+		}
+		v.Queue = append(v.Queue, QueueView{q.Ref, w})
+	}
+	return v
+}
+
+// Changed returns views of the machines that changed since the last call.
+func (h *Holder) Changed() []View {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []View
+	for name := range h.dirty {
+		if s := h.machines[name]; s != nil && s.report.Machine != "" {
+			out = append(out, h.view(s))
+		}
+	}
+	clear(h.dirty)
+	return out
+}
+
+// Views returns views of all machines heard within a lease.
+func (h *Holder) Views() []View {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []View
+	for name, s := range h.machines {
+		if age := time.Since(s.at); age > forgetAfter && time.Since(s.sentAway) > forgetAfter {
+			delete(h.machines, name)
+		} else if s.report.Machine != "" && age < h.lease {
+			out = append(out, h.view(s))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/owner/accept.go
@@ -0,0 +1,81 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/goccy/go-json"
+
+	"github.com/wallrack/wallrack/internal/usage"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// watch follows accepted jobs, which any controller may record.
+func (o *Owner) watch(ctx context.Context) {
+	take := func(key string, value json.RawMessage, version uint64) {
+		var r liveRecord
+		if err := json.Unmarshal(value, &r); err != nil {
+			o.log.Error("unreadable job record", "key", key, "err", err)
+			return
+		}
+		o.take(&r, version)
+	}
+	o.store.Watch(ctx, liveKey, 20*time.Second, func(items []wire.Item) {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		for _, it := range items {
+			take(it.Key, it.Value, it.Version)
+		}
+	}, func(events []wire.Event) {
+		defer usage.Count(usage.Watches, time.Now())
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		for _, e := range events {
+			if e.Put != "" {
+				take(e.Put, e.Value, e.Version)
+			}
+		}
+	})
+}
+
+// early is a living job's record that came while shards were being loaded.
+type early struct {
+	record  liveRecord
+	version uint64
+}
+
+// take takes a living job's record that was written just now.
+func (o *Owner) take(r *liveRecord, version uint64) {
+	if _, mine := o.loaded[r.Shard]; !mine {
+		if o.loading {
+			// The listing that is being read may be from before: without
+			// this, the job would wait until the next takeover.
+			o.early = append(o.early, early{*r, version})
+		}
+		return
+	}
+	if _, over := o.final[r.Job.UID]; over {
+		return
+	}
+	j := o.jobs[r.Job.UID]
+	if j == nil {
+		o.admit(r, version, nil, nil, 0)
+		poke(o.wake)
+		return
+	}
+	if version > j.version {
+		j.version = version
+		if r.Cancelled {
+			o.cancelLocked(j)
+		}
+	}
+}
+
+// Accepted adds a job that this process has just recorded.
+func (o *Owner) Accepted(spec *wire.Job, shard int, atMs int64, version uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.jobs[spec.UID] == nil {
+		o.take(&liveRecord{Job: *spec, Shard: shard, AtMs: atMs}, version)
+	}
+}
--- /dev/null
+++ b/internal/owner/demand.go
@@ -0,0 +1,157 @@
+package owner
+
+import (
+	"math"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/placement"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// Demand is work that waits.
+type Demand struct {
+	Shape placement.Shape
+	Job   *wire.Job
+	Count int
+	Run   float64
+	Rank  int
+	Slack float64 // how long it may wait and still meet an aim that a new machine can help with
+}
+
+// Demand returns the work that has no machine yet, most urgent first, and what
+// each machine's future looks like. boot is how long a new machine takes.
+func (o *Owner) Demand(boot float64) ([]Demand, []Load) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.now = time.Now()
+	var waiting []*job
+	count := map[*job]int{}
+	for _, j := range o.order {
+		if j.cancelled || j.ended != "" {
+			continue
+		}
+		n := len(j.pending)
+		for _, ps := range j.places {
+			waits := true
+			for _, p := range ps {
+				waits = waits && !p.on() && !p.exited
+			}
+			if waits {
+				n++
+			}
+		}
+		if j.errors > 6 {
+			n = min(n, 2)
+		}
+		if n > 0 {
+			waiting = append(waiting, j)
+			count[j] = n
+		}
+	}
+	o.sortJobs(waiting)
+	ds := make([]Demand, 0, len(waiting))
+	for _, j := range waiting {
+		ds = append(ds, Demand{Shape: j.shape, Job: j.spec, Count: count[j], Run: j.runEstimate(), Rank: j.spec.Rank(), Slack: o.slack(j, boot)})
+	}
+	var ls []Load
+	for _, m := range o.machines {
+		m.kind, _ = o.types.Type(m.view.Type) // prices move
+		l := Load{Name: m.name, Type: m.view.Type, Zone: m.view.Zone, Spot: m.view.Spot, Matrix: m.matrix, Heard: m.heard,
+			Places: len(m.places), Notice: !m.notice.IsZero(), Faulty: m.errors >= 4 && len(m.errJobs) >= 2}
+		for p := range m.places {
+			if p.on() {
+				l.Used = l.Used.Add(p.job.shape, 1)
+			}
+		}
+		ls = append(ls, l)
+	}
+	return ds, ls
+}
+
+// lateSlack is the patience with work that a new machine can't bring in time
+// any more: it should still move on.
+const lateSlack = 20
+
+// slack is how long the job's tasks may still wait and meet the next aim that
+// a machine rented now can help to meet.
+func (o *Owner) slack(j *job, boot float64) float64 {
+	age := o.now.Sub(j.accepted).Seconds()
+	run := pessimism*j.runEstimate() + restartTakes
+	best := math.Inf(1)
+	offer := func(s float64) {
+		if s >= boot && s < best {
+			best = s
+		}
+	}
+	for _, within := range j.class.starts {
+		offer(within - age)
+	}
+	for _, limit := range o.limits(j) {
+		offer(limit - age - run)
+	}
+	if math.IsInf(best, 1) {
+		return lateSlack
+	}
+	return best
+}
+
+const (
+	pessimism    = 1.3 // by which runs are taken to be longer than expected
+	restartTakes = 4   // seconds from a decision to a task's run, image included
+)
+
+// limits are the ages at which the job should be done.
+func (o *Owner) limits(j *job) []float64 {
+	if j.ends == nil {
+		j.ends = []float64{}
+		for _, aim := range o.cfg.Params.Objectives {
+			switch {
+			case aim.Class != j.spec.Class:
+			case aim.Kind == "finished":
+				j.ends = append(j.ends, aim.WithinS)
+			case aim.Kind == "deadline" && j.spec.DueS != nil:
+				j.ends = append(j.ends, *j.spec.DueS*max(1, aim.Times))
+			}
+		}
+		if j.spec.DueS != nil {
+			j.ends = append(j.ends, *j.spec.DueS)
+		}
+	}
+	return j.ends
+}
+
+// Admitted returns how much work, in CPU-seconds, has been accepted since this
+// owner began.
+func (o *Owner) Admitted() float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.admitted
+}
+
+// Closing tells which machines take no new work, so that they fall idle and
+// can be returned.
+func (o *Owner) Closing(names map[string]bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for name, m := range o.machines {
+		m.closing = names[name]
+	}
+}
+
+// Load is a machine as fleet planning sees it.
+type Load struct {
+	Name, Type, Zone     string
+	Spot, Notice, Faulty bool
+	Matrix               placement.Matrix
+	Used                 placement.Shape
+	Heard                time.Time
+	Places               int
+}
+
+// Leads reports whether this owner leads the fleet: it owns the first shard.
+func (o *Owner) Leads() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	_, first := o.loaded[0]
+	return first && o.member.Held() > 0
+}
--- /dev/null
+++ b/internal/owner/grant.go
@@ -0,0 +1,113 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/wallrack/wallrack/internal/machine"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// GrantHere decides whether a task may start now. One place of a task is
+// granted at a time; quota, place and kind are checked against everything
+// that may still be on.
+func (o *Owner) GrantHere(r machine.GrantRequest) machine.GrantReply {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	no, drop := machine.GrantReply{}, machine.GrantReply{Drop: true}
+	if o.member.Held() < 200*time.Millisecond || len(o.loaded) == 0 {
+		return no
+	}
+	uid, n, err := wire.ParseTask(r.Task)
+	if err != nil {
+		return drop
+	}
+	j := o.jobs[uid]
+	if j == nil {
+		return machine.GrantReply{Drop: len(o.loaded) == o.op.Shards}
+	}
+	if v, ok := o.member.Owns(j.shard); !ok || o.loaded[j.shard] != v {
+		return no
+	}
+	var p *place
+	for _, x := range j.places[n] {
+		if x.mach.name == r.Machine && x.attempt == r.Attempt {
+			p = x
+		} else if x.on() || x.exited {
+			o.stats.Refused++
+			return no // settled later, or dropped by unqueue
+		}
+	}
+	if p == nil {
+		return drop
+	}
+	m := p.mach
+	switch {
+	case j.cancelled || p.chunk.isDone(n):
+		return drop
+	case p.state == placeWriting || p.state == placeUnsettled || p.state == placeSeen || !p.haltAt.IsZero():
+		return no
+	case m.gone || m.view.Draining || !o.allowed(j, m):
+		return no
+	}
+	o.count(p, -1)
+	if !o.within(j, m) || !o.underLimit(j) {
+		o.count(p, 1)
+		o.stats.Refused++
+		return no
+	}
+	p.state = placeGranted
+	p.token, p.session = max(p.token, r.Token), max(p.session, r.Session)
+	o.count(p, 1)
+	o.stats.Granted++
+	for _, x := range append([]*place(nil), j.places[n]...) {
+		if x != p {
+			o.unqueue(x)
+		}
+	}
+	return machine.GrantReply{OK: true}
+}
+
+// allowed reports whether the job may run on that machine at all.
+func (o *Owner) allowed(j *job, m *mach) bool {
+	s := j.spec
+	if m.view.Spot && !s.Spot || s.Zone != nil && *s.Zone != m.view.Zone {
+		return false
+	}
+	if s.Types == nil {
+		return true
+	}
+	for _, t := range s.Types {
+		if t == m.view.Type {
+			return true
+		}
+	}
+	return false
+}
+
+// within reports whether one more task of the job may be in the machine's
+// zone, counting all that may be on.
+func (o *Owner) within(j *job, m *mach) bool {
+	zone := m.view.Zone
+	if j.spec.OneZone {
+		if j.unzoned > 0 {
+			return false
+		}
+		for z, n := range j.zones {
+			if n > 0 && z != zone {
+				return false
+			}
+		}
+	}
+	if j.spec.Spread && j.zones[zone]+j.unzoned+1 > (j.spec.Tasks+1)/2 {
+		return false
+	}
+	return true
+}
+
+// underLimit reports whether the job's team may use one more task of it.
+func (o *Owner) underLimit(j *job) bool {
+	t := j.team
+	u := t.use.Add(j.shape, 1)
+	const tiny = 1e-6
+	return (t.CPUsMax <= 0 || u.CPUs <= t.CPUsMax+tiny) && (t.GPUsMax <= 0 || u.GPUs <= t.GPUsMax+tiny)
+}
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/goccy/go-json"
@@ -281,6 +282,12 @@
 // endLocked forgets a job whose end is recorded.
 func (o *Owner) endLocked(j *job) {
 	uid := j.spec.UID
+	limit := 0.0
+	if l := o.limits(j); len(l) > 0 {
+		limit = slices.Min(l)
+	}
+	o.log.Debug("job ended", "job", uid, "class", j.spec.Class, "stage", j.ended, "arrived_s", float64(j.atMs)/1000,
+		"took_s", time.Since(j.accepted).Seconds(), "run_s", j.runs.mean(), "limit_s", limit, "tasks", j.spec.Tasks, "cpus", j.spec.CPUs)
 	o.final[uid] = finalRecord{Stage: j.ended, Done: j.done}
 	o.finalQ = append(o.finalQ, uid)
 	if len(o.finalQ) > keepFinal {
