--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -287,7 +287,7 @@
 		limit = slices.Min(l)
 	}
 	o.log.Debug("job ended", "job", uid, "class", j.spec.Class, "stage", j.ended, "arrived_s", float64(j.atMs)/1000,
-		"took_s", time.Since(j.accepted).Seconds(), "run_s", j.runs.mean(), "limit_s", limit, "tasks", j.spec.Tasks, "cpus", j.spec.CPUs)
+		"took_s", time.Since(j.accepted).Seconds(), "run_s", j.runEstimate(), "limit_s", limit, "tasks", j.spec.Tasks, "cpus", j.spec.CPUs)
 	o.final[uid] = finalRecord{Stage: j.ended, Done: j.done}
 	o.finalQ = append(o.finalQ, uid)
 	if len(o.finalQ) > keepFinal {
