--- a/cmd/wallrack/daemon.go
+++ b/cmd/wallrack/daemon.go
@@ -98,6 +98,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(stats) // the operator asks again
 	})
+	mux.HandleFunc("GET /ops/machines", n.serveMachines)
 	mux.HandleFunc("POST /v1/report", n.holder.ServeReport)
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 15 * time.Second,
 		WriteTimeout: 15 * time.Second, IdleTimeout: 90 * time.Second, MaxHeaderBytes: 16 << 10,
--- a/cmd/wallrack/demand.go
+++ b/cmd/wallrack/demand.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
+	"github.com/goccy/go-json"
+
 	"github.com/wallrack/wallrack/internal/mesh"
 	"github.com/wallrack/wallrack/internal/owner"
+	"github.com/wallrack/wallrack/internal/wire"
 )
 
 // demandWithin is how long the fleet's planning waits for another owner.
@@ -14,6 +18,7 @@
 const (
 	methodDemand = "Demand"
 	methodGone   = "Gone"
+	methodList   = "Machines"
 )
 
 type demandMessage struct {
@@ -48,6 +53,10 @@
 	mesh.Handle(n.links, methodDemand, func(_ context.Context, m *demandMessage) (*demandReply, error) {
 		return n.demand(m.Boot), nil
 	})
+	mesh.Handle(n.links, methodList, func(context.Context, *nothing) (*[]wire.MachineInfo, error) {
+		ms := n.owner.Machines()
+		return &ms, nil
+	})
 	mesh.Handle(n.links, methodGone, func(_ context.Context, m *goneMessage) (*nothing, error) {
 		n.holder.Gone(m.Machine)
 		n.owner.Gone(m.Machine)
@@ -122,3 +131,29 @@
 		cancel()
 	}
 }
+
+// serveMachines answers operators who ask for the machines: the owner knows them.
+func (n *node) serveMachines(w http.ResponseWriter, r *http.Request) {
+	var ms []wire.MachineInfo
+	if n.owner.Leads() {
+		ms = n.owner.Machines()
+	} else {
+		found := false
+		for _, peer := range n.Owners() {
+			ctx, cancel := context.WithTimeout(r.Context(), demandWithin)
+			rep, err := mesh.Call[nothing, []wire.MachineInfo](ctx, n.links, peer, methodList, &nothing{})
+			cancel()
+			if err == nil {
+				ms, found = *rep, true
+				break
+			}
+		}
+		if !found {
+			w.Header().Set("Retry-After", "1")
+			http.Error(w, `{"error":"no owner answers"}`, http.StatusServiceUnavailable)
+			return
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(ms) // the operator asks again
+}
--- a/cmd/wallrack/main.go
+++ b/cmd/wallrack/main.go
@@ -72,7 +72,7 @@
 			}
 			return err
 		},
-	}, boundCommand())
+	}, boundCommand(), workerCommand(), localCommand())
 	return root
 }
 
--- /dev/null
+++ b/internal/local/local.go
@@ -0,0 +1,360 @@
+// Package local runs a whole site on one machine: controllers, workers that run
+// real processes, and stand-ins for state service, cloud and load balancer, all
+// spoken to by the protocol, on loopback only.
+package local
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"go.etcd.io/bbolt"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/descr"
+	"github.com/wallrack/wallrack/internal/standin"
+	"github.com/wallrack/wallrack/internal/wire"
+	"github.com/wallrack/wallrack/internal/worker"
+)
+
+// Team is the team of a local site, Zone its only zone, Type its machine type.
+const (
+	Team = "default"
+	Zone = "local"
+	Type = "local"
+)
+
+const (
+	reportS   = 1.0
+	leaseS    = 10.0
+	cancelS   = 30.0
+	stateRPS  = 2000.0
+	txnOps    = 48
+	valueKB   = 16.0
+	backAfter = time.Second // before a controller that ended is started again
+)
+
+// Part starts a part of the site and returns when it has ended. It ends the part
+// in order when ctx ends.
+type Part func(ctx context.Context, name string, args []string) error
+
+// Site says what to run.
+type Site struct {
+	Dir         string  // keeps jobs, settings and logs
+	Listen      string  // loopback address for users
+	Controllers int     // how many
+	Machines    int     // most machines up at once
+	CPUs        float64 // of a machine
+	MemoryGB    float64 // of a machine
+	Start       Part    // starts "wallrack ARGS"
+	Log         *slog.Logger
+}
+
+// Check says what is wrong with a site.
+func (s *Site) Check() error {
+	switch {
+	case s.Dir == "":
+		return errors.New("--dir: a directory is needed")
+	case s.Controllers < 1 || s.Controllers > 9:
+		return errors.New("--controllers: must be 1 to 9")
+	case s.Machines < 1 || s.Machines > 200:
+		return errors.New("--machines: must be 1 to 200")
+	case !(s.CPUs > 0) || !(s.MemoryGB > 0):
+		return errors.New("--cpus, --memory-gb: must be above 0")
+	}
+	host, _, err := net.SplitHostPort(s.Listen)
+	if err != nil {
+		return fmt.Errorf("--listen: %w", err)
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return fmt.Errorf("--listen: %s is not a loopback address: a local site has no rights and no encryption", host)
+	}
+	return nil
+}
+
+// Run runs the site until ctx ends. ready is called once, with the users'
+// address, when a job is sure to be taken.
+func (s *Site) Run(ctx context.Context, ready func(url string)) error {
+	if err := s.Check(); err != nil {
+		return err
+	}
+	if err := os.MkdirAll(s.Dir, 0o755); err != nil {
+		return fmt.Errorf("--dir: %w", err)
+	}
+	db, err := bbolt.Open(filepath.Join(s.Dir, "site.db"), 0o644, &bbolt.Options{Timeout: time.Second})
+	if errors.Is(err, bbolt.ErrTimeout) {
+		return fmt.Errorf("--dir: %s is in use by another site", s.Dir)
+	}
+	if err != nil {
+		return fmt.Errorf("--dir: %w", err)
+	}
+	defer db.Close()
+	if err := s.clear(); err != nil {
+		return err
+	}
+	users, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return fmt.Errorf("--listen: %w", err)
+	}
+	defer users.Close()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	defer inner.Close()
+	state, err := standin.OpenState(db, txnOps, valueKB)
+	if err != nil {
+		return err
+	}
+	// Parts end before what they need: workers, controllers, then the services.
+	svcCtx, stopServices := context.WithCancel(context.Background())
+	ctlCtx, stopControllers := context.WithCancel(context.Background())
+	defer stopServices()
+	defer stopControllers()
+	nodes, err := s.settings(inner.Addr().String())
+	if err != nil {
+		return err
+	}
+	m := &machines{site: s, nodes: nodes, descr: "http://" + inner.Addr().String(), running: map[string]*running{}}
+	cloud, err := standin.OpenCloud(db, []wire.MachineType{{Name: Type, CPUs: s.CPUs, MemoryGB: s.MemoryGB, CacheGB: 100, FetchGBPerS: 10,
+		Price: 1, SpotPrice: 1, BootS: 0.1, Zones: []string{Zone}}}, s.Machines, m)
+	if err != nil {
+		return err
+	}
+	m.failed = cloud.Failed
+	front := newFront(nodes, s.Dir)
+	mux := http.NewServeMux()
+	mux.Handle("/store", state.Handler())
+	mux.Handle("/store/", state.Handler())
+	mux.Handle("/txn", state.Handler())
+	mux.Handle("/grants", state.Handler())
+	mux.Handle("/grants/", state.Handler())
+	mux.Handle("/follow", state.Handler())
+	mux.Handle("/machine_types", cloud.Handler())
+	mux.Handle("/hosts", cloud.Handler())
+	mux.Handle("/hosts/", cloud.Handler())
+	descriptions := descr.Handler(standin.Descriptions{DB: db})
+	mux.Handle("/descriptions/", descriptions)
+	front.mux.Handle("/descriptions/", descriptions)
+
+	g, gctx := errgroup.WithContext(ctx)
+	serve := func(lis net.Listener, h http.Handler) {
+		srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+		g.Go(func() error {
+			if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		})
+		g.Go(func() error {
+			<-svcCtx.Done()
+			return srv.Close()
+		})
+	}
+	serve(inner, mux)
+	serve(users, front.mux)
+	g.Go(func() error { state.Sweep(svcCtx.Done()); return nil })
+	g.Go(func() error { front.watch(svcCtx); return nil })
+	var controllers sync.WaitGroup
+	for _, n := range nodes {
+		controllers.Add(1)
+		go func() { defer controllers.Done(); s.keep(ctlCtx, n) }()
+	}
+	g.Go(func() error {
+		if front.await(gctx) {
+			s.Log.Info("ready", "users", users.Addr().String())
+			ready("http://" + users.Addr().String())
+		}
+		return nil
+	})
+	g.Go(func() error {
+		<-gctx.Done()
+		m.close()
+		stopControllers()
+		controllers.Wait()
+		stopServices()
+		return nil
+	})
+	if err := g.Wait(); err != nil && ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
+
+// keepMachines is how many machines' files, with what their tasks wrote, are kept.
+const keepMachines = 200
+
+// clear ends what an earlier run that was killed left behind, and drops the files
+// of the oldest machines.
+func (s *Site) clear() error {
+	dirs, err := filepath.Glob(filepath.Join(s.Dir, "machines", "*"))
+	if err != nil {
+		return fmt.Errorf("--dir: %w", err)
+	}
+	slices.Sort(dirs) // names are given in order
+	for i, d := range dirs {
+		worker.EndLeftovers(d, s.Log)
+		if i < len(dirs)-keepMachines {
+			if err := os.RemoveAll(d); err != nil {
+				return fmt.Errorf("--dir: %w", err)
+			}
+		}
+	}
+	return nil
+}
+
+// node is a controller of the site.
+type node struct {
+	name, users, file string
+}
+
+// settings writes the controllers' settings.
+func (s *Site) settings(inner string) ([]node, error) {
+	ports, err := freePorts(2 * s.Controllers)
+	if err != nil {
+		return nil, err
+	}
+	dir := filepath.Join(s.Dir, "controllers")
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, fmt.Errorf("--dir: %w", err)
+	}
+	nodes := make([]node, s.Controllers)
+	for i := range nodes {
+		name := fmt.Sprintf("local-%d", i)
+		nodes[i] = node{name, ports[2*i], filepath.Join(dir, name+".toml")}
+	}
+	for i, n := range nodes {
+		p := config.Platform{Node: n.name, Zone: Zone, Listen: ports[2*i], Mesh: ports[2*i+1], Endpoints: config.Endpoints{Cloud: inner, State: inner},
+			Params: config.Params{Zones: []string{Zone}, Teams: []config.Team{{Name: Team}},
+				Workers: config.Workers{ReportS: reportS, LeaseS: leaseS, CancelS: cancelS},
+				State:   config.State{RPS: stateRPS, WriteRPS: stateRPS, ValueKB: valueKB, TxnOps: txnOps},
+				Cloud:   config.Cloud{RPS: 50, ListLagS: 0.5}, Limits: config.Limits{CPU: 1, RAMMB: 512, Sockets: 4096}}}
+		for k, o := range nodes {
+			if k != i {
+				p.Peers = append(p.Peers, config.Peer{Node: o.name, Zone: Zone, Addr: ports[2*k+1]})
+			}
+		}
+		data, err := toml.Marshal(p)
+		if err != nil {
+			return nil, fmt.Errorf("settings: %w", err)
+		}
+		if err := os.WriteFile(n.file, data, 0o644); err != nil {
+			return nil, fmt.Errorf("settings: %w", err)
+		}
+	}
+	return nodes, nil
+}
+
+// freePorts finds loopback addresses that nobody listens on now.
+func freePorts(n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("no free port: %w", err)
+		}
+		defer l.Close()
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+// keep runs a controller, again whenever it ends by itself.
+func (s *Site) keep(ctx context.Context, n node) {
+	for ctx.Err() == nil {
+		err := s.Start(ctx, n.name, []string{"--config", n.file})
+		if ctx.Err() != nil {
+			return
+		}
+		s.Log.Error("a controller ended by itself", "name", n.name, "err", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(backAfter):
+		}
+	}
+}
+
+// machines is the cloud's launcher: a worker process each.
+type machines struct {
+	site   *Site
+	nodes  []node
+	descr  string
+	failed func(name string)
+
+	mu      sync.Mutex
+	running map[string]*running
+	closed  bool
+}
+
+type running struct {
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// Launch implements standin.Launcher.
+func (m *machines) Launch(l wire.ListedMachine, t wire.MachineType) (string, error) {
+	ports, err := freePorts(1)
+	if err != nil {
+		return "", err
+	}
+	args := []string{"worker", "--name", l.Name, "--listen", ports[0], "--type", l.Type, "--zone", l.Zone,
+		"--cpus", fmt.Sprint(t.CPUs), "--memory-gb", fmt.Sprint(t.MemoryGB), "--descriptions", m.descr,
+		"--report-s", fmt.Sprint(reportS), "--lease-s", fmt.Sprint(leaseS), "--dir", filepath.Join(m.site.Dir, "machines", l.Name)}
+	for _, n := range m.nodes {
+		args = append(args, "--controller", n.name+"="+n.users)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{stop, make(chan struct{})}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		stop()
+		return "", errors.New("the site is ending")
+	}
+	m.running[l.Name] = r
+	go func() {
+		defer close(r.done)
+		err := m.site.Start(ctx, l.Name, args)
+		if ctx.Err() == nil {
+			m.site.Log.Error("a worker ended by itself", "machine", l.Name, "err", err)
+			m.failed(l.Name)
+		}
+	}()
+	return ports[0], nil
+}
+
+// End implements standin.Launcher.
+func (m *machines) End(name string) {
+	m.mu.Lock()
+	r := m.running[name]
+	delete(m.running, name)
+	m.mu.Unlock()
+	if r != nil {
+		r.stop()
+		<-r.done
+	}
+}
+
+func (m *machines) close() {
+	m.mu.Lock()
+	m.closed = true
+	all := m.running
+	m.running = map[string]*running{}
+	m.mu.Unlock()
+	for _, r := range all {
+		r.stop()
+	}
+	for _, r := range all {
+		<-r.done
+	}
+}
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -213,7 +213,12 @@
 		for i := range 20 { // a task on each
 			f.owner.Accepted(&wire.Job{UID: fmt.Sprintf("j-%d", i), Class: "c", Team: "t", Kind: wire.KindArray, Priority: "low", Tasks: 1, CPUs: 3, Estimate: 30, Spot: true}, 0, 0, uint64(i+1))
 		}
-		f.owner.Pass()
+		for range 100 { // which machine is drawn first is left to chance
+			f.owner.Pass()
+		}
+		if n := f.owner.Queues()["pending"]; n != 0 {
+			t.Fatalf("%d tasks found no machine", n)
+		}
 		hear := func(n int) {
 			for i := range n {
 				f.views[i].Seq++
--- a/internal/owner/users.go
+++ b/internal/owner/users.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/goccy/go-json"
@@ -219,3 +221,25 @@
 	}
 	return o.stats.Takeovers, machines, silent
 }
+
+// Machines returns the machines that this owner has heard, by name.
+func (o *Owner) Machines() []wire.MachineInfo {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := make([]wire.MachineInfo, 0, len(o.machines))
+	for _, m := range o.machines {
+		if m.heard.IsZero() {
+			continue
+		}
+		i := wire.MachineInfo{Name: m.name, Type: m.view.Type, Zone: m.view.Zone, Spot: m.view.Spot, CPUs: o.typeOf(m).CPUs,
+			Tasks: len(m.places), HeardS: time.Since(m.heard).Seconds()}
+		for p := range m.places {
+			if p.on() {
+				i.UsedCPUs += p.job.shape.CPUs
+			}
+		}
+		out = append(out, i)
+	}
+	slices.SortFunc(out, func(a, b wire.MachineInfo) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -248,6 +248,18 @@
 	Running int    `json:"running"`
 }
 
+// MachineInfo is a machine as operators see it.
+type MachineInfo struct {
+	Name     string  `json:"name"`
+	Type     string  `json:"type"`
+	Zone     string  `json:"zone"`
+	Spot     bool    `json:"spot"`
+	CPUs     float64 `json:"cpus"`
+	UsedCPUs float64 `json:"usedCpus"`
+	Tasks    int     `json:"tasks"`  // that are or may be there
+	HeardS   float64 `json:"heardS"` // seconds since its last report
+}
+
 // Problem is the body of a refusal.
 type Problem struct {
 	Error string `json:"error"`
@@ -314,6 +326,22 @@
 	Commands []Command `json:"orders"`
 }
 
+// ParseOrders reads a direct message; token and session must be there.
+func ParseOrders(body []byte) (*Orders, error) {
+	var o struct {
+		Token    *uint64   `json:"baton"`
+		Session  *uint64   `json:"stint"`
+		Commands []Command `json:"orders"`
+	}
+	if err := json.Unmarshal(body, &o); err != nil {
+		return nil, fmt.Errorf("orders: %w", err)
+	}
+	if o.Token == nil || o.Session == nil {
+		return nil, errors.New("orders: baton or stint is missing")
+	}
+	return &Orders{Token: *o.Token, Session: *o.Session, Commands: o.Commands}, nil
+}
+
 // Redirect sends a worker to another node.
 type Redirect struct {
 	ReportTo string `json:"foreman,omitempty"`
--- /dev/null
+++ b/internal/worker/process.go
@@ -0,0 +1,272 @@
+package worker
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/descr"
+	"github.com/wallrack/wallrack/internal/spawn"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// Files in a task's directory.
+const (
+	StdoutFile = "stdout"
+	StderrFile = "stderr"
+	pidFile    = "pid"
+	scriptFile = "script"
+)
+
+// Processes runs tasks as process groups below a directory, one each.
+type Processes struct {
+	dir      string
+	maxLog   int64
+	log      *slog.Logger
+	mu       sync.Mutex
+	groups   map[int]*process
+	closed   bool
+	watchers sync.WaitGroup
+}
+
+// NewProcesses prepares dir and ends what an earlier worker left running there.
+// What a task writes to standard output and error beyond maxLog bytes each is
+// dropped, with a note.
+func NewProcesses(dir string, maxLog int64, log *slog.Logger) (*Processes, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, fmt.Errorf("tasks' directory: %w", err)
+	}
+	p := &Processes{dir: dir, maxLog: maxLog, log: log, groups: map[int]*process{}}
+	EndLeftovers(dir, log)
+	return p, nil
+}
+
+// TaskDir is where a task's files are.
+func (p *Processes) TaskDir(task string, attempt uint64) string {
+	return filepath.Join(p.dir, strings.ReplaceAll(task, "/", ".")+"."+strconv.FormatUint(attempt, 10))
+}
+
+// EndLeftovers kills the process groups that a worker with its tasks in dir, which
+// was itself killed, may have left: the kernel ends only their first process.
+func EndLeftovers(dir string, log *slog.Logger) {
+	files, _ := filepath.Glob(filepath.Join(dir, "*", pidFile)) // the pattern is well formed
+	for _, f := range files {
+		data, err := os.ReadFile(f)
+		if err != nil {
+			continue
+		}
+		n, err := strconv.Atoi(strings.TrimSpace(string(data)))
+		if err == nil && n > 1 && isTasks(n) {
+			if err := syscall.Kill(-n, syscall.SIGKILL); err == nil {
+				log.Info("ended what an earlier worker left", "group", n)
+			}
+		}
+		_ = os.Remove(f) // tried again at the next start if it stays
+	}
+}
+
+// isTasks reports whether a process group is one of a task's: the number could
+// belong to somebody else by now.
+func isTasks(pgid int) bool {
+	stats, _ := filepath.Glob("/proc/[0-9]*/stat") // the pattern is well formed
+	for _, f := range stats {
+		data, err := os.ReadFile(f)
+		if err != nil {
+			continue
+		}
+		_, rest, _ := strings.Cut(string(data), ") ")
+		if fields := strings.Fields(rest); len(fields) < 3 || fields[2] != strconv.Itoa(pgid) {
+			continue
+		}
+		env, err := os.ReadFile(filepath.Join(filepath.Dir(f), "environ"))
+		if err == nil && strings.Contains(string(env), attemptVar+"=") {
+			return true
+		}
+	}
+	return false
+}
+
+// attemptVar is in the environment of every task.
+const attemptVar = "WALLRACK_ATTEMPT"
+
+type process struct {
+	pgid   int
+	done   chan struct{}
+	mu     sync.Mutex
+	asked  bool
+	killed bool
+}
+
+// Start implements Runner.
+func (p *Processes) Start(task string, attempt uint64, d *descr.Description, exited func(ok bool)) (Process, error) {
+	job, n, err := wire.ParseTask(task)
+	if err != nil {
+		return nil, err
+	}
+	dir := p.TaskDir(task, attempt)
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, fmt.Errorf("task's directory: %w", err)
+	}
+	argv := append([]string(nil), d.Argv...)
+	if d.Script != "" {
+		f := filepath.Join(dir, scriptFile)
+		if err := os.WriteFile(f, []byte(d.Script), 0o755); err != nil {
+			return nil, fmt.Errorf("script: %w", err)
+		}
+		argv = append(argv, f)
+	}
+	cmd := exec.Command(argv[0], argv[1:]...)
+	cmd.Dir = dir
+	if d.Dir != "" {
+		cmd.Dir = d.Dir
+	}
+	cmd.Env = append(os.Environ(), "WALLRACK_JOB="+job, "WALLRACK_TASK="+strconv.Itoa(n), attemptVar+"="+strconv.FormatUint(attempt, 10))
+	for k, v := range d.Env {
+		cmd.Env = append(cmd.Env, k+"="+v)
+	}
+	var outs []*bounded
+	for _, x := range []struct {
+		name string
+		to   *io.Writer
+	}{{StdoutFile, &cmd.Stdout}, {StderrFile, &cmd.Stderr}} {
+		f, err := os.Create(filepath.Join(dir, x.name))
+		if err != nil {
+			return nil, fmt.Errorf("task's output: %w", err)
+		}
+		b := &bounded{f: f, left: p.maxLog}
+		outs = append(outs, b)
+		*x.to = b
+	}
+	// A grandchild that keeps the output open must not keep the task.
+	cmd.WaitDelay = time.Second
+	proc := &process{done: make(chan struct{})}
+	if err := p.start(cmd, proc, dir); err != nil {
+		for _, o := range outs {
+			_ = o.f.Close()
+		}
+		return nil, err
+	}
+	p.watchers.Add(1)
+	go func() {
+		defer p.watchers.Done()
+		err := cmd.Wait()
+		// What the task left running goes with it.
+		_ = syscall.Kill(-proc.pgid, syscall.SIGKILL) // mostly nobody is left
+		p.mu.Lock()
+		delete(p.groups, proc.pgid)
+		p.mu.Unlock()
+		for _, o := range outs {
+			o.close()
+		}
+		_ = os.Remove(filepath.Join(dir, pidFile))
+		close(proc.done)
+		exited(err == nil || errors.Is(err, exec.ErrWaitDelay))
+	}()
+	return proc, nil
+}
+
+// start starts a task's first process and notes it, for a later worker to find.
+func (p *Processes) start(cmd *exec.Cmd, proc *process, dir string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return errors.New("the worker is ending")
+	}
+	if err := spawn.Start(cmd); err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	proc.pgid = cmd.Process.Pid
+	p.groups[proc.pgid] = proc
+	if err := os.WriteFile(filepath.Join(dir, pidFile), []byte(strconv.Itoa(proc.pgid)), 0o644); err != nil {
+		p.log.Error("a task's process can't be noted", "dir", dir, "err", err)
+	}
+	return nil
+}
+
+// Stop implements Process.
+func (pr *process) Stop(grace time.Duration) {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	select {
+	case <-pr.done:
+		return
+	default:
+	}
+	if grace <= 0 || pr.killed {
+		pr.killed = true
+		_ = syscall.Kill(-pr.pgid, syscall.SIGKILL) // gone already: as wanted
+		return
+	}
+	if pr.asked {
+		return // its time is running
+	}
+	pr.asked = true
+	_ = syscall.Kill(-pr.pgid, syscall.SIGTERM)
+	time.AfterFunc(grace, func() {
+		select {
+		case <-pr.done:
+		default:
+			pr.Stop(0)
+		}
+	})
+}
+
+// Close kills whatever still runs and waits for it to be gone.
+func (p *Processes) Close() {
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return
+	}
+	p.closed = true
+	for _, pr := range p.groups {
+		_ = syscall.Kill(-pr.pgid, syscall.SIGKILL)
+	}
+	p.mu.Unlock()
+	p.watchers.Wait()
+}
+
+// bounded is a file that takes so many bytes and then drops the rest.
+type bounded struct {
+	mu   sync.Mutex
+	f    *os.File
+	left int64
+	lost int64
+}
+
+// Write implements io.Writer; it never fails, so that a full disk or bound ends
+// no task.
+func (b *bounded) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := min(int64(len(data)), b.left)
+	if n > 0 {
+		w, err := b.f.Write(data[:n])
+		b.left -= int64(w)
+		if err != nil {
+			b.left = 0
+		}
+		n = int64(w)
+	}
+	b.lost += int64(len(data)) - n
+	return len(data), nil
+}
+
+func (b *bounded) close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.lost > 0 {
+		_, _ = fmt.Fprintf(b.f, "\n[%d bytes more were dropped]\n", b.lost)
+	}
+	_ = b.f.Close()
+	b.left = 0
+}
