--- /dev/null
+++ b/cmd/wallctl/main_test.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// Programs tell outcomes by exit codes, and wrong use by a message that names the
+// flag.
+func TestOutcomes(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case strings.HasPrefix(r.URL.Path, "/descriptions/"):
+			w.WriteHeader(http.StatusNoContent)
+		case r.Method == http.MethodPost && r.URL.Path == "/api/jobs":
+			w.WriteHeader(http.StatusCreated)
+			fmt.Fprint(w, `{"uid":"j-1","stage":"queued"}`)
+		case strings.HasSuffix(r.URL.Path, "j-over"):
+			fmt.Fprint(w, `{"uid":"j-over","stage":"cancelled"}`)
+		case strings.HasSuffix(r.URL.Path, "/pause"):
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			fmt.Fprint(w, `{"error":"bad input: service: x is unknown"}`)
+		default:
+			w.WriteHeader(http.StatusNotFound)
+		}
+	}))
+	defer srv.Close()
+	for _, c := range []struct {
+		args, out, why string
+		code           int
+	}{
+		{"submit --uid j-1 -- true", "j-1\n", "", 0},
+		{"submit --uid nothing -- true", "", "--uid", exitUsage},
+		{"submit --env GREETING -- true", "", "--env", exitUsage},
+		{"submit --cpus 0 -- true", "", "cpus", exitUsage},
+		{"submit", "", "arg", exitUsage},
+		{"status j-none", "", "no such job", exitNotFound},
+		{"wait j-over", "cancelled", "cancelled", exitCancelled},
+		{"logs j-1", "", "not a task", exitUsage},
+		{"logs j-1/0", "", "no such job", exitNotFound},
+		{"rollout pause x", "", "service: x is unknown", exitRefused},
+	} {
+		cmd := command()
+		var out bytes.Buffer
+		cmd.SetOut(&out)
+		cmd.SetErr(&out)
+		cmd.SetArgs(append([]string{"--server", srv.URL}, strings.Fields(c.args)...))
+		err := cmd.Execute()
+		got := 0
+		if err != nil {
+			got = code(err)
+		}
+		if got != c.code || !strings.Contains(out.String(), c.out) || err != nil && !strings.Contains(err.Error(), c.why) {
+			t.Errorf("%s: code %d, %v, printed %q", c.args, got, err, out.String())
+		}
+	}
+	cmd := command()
+	cmd.SetArgs([]string{"nodes"})
+	t.Setenv("WALLRACK_SERVER", "somewhere")
+	if err := cmd.Execute(); err == nil || !strings.Contains(err.Error(), "WALLRACK_SERVER") {
+		t.Errorf("a server that is none: %v", err)
+	}
+}
--- a/internal/descr/descr.go
+++ b/internal/descr/descr.go
@@ -15,6 +15,7 @@
 
 	"github.com/goccy/go-json"
 
+	"github.com/wallrack/wallrack/internal/respond"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -127,10 +128,7 @@
 }
 
 func problem(w http.ResponseWriter, status int, why string) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	data, _ := json.Marshal(wire.Problem{Error: why}) // a string can always be encoded
-	_, _ = w.Write(data)
+	respond.JSON(w, status, wire.Problem{Error: why})
 }
 
 // Client uploads and fetches descriptions.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -10,10 +10,9 @@
 	"net/http"
 	"time"
 
-	"github.com/goccy/go-json"
-
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/owner"
+	"github.com/wallrack/wallrack/internal/respond"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/usage"
 	"github.com/wallrack/wallrack/internal/wire"
@@ -118,21 +117,11 @@
 	}
 }
 
-func answer(w http.ResponseWriter, status int, body any) {
-	data, err := json.Marshal(body)
-	if err != nil {
-		status, data = http.StatusInternalServerError, nil
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_, _ = w.Write(data) // the user asks again if it did not get it
-}
-
 func refuse(w http.ResponseWriter, status int, why string) {
 	if status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", "1")
 	}
-	answer(w, status, wire.Problem{Error: why})
+	respond.JSON(w, status, wire.Problem{Error: why})
 }
 
 func (in *Intake) up(w http.ResponseWriter, _ *http.Request) {
@@ -140,13 +129,13 @@
 		refuse(w, http.StatusServiceUnavailable, "another controller serves better")
 		return
 	}
-	answer(w, http.StatusOK, struct{}{})
+	respond.JSON(w, http.StatusOK, struct{}{})
 }
 
 func (in *Intake) reply(w http.ResponseWriter, rep Reply) {
 	switch {
 	case rep.Status/100 == 2:
-		answer(w, rep.Status, rep.State)
+		respond.JSON(w, rep.Status, rep.State)
 	case rep.Status == 0:
 		refuse(w, http.StatusServiceUnavailable, "can't tell now")
 	default:
@@ -178,7 +167,7 @@
 		return
 	}
 	if s, ok := in.jobs.Known(req.UID); ok {
-		answer(w, http.StatusOK, s)
+		respond.JSON(w, http.StatusOK, s)
 		return
 	}
 	for _, p := range in.peers.Owners() {
--- a/internal/machine/holder.go
+++ b/internal/machine/holder.go
@@ -9,9 +9,8 @@
 	"sync"
 	"time"
 
-	"github.com/goccy/go-json"
-
 	"github.com/wallrack/wallrack/internal/placement"
+	"github.com/wallrack/wallrack/internal/respond"
 	"github.com/wallrack/wallrack/internal/usage"
 	"github.com/wallrack/wallrack/internal/wire"
 )
@@ -109,18 +108,18 @@
 	defer bodies.Put(buf)
 	buf.Reset()
 	if _, err := buf.ReadFrom(http.MaxBytesReader(w, r.Body, wire.MaxBody)); err != nil {
-		reply(w, http.StatusBadRequest, wire.Problem{Error: "body unreadable or too large"})
+		respond.JSON(w, http.StatusBadRequest, wire.Problem{Error: "body unreadable or too large"})
 		return
 	}
 	rep, err := wire.ParseReport(buf.Bytes())
 	if err != nil {
 		usage.Note(usage.MalformedReports)
 		h.log.Info("malformed report", "err", err)
-		reply(w, http.StatusBadRequest, wire.Problem{Error: "malformed report"})
+		respond.JSON(w, http.StatusBadRequest, wire.Problem{Error: "malformed report"})
 		return
 	}
 	status, answer := h.Report(r.Context(), rep)
-	reply(w, status, answer)
+	respond.JSON(w, status, answer)
 }
 
 // Report takes a worker's report and returns the status and body to answer.
@@ -174,16 +173,6 @@
 	return true
 }
 
-func reply(w http.ResponseWriter, status int, body any) {
-	data, err := json.Marshal(body)
-	if err != nil {
-		status, data = http.StatusInternalServerError, nil
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_, _ = w.Write(data) // a worker that is gone will report again
-}
-
 // sendAway decides whether a worker is sent to the foreman. One that comes
 // back soon could not reach it and is kept for a while.
 func (h *Holder) sendAway(name string) bool {
--- a/internal/worker/agent.go
+++ b/internal/worker/agent.go
@@ -16,6 +16,7 @@
 
 	"github.com/goccy/go-json"
 
+	"github.com/wallrack/wallrack/internal/respond"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -173,33 +174,33 @@
 	mux.HandleFunc("POST /orders", func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody))
 		if err != nil {
-			reply(w, http.StatusBadRequest, wire.Problem{Error: "body unreadable or over 64 KiB"})
+			respond.JSON(w, http.StatusBadRequest, wire.Problem{Error: "body unreadable or over 64 KiB"})
 			return
 		}
 		o, err := wire.ParseOrders(body)
 		if err != nil {
-			reply(w, http.StatusBadRequest, wire.Problem{Error: err.Error()})
+			respond.JSON(w, http.StatusBadRequest, wire.Problem{Error: err.Error()})
 			return
 		}
 		status := http.StatusOK
 		if !a.Machine.Orders(*o) {
 			status = http.StatusConflict
 		}
-		reply(w, status, a.Machine.Report())
+		respond.JSON(w, status, a.Machine.Report())
 	})
-	mux.HandleFunc("GET /show", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, a.Machine.Report()) })
+	mux.HandleFunc("GET /show", func(w http.ResponseWriter, _ *http.Request) { respond.JSON(w, http.StatusOK, a.Machine.Report()) })
 	mux.HandleFunc("GET /check/{job}/{n}/{attempt}", a.serveCheck)
 	mux.HandleFunc("GET /logs/{job}/{n}/{attempt}/{file}", func(w http.ResponseWriter, r *http.Request) {
 		task, file := r.PathValue("job")+"/"+r.PathValue("n"), r.PathValue("file")
 		var attempt uint64
 		_, err := fmt.Sscan(r.PathValue("attempt"), &attempt)
 		if _, _, bad := wire.ParseTask(task); bad != nil || err != nil || file != StdoutFile && file != StderrFile {
-			reply(w, http.StatusBadRequest, wire.Problem{Error: "not a task's output"})
+			respond.JSON(w, http.StatusBadRequest, wire.Problem{Error: "not a task's output"})
 			return
 		}
 		f, err := os.Open(filepath.Join(a.Processes.TaskDir(task, attempt), file))
 		if err != nil {
-			reply(w, http.StatusNotFound, wire.Problem{Error: "no such output here"})
+			respond.JSON(w, http.StatusNotFound, wire.Problem{Error: "no such output here"})
 			return
 		}
 		defer f.Close()
@@ -208,13 +209,3 @@
 	})
 	return mux
 }
-
-func reply(w http.ResponseWriter, status int, body any) {
-	data, err := json.Marshal(body)
-	if err != nil {
-		status, data = http.StatusInternalServerError, nil
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_, _ = w.Write(data) // the controller asks again
-}
--- a/internal/worker/check.go
+++ b/internal/worker/check.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/wallrack/wallrack/internal/respond"
 )
 
 // Outcomes of a check.
@@ -65,13 +67,13 @@
 	ms, merr := strconv.Atoi(q.Get("timeoutMs"))
 	path := q.Get("http")
 	if err != nil || merr != nil || ms < 1 || path == "" && q.Get("tcp") == "" || path != "" && !strings.HasPrefix(path, "/") {
-		reply(w, http.StatusBadRequest, map[string]string{"error": "attempt, timeoutMs and http=/PATH or tcp=1 are needed"})
+		respond.JSON(w, http.StatusBadRequest, map[string]string{"error": "attempt, timeoutMs and http=/PATH or tcp=1 are needed"})
 		return
 	}
 	port := a.Processes.Port(r.PathValue("job")+"/"+r.PathValue("n"), attempt)
 	if port == 0 {
-		reply(w, http.StatusNotFound, map[string]string{"error": "no such task runs here"})
+		respond.JSON(w, http.StatusNotFound, map[string]string{"error": "no such task runs here"})
 		return
 	}
-	reply(w, http.StatusOK, map[string]string{"outcome": check(r.Context(), port, path, time.Duration(ms)*time.Millisecond)})
+	respond.JSON(w, http.StatusOK, map[string]string{"outcome": check(r.Context(), port, path, time.Duration(ms)*time.Millisecond)})
 }
