--- a/internal/owner/preempt.go
+++ b/internal/owner/preempt.go
@@ -43,6 +43,10 @@
 // urgentSlack is the slack below which an aim is in danger.
 const urgentSlack = 15
 
+// missedKept is how long, in seconds, a missed aim for starts keeps a job urgent at
+// least: a short one is missed soon, and its tasks matter still.
+const missedKept = 3 * urgentSlack
+
 // startAim reports whether the job's tasks must start now: the time left for the
 // next aim runs out, or an aim for their start was missed not long ago. An aim
 // that is far off yet stops nobody: room that falls free goes to the higher
@@ -53,7 +57,7 @@
 	}
 	age := o.now.Sub(j.accepted).Seconds()
 	for _, within := range j.class.starts {
-		if within-age < urgentSlack && age < 2*within {
+		if within-age < urgentSlack && age < max(2*within, missedKept) {
 			return true
 		}
 	}
