Keep the room of retired replicas until a roll-out is over

Need: a restore must be whole within a minute, also where machines are short; the fleet returned the old version's machines as idle while its roll-out could still go back. Change: the fleet keeps what unfinished roll-outs have retired; nothing where there are none.

--- a/cmd/wallrack/daemon.go
+++ b/cmd/wallrack/daemon.go
@@ -103,6 +103,7 @@
 	mux.HandleFunc("GET /ops/machines", n.serveMachines)
 	if rollouts != nil {
 		m := n.newRollouts(rollouts)
+		boxes.Hold = m.Held
 		n.serveRollouts(mux, m)
 		g.Go(func() error { return m.Run(ctx) })
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -81,6 +81,8 @@
 
 // Fleet rents and returns machines.
 type Fleet struct {
+	Hold func() float64 // CPUs to be kept for what may come back; nil: none. Set it before Run
+
 	cfg     *config.Platform
 	op      *config.Operator
 	cloud   *Cloud
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -140,3 +141,33 @@
 		}
 	}
 }
+
+// While a roll-out may have to go back, the machines that its old version ran on
+// are kept although they are idle.
+func TestHeldCapacityIsNotReturned(t *testing.T) {
+	now := time.Now()
+	for _, hold := range []float64{0, 1e6} {
+		f := planner()
+		f.Hold = func() float64 { return hold }
+		h := &drains{}
+		f.holder = h
+		f.op.IdleS = 20
+		var load owner.Load
+		load.Heard = now
+		for i := range 3 {
+			name := fmt.Sprintf("n-%d", i)
+			f.boxes[name] = &box{name: name, offer: offer{"small", "z", false}, hired: now.Add(-time.Hour), known: now.Add(-time.Hour), heard: now, idle: now.Add(-time.Hour), load: &load}
+		}
+		f.idle(now, nil)
+		if (h.n > 0) != (hold == 0) {
+			t.Errorf("with %v CPUs held %d machines are drained", hold, h.n)
+		}
+	}
+}
+
+type drains struct{ n int }
+
+func (d *drains) Drain(string) bool { d.n++; return true }
+func (d *drains) Gone(string)       {}
+func (d *drains) Probe(context.Context, map[string]string, time.Duration) {
+}
--- a/internal/fleet/shrink.go
+++ b/internal/fleet/shrink.go
@@ -15,7 +15,7 @@
 	if now.Sub(f.ledAt) < settleFor {
 		return nil // what runs is not known well yet
 	}
-	spare := -f.busy * (1 + f.op.DearHeadPct/100)
+	spare := -f.busy*(1+f.op.DearHeadPct/100) - f.keep()
 	for i := range demand {
 		spare -= demand[i].Shape.CPUs * float64(demand[i].Count)
 	}
@@ -72,6 +72,15 @@
 	f.work, f.workAt = work, now
 }
 
+// keep is the capacity, in CPUs, that must not be returned although nothing runs
+// on it.
+func (f *Fleet) keep() float64 {
+	if f.Hold == nil {
+		return 0
+	}
+	return f.Hold()
+}
+
 // target is the capacity, in CPUs, to be kept.
 func (f *Fleet) target() float64 {
 	return max(f.busy, f.rate) * (1 + f.op.HeadroomPct/100)
@@ -129,6 +138,7 @@
 		if !b.offer.Spot && t.SpotPrice > 0 {
 			target = f.busy * (1 + f.op.DearHeadPct/100)
 		}
+		target += f.keep()
 		if !b.closing && (wanted[b.offer.Spot] || have-t.CPUs < target-t.CPUs/2) {
 			continue
 		}
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -404,6 +404,20 @@
 	}
 }
 
+// Held is the capacity, in CPUs, that the old versions' replicas of unfinished
+// roll-outs had and have given up: it is kept until the new ones have passed, so
+// that a restore finds room at once.
+func (m *Manager) Held() (cpus float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range m.entries {
+		if r := e.run; r != nil && !r.Phase.Final() && r.From.Name != "" {
+			cpus += float64(max(0, e.svc.Replicas-total(r.Old))) * r.From.Desc.CPUs
+		}
+	}
+	return cpus
+}
+
 // Status is a service as operators see it.
 type Status struct {
 	Service Service            `json:"service"`
--- a/internal/rollout/manager_test.go
+++ b/internal/rollout/manager_test.go
@@ -296,7 +296,11 @@
 			return rollout.Healthy
 		}
 		s.begin("v2", func(x *rollout.Spec) { x.Steps = []string{"1", "50%", "100%"} })
-		s.until("unhealthy", 5*time.Minute, func(r *rollout.Run) bool { return r.ID == 2 && r.Phase == rollout.RollingBack })
+		held := 0.0 // room for what was retired is kept until the roll-out is over
+		s.until("unhealthy", 5*time.Minute, func(r *rollout.Run) bool {
+			held = max(held, s.managers["a"].Held())
+			return r.ID == 2 && r.Phase == rollout.RollingBack
+		})
 		if took := s.until("restored", time.Minute, final(2)); took > time.Minute {
 			t.Errorf("restored after %v", took)
 		}
@@ -307,6 +311,9 @@
 		if s.least < 8 {
 			t.Errorf("only %d healthy replicas of 8 on the way", s.least)
 		}
+		if held < 1 || s.managers["a"].Held() != 0 {
+			t.Errorf("held %v CPUs, and %v in the end", held, s.managers["a"].Held())
+		}
 		past, err := s.managers["a"].History(context.Background(), "tips")
 		if err != nil || len(past) != 2 || past[1].Phase != rollout.Restored {
 			t.Errorf("history %+v, %v", past, err)
