One bounded set, one finder of ports, one way to write who owns shards; dead code goes

Need: a read of the whole change found the same logic written again.

Change: package recent serves the machines returned (owner and holder) and the results a worker keeps; spawn finds free ports for worker and local site; config reads the head of both S-expression files; hand-over, reclaim and claim share one transaction; JSON answers all go through respond, so those of the alerts, the local site's front and /ops/machines' refusal have no line end, and the refusals the JSON content type that they lacked. 'wallctl wait' asked for the state a second time. A local site built its services' routes nine times. Gone, used by nothing: the worker's own /logs path, a field and a parameter of roll-outs.

--- a/cmd/wallctl/main.go
+++ b/cmd/wallctl/main.go
@@ -181,21 +181,20 @@
 }
 
 func (a *app) wait() *cobra.Command {
-	c := a.about("wait UID", "Wait until a job is done or cancelled", (*client.Client).Wait)
-	run := c.RunE
+	var last *wire.JobState
+	c := a.about("wait UID", "Wait until a job is done or cancelled", func(cl *client.Client, ctx context.Context, uid string) (s *wire.JobState, err error) {
+		last, err = cl.Wait(ctx, uid)
+		return last, err
+	})
+	show := c.RunE
 	c.RunE = func(cmd *cobra.Command, args []string) error {
-		if err := run(cmd, args); err != nil {
+		if err := show(cmd, args); err != nil {
 			return err
 		}
-		cl, err := a.client()
-		if err != nil {
-			return err
-		}
-		s, err := cl.Status(cmd.Context(), args[0])
-		if err == nil && s.Stage == wire.StageCancelled {
+		if last.Stage == wire.StageCancelled {
 			return errCancelled
 		}
-		return err
+		return nil
 	}
 	return c
 }
--- a/cmd/wallrack/daemon.go
+++ b/cmd/wallrack/daemon.go
@@ -11,7 +11,6 @@
 	"runtime/debug"
 	"time"
 
-	"github.com/goccy/go-json"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wallrack/wallrack/internal/alert"
@@ -23,6 +22,7 @@
 	"github.com/wallrack/wallrack/internal/mesh"
 	"github.com/wallrack/wallrack/internal/owner"
 	"github.com/wallrack/wallrack/internal/recovery"
+	"github.com/wallrack/wallrack/internal/respond"
 	"github.com/wallrack/wallrack/internal/rollout"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/usage"
@@ -97,8 +97,7 @@
 	mux.HandleFunc("GET /ops/stats", func(w http.ResponseWriter, _ *http.Request) {
 		stats := alerts.Stats()
 		stats["counters"], stats["usage"], stats["recovery"] = n.owner.Counters(), meter.Read(), n.times.Last()
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(stats) // the operator asks again
+		respond.JSON(w, http.StatusOK, stats)
 	})
 	mux.HandleFunc("GET /ops/machines", n.serveMachines)
 	if rollouts != nil {
--- a/cmd/wallrack/demand.go
+++ b/cmd/wallrack/demand.go
@@ -5,10 +5,9 @@
 	"net/http"
 	"time"
 
-	"github.com/goccy/go-json"
-
 	"github.com/wallrack/wallrack/internal/mesh"
 	"github.com/wallrack/wallrack/internal/owner"
+	"github.com/wallrack/wallrack/internal/respond"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -150,10 +149,9 @@
 		}
 		if !found {
 			w.Header().Set("Retry-After", "1")
-			http.Error(w, `{"error":"no owner answers"}`, http.StatusServiceUnavailable)
+			respond.JSON(w, http.StatusServiceUnavailable, wire.Problem{Error: "no owner answers"})
 			return
 		}
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(ms) // the operator asks again
+	respond.JSON(w, http.StatusOK, ms)
 }
--- a/cmd/wallrack/rollouts.go
+++ b/cmd/wallrack/rollouts.go
@@ -13,6 +13,7 @@
 	"github.com/wallrack/wallrack/internal/descr"
 	"github.com/wallrack/wallrack/internal/mesh"
 	"github.com/wallrack/wallrack/internal/owner"
+	"github.com/wallrack/wallrack/internal/respond"
 	"github.com/wallrack/wallrack/internal/rollout"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/wire"
@@ -78,7 +79,7 @@
 	most := int(n.cfg.Params.State.ValueKB * 1024 * 0.9)
 	m := rollout.NewManager(s, n.store, rolloutCore{n}, descr.NewClient(s.Descriptions), rollout.NewWorkerProber(), most, n.log)
 	mesh.Handle(n.links, methodRollouts, func(context.Context, *nothing) (*[]rollout.Status, error) {
-		out := m.Statuses("")
+		out := m.Statuses()
 		return &out, nil
 	})
 	return m
@@ -86,7 +87,7 @@
 
 // serveRollouts adds the operators' interface of roll-outs.
 func (n *node) serveRollouts(mux *http.ServeMux, m *rollout.Manager) {
-	respond := func(w http.ResponseWriter, v any, err error) {
+	outcome := func(w http.ResponseWriter, v any, err error) {
 		status := http.StatusOK
 		var conflict *statestore.Conflict
 		switch {
@@ -99,9 +100,7 @@
 			w.Header().Set("Retry-After", "1")
 			status, v = http.StatusServiceUnavailable, wire.Problem{Error: err.Error()}
 		}
-		w.Header().Set("Content-Type", "application/json")
-		w.WriteHeader(status)
-		_ = json.NewEncoder(w).Encode(v) // the operator asks again
+		respond.JSON(w, status, v)
 	}
 	within := func(r *http.Request) (context.Context, context.CancelFunc) {
 		return context.WithTimeout(r.Context(), rolloutsWithin)
@@ -114,7 +113,7 @@
 				}
 			}
 		}
-		return m.Statuses("")
+		return m.Statuses()
 	}
 	mux.HandleFunc("POST /ops/rollouts", func(w http.ResponseWriter, r *http.Request) {
 		var spec rollout.Spec
@@ -123,40 +122,40 @@
 			err = json.Unmarshal(data, &spec)
 		}
 		if err != nil {
-			respond(w, nil, fmt.Errorf("%w: malformed: %w", rollout.ErrInput, err))
+			outcome(w, nil, fmt.Errorf("%w: malformed: %w", rollout.ErrInput, err))
 			return
 		}
 		ctx, cancel := within(r)
 		defer cancel()
 		run, err := m.Start(ctx, spec)
-		respond(w, run, err)
+		outcome(w, run, err)
 	})
 	mux.HandleFunc("GET /ops/rollouts", func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := within(r)
 		defer cancel()
-		respond(w, statuses(ctx), nil)
+		outcome(w, statuses(ctx), nil)
 	})
 	mux.HandleFunc("GET /ops/rollouts/{service}", func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := within(r)
 		defer cancel()
 		for _, s := range statuses(ctx) {
 			if s.Service.Name == r.PathValue("service") {
-				respond(w, s, nil)
+				outcome(w, s, nil)
 				return
 			}
 		}
-		respond(w, nil, fmt.Errorf("%w: service: %s is unknown", rollout.ErrInput, r.PathValue("service")))
+		outcome(w, nil, fmt.Errorf("%w: service: %s is unknown", rollout.ErrInput, r.PathValue("service")))
 	})
 	mux.HandleFunc("GET /ops/rollouts/{service}/history", func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := within(r)
 		defer cancel()
 		past, err := m.History(ctx, r.PathValue("service"))
-		respond(w, past, err)
+		outcome(w, past, err)
 	})
 	mux.HandleFunc("POST /ops/rollouts/{service}/{verb}", func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := within(r)
 		defer cancel()
 		run, err := m.Order(ctx, r.PathValue("service"), r.PathValue("verb"))
-		respond(w, run, err)
+		outcome(w, run, err)
 	})
 }
--- a/internal/alert/alert.go
+++ b/internal/alert/alert.go
@@ -13,10 +13,10 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/goccy/go-json"
 
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/owner"
+	"github.com/wallrack/wallrack/internal/respond"
 )
 
 const (
@@ -168,7 +168,7 @@
 		past := append([]Alert{}, a.past...)
 		a.mu.Unlock()
 		sort.Slice(open, func(i, j int) bool { return open[i].Since.Before(open[j].Since) })
-		send(w, map[string]any{"open": open, "past": past})
+		respond.JSON(w, http.StatusOK, map[string]any{"open": open, "past": past})
 	})
 }
 
@@ -182,8 +182,3 @@
 func quantiles(h *hdrhistogram.Histogram) map[string]int64 {
 	return map[string]int64{"count": h.TotalCount(), "p50": h.ValueAtQuantile(50), "p95": h.ValueAtQuantile(95), "p99": h.ValueAtQuantile(99), "max": h.Max()}
 }
-
-func send(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v) // the operator asks again
-}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -79,24 +79,33 @@
 	return op, nil
 }
 
-// ParseOperator reads `(wallrack (key value) ...)` over base.
-func ParseOperator(data []byte, base *Operator) (*Operator, error) {
-	op := *base
+// Entries reads the entries of `(head entry ...)`, all that data may hold; shape
+// describes an entry in the error.
+func Entries(data []byte, head, shape string) ([]any, error) {
 	dec := edn.NewDecoder(bytes.NewReader(data))
-	var top any
+	var top, rest any
 	if err := dec.Decode(&top); err != nil {
 		return nil, fmt.Errorf("not an S-expression: %w", err)
 	}
-	var rest any
 	if err := dec.Decode(&rest); !errors.Is(err, io.EOF) {
 		return nil, errors.New("more than one expression")
 	}
 	list, ok := top.([]any)
-	if !ok || len(list) == 0 || list[0] != edn.Symbol("wallrack") {
-		return nil, errors.New("expected (wallrack (key value) ...)")
+	if !ok || len(list) == 0 || list[0] != edn.Symbol(head) {
+		return nil, fmt.Errorf("expected (%s %s ...)", head, shape)
+	}
+	return list[1:], nil
+}
+
+// ParseOperator reads `(wallrack (key value) ...)` over base.
+func ParseOperator(data []byte, base *Operator) (*Operator, error) {
+	op := *base
+	entries, err := Entries(data, "wallrack", "(key value)")
+	if err != nil {
+		return nil, err
 	}
 	seen := map[string]bool{}
-	for i, e := range list[1:] {
+	for i, e := range entries {
 		pair, ok := e.([]any)
 		if !ok || len(pair) != 2 {
 			return nil, fmt.Errorf("entry %d: expected (key value)", i+1)
--- a/internal/local/front.go
+++ b/internal/local/front.go
@@ -1,10 +1,7 @@
 package local
 
 import (
-	"bytes"
 	"context"
-	"fmt"
-	"io"
 	"net/http"
 	"net/http/httputil"
 	"net/url"
@@ -15,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/respond"
 	"github.com/wallrack/wallrack/internal/wire"
 	"github.com/wallrack/wallrack/internal/worker"
 )
@@ -56,7 +54,7 @@
 	f.mu.Unlock()
 	busy := func() {
 		w.Header().Set("Retry-After", "1")
-		http.Error(w, `{"error":"no controller is up"}`, http.StatusServiceUnavailable)
+		respond.JSON(w, http.StatusServiceUnavailable, wire.Problem{Error: "no controller is up"})
 	}
 	if len(up) == 0 {
 		busy()
@@ -133,7 +131,7 @@
 func (f *front) logs(w http.ResponseWriter, r *http.Request) {
 	task := r.PathValue("job") + "/" + r.PathValue("n")
 	if _, _, err := wire.ParseTask(task); err != nil {
-		http.Error(w, `{"error":"not a task's name"}`, http.StatusBadRequest)
+		respond.JSON(w, http.StatusBadRequest, wire.Problem{Error: "not a task's name"})
 		return
 	}
 	file := worker.StdoutFile
@@ -150,9 +148,9 @@
 	}
 	data, err := os.ReadFile(last)
 	if err != nil {
-		http.Error(w, fmt.Sprintf(`{"error":"nothing was written by %s here"}`, task), http.StatusNotFound)
+		respond.JSON(w, http.StatusNotFound, wire.Problem{Error: "nothing was written by " + task + " here"})
 		return
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	_, _ = io.Copy(w, bytes.NewReader(data)) // the reader asks again
+	_, _ = w.Write(data) // the reader asks again
 }
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -23,6 +24,7 @@
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/descr"
 	"github.com/wallrack/wallrack/internal/rollout"
+	"github.com/wallrack/wallrack/internal/spawn"
 	"github.com/wallrack/wallrack/internal/standin"
 	"github.com/wallrack/wallrack/internal/wire"
 	"github.com/wallrack/wallrack/internal/worker"
@@ -139,15 +141,13 @@
 	m.failed = cloud.Failed
 	front := newFront(nodes, s.Dir)
 	mux := http.NewServeMux()
-	mux.Handle("/store", state.Handler())
-	mux.Handle("/store/", state.Handler())
-	mux.Handle("/txn", state.Handler())
-	mux.Handle("/grants", state.Handler())
-	mux.Handle("/grants/", state.Handler())
-	mux.Handle("/follow", state.Handler())
-	mux.Handle("/machine_types", cloud.Handler())
-	mux.Handle("/hosts", cloud.Handler())
-	mux.Handle("/hosts/", cloud.Handler())
+	stateService, cloudService := state.Handler(), cloud.Handler()
+	for _, path := range []string{"/store", "/store/", "/txn", "/grants", "/grants/", "/follow"} {
+		mux.Handle(path, stateService)
+	}
+	for _, path := range []string{"/machine_types", "/hosts", "/hosts/"} {
+		mux.Handle(path, cloudService)
+	}
 	descriptions := descr.Handler(standin.Descriptions{DB: db})
 	mux.Handle("/descriptions/", descriptions)
 	front.mux.Handle("/descriptions/", descriptions)
@@ -225,7 +225,7 @@
 
 // settings writes the controllers' settings.
 func (s *Site) settings(inner string) ([]node, error) {
-	ports, err := freePorts(2 * s.Controllers)
+	ports, err := freeAddrs(2 * s.Controllers)
 	if err != nil {
 		return nil, err
 	}
@@ -283,18 +283,14 @@
 	return nil
 }
 
-// freePorts finds loopback addresses that nobody listens on now.
-func freePorts(n int) ([]string, error) {
-	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, fmt.Errorf("no free port: %w", err)
-		}
-		defer l.Close()
-		out = append(out, l.Addr().String())
-	}
-	return out, nil
+// freeAddrs finds loopback addresses that nobody listens on now.
+func freeAddrs(n int) ([]string, error) {
+	ports, err := spawn.FreePorts(n)
+	out := make([]string, len(ports))
+	for i, p := range ports {
+		out[i] = net.JoinHostPort("127.0.0.1", strconv.Itoa(p))
+	}
+	return out, err
 }
 
 // keep runs a controller, again whenever it ends by itself.
@@ -331,7 +327,7 @@
 
 // Launch implements standin.Launcher.
 func (m *machines) Launch(l wire.ListedMachine, t wire.MachineType) (string, error) {
-	ports, err := freePorts(1)
+	ports, err := freeAddrs(1)
 	if err != nil {
 		return "", err
 	}
--- a/internal/machine/holder.go
+++ b/internal/machine/holder.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/wallrack/wallrack/internal/placement"
+	"github.com/wallrack/wallrack/internal/recent"
 	"github.com/wallrack/wallrack/internal/respond"
 	"github.com/wallrack/wallrack/internal/usage"
 	"github.com/wallrack/wallrack/internal/wire"
@@ -77,8 +78,7 @@
 	mu       sync.Mutex
 	machines map[string]*held
 	answered map[string]time.Time
-	gone     map[string]bool
-	goneList []string
+	gone     *recent.Set // machines that the cloud deleted
 	dirty    map[string]bool
 	nextSeq  uint64
 	raising  bool
@@ -91,7 +91,7 @@
 	return &Holder{
 		name: name, lease: lease, owners: owners, tokens: tokens, types: types, routing: routing, orders: orders, log: log,
 		ctx: ctx, started: time.Now(),
-		machines: map[string]*held{}, answered: map[string]time.Time{}, gone: map[string]bool{}, dirty: map[string]bool{},
+		machines: map[string]*held{}, answered: map[string]time.Time{}, gone: recent.NewSet(maxTombstones), dirty: map[string]bool{},
 	}
 }
 
@@ -166,7 +166,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.machines[rep.Machine]
-	if s == nil || h.gone[rep.Machine] || rep.Session != s.report.Session {
+	if s == nil || h.gone.Has(rep.Machine) || rep.Session != s.report.Session {
 		return false
 	}
 	h.answered[rep.Machine] = time.Now()
@@ -207,7 +207,7 @@
 func (h *Holder) take(rep *wire.Report, renews bool) (View, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.gone[rep.Machine] {
+	if h.gone.Has(rep.Machine) {
 		return View{}, false
 	}
 	s := h.machines[rep.Machine]
@@ -318,14 +318,7 @@
 	defer h.mu.Unlock()
 	delete(h.machines, name)
 	delete(h.answered, name)
-	if !h.gone[name] {
-		h.gone[name] = true
-		h.goneList = append(h.goneList, name)
-		if len(h.goneList) > maxTombstones {
-			delete(h.gone, h.goneList[0])
-			h.goneList = h.goneList[1:]
-		}
-	}
+	h.gone.Add(name)
 }
 
 // Unanswered vouches for how long this controller has not answered a report
--- a/internal/machine/push.go
+++ b/internal/machine/push.go
@@ -99,7 +99,7 @@
 	for name, endpoint := range endpoints {
 		h.mu.Lock()
 		s := h.machines[name]
-		skip := h.gone[name] || s != nil && time.Since(s.at) < unheard || len(h.machines) >= maxMachines
+		skip := h.gone.Has(name) || s != nil && time.Since(s.at) < unheard || len(h.machines) >= maxMachines
 		h.mu.Unlock()
 		if skip || !h.routing.Entitled() {
 			continue
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -401,12 +402,11 @@
 	if len(free) == 0 {
 		return
 	}
-	guards := make([]wire.Guard, len(free))
-	ops := make([]wire.Op, len(free))
-	for i, s := range free {
-		guards[i] = wire.Guard{Key: keyOf(s)}
-		ops[i] = wire.Op{Put: keyOf(s), Value: shardRecord{Node: m.name, Term: term, Lease: lease}, Lease: lease}
+	unowned := make(map[int]uint64, len(free))
+	for _, s := range free {
+		unowned[s] = 0
 	}
+	guards, ops := assign(unowned, shardRecord{Node: m.name, Term: term, Lease: lease})
 	cctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	rev, err := m.store.Txn(cctx, guards, ops...)
@@ -426,6 +426,16 @@
 	m.notify()
 }
 
+// assign is the transaction that writes who owns shards, if their keys still have
+// these versions; 0: there is none.
+func assign(shards map[int]uint64, to shardRecord) (guards []wire.Guard, ops []wire.Op) {
+	for s, v := range shards {
+		guards = append(guards, wire.Guard{Key: keyOf(s), Version: v})
+		ops = append(ops, wire.Op{Put: keyOf(s), Value: to, Lease: to.Lease})
+	}
+	return guards, ops
+}
+
 // behindLocked is how long this controller leaves a freed shard to others.
 func (m *Member) behindLocked() time.Duration {
 	n := 0
@@ -457,14 +467,10 @@
 	}
 	given, lease := m.own, m.lease
 	m.own = map[int]uint64{}
-	var guards []wire.Guard
-	var ops []wire.Op
-	for s, v := range given {
-		m.limbo[s] = v
-		guards = append(guards, wire.Guard{Key: keyOf(s), Version: v})
-		ops = append(ops, wire.Op{Put: keyOf(s), Value: shardRecord{Node: to, Term: peer.Term, Lease: peer.Lease}, Lease: peer.Lease})
-	}
+	maps.Copy(m.limbo, given)
 	m.mu.Unlock()
+	heir := shardRecord{Node: to, Term: peer.Term, Lease: peer.Lease}
+	guards, ops := assign(given, heir)
 	m.notify()
 	cctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
@@ -476,7 +482,7 @@
 				continue // the watch was faster
 			}
 			if err == nil {
-				m.owners[s] = shardRecord{Node: to, Term: peer.Term, Lease: peer.Lease}
+				m.owners[s] = heir
 				delete(m.limbo, s)
 			}
 		}
@@ -493,21 +499,16 @@
 // reclaim takes back shards whose hand-over has an open outcome.
 func (m *Member) reclaim(ctx context.Context) {
 	m.mu.Lock()
-	var guards []wire.Guard
-	var ops []wire.Op
-	var shards []int
-	lease, term := m.lease, m.term
+	var shards map[int]uint64
+	self := shardRecord{Node: m.name, Term: m.term, Lease: m.lease}
 	if m.heldLocked() > time.Second {
-		for s, v := range m.limbo {
-			shards = append(shards, s)
-			guards = append(guards, wire.Guard{Key: keyOf(s), Version: v})
-			ops = append(ops, wire.Op{Put: keyOf(s), Value: shardRecord{Node: m.name, Term: term, Lease: lease}, Lease: lease})
-		}
+		shards = maps.Clone(m.limbo)
 	}
 	m.mu.Unlock()
 	if len(shards) == 0 {
 		return
 	}
+	guards, ops := assign(shards, self)
 	cctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	rev, err := m.store.Txn(cctx, guards, ops...)
@@ -516,12 +517,12 @@
 		return // tried again
 	}
 	m.mu.Lock()
-	if m.lease == lease {
-		for _, s := range shards {
+	if m.lease == self.Lease {
+		for s := range shards {
 			delete(m.limbo, s)
 			if err == nil {
 				m.own[s] = rev
-				m.owners[s] = shardRecord{Node: m.name, Term: term, Lease: lease}
+				m.owners[s] = self
 			}
 		}
 	}
--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -16,7 +16,7 @@
 func (o *Owner) Observe(v machine.View) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if len(o.loaded) == 0 || o.returned.has(v.Name) {
+	if len(o.loaded) == 0 || o.returned.Has(v.Name) {
 		return
 	}
 	m := o.machineOf(v.Name)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -12,6 +12,7 @@
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/machine"
 	"github.com/wallrack/wallrack/internal/placement"
+	"github.com/wallrack/wallrack/internal/recent"
 	"github.com/wallrack/wallrack/internal/usage"
 	"github.com/wallrack/wallrack/internal/wire"
 )
@@ -203,8 +204,8 @@
 	order    []*job
 	machines map[string]*mach
 	byIndex  []*mach
-	returned names     // machines that the cloud deleted: late views of them say nothing
-	now      time.Time // when the pass in progress began
+	returned *recent.Set // machines that the cloud deleted: late views of them say nothing
+	now      time.Time   // when the pass in progress began
 
 	preemptAt int                // machine that preemption looked at last
 	roomyOut  []*mach            // see roomy
@@ -237,7 +238,7 @@
 		cfg:       cfg, op: op, store: store, member: member, holders: holders, types: types, log: log,
 		teams: map[string]*team{},
 		wake:  make(chan struct{}, 1), flush: make(chan struct{}, 1), out: make(chan struct{}, 1),
-		loaded: map[int]uint64{}, jobs: map[string]*job{}, machines: map[string]*mach{}, classes: map[string]*class{},
+		loaded: map[int]uint64{}, jobs: map[string]*job{}, machines: map[string]*mach{}, returned: recent.NewSet(maxGone), classes: map[string]*class{},
 		logs: map[int]*shardLog{}, final: map[string]finalRecord{}, pend: map[string]*machine.Direction{},
 	}
 	for _, t := range cfg.Params.Teams {
--- a/internal/owner/silence.go
+++ b/internal/owner/silence.go
@@ -8,7 +8,7 @@
 func (o *Owner) Gone(name string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.returned.add(name)
+	o.returned.Add(name)
 	m := o.machines[name]
 	if m == nil {
 		return
@@ -67,28 +67,6 @@
 	return known >= massLeast && 2*silent > known
 }
 
-// names is a set of bounded size that forgets the oldest.
-type names struct {
-	set   map[string]bool
-	order []string
-}
-
-func (n *names) has(name string) bool { return n.set[name] }
-
-func (n *names) add(name string) {
-	if n.set[name] {
-		return
-	}
-	if n.set == nil {
-		n.set = map[string]bool{}
-	}
-	n.set[name] = true
-	if n.order = append(n.order, name); len(n.order) > maxGone {
-		delete(n.set, n.order[0])
-		n.order = n.order[1:]
-	}
-}
-
 // Suspects returns the machines that tasks may be on and that have been
 // silent for too long: the cloud's deletion settles them.
 func (o *Owner) Suspects() map[string]time.Duration {
--- a/internal/rollout/engine.go
+++ b/internal/rollout/engine.go
@@ -15,7 +15,6 @@
 
 // JobSeen is what is known of a batch's job now.
 type JobSeen struct {
-	Known     bool // it was accepted
 	Gone      bool // it is cancelled, or was never accepted and never will be
 	Running   int
 	Healthy   int
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -159,8 +159,7 @@
 	}
 }
 
-// Tick looks at every roll-out once; those that are still being looked at from
-// before are left alone.
+// Tick looks at every roll-out once.
 func (m *Manager) Tick(ctx context.Context) {
 	lead, ok := m.core.Lead()
 	m.mu.Lock()
@@ -425,13 +424,13 @@
 	Jobs    map[string]JobSeen `json:"jobs,omitempty"` // as the leading controller last saw them
 }
 
-// Statuses returns the services, by name; of one only, if it is named.
-func (m *Manager) Statuses(service string) []Status {
+// Statuses returns the services, by name.
+func (m *Manager) Statuses() []Status {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := []Status{}
-	for name, e := range m.entries {
-		if (service == "" || service == name) && e.svcV != 0 {
+	for _, e := range m.entries {
+		if e.svcV != 0 {
 			jobs := make(map[string]JobSeen, len(e.seen))
 			for k, v := range e.seen {
 				jobs[k] = v
--- a/internal/rollout/manager_test.go
+++ b/internal/rollout/manager_test.go
@@ -231,8 +231,10 @@
 }
 
 func (s *site) run(name string) *rollout.Run {
-	for _, st := range s.managers[name].Statuses("tips") {
-		return st.Run
+	for _, st := range s.managers[name].Statuses() {
+		if st.Service.Name == "tips" {
+			return st.Run
+		}
 	}
 	return nil
 }
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -80,7 +80,7 @@
 		s.Blocked = "slot"
 	}
 	for uid, n := range w.jobs {
-		j := rollout.JobSeen{Known: true, Running: n - w.lost[uid]}
+		j := rollout.JobSeen{Running: n - w.lost[uid]}
 		switch {
 		case w.of[uid] == w.bad:
 			j.Unhealthy = uid
@@ -92,7 +92,7 @@
 		s.Jobs[uid] = j
 	}
 	for uid := range w.gone {
-		s.Jobs[uid] = rollout.JobSeen{Known: true, Gone: true}
+		s.Jobs[uid] = rollout.JobSeen{Gone: true}
 	}
 	return s
 }
--- a/internal/rollout/settings.go
+++ b/internal/rollout/settings.go
@@ -1,10 +1,8 @@
 package rollout
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"net/url"
 	"os"
 	"time"
@@ -12,6 +10,8 @@
 
 	"github.com/robfig/cron/v3"
 	"olympos.io/encoding/edn"
+
+	"github.com/wallrack/wallrack/internal/config"
 )
 
 // Slot is a time in which no step begins.
@@ -50,20 +50,12 @@
 
 // ParseSettings reads the text of the operators' settings.
 func ParseSettings(data []byte) (*Settings, error) {
-	dec := edn.NewDecoder(bytes.NewReader(data))
-	var top, rest any
-	if err := dec.Decode(&top); err != nil {
-		return nil, fmt.Errorf("not an S-expression: %w", err)
-	}
-	if err := dec.Decode(&rest); !errors.Is(err, io.EOF) {
-		return nil, errors.New("more than one expression")
-	}
-	list, ok := top.([]any)
-	if !ok || len(list) == 0 || list[0] != edn.Symbol("rollouts") {
-		return nil, errors.New("expected (rollouts (key value ...) ...)")
+	entries, err := config.Entries(data, "rollouts", "(key value ...)")
+	if err != nil {
+		return nil, err
 	}
 	s := &Settings{}
-	for i, e := range list[1:] {
+	for i, e := range entries {
 		entry, ok := e.([]any)
 		if !ok || len(entry) == 0 {
 			return nil, fmt.Errorf("entry %d: expected (key value ...)", i+1)
--- a/internal/spawn/spawn.go
+++ b/internal/spawn/spawn.go
@@ -4,6 +4,8 @@
 package spawn
 
 import (
+	"fmt"
+	"net"
 	"os/exec"
 	"runtime"
 	"sync"
@@ -32,6 +34,21 @@
 	return <-result
 }
 
+// FreePorts finds ports of 127.0.0.1 that nobody listens on now. Nothing keeps
+// another process from taking one before the child does.
+func FreePorts(n int) ([]int, error) {
+	var out []int
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("no free port: %w", err)
+		}
+		defer l.Close() // all stay taken until the last is found
+		out = append(out, l.Addr().(*net.TCPAddr).Port)
+	}
+	return out, nil
+}
+
 // Signal sends a signal to the whole group of a started child. That nobody is
 // left is no error.
 func Signal(cmd *exec.Cmd, sig syscall.Signal) {
--- a/internal/worker/agent.go
+++ b/internal/worker/agent.go
@@ -4,13 +4,10 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"path/filepath"
 	"sync"
 	"time"
 
@@ -64,7 +61,6 @@
 	go a.expire(ctx)
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 	at := rand.IntN(len(a.Controllers))
-	pause := time.Duration(0)
 	for {
 		sent := time.Now()
 		next, wait := a.report(ctx, client, at)
@@ -72,7 +68,8 @@
 			client.CloseIdleConnections()
 			at = next
 		}
-		if pause = wait; pause == 0 {
+		pause := wait
+		if pause == 0 {
 			pause = time.Duration((0.75 + 0.5*rand.Float64()) * float64(a.ReportEvery))
 		}
 		timer := time.NewTimer(pause)
@@ -168,7 +165,7 @@
 	return other, nextAfter
 }
 
-// Handler serves direct orders, the report on request, and what tasks wrote.
+// Handler serves direct orders, the report on request, and checks of tasks.
 func (a *Agent) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /orders", func(w http.ResponseWriter, r *http.Request) {
@@ -190,22 +187,5 @@
 	})
 	mux.HandleFunc("GET /show", func(w http.ResponseWriter, _ *http.Request) { respond.JSON(w, http.StatusOK, a.Machine.Report()) })
 	mux.HandleFunc("GET /check/{job}/{n}/{attempt}", a.serveCheck)
-	mux.HandleFunc("GET /logs/{job}/{n}/{attempt}/{file}", func(w http.ResponseWriter, r *http.Request) {
-		task, file := r.PathValue("job")+"/"+r.PathValue("n"), r.PathValue("file")
-		var attempt uint64
-		_, err := fmt.Sscan(r.PathValue("attempt"), &attempt)
-		if _, _, bad := wire.ParseTask(task); bad != nil || err != nil || file != StdoutFile && file != StderrFile {
-			respond.JSON(w, http.StatusBadRequest, wire.Problem{Error: "not a task's output"})
-			return
-		}
-		f, err := os.Open(filepath.Join(a.Processes.TaskDir(task, attempt), file))
-		if err != nil {
-			respond.JSON(w, http.StatusNotFound, wire.Problem{Error: "no such output here"})
-			return
-		}
-		defer f.Close()
-		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-		_, _ = io.Copy(w, f) // the reader asks again
-	})
 	return mux
 }
--- a/internal/worker/process.go
+++ b/internal/worker/process.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -132,11 +131,13 @@
 	if d.Dir != "" {
 		cmd.Dir = d.Dir
 	}
-	port, err := freePort()
+	// Should another process take the port first, the task fails, and is started
+	// again with another.
+	ports, err := spawn.FreePorts(1)
 	if err != nil {
 		return nil, err
 	}
-	cmd.Env = append(os.Environ(), "WALLRACK_PORT="+strconv.Itoa(port), "WALLRACK_JOB="+job, "WALLRACK_TASK="+strconv.Itoa(n), attemptVar+"="+strconv.FormatUint(attempt, 10))
+	cmd.Env = append(os.Environ(), "WALLRACK_PORT="+strconv.Itoa(ports[0]), "WALLRACK_JOB="+job, "WALLRACK_TASK="+strconv.Itoa(n), attemptVar+"="+strconv.FormatUint(attempt, 10))
 	for k, v := range d.Env {
 		cmd.Env = append(cmd.Env, k+"="+v)
 	}
@@ -155,8 +156,8 @@
 	}
 	// A grandchild that keeps the output open must not keep the task.
 	cmd.WaitDelay = time.Second
-	proc := &process{port: port, dir: dir, done: make(chan struct{})}
-	if err := p.start(cmd, proc, dir); err != nil {
+	proc := &process{port: ports[0], dir: dir, done: make(chan struct{})}
+	if err := p.start(cmd, proc); err != nil {
 		for _, o := range outs {
 			_ = o.f.Close()
 		}
@@ -182,7 +183,7 @@
 }
 
 // start starts a task's first process and notes it, for a later worker to find.
-func (p *Processes) start(cmd *exec.Cmd, proc *process, dir string) error {
+func (p *Processes) start(cmd *exec.Cmd, proc *process) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -193,8 +194,8 @@
 	}
 	proc.pgid = cmd.Process.Pid
 	p.groups[proc.pgid] = proc
-	if err := os.WriteFile(filepath.Join(dir, pidFile), []byte(strconv.Itoa(proc.pgid)), 0o644); err != nil {
-		p.log.Error("a task's process can't be noted", "dir", dir, "err", err)
+	if err := os.WriteFile(filepath.Join(proc.dir, pidFile), []byte(strconv.Itoa(proc.pgid)), 0o644); err != nil {
+		p.log.Error("a task's process can't be noted", "dir", proc.dir, "err", err)
 	}
 	return nil
 }
@@ -227,18 +228,6 @@
 	})
 }
 
-// freePort finds a port of the loopback address that a task may listen on. Nothing
-// keeps another process from taking it first: the task then fails, and is started
-// again with another.
-func freePort() (int, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, fmt.Errorf("no free port: %w", err)
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
-}
-
 // Port is the port that a running task was given, or 0.
 func (p *Processes) Port(task string, attempt uint64) int {
 	dir := p.TaskDir(task, attempt)
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -12,6 +12,7 @@
 
 	"github.com/wallrack/wallrack/internal/descr"
 	"github.com/wallrack/wallrack/internal/placement"
+	"github.com/wallrack/wallrack/internal/recent"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -74,8 +75,7 @@
 	token   uint64
 	renewed time.Time // when the last answered report was sent
 	tasks   map[key]*task
-	done    map[string]bool // tasks whose result is kept
-	doneQ   []string
+	done    *recent.Set // tasks whose result is kept
 	stops   sync.WaitGroup
 }
 
@@ -83,7 +83,7 @@
 // without locks held by the caller's side, whenever a report would differ.
 func New(id Ident, descrs Descriptions, runner Runner, change func(), log *slog.Logger) *Machine {
 	return &Machine{id: id, descrs: descrs, runner: runner, change: change, log: log, session: 1, renewed: time.Now(),
-		tasks: map[key]*task{}, done: map[string]bool{}}
+		tasks: map[key]*task{}, done: recent.NewSet(keepDone)}
 }
 
 // Report makes the next report; its sequence number is never used again.
@@ -268,7 +268,7 @@
 		m.log.Info("no description", "task", k.task, "err", err)
 		m.exitLocked(t, wire.CauseError)
 		return
-	case m.done[k.task]:
+	case m.done.Has(k.task):
 		m.exitLocked(t, wire.CauseDone) // its result is kept
 		return
 	}
@@ -302,13 +302,7 @@
 	case t.halted:
 		m.exitLocked(t, wire.CauseStopped) // even if it ended well on being asked to: its work is not whole
 	case ok:
-		if !m.done[k.task] {
-			m.done[k.task] = true
-			if m.doneQ = append(m.doneQ, k.task); len(m.doneQ) > keepDone {
-				delete(m.done, m.doneQ[0])
-				m.doneQ = m.doneQ[1:]
-			}
-		}
+		m.done.Add(k.task)
 		m.exitLocked(t, wire.CauseDone)
 	default:
 		m.exitLocked(t, wire.CauseError)
