--- a/cmd/wallrack/daemon.go
+++ b/cmd/wallrack/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/wallrack/wallrack/internal/alert"
 	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/desk"
 	"github.com/wallrack/wallrack/internal/fleet"
 	"github.com/wallrack/wallrack/internal/intake"
 	"github.com/wallrack/wallrack/internal/machine"
@@ -40,9 +41,14 @@
 // processor time, of which there is not.
 const garbagePercent = 500
 
-// run assembles the slices and runs them until ctx ends. Without settings of
-// roll-outs there are none.
-func run(ctx context.Context, p *config.Platform, op *config.Operator, rollouts *rollout.Settings, log *slog.Logger) error {
+// extras are the settings of what is off without them.
+type extras struct {
+	rollouts *rollout.Settings
+	slurm    *desk.Settings
+}
+
+// run assembles the slices and runs them until ctx ends.
+func run(ctx context.Context, p *config.Platform, op *config.Operator, more extras, log *slog.Logger) error {
 	runtime.GOMAXPROCS(1) // a controller has a share of one core
 	debug.SetGCPercent(garbagePercent)
 	debug.SetMemoryLimit(int64(p.Params.Limits.RAMMB * memoryShare * (1 << 20)))
@@ -100,8 +106,9 @@
 		respond.JSON(w, http.StatusOK, stats)
 	})
 	mux.HandleFunc("GET /ops/machines", n.serveMachines)
-	if rollouts != nil {
-		m := n.newRollouts(rollouts)
+	n.slurm(more.slurm, catalog, mux)
+	if more.rollouts != nil {
+		m := n.newRollouts(more.rollouts)
 		boxes.Hold = m.Held
 		n.serveRollouts(mux, m)
 		g.Go(func() error { return m.Run(ctx) })
--- a/cmd/wallrack/main.go
+++ b/cmd/wallrack/main.go
@@ -14,6 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/desk"
 	"github.com/wallrack/wallrack/internal/rollout"
 )
 
@@ -29,7 +30,7 @@
 }
 
 func command() *cobra.Command {
-	var platform, operator, rollouts string
+	var platform, operator, rollouts, slurm string
 	load := func() (*config.Platform, *config.Operator, error) {
 		if platform == "" {
 			return nil, nil, errors.New("--config: a settings file is needed")
@@ -56,17 +57,23 @@
 			if err != nil {
 				return err
 			}
-			var ro *rollout.Settings
+			var more extras
 			if rollouts != "" {
-				if ro, err = rollout.LoadSettings(rollouts); err != nil {
+				if more.rollouts, err = rollout.LoadSettings(rollouts); err != nil {
 					return err
 				}
 			}
-			return run(cmd.Context(), p, op, ro, log.With("node", p.Node))
+			if slurm != "" {
+				if more.slurm, err = desk.LoadSettings(slurm); err != nil {
+					return err
+				}
+			}
+			return run(cmd.Context(), p, op, more, log.With("node", p.Node))
 		},
 	}
 	root.PersistentFlags().StringVar(&platform, "config", "", "the platform's settings file (TOML)")
 	root.Flags().StringVar(&rollouts, "rollouts", "", "the settings of roll-outs (S-expressions); without it there are none")
+	root.Flags().StringVar(&slurm, "slurm", "", "the settings of Slurm-style clients and accounting (S-expressions); without it there are none")
 	root.PersistentFlags().StringVar(&operator, "operator", "", "the operators' settings file (S-expressions)")
 	root.AddCommand(&cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
--- a/cmd/wallrack/rollouts.go
+++ b/cmd/wallrack/rollouts.go
@@ -16,6 +16,7 @@
 	"github.com/wallrack/wallrack/internal/respond"
 	"github.com/wallrack/wallrack/internal/rollout"
 	"github.com/wallrack/wallrack/internal/statestore"
+	"github.com/wallrack/wallrack/internal/terms"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -44,12 +45,20 @@
 	}
 	shard := owner.ShardOf(job, c.n.cfg.Params.Teams, c.n.op.Shards)
 	at := time.Now().UnixMilli()
-	accept, op := owner.AcceptTxn(job, shard, at)
-	rev, err := c.n.store.Txn(ctx, append(accept, guards...), op)
+	var t *terms.Terms
+	if book := c.n.intake.Numbers; book != nil {
+		number, err := book.Take(ctx, job.Tasks)
+		if err != nil {
+			return err
+		}
+		t = &terms.Terms{Number: number, Name: job.Class}
+	}
+	accept, ops := owner.AcceptTxn(job, t, shard, at)
+	rev, err := c.n.store.Txn(ctx, append(accept, guards...), ops...)
 	if err != nil {
 		return err
 	}
-	c.n.owner.Accepted(job, shard, at, rev)
+	c.n.owner.Accepted(job, t, shard, at, rev)
 	return nil
 }
 
--- /dev/null
+++ b/cmd/wallrack/slurm.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/desk"
+	"github.com/wallrack/wallrack/internal/mesh"
+	"github.com/wallrack/wallrack/internal/numbers"
+	"github.com/wallrack/wallrack/internal/owner"
+	"github.com/wallrack/wallrack/internal/terms"
+)
+
+// Methods of the mesh for Slurm-style clients.
+const (
+	methodDesk    = "Desk"
+	methodFacts   = "Facts"
+	methodEarlier = "Earlier"
+)
+
+type factsMessage struct {
+	UID    string `json:"uid,omitempty"`
+	Name   string `json:"name,omitempty"`
+	User   string `json:"user,omitempty"`
+	Number uint64 `json:"number,omitempty"`
+}
+
+type factsReply struct {
+	Known   bool        `json:"known"`
+	Facts   terms.Facts `json:"facts"`
+	Earlier bool        `json:"earlier"`
+}
+
+const factsWithin = 700 * time.Millisecond
+
+// slurm switches Slurm-style clients and accounting on. What depends on another
+// owner's jobs is asked there even where they are off, for jobs from before.
+func (n *node) slurm(set *desk.Settings, catalog desk.Catalog, mux *http.ServeMux) {
+	n.owner.Others = n
+	mesh.Handle(n.links, methodFacts, func(_ context.Context, m *factsMessage) (*factsReply, error) {
+		f, ok := n.owner.FactsHere(m.UID)
+		return &factsReply{Known: ok, Facts: f}, nil
+	})
+	mesh.Handle(n.links, methodEarlier, func(_ context.Context, m *factsMessage) (*factsReply, error) {
+		return &factsReply{Earlier: n.owner.EarlierHere(m.Name, m.User, m.Number)}, nil
+	})
+	if set == nil {
+		return
+	}
+	n.owner.Accounts = set.Accounts
+	book := numbers.New(n.store)
+	n.intake.Numbers = book
+	d := desk.New(set, n.cfg, n.store, n.owner, book, n, n.intake, catalog, n.log)
+	mesh.Handle(n.links, methodDesk, func(ctx context.Context, r *desk.Request) (*desk.Reply, error) {
+		rep := d.Serve(ctx, *r)
+		return &rep, nil
+	})
+	d.Register(mux)
+}
+
+// Owns reports whether this controller owns shards.
+func (n *node) Owns() bool { return n.member.Held() > 0 && len(n.member.Own()) > 0 }
+
+// AskDesk hands a Slurm-style client's request to an owner.
+func (n *node) AskDesk(ctx context.Context, peer string, r desk.Request) (*desk.Reply, error) {
+	return mesh.Call[desk.Request, desk.Reply](ctx, n.links, peer, methodDesk, &r)
+}
+
+// Facts says how far a job is: its owner knows, or the store how it ended.
+func (n *node) Facts(ctx context.Context, uid string) (terms.Facts, error) {
+	for _, p := range n.Owners() {
+		actx, cancel := context.WithTimeout(ctx, factsWithin)
+		rep, err := mesh.Call[factsMessage, factsReply](actx, n.links, p, methodFacts, &factsMessage{UID: uid})
+		cancel()
+		if err == nil && rep.Known {
+			return rep.Facts, nil
+		}
+	}
+	return owner.StoredFacts(ctx, n.store, uid)
+}
+
+// Earlier asks the other owners; one that does not answer may have such a job.
+func (n *node) Earlier(ctx context.Context, name, user string, number uint64) (bool, error) {
+	for _, p := range n.Owners() {
+		actx, cancel := context.WithTimeout(ctx, factsWithin)
+		rep, err := mesh.Call[factsMessage, factsReply](actx, n.links, p, methodEarlier, &factsMessage{Name: name, User: user, Number: number})
+		cancel()
+		if err != nil || rep.Earlier {
+			return true, err
+		}
+	}
+	return false, nil
+}
--- a/cmd/wallrack/start_test.go
+++ b/cmd/wallrack/start_test.go
@@ -54,7 +54,7 @@
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), d)
 	defer cancel()
-	if err := run(ctx, p, op, nil, slog.New(slog.NewTextHandler(io.Discard, nil))); err != nil && ctx.Err() == nil {
+	if err := run(ctx, p, op, extras{}, slog.New(slog.NewTextHandler(io.Discard, nil))); err != nil && ctx.Err() == nil {
 		t.Fatal(err)
 	}
 }
--- a/cmd/wallrack/worker.go
+++ b/cmd/wallrack/worker.go
@@ -101,6 +101,7 @@
 		_ = lis.Close()
 		return err
 	}
+	procs.Machine = s.id.Name
 	defer procs.Close()
 	s.id.Endpoint, s.id.Lease = lis.Addr().String(), config.Seconds(s.leaseS)
 	agent := &worker.Agent{Processes: procs, Controllers: controllers, ReportEvery: config.Seconds(s.reportS), Log: log}
--- a/internal/descr/descr.go
+++ b/internal/descr/descr.go
@@ -16,6 +16,7 @@
 	"github.com/goccy/go-json"
 
 	"github.com/wallrack/wallrack/internal/respond"
+	"github.com/wallrack/wallrack/internal/slurmtask"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -35,9 +36,12 @@
 	Env      map[string]string `json:"env,omitempty"`    // added to the worker's own environment
 	Dir      string            `json:"dir,omitempty"`    // working directory; the task's own if empty
 	Script   string            `json:"script,omitempty"` // written to a file whose path goes behind Argv
+	Args     []string          `json:"args,omitempty"`   // go behind the script
 	CPUs     float64           `json:"cpus"`             // what a task takes of its machine
 	GPUs     float64           `json:"gpus,omitempty"`
 	MemoryGB float64           `json:"memoryGb,omitempty"`
+
+	Slurm *slurmtask.Context `json:"slurm,omitempty"` // of a Slurm-style job
 }
 
 // Check says what is wrong with a description.
@@ -52,7 +56,12 @@
 	case d.Dir != "" && !strings.HasPrefix(d.Dir, "/"):
 		return errors.New("dir: must be an absolute path")
 	}
-	for _, a := range d.Argv {
+	if d.Slurm != nil {
+		if _, err := d.Slurm.Of(0, 1, ""); err != nil {
+			return fmt.Errorf("slurm: %w", err)
+		}
+	}
+	for _, a := range append(append([]string(nil), d.Argv...), d.Args...) {
 		if strings.ContainsRune(a, 0) {
 			return errors.New("argv: holds a zero byte")
 		}
--- /dev/null
+++ b/internal/desk/settings.go
@@ -0,0 +1,96 @@
+package desk
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"olympos.io/encoding/edn"
+
+	"github.com/wallrack/wallrack/internal/config"
+)
+
+// Settings are the operators' settings of Slurm-style clients and accounting.
+type Settings struct {
+	Cluster  string  // the name that clients show
+	Accounts bool    // whether rows of accounting are written
+	PerS     float64 // listings and pages a second that a controller answers
+	Class    string  // of jobs whose client names no partition
+	Team     string  // of jobs whose client names no account
+}
+
+const (
+	minPerS = 0.1
+	maxPerS = 1000
+)
+
+// LoadSettings reads
+//
+//	(slurm
+//	  (cluster "wallrack")
+//	  (accounting on)
+//	  (listings-per-s 5)
+//	  (partition "adhoc")
+//	  (account "default"))
+func LoadSettings(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, errors.Unwrap(err))
+	}
+	s, err := ParseSettings(data)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// ParseSettings reads the text of the operators' settings.
+func ParseSettings(data []byte) (*Settings, error) {
+	entries, err := config.Entries(data, "slurm", "(key value)")
+	if err != nil {
+		return nil, err
+	}
+	s := &Settings{Cluster: "wallrack", PerS: 5}
+	texts := map[string]*string{"cluster": &s.Cluster, "partition": &s.Class, "account": &s.Team}
+	seen := map[string]bool{}
+	for i, e := range entries {
+		pair, ok := e.([]any)
+		if !ok || len(pair) != 2 {
+			return nil, fmt.Errorf("entry %d: expected (key value)", i+1)
+		}
+		sym, _ := pair[0].(edn.Symbol) // another kind is an unknown key
+		key := string(sym)
+		if seen[key] {
+			return nil, fmt.Errorf("%s: given twice", key)
+		}
+		seen[key] = true
+		switch {
+		case texts[key] != nil:
+			text, ok := pair[1].(string)
+			if !ok || text == "" || len(text) > 100 {
+				return nil, fmt.Errorf("%s: a text of 1 to 100 bytes is needed", key)
+			}
+			*texts[key] = text
+		case key == "accounting":
+			if pair[1] != edn.Symbol("on") && pair[1] != edn.Symbol("off") {
+				return nil, errors.New("accounting: on or off is needed")
+			}
+			s.Accounts = pair[1] == edn.Symbol("on")
+		case key == "listings-per-s":
+			switch n := pair[1].(type) {
+			case int64:
+				s.PerS = float64(n)
+			case float64:
+				s.PerS = n
+			default:
+				return nil, errors.New("listings-per-s: not a number")
+			}
+			if !(s.PerS >= minPerS && s.PerS <= maxPerS) {
+				return nil, fmt.Errorf("listings-per-s: %v is outside %v to %v", s.PerS, minPerS, maxPerS)
+			}
+		default:
+			return nil, fmt.Errorf("%.40v: unknown key", pair[0])
+		}
+	}
+	return s, nil
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -5,15 +5,18 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
 	"time"
 
 	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/numbers"
 	"github.com/wallrack/wallrack/internal/owner"
 	"github.com/wallrack/wallrack/internal/respond"
 	"github.com/wallrack/wallrack/internal/statestore"
+	"github.com/wallrack/wallrack/internal/terms"
 	"github.com/wallrack/wallrack/internal/usage"
 	"github.com/wallrack/wallrack/internal/wire"
 )
@@ -34,7 +37,7 @@
 // Jobs is the owner in this process.
 type Jobs interface {
 	Known(uid string) (wire.JobState, bool)
-	Accepted(job *wire.Job, shard int, atMs int64, version uint64)
+	Accepted(job *wire.Job, t *terms.Terms, shard int, atMs int64, version uint64)
 	Cancel(ctx context.Context, uid string) (wire.JobState, error)
 }
 
@@ -48,6 +51,8 @@
 	Verb string `json:"verb"` // submit, poll or cancel
 	UID  string `json:"uid"`
 	Body []byte `json:"body,omitempty"`
+
+	Terms *terms.Terms `json:"terms,omitempty"` // of a submission
 }
 
 // Reply is its answer; status 0 means that the peer can't tell either.
@@ -76,8 +81,16 @@
 	Up() bool
 }
 
+// Numbers gives jobs numbers, and finds them by those.
+type Numbers interface {
+	Take(ctx context.Context, count int) (uint64, error)
+	Given(ctx context.Context, first uint64, count int) (bool, error)
+	Find(ctx context.Context, n uint64) (numbers.Job, error)
+}
+
 // Intake serves users.
 type Intake struct {
+	Numbers Numbers     // nil: jobs have none, and no terms. Set it before Register
 	Crowded func() bool // whether to take no new jobs; nil: never. Set it before Register
 
 	cfg     *config.Platform
@@ -149,13 +162,18 @@
 		refuse(w, http.StatusBadRequest, "body unreadable or over 64 KiB")
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
+	in.reply(w, in.Submit(r.Context(), Request{Verb: VerbSubmit, Body: body}))
+}
+
+// Submit takes a submission here, or at a peer if this controller can't tell.
+func (in *Intake) Submit(ctx context.Context, req Request) Reply {
+	ctx, cancel := context.WithTimeout(ctx, answerWithin)
 	defer cancel()
-	rep := in.Serve(ctx, Request{Verb: VerbSubmit, Body: body})
+	rep := in.Serve(ctx, req)
 	if rep.Status == 0 {
-		rep = in.elsewhere(ctx, Request{Verb: VerbSubmit, Body: body})
+		rep = in.elsewhere(ctx, req)
 	}
-	in.reply(w, rep)
+	return rep
 }
 
 func (in *Intake) poll(w http.ResponseWriter, r *http.Request) {
@@ -232,7 +250,7 @@
 func (in *Intake) Serve(ctx context.Context, req Request) Reply {
 	switch req.Verb {
 	case VerbSubmit:
-		return in.accept(ctx, req.Body)
+		return in.accept(ctx, req.Body, req.Terms)
 	case VerbKnown:
 		if s, ok := in.jobs.Known(req.UID); ok {
 			return Reply{Status: http.StatusOK, State: s}
@@ -268,11 +286,14 @@
 
 // accept records a submission. A known id is answered with its state,
 // whatever the body says.
-func (in *Intake) accept(ctx context.Context, body []byte) Reply {
+func (in *Intake) accept(ctx context.Context, body []byte, asked *terms.Terms) Reply {
 	job, bad := wire.ParseJob(body)
 	status, reason := http.StatusBadRequest, ""
 	if bad == nil {
 		status, reason = in.runnable(job)
+		if reason == "" {
+			asked, status, reason = in.terms(ctx, job, asked)
+		}
 	} else {
 		reason = bad.Error()
 	}
@@ -305,17 +326,20 @@
 	}
 	shard := owner.ShardOf(job, in.cfg.Params.Teams, in.op.Shards)
 	at := time.Now().UnixMilli()
-	guards, op := owner.AcceptTxn(job, shard, at)
+	guards, ops := owner.AcceptTxn(job, asked, shard, at)
 	for n := 0; ; n++ {
 		tctx, cancel := context.WithTimeout(ctx, 1200*time.Millisecond)
-		rev, err := in.store.Txn(tctx, guards, op)
+		rev, err := in.store.Txn(tctx, guards, ops...)
 		cancel()
 		var conflict *statestore.Conflict
 		switch {
 		case err == nil:
-			in.jobs.Accepted(job, shard, at, rev)
+			in.jobs.Accepted(job, asked, shard, at, rev)
 			return Reply{Status: http.StatusCreated, State: wire.JobState{UID: job.UID, Stage: wire.StageQueued}}
 		case errors.As(err, &conflict):
+			if asked != nil && len(conflict.Keys) == 1 && conflict.Keys[0] == guards[2].Key {
+				return Reply{Status: http.StatusUnprocessableEntity, Reason: "number: belongs to another job"}
+			}
 			// Known already, or our own attempt whose answer was lost.
 			s, err := owner.Stored(ctx, in.store, job.UID)
 			return in.found(s, err, http.StatusOK)
@@ -359,6 +383,52 @@
 	return http.StatusUnprocessableEntity, "a task fits no allowed machine type"
 }
 
+// terms checks a submission's terms, and finds the jobs that it depends on. Where
+// jobs have numbers, one without terms gets a number.
+func (in *Intake) terms(ctx context.Context, job *wire.Job, asked *terms.Terms) (t *terms.Terms, status int, reason string) {
+	unsure := func(err error) (*terms.Terms, int, string) {
+		in.log.Debug("numbers can't be told", "err", err)
+		return nil, http.StatusServiceUnavailable, "can't tell numbers now"
+	}
+	switch {
+	case in.Numbers == nil && asked == nil:
+		return nil, 0, ""
+	case in.Numbers == nil:
+		return nil, http.StatusUnprocessableEntity, "this site gives jobs no numbers and takes no terms"
+	case asked == nil:
+		n, err := in.Numbers.Take(ctx, job.Tasks)
+		if err != nil {
+			return unsure(err)
+		}
+		return &terms.Terms{Number: n}, 0, ""
+	}
+	if err := asked.Check(job.Tasks, job.Gang(), job.Service(), time.Now()); err != nil {
+		return nil, http.StatusUnprocessableEntity, err.Error()
+	}
+	if ok, err := in.Numbers.Given(ctx, asked.Number, job.Tasks); err != nil {
+		return unsure(err)
+	} else if !ok {
+		return nil, http.StatusUnprocessableEntity, "number: was given to nobody"
+	}
+	for i := range asked.After {
+		d := &asked.After[i]
+		if d.Kind == terms.Singleton {
+			continue
+		}
+		found, err := in.Numbers.Find(ctx, d.Number)
+		switch {
+		case errors.Is(err, statestore.ErrNotFound):
+			return nil, http.StatusUnprocessableEntity, fmt.Sprintf("dependency: there is no job %d", d.Number)
+		case err != nil:
+			return unsure(err)
+		case found.UID == job.UID:
+			return nil, http.StatusUnprocessableEntity, "dependency: a job can't wait for itself"
+		}
+		d.Job = found.UID
+	}
+	return asked, 0, ""
+}
+
 func has(list []string, s string) bool {
 	for _, x := range list {
 		if x == s {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -14,6 +14,7 @@
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/intake"
 	"github.com/wallrack/wallrack/internal/statestore"
+	"github.com/wallrack/wallrack/internal/terms"
 	"github.com/wallrack/wallrack/internal/testkit"
 	"github.com/wallrack/wallrack/internal/wire"
 )
@@ -26,12 +27,12 @@
 	up    bool
 }
 
-func (s *stub) Known(string) (wire.JobState, bool)     { return wire.JobState{}, false }
-func (s *stub) Accepted(*wire.Job, int, int64, uint64) {}
-func (s *stub) All() []wire.MachineType                { return s.types }
-func (s *stub) Owners() []string                       { return nil }
-func (s *stub) Served() []string                       { return []string{"b"} }
-func (s *stub) Up() bool                               { return s.up }
+func (s *stub) Known(string) (wire.JobState, bool)                   { return wire.JobState{}, false }
+func (s *stub) Accepted(*wire.Job, *terms.Terms, int, int64, uint64) {}
+func (s *stub) All() []wire.MachineType                              { return s.types }
+func (s *stub) Owners() []string                                     { return nil }
+func (s *stub) Served() []string                                     { return []string{"b"} }
+func (s *stub) Up() bool                                             { return s.up }
 func (s *stub) Cancel(context.Context, string) (wire.JobState, error) {
 	return wire.JobState{}, statestore.ErrUnavailable
 }
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -132,6 +132,9 @@
 	if err := s.rollouts(inner.Addr().String()); err != nil {
 		return err
 	}
+	if err := os.WriteFile(s.slurmFile(), []byte(slurmSettings), 0o644); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
 	m := &machines{site: s, nodes: nodes, descr: "http://" + inner.Addr().String(), running: map[string]*running{}}
 	cloud, err := standin.OpenCloud(db, []wire.MachineType{{Name: Type, CPUs: s.CPUs, MemoryGB: s.MemoryGB, CacheGB: 100, FetchGBPerS: 10,
 		Price: 1, SpotPrice: 1, BootS: 0.1, Zones: []string{Zone}}}, s.Machines, m)
@@ -260,6 +263,12 @@
 	return nodes, nil
 }
 
+// slurmSettings are those of Slurm-style clients: as wallctl submit has it where
+// nothing is said.
+const slurmSettings = `(slurm (cluster "local") (accounting on) (listings-per-s 50) (partition "adhoc") (account "` + Team + `"))` + "\n"
+
+func (s *Site) slurmFile() string { return filepath.Join(s.Dir, "controllers", "slurm.sexp") }
+
 func (s *Site) rolloutsFile() string { return filepath.Join(s.Dir, "controllers", "rollouts.sexp") }
 
 // rollouts writes the settings of roll-outs: the site's description service, and
@@ -296,7 +305,7 @@
 // keep runs a controller, again whenever it ends by itself.
 func (s *Site) keep(ctx context.Context, n node) {
 	for ctx.Err() == nil {
-		err := s.Start(ctx, n.name, []string{"--config", n.file, "--rollouts", s.rolloutsFile()})
+		err := s.Start(ctx, n.name, []string{"--config", n.file, "--rollouts", s.rolloutsFile(), "--slurm", s.slurmFile()})
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/owner/accept.go
+++ b/internal/owner/accept.go
@@ -6,6 +6,7 @@
 
 	"github.com/goccy/go-json"
 
+	"github.com/wallrack/wallrack/internal/terms"
 	"github.com/wallrack/wallrack/internal/usage"
 	"github.com/wallrack/wallrack/internal/wire"
 )
@@ -65,17 +66,19 @@
 	}
 	if version > j.version {
 		j.version = version
+		o.retermed(j, r)
 		if r.Cancelled {
 			o.cancelLocked(j)
 		}
 	}
 }
 
-// Accepted adds a job that this process has just recorded.
-func (o *Owner) Accepted(spec *wire.Job, shard int, atMs int64, version uint64) {
+// Accepted adds a job, with its terms if it has any, that this process has just
+// recorded.
+func (o *Owner) Accepted(spec *wire.Job, t *terms.Terms, shard int, atMs int64, version uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.jobs[spec.UID] == nil {
-		o.take(&liveRecord{Job: *spec, Shard: shard, AtMs: atMs}, version)
+		o.take(&liveRecord{Job: *spec, Shard: shard, AtMs: atMs, Terms: t}, version)
 	}
 }
--- a/internal/owner/bench_test.go
+++ b/internal/owner/bench_test.go
@@ -89,7 +89,7 @@
 		due := 60.0 + float64(i)
 		f.owner.Accepted(&wire.Job{UID: fmt.Sprintf("j-%06d", i), Class: fmt.Sprintf("c%d", i%2), Team: "t", Kind: wire.KindArray,
 			Priority: []string{"normal", "urgent"}[i%2], Tasks: 100, CPUs: float64(2 + 6*(i%2)), MemoryGB: 3, Image: fmt.Sprintf("i%d", i%20),
-			ImageGB: 1, Estimate: 30, Spot: true, DueS: &due}, 0, time.Now().UnixMilli(), uint64(i+1))
+			ImageGB: 1, Estimate: 30, Spot: true, DueS: &due}, nil, 0, time.Now().UnixMilli(), uint64(i+1))
 	}
 	return f
 }
--- a/internal/owner/books.go
+++ b/internal/owner/books.go
@@ -62,6 +62,7 @@
 		return
 	}
 	o.count(p, -1)
+	row := o.attemptRow(p)
 	if !p.running.IsZero() {
 		p.job.running--
 	}
@@ -71,7 +72,10 @@
 	}
 	if p.logged && !p.job.cancelled && !p.chunk.isDone(p.task) {
 		// Not urgent: a new owner would only have to settle it.
-		o.record(change{goneChange, p})
+		o.record(change{kind: goneChange, p: p, row: row})
+	} else if row != nil {
+		o.loose = append(o.loose, *row)
+		poke(o.flush)
 	}
 	o.finish(p.job)
 	poke(o.wake)
@@ -99,6 +103,11 @@
 		j.ended = wire.StageCancelled
 	case j.done == j.spec.Tasks:
 		j.ended = wire.StageDone
+	case j.over == j.spec.Tasks:
+		if len(j.places) > 0 {
+			return // what was stopped may still be on
+		}
+		j.ended = wire.StageCancelled
 	default:
 		return
 	}
--- a/internal/owner/demand.go
+++ b/internal/owner/demand.go
@@ -30,7 +30,7 @@
 		if j.cancelled || j.ended != "" {
 			continue
 		}
-		n := len(j.pending)
+		n := o.room(j)
 		for _, ps := range j.places {
 			waits := true
 			for _, p := range ps {
--- a/internal/owner/grant.go
+++ b/internal/owner/grant.go
@@ -48,6 +48,8 @@
 		return no
 	case m.gone || m.view.Draining || !o.allowed(j, m):
 		return no
+	case j.asked != nil && !o.termsAllow(j, n):
+		return no
 	}
 	o.count(p, -1)
 	if !o.within(j, m) || !o.underLimit(j) {
--- a/internal/owner/log.go
+++ b/internal/owner/log.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 
+	"github.com/wallrack/wallrack/internal/accounting"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -17,12 +18,13 @@
 const (
 	placeChange changeKind = iota // the task may be there from now on
 	goneChange                    // it is not there any more
-	doneChange                    // it completed there
+	doneChange                    // it completed there, or ended for good
 )
 
 type change struct {
 	kind changeKind
 	p    *place
+	row  *accounting.Row // written along with it
 }
 
 // slot is a key of a shard's log and what stands in it.
@@ -139,6 +141,11 @@
 			j.chunks[t/chunkSize].setDone(int(t))
 		}
 	}
+	for i := 0; i < len(e.Failed); i += 3 {
+		if t := e.Failed[i]; newer(t) {
+			j.chunks[t/chunkSize].setFailed(int(t), e.Failed[i+1], e.Failed[i+2])
+		}
+	}
 }
 
 // touchSlot finds the chunks that a predecessor's record names.
@@ -162,6 +169,9 @@
 		for _, t := range e.Done {
 			name(t)
 		}
+		for i := 0; i < len(e.Failed); i += 3 {
+			name(e.Failed[i])
+		}
 	}
 	s.read = logRecord{}
 }
@@ -174,6 +184,21 @@
 	size    int
 	changes []change
 	chunks  map[*chunk]struct{}
+	rows    []change // taken for their accounting rows, whether they matter or not
+}
+
+// keepRows keeps the changes that are taken for their rows alone, so that they are
+// put back with the others.
+func (b *logBuilder) keepRows() {
+	in := map[*place]bool{}
+	for _, c := range b.changes {
+		in[c.p] = true
+	}
+	for _, c := range b.rows {
+		if !in[c.p] {
+			b.changes = append(b.changes, c)
+		}
+	}
 }
 
 func newLogBuilder(seq uint64) *logBuilder {
@@ -213,7 +238,12 @@
 		e.Gone = append(e.Gone, uint64(p.task), p.attempt)
 		b.size += 2 * numberBytes
 	case doneChange:
-		e.Done = append(e.Done, uint64(p.task))
+		if f, failed := p.chunk.failed[p.task]; failed {
+			e.Failed = append(e.Failed, f.triple(p.task)...)
+			b.size += 2 * numberBytes
+		} else {
+			e.Done = append(e.Done, uint64(p.task))
+		}
 		b.size += numberBytes
 	}
 	b.chunks[p.chunk] = struct{}{}
--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -159,8 +159,9 @@
 		p.running = time.Now().Add(-time.Duration(t.ForS * float64(time.Second)))
 		j.running++
 		j.started++
+		j.asked.startedAt(p.running)
 	}
-	if j.cancelled {
+	if j.cancelled || p.chunk.isDone(p.task) {
 		o.halt(p, 0)
 	}
 }
@@ -206,6 +207,7 @@
 // exited handles the end of an attempt.
 func (o *Owner) exited(m *mach, p *place, t *machine.TaskView) {
 	j := p.job
+	p.cause = t.Cause
 	if t.Cause == wire.CauseDone {
 		o.stats.Done++
 		m.done, m.errors = m.done*0.98+1, 0
@@ -225,6 +227,8 @@
 		if !j.spec.Service() && !p.chunk.isDone(p.task) {
 			p.chunk.setDone(p.task)
 			j.done++
+			j.over++
+			row := o.attemptRow(p)
 			p.exited = true
 			// Every other place of the task is needless now; the ones
 			// that were never granted simply go.
@@ -241,12 +245,16 @@
 				p.running = time.Time{}
 			}
 			p.state = placeWriting
-			o.record(change{doneChange, p})
+			o.record(change{kind: doneChange, p: p, row: row})
 			poke(o.flush)
 			o.finish(j)
 			return
 		}
 	}
+	if how := j.forGood(p, t); how != 0 {
+		o.fail(p, how)
+		return
+	}
 	switch t.Cause {
 	case wire.CauseError:
 		o.stats.Errors++
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/accounting"
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/machine"
 	"github.com/wallrack/wallrack/internal/placement"
@@ -60,26 +61,30 @@
 
 // place is a machine on which a task may be.
 type place struct {
-	job     *job
-	chunk   *chunk
-	task    int
-	attempt uint64
-	mach    *mach
-	ref     machine.Ref
-	state   placeState
-	token   uint64 // highest token a start command may carry
-	session uint64 // highest session a start command may be for
-	logged  bool   // the store may know of it
-	planned float64
-	made    time.Time
-	sentTo  string // holder that was told
-	sentAt  time.Time
-	running time.Time // when it was first seen running
-	whole   bool      // its start was seen, so its run time is known
-	haltAt  time.Time // when it was last told to stop
-	halted  time.Time // when it was first told to stop
-	exited  bool      // done, kept until the completion is recorded
-	shownIn uint64    // the last view that listed it, see Owner.views
+	job       *job
+	chunk     *chunk
+	task      int
+	attempt   uint64
+	mach      *mach
+	ref       machine.Ref
+	state     placeState
+	token     uint64 // highest token a start command may carry
+	session   uint64 // highest session a start command may be for
+	logged    bool   // the store may know of it
+	planned   float64
+	made      time.Time
+	sentTo    string // holder that was told
+	sentAt    time.Time
+	running   time.Time // when it was first seen running
+	whole     bool      // its start was seen, so its run time is known
+	haltAt    time.Time // when it was last told to stop
+	halted    time.Time // when it was first told to stop
+	exited    bool      // done, kept until the completion is recorded
+	exit      int       // exit code, if it ended with one
+	cause     string    // with which it exited
+	accounted bool      // its accounting row was made
+	late      bool      // stopped because it ran over its job's time limit
+	shownIn   uint64    // the last view that listed it, see Owner.views
 }
 
 func (p *place) on() bool { return p.state >= placeGranted }
@@ -93,7 +98,8 @@
 	next    uint64
 	places  []*place
 	job     *job
-	over    bool // the job has ended, or left this owner
+	over    bool            // the job has ended, or left this owner
+	failed  map[int]failure // tasks that are over and not done; their bits are set in done
 }
 
 func (c *chunk) isDone(task int) bool {
@@ -133,6 +139,8 @@
 	started   int          // tasks that were ever seen running
 	ends      []float64    // see limits
 	moved     map[int]bool // tasks that were stopped to empty a machine
+	asked     *asked       // what its terms ask; nil: it has none
+	over      int          // tasks that are done, failed or cancelled alone
 }
 
 // class is what was learnt of a class of jobs.
@@ -180,7 +188,9 @@
 
 // Owner owns jobs.
 type Owner struct {
-	KeepSlots int // log records of a shard that are kept before they are written over; set it before Run
+	KeepSlots int    // log records of a shard that are kept before they are written over; set it before Run
+	Accounts  bool   // whether accounting rows are written; set it before Run
+	Others    Others // answers for jobs that other owners have; set it before Run
 
 	cfg     *config.Platform
 	op      *config.Operator
@@ -224,6 +234,8 @@
 	spotDone  float64
 	spotLost  float64
 	stats     Stats
+	book      *accounting.Book
+	loose     []accounting.Row // of attempts whose end needs no record
 }
 
 // Stats are counters for operators.
@@ -264,7 +276,7 @@
 // Run owns jobs until ctx ends.
 func (o *Owner) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){o.write, o.direct, o.watch} {
+	for _, f := range []func(context.Context){o.write, o.direct, o.watch, o.attend} {
 		wg.Add(1)
 		go func() { defer wg.Done(); f(ctx) }()
 	}
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -113,7 +113,7 @@
 	const jobs = 4
 	for i := range jobs {
 		f.owner.Accepted(&wire.Job{UID: fmt.Sprintf("j-%d", i), Class: "c", Team: "t", Kind: wire.KindArray, Priority: "low",
-			Tasks: wire.MaxTasks, CPUs: 1, MemoryGB: 1, Estimate: 30, Spot: true}, 0, 0, uint64(i+1))
+			Tasks: wire.MaxTasks, CPUs: 1, MemoryGB: 1, Estimate: 30, Spot: true}, nil, 0, 0, uint64(i+1))
 	}
 	f.owner.Pass()
 	if each := (heap() - before) / jobs; each > 2<<20 {
@@ -133,7 +133,7 @@
 	spec := &wire.Job{UID: "j-late", Class: "c", Team: "t", Kind: wire.KindArray, Priority: "low", Tasks: 3, CPUs: 1, Estimate: 9}
 	f.list = func(prefix string) {
 		if prefix == "log/" {
-			f.owner.Accepted(spec, 0, 0, 5)
+			f.owner.Accepted(spec, nil, 0, 0, 5)
 		}
 	}
 	if err := f.owner.Load(t.Context()); err != nil {
@@ -155,7 +155,7 @@
 		f := newFleet(t, 1, 0)
 		f.cfg.Params.Objectives = []config.Objective{{Kind: "wait", Class: "quote", WithinS: 100, Share: 0.9}}
 		now := time.Now().UnixMilli()
-		f.owner.Accepted(&wire.Job{UID: "j-1", Class: "study", Team: "t", Kind: wire.KindArray, Priority: "low", Tasks: 2, CPUs: 8, Estimate: 300, Spot: true}, 0, now, 1)
+		f.owner.Accepted(&wire.Job{UID: "j-1", Class: "study", Team: "t", Kind: wire.KindArray, Priority: "low", Tasks: 2, CPUs: 8, Estimate: 300, Spot: true}, nil, 0, now, 1)
 		v := &f.views[0]
 		full := []placement.Use{{Shape: placement.Shape{CPUs: 16, MemoryGB: 1}, Left: 300}}
 		show := func() {
@@ -175,7 +175,7 @@
 			f.owner.GrantHere(machine.GrantRequest{Ref: machine.Ref{Machine: v.Name, Task: wire.TaskName("j-1", i), Attempt: uint64(i + 1)}, Token: 7, Session: 1})
 		}
 		show()
-		f.owner.Accepted(&wire.Job{UID: "j-2", Class: "quote", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: 1, CPUs: 8, Estimate: 300, Spot: true}, 0, now, 2)
+		f.owner.Accepted(&wire.Job{UID: "j-2", Class: "quote", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: 1, CPUs: 8, Estimate: 300, Spot: true}, nil, 0, now, 2)
 		stopped := func() int {
 			show()
 			f.owner.Directions()
@@ -211,7 +211,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 20, 0)
 		for i := range 20 { // a task on each
-			f.owner.Accepted(&wire.Job{UID: fmt.Sprintf("j-%d", i), Class: "c", Team: "t", Kind: wire.KindArray, Priority: "low", Tasks: 1, CPUs: 3, Estimate: 30, Spot: true}, 0, 0, uint64(i+1))
+			f.owner.Accepted(&wire.Job{UID: fmt.Sprintf("j-%d", i), Class: "c", Team: "t", Kind: wire.KindArray, Priority: "low", Tasks: 1, CPUs: 3, Estimate: 30, Spot: true}, nil, 0, 0, uint64(i+1))
 		}
 		for range 100 { // which machine is drawn first is left to chance
 			f.owner.Pass()
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -73,7 +73,7 @@
 	o.now = time.Now()
 	var waiting []*job
 	for _, j := range o.order {
-		if len(j.pending) > 0 && !j.cancelled && j.ended == "" && o.now.After(j.notBefore) {
+		if len(j.pending) > 0 && !j.cancelled && j.ended == "" && o.now.After(j.notBefore) && o.room(j) > 0 {
 			waiting = append(waiting, j)
 		}
 	}
@@ -113,7 +113,7 @@
 			considered[j] = true
 		}
 		for _, j := range waiting {
-			if len(j.pending) > 0 && (!considered[j] || placed[j] > 0) {
+			if o.room(j) > 0 && (!considered[j] || placed[j] > 0) {
 				rest = append(rest, j)
 			}
 		}
@@ -138,7 +138,7 @@
 func (o *Owner) hold(jobs []*job, open []*mach) {
 	budget := holdTasks
 	for _, j := range jobs {
-		for n := min(len(j.pending), budget); n > 0; n-- {
+		for n := min(o.room(j), budget); n > 0; n-- {
 			var best *mach
 			soonest := math.Inf(1)
 			run := j.runEstimate()
@@ -298,7 +298,7 @@
 		if len(opts) == 0 {
 			continue
 		}
-		for k := 0; k < min(len(j.pending), len(opts)) && len(options) < limit; k++ {
+		for k := 0; k < min(o.room(j), len(opts)) && len(options) < limit; k++ {
 			// Each task draws its own random term. All of a batch's options
 			// share an arena, which was most of what a pass allocated.
 			from := len(arena)
@@ -464,7 +464,7 @@
 		c.next++
 	}
 	o.attach(p)
-	o.record(change{placeChange, p})
+	o.record(change{kind: placeChange, p: p})
 	poke(o.flush)
 	o.stats.Placed++
 	run := j.runEstimate() + o.fetchTime(j, m)
@@ -553,12 +553,13 @@
 // sweep repeats what may have been lost on the way.
 func (o *Owner) sweep() {
 	for _, j := range o.order {
-		if !j.cancelled {
+		o.overTime(j)
+		if !j.cancelled && (j.asked == nil || j.over == j.done) {
 			continue
 		}
 		for _, ps := range j.places {
 			for _, p := range append([]*place(nil), ps...) {
-				if !p.exited {
+				if !p.exited && (j.cancelled || p.chunk.isDone(p.task)) {
 					o.halt(p, 0)
 				}
 			}
--- a/internal/owner/preempt.go
+++ b/internal/owner/preempt.go
@@ -23,7 +23,7 @@
 func (o *Owner) preempt(waiting []*job, open []*mach) {
 	var urgent []*job
 	for _, j := range waiting {
-		if len(j.pending) > 0 && !j.cancelled && !j.spec.Gang() && o.startAim(j) {
+		if o.room(j) > 0 && !j.cancelled && !j.spec.Gang() && o.startAim(j) {
 			urgent = append(urgent, j)
 		}
 	}
@@ -107,12 +107,12 @@
 	stopped, lost, starts := 0, 0.0, 0
 	var chosen []victim
 	for _, v := range o.victims(j, m) {
-		if starts >= len(j.pending) || len(chosen) >= most {
+		if starts >= o.room(j) || len(chosen) >= most {
 			break
 		}
 		gain := free.Add(v.p.job.shape, 1)
 		n := starts
-		for n < len(j.pending) && j.shape.Scale(float64(n+1)).Fits(gain) {
+		for n < o.room(j) && j.shape.Scale(float64(n+1)).Fits(gain) {
 			n++
 		}
 		cost := lost + v.loss*max(v.p.job.shape.CPUs, 0.1)
@@ -137,7 +137,7 @@
 		stopped++
 	}
 	o.stats.Preempted += stopped
-	for ; starts > 0 && len(j.pending) > 0; starts-- {
+	for ; starts > 0 && o.room(j) > 0; starts-- {
 		t := j.pending[len(j.pending)-1]
 		j.pending = j.pending[:len(j.pending)-1]
 		o.put(j, t, m, 0)
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -10,6 +10,8 @@
 	"github.com/goccy/go-json"
 
 	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/numbers"
+	"github.com/wallrack/wallrack/internal/terms"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -32,12 +34,16 @@
 	Shard     int      `json:"shard"`
 	AtMs      int64    `json:"at"` // time of day of the acceptance
 	Cancelled bool     `json:"cancelled,omitempty"`
+
+	Terms *terms.Terms `json:"terms,omitempty"`
 }
 
 // finalRecord is how a job ended.
 type finalRecord struct {
 	Stage string `json:"stage"`
 	Done  int    `json:"done"`
+
+	Ending *terms.Ending `json:"end,omitempty"` // of a job with terms
 }
 
 // chunkRecord is the tasks of a chunk: which are done, and on which machines
@@ -48,6 +54,7 @@
 	Next     uint64   `json:"next"` // attempts below it may have been used
 	Machines []string `json:"machines,omitempty"`
 	Places   []uint64 `json:"places,omitempty"` // triples: task, attempt, index into Machines
+	Failed   []uint64 `json:"failed,omitempty"` // triples: task, how, exit code
 }
 
 // logRecord is one write of a shard's log.
@@ -63,6 +70,7 @@
 	Places []uint64 `json:"p,omitempty"` // new places, triples as in a chunk's record
 	Gone   []uint64 `json:"x,omitempty"` // places that are no more, pairs: task, attempt
 	Done   []uint64 `json:"d,omitempty"` // tasks
+	Failed []uint64 `json:"f,omitempty"` // triples: task, how, exit code
 }
 
 func slotKey(shard, n int) string { return fmt.Sprintf("%s%03d/%05d", logKey, shard, n) }
@@ -81,7 +89,7 @@
 		return r, err
 	}
 	for _, e := range r.Jobs {
-		if len(e.Places)%3 != 0 || len(e.Gone)%2 != 0 {
+		if len(e.Places)%3 != 0 || len(e.Gone)%2 != 0 || len(e.Failed)%3 != 0 {
 			return r, fmt.Errorf("malformed entry of a log record")
 		}
 		for i := 2; i < len(e.Places); i += 3 {
@@ -109,11 +117,17 @@
 	return int(h.Sum32() % uint32(shards))
 }
 
-// AcceptTxn is the transaction that accepts a job: it fails if the job is
-// known, living or ended.
-func AcceptTxn(job *wire.Job, shard int, atMs int64) ([]wire.Guard, wire.Op) {
-	return []wire.Guard{{Key: liveKey + job.UID}, {Key: finalKey + job.UID}},
-		wire.Op{Put: liveKey + job.UID, Value: liveRecord{Job: *job, Shard: shard, AtMs: atMs}}
+// AcceptTxn is the transaction that accepts a job, with its terms if it has any:
+// it fails if the job is known, living or ended, or its number belongs to another.
+func AcceptTxn(job *wire.Job, t *terms.Terms, shard int, atMs int64) ([]wire.Guard, []wire.Op) {
+	guards := []wire.Guard{{Key: liveKey + job.UID}, {Key: finalKey + job.UID}}
+	ops := []wire.Op{{Put: liveKey + job.UID, Value: liveRecord{Job: *job, Shard: shard, AtMs: atMs, Terms: t}}}
+	if t != nil {
+		key := numbers.Key(t.Number, job.Tasks)
+		guards = append(guards, wire.Guard{Key: key})
+		ops = append(ops, wire.Op{Put: key, Value: numbers.Job{UID: job.UID, First: t.Number, Tasks: job.Tasks}})
+	}
+	return guards, ops
 }
 
 // Reader reads keys.
@@ -123,6 +137,9 @@
 
 func (c *chunk) record(seq uint64) chunkRecord {
 	r := chunkRecord{Seq: seq, Done: c.done, Next: c.next}
+	for t, f := range c.failed {
+		r.Failed = append(r.Failed, f.triple(t)...)
+	}
 	index := map[string]int{}
 	places := append([]*place(nil), c.places...)
 	sort.Slice(places, func(i, j int) bool { return places[i].attempt < places[j].attempt })
@@ -146,7 +163,7 @@
 	if err := json.Unmarshal(data, &r); err != nil {
 		return r, err
 	}
-	if len(r.Places)%3 != 0 || len(r.Done) > (chunkSize+7)/8 {
+	if len(r.Places)%3 != 0 || len(r.Failed)%3 != 0 || len(r.Done) > (chunkSize+7)/8 {
 		return r, fmt.Errorf("malformed chunk record")
 	}
 	for i := 0; i < len(r.Places); i += 3 {
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -9,6 +9,7 @@
 
 	"github.com/goccy/go-json"
 
+	"github.com/wallrack/wallrack/internal/accounting"
 	"github.com/wallrack/wallrack/internal/placement"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/wire"
@@ -50,6 +51,9 @@
 			o.forget(uid, j)
 		}
 	}
+	if len(o.loaded) == 0 {
+		o.loose = nil // a successor may have written what they tell of
+	}
 	o.log.Info("shard lost", "shard", shard)
 }
 
@@ -135,6 +139,9 @@
 	for _, s := range shards {
 		o.loaded[s] = versions[s]
 	}
+	if o.Accounts {
+		o.book = accounting.NewBook(fence, o.valueBytes())
+	}
 	o.loadedAt = time.Now()
 	for _, m := range o.machines {
 		m.since = time.Now()
@@ -162,6 +169,9 @@
 		shape: placement.Shape{CPUs: spec.CPUs, GPUs: spec.GPUs, MemoryGB: spec.MemoryGB},
 		class: o.classOf(spec.Class), team: o.teams[spec.Team],
 	}
+	if r.Terms != nil {
+		j.asked = newAsked(r.Terms)
+	}
 	if j.team == nil {
 		j.team = &team{}
 	}
@@ -183,6 +193,11 @@
 			continue
 		}
 		copy(c.done, rec.Done)
+		for i := 0; i < len(rec.Failed); i += 3 {
+			if t := rec.Failed[i]; t/chunkSize == uint64(n) {
+				c.setFailed(int(t), rec.Failed[i+1], rec.Failed[i+2])
+			}
+		}
 		c.next, c.saved = max(1, rec.Next), rec.Seq
 		for i := 0; i < len(rec.Places); i += 3 {
 			o.found(j, int(rec.Places[i]), rec.Places[i+1], rec.Machines[rec.Places[i+2]], fence)
@@ -191,9 +206,10 @@
 	for _, e := range entries {
 		o.replay(j, e, fence)
 	}
+	o.dropTasks(j)
 	for _, c := range j.chunks {
 		for _, p := range append([]*place(nil), c.places...) {
-			if c.isDone(p.task) {
+			if c.isDone(p.task) && c.failed[p.task].how != howCancelled {
 				o.drop(p)
 				continue
 			}
@@ -202,12 +218,15 @@
 	}
 	for t := spec.Tasks - 1; t >= 0; t-- {
 		if j.chunks[t/chunkSize].isDone(t) {
-			j.done++
+			j.over++
+			if _, failed := j.chunks[t/chunkSize].failed[t]; !failed {
+				j.done++
+			}
 		} else if len(j.places[t]) == 0 {
 			j.pending = append(j.pending, t)
 		}
 	}
-	if fence == 0 && !spec.Service() {
+	if fence == 0 && !spec.Service() && (j.asked == nil || o.waits(j, time.Now()) == "") {
 		o.admitted += float64(spec.Tasks) * spec.CPUs * j.runEstimate()
 	}
 	o.jobs[spec.UID] = j
--- a/internal/owner/users.go
+++ b/internal/owner/users.go
@@ -82,6 +82,11 @@
 // anybody while nobody owns it: an owner that answers from memory would go on
 // calling the job running after its user heard that it is cancelled.
 func (o *Owner) Cancel(ctx context.Context, uid string) (wire.JobState, error) {
+	return o.cancelWhy(ctx, uid, "")
+}
+
+// cancelWhy is Cancel; why, if it is given, is how the job's own terms end it.
+func (o *Owner) cancelWhy(ctx context.Context, uid, why string) (wire.JobState, error) {
 	for {
 		it, err := o.store.Get(ctx, liveKey+uid)
 		if errors.Is(err, statestore.ErrNotFound) {
@@ -98,6 +103,9 @@
 			return wire.JobState{UID: uid, Stage: wire.StageCancelled}, nil
 		}
 		r.Cancelled = true
+		if r.Terms != nil {
+			r.Terms.Why = why
+		}
 		version, mine := o.member.Owns(r.Shard)
 		o.mu.Lock()
 		if mine && o.loaded[r.Shard] != version {
@@ -137,6 +145,7 @@
 	}
 	if j != nil {
 		j.version = max(j.version, version)
+		o.retermed(j, r)
 		o.cancelLocked(j)
 	}
 }
@@ -178,6 +187,9 @@
 	defer o.mu.Unlock()
 	out := make([]Status, 0, len(o.order))
 	for _, j := range o.order {
+		if j.asked != nil && o.waits(j, time.Now()) != "" {
+			continue // it waits by its own terms
+		}
 		out = append(out, Status{UID: j.spec.UID, Class: j.spec.Class, Team: j.spec.Team, Age: time.Since(j.accepted),
 			DueS: j.spec.DueS, Tasks: j.spec.Tasks, Started: max(j.started, j.done), Done: j.done, Cancelled: j.cancelled})
 	}
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -8,6 +8,7 @@
 
 	"github.com/goccy/go-json"
 
+	"github.com/wallrack/wallrack/internal/accounting"
 	"github.com/wallrack/wallrack/internal/machine"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/usage"
@@ -60,7 +61,13 @@
 	logs   []logWrite
 	saves  []chunkSave
 	ended  []*job
-	trash  int
+
+	book     *accounting.Book // of page
+	unlogged []change         // of which only the rows were worth writing
+	trash    int
+	rows     []accounting.Row
+	loose    int // rows that came from Owner.loose
+	page     accounting.Write
 }
 
 type logWrite struct {
@@ -83,8 +90,22 @@
 func (o *Owner) build() (b *batch, more bool, err error) {
 	b = &batch{}
 	maxOps := o.cfg.Params.State.TxnOps
-	value := int(o.cfg.Params.State.ValueKB*1024*0.9) - 64
-	size := 0
+	value := o.valueBytes()
+	size, room := 0, 0
+	short := false // rows are left that must come before their jobs' own
+	if o.book != nil {
+		// One change is the accounting page's.
+		maxOps--
+		room = o.book.Room()
+		size += value
+		for b.loose < len(o.loose) && room >= o.loose[b.loose].Bytes() {
+			room -= o.loose[b.loose].Bytes()
+			b.loose++
+		}
+		b.rows = append(b.rows, o.loose[:b.loose]...)
+		more = b.loose < len(o.loose)
+		short = more
+	}
 	shards := map[int]bool{}
 	guardShard := func(s int) {
 		if !shards[s] {
@@ -110,9 +131,14 @@
 		lb := newLogBuilder(l.seq + 1)
 		taken := 0
 		for _, c := range l.queue {
-			if lb.size >= value {
+			if lb.size >= value || c.row != nil && room < c.row.Bytes() {
 				break
 			}
+			if c.row != nil {
+				room -= c.row.Bytes()
+				b.rows = append(b.rows, *c.row)
+				lb.rows = append(lb.rows, c)
+			}
 			taken++
 			if o.matters(c) {
 				lb.add(c)
@@ -120,9 +146,12 @@
 		}
 		l.queue = append([]change(nil), l.queue[taken:]...)
 		more = more || len(l.queue) > 0
+		short = short || o.book != nil && len(l.queue) > 0
 		if len(lb.changes) == 0 {
+			b.unlogged = append(b.unlogged, lb.rows...)
 			continue
 		}
+		lb.keepRows()
 		l.seq++
 		guardShard(s)
 		w := logWrite{shard: s, log: l, seq: l.seq, changes: lb.changes, chunks: lb.chunks}
@@ -155,6 +184,14 @@
 		if j.ended == "" {
 			continue
 		}
+		var row accounting.Row
+		if o.book != nil {
+			row = o.jobRow(j)
+			if short || room < row.Bytes() {
+				more = true // its attempts' rows come first
+				continue
+			}
+		}
 		need := 2
 		for _, c := range j.chunks {
 			if c.version != 0 && need < maxOps {
@@ -169,7 +206,11 @@
 		guardShard(j.shard)
 		uid := j.spec.UID
 		b.guards = append(b.guards, wire.Guard{Key: liveKey + uid, Version: j.version})
-		b.ops = append(b.ops, wire.Op{Put: finalKey + uid, Value: finalRecord{Stage: j.ended, Done: j.done}}, wire.Op{Delete: liveKey + uid})
+		b.ops = append(b.ops, wire.Op{Put: finalKey + uid, Value: finalRecord{Stage: j.ended, Done: j.done, Ending: o.ending(j)}}, wire.Op{Delete: liveKey + uid})
+		if o.book != nil {
+			room -= row.Bytes()
+			b.rows = append(b.rows, row)
+		}
 		need -= 2
 		for _, c := range j.chunks {
 			if c.version != 0 && need > 0 {
@@ -179,7 +220,7 @@
 		}
 		b.ended = append(b.ended, j)
 	}
-	if len(b.ops) == 0 {
+	if len(b.ops) == 0 && len(b.rows) == 0 {
 		for b.trash < len(o.garbage) && len(b.ops) < maxOps {
 			b.ops = append(b.ops, wire.Op{Delete: o.garbage[b.trash]})
 			b.trash++
@@ -188,6 +229,22 @@
 			guardShard(s)
 		}
 	}
+	if len(b.rows) > 0 {
+		if b.page, err = o.book.Add(b.rows, time.Now()); err != nil {
+			// Not for want of a bookkeeper shall work stand still.
+			o.log.Error("accounting rows are lost", "rows", len(b.rows), "err", err)
+			err = nil
+		} else {
+			b.book = o.book
+			if len(b.guards) == 0 {
+				for s := range o.loaded {
+					guardShard(s)
+				}
+			}
+			b.guards = append(b.guards, wire.Guard{Key: b.page.Key, Version: b.page.Version})
+			b.ops = append(b.ops, wire.Op{Put: b.page.Key, Value: b.page.Value})
+		}
+	}
 	if len(b.ops) == 0 {
 		return nil, more, nil
 	}
@@ -233,6 +290,10 @@
 func (o *Owner) commit(b *batch, rev uint64) {
 	o.open = nil
 	o.garbage = o.garbage[b.trash:]
+	o.loose = o.loose[min(b.loose, len(o.loose)):]
+	if b.page.Key != "" {
+		b.book.Done(b.page, rev)
+	}
 	for _, s := range b.saves {
 		s.c.version, s.c.saved = rev, max(s.c.saved, s.seq)
 	}
@@ -274,6 +335,9 @@
 // back to where it came from.
 func (o *Owner) undo(b *batch) {
 	o.open = nil
+	for _, c := range b.unlogged {
+		o.loose = append(o.loose, *c.row)
+	}
 	for _, w := range b.logs {
 		w.log.queue = append(w.changes, w.log.queue...)
 	}
@@ -288,7 +352,7 @@
 	}
 	o.log.Debug("job ended", "job", uid, "class", j.spec.Class, "stage", j.ended, "arrived_s", float64(j.atMs)/1000,
 		"took_s", time.Since(j.accepted).Seconds(), "run_s", j.runEstimate(), "limit_s", limit, "tasks", j.spec.Tasks, "cpus", j.spec.CPUs)
-	o.final[uid] = finalRecord{Stage: j.ended, Done: j.done}
+	o.final[uid] = finalRecord{Stage: j.ended, Done: j.done, Ending: o.ending(j)}
 	o.finalQ = append(o.finalQ, uid)
 	if len(o.finalQ) > keepFinal {
 		delete(o.final, o.finalQ[0])
@@ -332,6 +396,10 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if it, failed := items[b.page.Key]; failed && it.Version > b.page.Version {
+		o.commit(b, it.Version) // nobody else writes this page, and no other write of it is open
+		return nil
+	}
 	for _, w := range b.logs {
 		it, failed := items[slotKey(w.shard, w.slot.n)]
 		if !failed {
@@ -378,6 +446,7 @@
 		return
 	}
 	j.version = max(j.version, it.Version)
+	o.retermed(j, &r)
 	if r.Cancelled {
 		o.cancelLocked(j)
 	}
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -184,6 +184,23 @@
 	}
 }
 
+// Page reads at most so many keys with the prefix, in order, beyond after.
+func (c *Client) Page(ctx context.Context, prefix, after string, limit int) ([]wire.Item, bool, error) {
+	if err := c.reqs.Wait(ctx); err != nil {
+		return nil, false, ErrUnavailable
+	}
+	q := url.Values{"starts": {prefix}, "limit": {strconv.Itoa(limit)}}
+	if after != "" {
+		q.Set("after", after)
+	}
+	var page wire.Items
+	code, err := c.do(ctx, http.MethodGet, "/store?"+q.Encode(), nil, &page)
+	if err == nil && code != http.StatusOK {
+		err = fmt.Errorf("%w: status %d", ErrUnavailable, code)
+	}
+	return page.Items, page.More, err
+}
+
 // Txn applies a transaction and returns its revision.
 func (c *Client) Txn(ctx context.Context, guards []wire.Guard, ops ...wire.Op) (uint64, error) {
 	if err := c.reqs.Wait(ctx); err != nil {
--- a/internal/testkit/store.go
+++ b/internal/testkit/store.go
@@ -189,6 +189,14 @@
 	return out, v.rev, nil
 }
 
+// Page reads at most so many keys with the prefix, in order, beyond after.
+func (v *View) Page(ctx context.Context, prefix, after string, limit int) ([]wire.Item, bool, error) {
+	all, _, err := v.List(ctx, prefix)
+	i := sort.Search(len(all), func(i int) bool { return all[i].Key > after })
+	all = all[i:]
+	return all[:min(limit, len(all))], len(all) > limit, err
+}
+
 // BulkTxn implements the owner's Store.
 func (v *View) BulkTxn(ctx context.Context, guards []wire.Guard, ops ...wire.Op) (uint64, error) {
 	return v.Txn(ctx, guards, ops...)
--- /dev/null
+++ b/internal/testkit/terms_test.go
@@ -0,0 +1,209 @@
+package testkit_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/goccy/go-json"
+
+	"github.com/wallrack/wallrack/internal/accounting"
+	"github.com/wallrack/wallrack/internal/owner"
+	"github.com/wallrack/wallrack/internal/terms"
+	"github.com/wallrack/wallrack/internal/testkit"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// rows reads all accounting, and says how many rows stand there more than once.
+func (w *world) rows() (jobs map[string]accounting.Row, attempts map[string]accounting.Row, twice int) {
+	jobs, attempts = map[string]accounting.Row{}, map[string]accounting.Row{}
+	items, _, err := (&testkit.View{Store: w.store}).List(context.Background(), accounting.Key)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	rd, err := accounting.NewReader()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer rd.Close()
+	for _, it := range items {
+		var text string
+		if err := json.Unmarshal(it.Value, &text); err != nil {
+			w.t.Fatal(err)
+		}
+		if len(text) > 8<<10 {
+			w.t.Errorf("a page of %d bytes", len(text))
+		}
+		if err := rd.Unpack(text, func(r *accounting.Row) {
+			into, name := jobs, r.UID
+			if r.Kind == accounting.RowAttempt {
+				into, name = attempts, fmt.Sprintf("%s/%d %d", r.UID, r.Task, r.Attempt)
+			}
+			if _, there := into[name]; there {
+				twice++
+			}
+			into[name] = *r
+		}); err != nil {
+			w.t.Fatal(err)
+		}
+	}
+	return jobs, attempts, twice
+}
+
+// Terms hold through crashes, cuts, lost and late writes: a throttle is never
+// passed, a dependent job never starts before its turn, a failed task is not tried
+// again, tasks cancelled alone never run, and accounting has one row of each job
+// and one useful attempt of each task that is done.
+func TestTermsUnderTroubles(t *testing.T) {
+	for seed := uint64(1); seed <= 10; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { termsUnderTroubles(t, seed) })
+		})
+	}
+}
+
+func termsUnderTroubles(t *testing.T, seed uint64) {
+	w := newWorld(t, seed)
+	w.accounts = true
+	began := map[string]time.Time{}
+	fails := map[string]bool{"j-fails/1": true, "j-fails/3": true}
+	for _, k := range w.workers {
+		k.Started = func(task string, _ uint64) {
+			if _, again := began[task]; !again {
+				began[task] = time.Now()
+			}
+		}
+		k.Exit = func(task string) int {
+			if fails[task] {
+				return 3
+			}
+			return 0
+		}
+	}
+	for _, n := range []string{"a", "b", "c"} {
+		w.start(n)
+	}
+	time.Sleep(2 * time.Second)
+	now := time.Now()
+	dep := func(kind, uid string) []terms.Dep { return []terms.Dep{{Kind: kind, Job: uid}} }
+	jobs := []struct {
+		uid   string
+		tasks int
+		t     terms.Terms
+		state string
+	}{
+		{"j-most", 9, terms.Terms{Most: 2}, terms.Completed},
+		{"j-fails", 5, terms.Terms{Final: true}, terms.Failed},
+		{"j-afterok", 2, terms.Terms{After: dep(terms.AfterOK, "j-most")}, terms.Completed},
+		{"j-afternotok", 2, terms.Terms{After: dep(terms.AfterNotOK, "j-fails")}, terms.Completed},
+		{"j-never", 2, terms.Terms{After: dep(terms.AfterOK, "j-fails"), KillNever: true}, terms.Cancelled},
+		{"j-begin", 2, terms.Terms{BeginMs: now.Add(70 * time.Second).UnixMilli()}, terms.Completed},
+		{"j-deadline", 2, terms.Terms{Held: true, DeadlineMs: now.Add(90 * time.Second).UnixMilli()}, terms.Deadline},
+		{"j-drop", 6, terms.Terms{Most: 1}, terms.Cancelled},
+		{"j-single1", 2, terms.Terms{Name: "s", User: "u"}, terms.Completed},
+		{"j-single2", 2, terms.Terms{Name: "s", User: "u", After: []terms.Dep{{Kind: terms.Singleton}}}, terms.Completed},
+	}
+	for i := range jobs {
+		jobs[i].t.Number = uint64(100 * (i + 1))
+		w.submitWith(jobs[i].uid, jobs[i].tasks, &jobs[i].t)
+	}
+	over := func(uid string) bool { return len(w.store.Keys("final/"+uid)) > 0 }
+	dropped := false
+	calm, deadline := time.Now().Add(2*time.Minute), time.Now().Add(20*time.Minute)
+	for len(w.store.Keys("final/")) < len(jobs) {
+		if time.Now().After(deadline) {
+			t.Fatalf("only %v ended", w.store.Keys("final/"))
+		}
+		for _, k := range w.workers {
+			w.report(k)
+			w.check()
+		}
+		on := map[string]int{}
+		w.mu.Lock()
+		for _, k := range w.workers {
+			for _, task := range k.On() {
+				on[strings.Split(task, "/")[0]]++
+			}
+		}
+		w.mu.Unlock()
+		if on["j-most"] > 2 || on["j-drop"] > 1 {
+			t.Fatalf("%d and %d tasks on at once", on["j-most"], on["j-drop"])
+		}
+		if on["j-afterok"] > 0 && !over("j-most") || on["j-afternotok"] > 0 && !over("j-fails") || on["j-single2"] > 0 && !over("j-single1") {
+			t.Fatalf("a dependent job runs: %v", on)
+		}
+		if !dropped {
+			// Until an owner has taken it for sure.
+			for _, n := range w.nodes {
+				tasks, _ := terms.ParseRanges("2-4")
+				if !n.down && n.owner.Drop(context.Background(), "j-drop", tasks) == nil {
+					dropped = true
+					break
+				}
+			}
+		}
+		time.Sleep(reportEvery)
+		w.check()
+		w.publish()
+		if time.Now().Before(calm) {
+			if w.draw(4) == 0 {
+				w.trouble()
+			}
+			continue
+		}
+		w.mu.Lock()
+		for _, n := range w.nodes {
+			n.cut, n.state = false, false
+		}
+		w.mu.Unlock()
+	}
+	rows, attempts, _ := w.rows()
+	useful := map[string]int{}
+	for name, r := range attempts {
+		if r.Useful {
+			useful[strings.Split(name, " ")[0]]++
+		}
+		if r.End < r.Start || r.Machine == "" || r.Price <= 0 {
+			t.Errorf("%s: %+v", name, r)
+		}
+	}
+	for _, j := range jobs {
+		i, err := owner.StoredInfo(context.Background(), &testkit.View{Store: w.store}, j.uid)
+		if err != nil || i.Ending == nil || i.Ending.State != j.state || i.Ending.Number != j.t.Number {
+			t.Errorf("%s: %+v, %v", j.uid, i.Ending, err)
+		}
+		if (i.Stage == wire.StageDone) != (j.state == terms.Completed) {
+			t.Errorf("%s: stage %s with state %s", j.uid, i.Stage, j.state)
+		}
+		if r := rows[j.uid]; r.State != j.state || r.Number != j.t.Number || int(r.Tasks) != j.tasks || int(r.Done) != i.Done {
+			t.Errorf("%s: row %+v", j.uid, r)
+		}
+		done := 0
+		for k := range j.tasks {
+			n := useful[wire.TaskName(j.uid, k)]
+			if done += n; n > 1 {
+				t.Errorf("%s: task %d has %d useful attempts", j.uid, k, n)
+			}
+		}
+		if done != i.Done {
+			t.Errorf("%s: %d useful attempts for %d done", j.uid, done, i.Done)
+		}
+	}
+	if r := rows["j-fails"]; r.Exit != 3 || r.Done != 3 {
+		t.Errorf("%+v", r)
+	}
+	for _, task := range []string{"j-deadline/0", "j-never/0"} {
+		if at, ran := began[task]; ran {
+			t.Errorf("%s ran at %v", task, at)
+		}
+	}
+	if at := began["j-begin/0"]; at.Before(now.Add(70 * time.Second)) {
+		t.Errorf("began %v early", now.Add(70*time.Second).Sub(at))
+	}
+	for _, n := range []string{"a", "b", "c"} {
+		w.crash(n)
+	}
+}
--- a/internal/testkit/worker.go
+++ b/internal/testkit/worker.go
@@ -12,6 +12,7 @@
 	Lease   time.Duration
 	Run     func(task string) time.Duration // how long a task runs
 	Started func(task string, attempt uint64)
+	Exit    func(task string) int // exit code of a task that ends by itself; nil: 0
 
 	session, seq, token uint64
 	renewed             time.Time
@@ -43,6 +44,11 @@
 	for _, t := range w.tasks {
 		if t.State == wire.TaskRunning && !now.Before(t.ends) {
 			t.State, t.Cause = wire.TaskExited, wire.CauseDone
+			if w.Exit != nil {
+				if code := w.Exit(t.Task.Task); code != 0 {
+					t.Cause, t.Exit = wire.CauseError, &code
+				}
+			}
 		}
 	}
 }
--- a/internal/testkit/world_test.go
+++ b/internal/testkit/world_test.go
@@ -18,6 +18,7 @@
 	"github.com/wallrack/wallrack/internal/machine"
 	"github.com/wallrack/wallrack/internal/membership"
 	"github.com/wallrack/wallrack/internal/owner"
+	"github.com/wallrack/wallrack/internal/terms"
 	"github.com/wallrack/wallrack/internal/testkit"
 	"github.com/wallrack/wallrack/internal/wire"
 )
@@ -48,6 +49,8 @@
 	at      map[*testkit.Worker]int // controller that a worker reports to
 	byName  map[string]*testkit.Worker
 	late    []func()
+
+	accounts bool // whether accounting rows are written
 }
 
 type node struct {
@@ -130,6 +133,14 @@
 	return r, nil
 }
 
+// Facts reads how a job that the owner does not know ended.
+func (n *node) Facts(ctx context.Context, uid string) (terms.Facts, error) {
+	return owner.StoredFacts(ctx, n.view, uid)
+}
+
+// Earlier says that no owner elsewhere has such a job: there is one owner.
+func (n *node) Earlier(context.Context, string, string, uint64) (bool, error) { return false, nil }
+
 func (w *world) start(name string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{w: w, name: name, stop: cancel, done: make(chan struct{})}
@@ -149,6 +160,7 @@
 	cfg.Node = name
 	n.owner = owner.New(&cfg, op, n.view, n.member, n, w.size, log)
 	n.owner.KeepSlots = 4 // so that records are written over, and chunks saved
+	n.owner.Accounts, n.owner.Others = w.accounts, n
 	n.holder = machine.New(ctx, name, workerLease, n, n.member, w.size, n, n, log)
 	n.member.OnChange(n.owner.Changed)
 	var wg sync.WaitGroup
@@ -295,12 +307,14 @@
 	return w
 }
 
-func (w *world) submit(uid string, tasks int) {
+func (w *world) submit(uid string, tasks int) { w.submitWith(uid, tasks, nil) }
+
+func (w *world) submitWith(uid string, tasks int, t *terms.Terms) {
 	job := &wire.Job{UID: uid, Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: tasks,
 		CPUs: 1, MemoryGB: 1, Image: "i", ImageGB: 0.1, Estimate: 4, Spot: true}
-	guards, op := owner.AcceptTxn(job, owner.ShardOf(job, nil, 4), time.Now().UnixMilli())
+	guards, ops := owner.AcceptTxn(job, t, owner.ShardOf(job, nil, 4), time.Now().UnixMilli())
 	clean := &testkit.View{Store: w.store}
-	if _, err := clean.Txn(context.Background(), guards, op); err != nil {
+	if _, err := clean.Txn(context.Background(), guards, ops...); err != nil {
 		w.t.Fatal(err)
 	}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -272,6 +272,7 @@
 	State   string `json:"stage"`
 	Cause   string `json:"cause,omitempty"`
 	Saved   bool   `json:"stored,omitempty"`
+	Exit    *int   `json:"exitCode,omitempty"` // beyond the protocol: with which its process ended by itself
 }
 
 // Report is what a worker sends.
--- a/internal/worker/process.go
+++ b/internal/worker/process.go
@@ -29,6 +29,8 @@
 
 // Processes runs tasks as process groups below a directory, one each.
 type Processes struct {
+	Machine string // its name, for tasks; set it before the first one starts
+
 	dir      string
 	maxLog   int64
 	log      *slog.Logger
@@ -109,7 +111,7 @@
 }
 
 // Start implements Runner.
-func (p *Processes) Start(task string, attempt uint64, d *descr.Description, exited func(ok bool)) (Process, error) {
+func (p *Processes) Start(task string, attempt uint64, d *descr.Description, exited func(code int)) (Process, error) {
 	job, n, err := wire.ParseTask(task)
 	if err != nil {
 		return nil, err
@@ -126,6 +128,7 @@
 		}
 		argv = append(argv, f)
 	}
+	argv = append(argv, d.Args...)
 	cmd := exec.Command(argv[0], argv[1:]...)
 	cmd.Dir = dir
 	if d.Dir != "" {
@@ -141,18 +144,18 @@
 	for k, v := range d.Env {
 		cmd.Env = append(cmd.Env, k+"="+v)
 	}
-	var outs []*bounded
-	for _, x := range []struct {
-		name string
-		to   *io.Writer
-	}{{StdoutFile, &cmd.Stdout}, {StderrFile, &cmd.Stderr}} {
-		f, err := os.Create(filepath.Join(dir, x.name))
+	var files [2]string
+	if d.Slurm != nil {
+		t, err := d.Slurm.Of(n, attempt, p.Machine)
 		if err != nil {
-			return nil, fmt.Errorf("task's output: %w", err)
+			return nil, err
 		}
-		b := &bounded{f: f, left: p.maxLog}
-		outs = append(outs, b)
-		*x.to = b
+		cmd.Env = append(cmd.Env, t.Environ()...)
+		files[0], files[1] = t.Files(cmd.Dir)
+	}
+	outs, err := p.outputs(cmd, dir, files)
+	if err != nil {
+		return nil, err
 	}
 	// A grandchild that keeps the output open must not keep the task.
 	cmd.WaitDelay = time.Second
@@ -177,11 +180,63 @@
 		}
 		_ = os.Remove(filepath.Join(dir, pidFile))
 		close(proc.done)
-		exited(err == nil || errors.Is(err, exec.ErrWaitDelay))
+		exited(exitCode(err))
 	}()
 	return proc, nil
 }
 
+// outputs opens what a task writes to: its own files, which are bounded, and those
+// that its user named.
+func (p *Processes) outputs(cmd *exec.Cmd, dir string, files [2]string) (outs []*bounded, err error) {
+	defer func() {
+		if err != nil {
+			for _, o := range outs {
+				_ = o.f.Close()
+			}
+		}
+	}()
+	named := map[string]*bounded{}
+	for i, to := range []*io.Writer{&cmd.Stdout, &cmd.Stderr} {
+		f, err := os.Create(filepath.Join(dir, [...]string{StdoutFile, StderrFile}[i]))
+		if err != nil {
+			return outs, fmt.Errorf("task's output: %w", err)
+		}
+		b := &bounded{f: f, left: p.maxLog}
+		outs = append(outs, b)
+		*to = b
+		if files[i] == "" {
+			continue
+		}
+		second := named[files[i]]
+		if second == nil {
+			f, err := os.Create(files[i])
+			if err != nil {
+				return outs, fmt.Errorf("task's output: %w", err)
+			}
+			second = &bounded{f: f, left: p.maxLog}
+			named[files[i]] = second
+			outs = append(outs, second)
+		}
+		*to = io.MultiWriter(b, second)
+	}
+	return outs, nil
+}
+
+// exitCode is a process's exit code as shells have it.
+func exitCode(err error) int {
+	var ended *exec.ExitError
+	switch {
+	case err == nil, errors.Is(err, exec.ErrWaitDelay):
+		return 0
+	case !errors.As(err, &ended):
+		return 1
+	}
+	if st, ok := ended.Sys().(syscall.WaitStatus); ok && st.Signaled() {
+		return 128 + int(st.Signal())
+	}
+	return max(1, ended.ExitCode())
+}
+
 // start starts a task's first process and notes it, for a later worker to find.
 func (p *Processes) start(cmd *exec.Cmd, proc *process) error {
 	p.mu.Lock()
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -30,8 +30,9 @@
 // Runner runs tasks' processes.
 type Runner interface {
 	// Start starts a task. exited is called once, from another goroutine, when
-	// the task and all that it started are gone.
-	Start(task string, attempt uint64, d *descr.Description, exited func(ok bool)) (Process, error)
+	// the task and all that it started are gone, with its exit code: 0 is success,
+	// 128 and more a signal, as shells have it.
+	Start(task string, attempt uint64, d *descr.Description, exited func(code int)) (Process, error)
 }
 
 // Process is a running task.
@@ -283,7 +284,7 @@
 		m.exitLocked(t, wire.CauseNoRoom)
 		return
 	}
-	proc, err := m.runner.Start(k.task, k.attempt, d, func(ok bool) { m.exited(k, t, session, ok) })
+	proc, err := m.runner.Start(k.task, k.attempt, d, func(code int) { m.exited(k, t, session, code) })
 	if err != nil {
 		m.log.Info("task did not start", "task", k.task, "err", err)
 		m.exitLocked(t, wire.CauseError)
@@ -292,7 +293,7 @@
 	t.State, t.proc = wire.TaskRunning, proc
 }
 
-func (m *Machine) exited(k key, t *task, session uint64, ok bool) {
+func (m *Machine) exited(k key, t *task, session uint64, code int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.session != session || m.tasks[k] != t || t.State == wire.TaskExited {
@@ -301,11 +302,12 @@
 	switch {
 	case t.halted:
 		m.exitLocked(t, wire.CauseStopped) // even if it ended well on being asked to: its work is not whole
-	case ok:
+	case code == 0:
 		m.done.Add(k.task)
 		m.exitLocked(t, wire.CauseDone)
 	default:
 		m.exitLocked(t, wire.CauseError)
+		t.Exit = &code
 	}
 	go m.change()
 }
--- a/internal/worker/worker_test.go
+++ b/internal/worker/worker_test.go
@@ -39,7 +39,7 @@
 type fake struct {
 	s      *site
 	task   string
-	exited func(bool)
+	exited func(int)
 }
 
 func (s *site) Get(_ context.Context, job string) (*descr.Description, error) {
@@ -54,7 +54,7 @@
 	return &descr.Description{Argv: []string{"x"}, CPUs: 1}, nil
 }
 
-func (s *site) Start(task string, _ uint64, _ *descr.Description, exited func(bool)) (worker.Process, error) {
+func (s *site) Start(task string, _ uint64, _ *descr.Description, exited func(int)) (worker.Process, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.running[task] != nil {
@@ -71,7 +71,11 @@
 		delete(f.s.running, f.task)
 	}
 	f.s.mu.Unlock()
-	go f.exited(ok)
+	code := 0
+	if !ok {
+		code = 1
+	}
+	go f.exited(code)
 }
 
 func (f *fake) Stop(time.Duration) { f.finish(false) }
@@ -188,7 +192,7 @@
 
 func run(t *testing.T, p *worker.Processes, task, script string) (worker.Process, chan bool) {
 	exited := make(chan bool, 1)
-	pr, err := p.Start(task, 1, &descr.Description{Argv: []string{"sh"}, Script: script, CPUs: 1, Env: map[string]string{"GREETING": "hello"}}, func(ok bool) { exited <- ok })
+	pr, err := p.Start(task, 1, &descr.Description{Argv: []string{"sh"}, Script: script, CPUs: 1, Env: map[string]string{"GREETING": "hello"}}, func(code int) { exited <- code == 0 })
 	if err != nil {
 		t.Fatal(err)
 	}
