Slurm's commands: sbatch, srun, squeue, scancel, sacct, sinfo, scontrol; accounting out

Change: internal/slurm reads options, scripts and environment as the manuals have them and refuses by name what has no meaning here; it makes jobs with terms and writes Slurm's listings. wallctl speaks under seven names, also by links. Numbers for Slurm's clients come in order from the counter.

Identical workloads through both clients on one machine start in the same order and leave the same rows, on a simulated clock and with real processes; with every third answer lost and a controller killed each command goes on and nothing is there twice.

--- a/cmd/wallctl/main.go
+++ b/cmd/wallctl/main.go
@@ -8,6 +8,8 @@
 	"io"
 	"os"
 	"os/signal"
+	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"text/tabwriter"
@@ -35,7 +37,20 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := command().ExecuteContext(ctx); err != nil {
+	cmd := command()
+	if name := filepath.Base(os.Args[0]); slices.Contains(slurmCommands, name) {
+		cmd.SetArgs(append([]string{name}, os.Args[1:]...))
+	}
+	if err := cmd.ExecuteContext(ctx); err != nil {
+		var exit *exitError
+		var asSlurm *slurmError
+		switch {
+		case errors.As(err, &exit):
+			os.Exit(exit.code)
+		case errors.As(err, &asSlurm):
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(exitUsage)
+		}
 		fmt.Fprintln(os.Stderr, "wallctl:", err)
 		os.Exit(code(err))
 	}
@@ -87,7 +102,9 @@
 	root := &cobra.Command{Use: "wallctl", Short: "Users' and operators' client of wallrack", SilenceUsage: true, SilenceErrors: true}
 	root.PersistentFlags().StringVar(&a.server, "server", "", "the site, http://HOST:PORT (or WALLRACK_SERVER)")
 	root.PersistentFlags().BoolVar(&a.json, "json", false, "print JSON for programs")
-	root.AddCommand(a.submit(), a.about("status UID", "Show a job's state", (*client.Client).Status), a.about("cancel UID", "Cancel a job", (*client.Client).Cancel),
+	root.TraverseChildren = true // the commands that read their own options leave the root's to it
+	root.AddCommand(a.slurm()...)
+	root.AddCommand(a.accounting(), a.submit(), a.about("status UID", "Show a job's state", (*client.Client).Status), a.about("cancel UID", "Cancel a job", (*client.Client).Cancel),
 		a.wait(), a.logs(), a.nodes(), a.rollout(), a.raw("alerts", "List the jobs that miss their class's aim", "/ops/alerts"), a.raw("stats", "Show a controller's statistics", "/ops/stats"))
 	return root
 }
--- /dev/null
+++ b/cmd/wallctl/slurm_test.go
@@ -0,0 +1,234 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// localSite builds wallrack and runs a whole site, for one test.
+func localSite(t *testing.T, machines int) (url string, pid int) {
+	if testing.Short() {
+		t.Skip("runs real processes")
+	}
+	dir := t.TempDir()
+	exe := filepath.Join(dir, "wallrack")
+	if out, err := exec.Command("go", "build", "-o", exe, "../wallrack").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	cmd := exec.Command(exe, "local", "--dir", filepath.Join(dir, "site"), "--controllers", "2", "--machines", strconv.Itoa(machines), "--cpus", "2")
+	cmd.Env = append(os.Environ(), "LOG_LEVEL=error")
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGTERM) // gone already: the wait says why
+		if err := cmd.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	buf := make([]byte, 200)
+	n, err := out.Read(buf)
+	ready, ok := strings.CutPrefix(strings.TrimSpace(string(buf[:n])), "ready ")
+	if err != nil || !ok {
+		t.Fatalf("not ready: %q, %v", buf[:n], err)
+	}
+	return ready, cmd.Process.Pid
+}
+
+// ctl runs a command of this program.
+func ctl(t *testing.T, server string, args ...string) (out string, err error) {
+	t.Helper()
+	var b bytes.Buffer
+	c := command()
+	c.SetOut(&b)
+	c.SetErr(&b)
+	c.SetArgs(append([]string{"--server", server}, args...))
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	err = c.ExecuteContext(ctx)
+	return b.String(), err
+}
+
+func must(t *testing.T, server string, args ...string) string {
+	t.Helper()
+	out, err := ctl(t, server, args...)
+	if err != nil {
+		t.Fatalf("%v: %v\n%s", args, err, out)
+	}
+	return strings.TrimSpace(out)
+}
+
+// Identical workloads from both clients on one machine start by priority and then
+// by when they came, whichever client brought them, and their accounting is the
+// same line for line.
+func TestBothClientsAreTreatedAlike(t *testing.T) {
+	url, _ := localSite(t, 1)
+	t.Chdir(t.TempDir())
+	must(t, url, "submit", "--class", "adhoc", "--cpus", "2", "--estimate-s", "3", "--", "sleep", "3") // so that all the others wait
+	time.Sleep(1500 * time.Millisecond)
+	var want []string
+	for _, p := range []string{"low", "normal", "urgent"} {
+		native := must(t, url, "submit", "--priority", p, "--cpus", "2", "--memory-gb", "0.125", "--estimate-s", "60", "--", "sleep", "0.4")
+		number := must(t, url, "sbatch", "--parsable", "-q", p, "-c", "2", "--mem", "128", "-t", "1", "--wrap", "sleep 0.4")
+		want = append([]string{native, number}, want...)
+	}
+	for i := 0; must(t, url, "squeue", "-h") != ""; i++ {
+		if i > 60 {
+			t.Fatal("the jobs are not over:\n" + must(t, url, "squeue"))
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	lines := strings.Split(must(t, url, "sacct", "-a", "-X", "-n", "-P", "-o", "Start,JobIDRaw,WallrackUID,Account,QOS,Partition,AllocCPUS,ReqMem,State,ExitCode,Elapsed,NodeList,Restarts"), "\n")
+	slices.Sort(lines)
+	if len(lines) != 7 {
+		t.Fatalf("%d lines:\n%s", len(lines), strings.Join(lines, "\n"))
+	}
+	// Starts in the same second are told apart by the rows' own milliseconds.
+	export := must(t, url, "accounting", "export", "--format", "csv")
+	started := map[string]int{}
+	for _, l := range strings.Split(export, "\n") {
+		f := strings.Split(l, ",")
+		if f[0] == "attempt" {
+			ms, err := strconv.Atoi(f[16])
+			if err != nil {
+				t.Fatal(err)
+			}
+			started[f[1]], started[f[2]] = ms, ms
+		}
+	}
+	got := slices.Clone(want)
+	slices.SortFunc(got, func(a, b string) int { return started[a] - started[b] })
+	if !slices.Equal(got, want) {
+		t.Errorf("started as %v, not %v", got, want)
+	}
+	rest := map[string][]string{}
+	for _, l := range lines {
+		f := strings.Split(l, "|")
+		rest[f[4]] = append(rest[f[4]], strings.Join(f[3:], "|"))
+	}
+	for _, p := range []string{"low", "urgent"} {
+		if r := rest[p]; len(r) != 2 || r[0] != r[1] || !strings.Contains(r[0], "|COMPLETED|0:0|00:00:00|") {
+			t.Errorf("%s: %q", p, r)
+		}
+	}
+	// Either client cancels with the same single answer.
+	number := must(t, url, "sbatch", "--parsable", "-H", "--wrap", "true")
+	uid := must(t, url, "squeue", "--json")
+	uid = regexp.MustCompile(`"wallrack_uid":"(j-[a-z0-9]+)"`).FindStringSubmatch(uid)[1]
+	must(t, url, "cancel", uid)
+	must(t, url, "scancel", number)
+	if s := must(t, url, "status", uid); !strings.Contains(s, "cancelled") {
+		t.Error(s)
+	}
+}
+
+// deaf drops the answers to every third request after it was executed, as a
+// controller does that dies then.
+func deaf(t *testing.T, site string) string {
+	to, err := url.Parse(site)
+	if err != nil {
+		t.Fatal(err)
+	}
+	proxy := &httputil.ReverseProxy{Rewrite: func(p *httputil.ProxyRequest) { p.SetURL(to) }}
+	var n atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.Add(1)%3 != 0 {
+			proxy.ServeHTTP(w, r)
+			return
+		}
+		req, err := http.NewRequestWithContext(r.Context(), r.Method, site+r.URL.String(), r.Body)
+		if err == nil {
+			if resp, err := http.DefaultClient.Do(req); err == nil {
+				_ = resp.Body.Close()
+			}
+		}
+		panic(http.ErrAbortHandler) // the connection ends without an answer
+	}))
+	t.Cleanup(srv.Close)
+	return srv.URL
+}
+
+// controllers lists the controllers of a site by its own children.
+func controllers(t *testing.T, site int) (pids []int) {
+	files, err := filepath.Glob("/proc/[0-9]*/stat")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range files {
+		stat, err := os.ReadFile(f)
+		if err != nil {
+			continue
+		}
+		_, rest, _ := strings.Cut(string(stat), ") ")
+		args, _ := os.ReadFile(filepath.Join(filepath.Dir(f), "cmdline"))
+		if fields := strings.Fields(rest); len(fields) > 1 && fields[1] == strconv.Itoa(site) && bytes.Contains(args, []byte("--slurm")) {
+			pid, err := strconv.Atoi(filepath.Base(filepath.Dir(f)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			pids = append(pids, pid)
+		}
+	}
+	return pids
+}
+
+// Answers are lost in the middle of every command, and a controller dies besides:
+// each command goes on, and nothing is there twice.
+func TestCommandsSurviveLostAnswers(t *testing.T) {
+	site, pid := localSite(t, 2)
+	t.Chdir(t.TempDir())
+	lossy := deaf(t, site)
+	script := "#!/bin/sh\n#SBATCH -J once -a 0-2\necho ran >> $SLURM_SUBMIT_DIR/runs\nsleep 1\n[ $SLURM_ARRAY_TASK_ID = 2 ] && exit 4\nexit 0\n"
+	if err := os.WriteFile("job.sh", []byte(script), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	pids := controllers(t, pid)
+	if len(pids) != 2 {
+		t.Fatalf("controllers: %v", pids)
+	}
+	time.AfterFunc(2500*time.Millisecond, func() { _ = syscall.Kill(pids[0], syscall.SIGKILL) })
+	out, err := ctl(t, lossy, "sbatch", "--wait", "job.sh")
+	if err == nil || err.Error() != "exit code 4" || !strings.Contains(out, "Submitted batch job ") {
+		t.Fatalf("%v: %s", err, out)
+	}
+	runs, err := os.ReadFile("runs")
+	if n := strings.Count(string(runs), "ran"); err != nil || n < 3 {
+		t.Errorf("%d runs, %v", n, err)
+	}
+	if out, err := ctl(t, lossy, "srun", "-Q", "sh", "-c", "echo once; exit 9"); err == nil || err.Error() != "exit code 9" || out != "once\n" {
+		t.Errorf("%v: %q", err, out)
+	}
+	number := must(t, lossy, "sbatch", "--parsable", "-a", "0-3", "-H", "--wrap", "true")
+	must(t, lossy, "scancel", number+"_2")
+	if out := must(t, lossy, "squeue", "-h", "-o", "%i"); out != fmt.Sprintf("%s_[0-1,3]", number) {
+		t.Errorf("after the cancel of one task: %s", out)
+	}
+	must(t, lossy, "scancel", number)
+	out = must(t, lossy, "sacct", "-a", "-n", "-X", "-P", "-o", "JobName,State,ExitCode")
+	lines := strings.Split(out, "\n")
+	slices.Sort(lines)
+	want := []string{"once|COMPLETED|0:0", "once|COMPLETED|0:0", "once|FAILED|4:0", "sh|FAILED|9:0", "wrap|CANCELLED|0:0"}
+	if lines = slices.DeleteFunc(lines, func(l string) bool { return l == "wrap|PENDING|0:0" }); !slices.Equal(lines, want) && !slices.Equal(lines, want[:4]) {
+		t.Errorf("accounting: %q", lines)
+	}
+}
--- a/internal/accounting/row.go
+++ b/internal/accounting/row.go
@@ -97,12 +97,12 @@
 	return raw, nil
 }
 
-// Reader reads pages, one at a time.
+// Reader reads pages; goroutines may share one.
 type Reader struct{ d *zstd.Decoder }
 
 // NewReader returns a reader; Close gives back what it holds.
 func NewReader() (*Reader, error) {
-	d, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxRaw))
+	d, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(0), zstd.WithDecoderMaxMemory(maxRaw))
 	if err != nil {
 		return nil, fmt.Errorf("accounting: %w", err)
 	}
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -56,12 +56,8 @@
 // Submit uploads the description and submits the job, repeating both with the
 // same id until the job is accepted, refused, or a minute is over.
 func (c *Client) Submit(ctx context.Context, job *wire.Job, d *descr.Description) (*wire.JobState, error) {
-	dc := &descr.Client{Base: c.Base, HTTP: &c.http}
-	if err := c.until(ctx, func(ctx context.Context) (bool, time.Duration, error) {
-		err := dc.Put(ctx, job.UID, d)
-		return err == nil || errors.Is(err, descr.ErrDiffers), 0, err
-	}); err != nil {
-		return nil, fmt.Errorf("upload description: %w", err)
+	if err := c.describe(ctx, job.UID, d); err != nil {
+		return nil, err
 	}
 	body, err := json.Marshal(submission(job))
 	if err != nil {
@@ -70,6 +66,18 @@
 	return c.ask(ctx, http.MethodPost, "/api/jobs", body)
 }
 
+// describe uploads what a job's tasks run.
+func (c *Client) describe(ctx context.Context, uid string, d *descr.Description) error {
+	dc := &descr.Client{Base: c.Base, HTTP: &c.http}
+	if err := c.until(ctx, func(ctx context.Context) (bool, time.Duration, error) {
+		err := dc.Put(ctx, uid, d)
+		return err == nil || errors.Is(err, descr.ErrDiffers), 0, err
+	}); err != nil {
+		return fmt.Errorf("upload description: %w", err)
+	}
+	return nil
+}
+
 // submission is the job with every field that a submission must have.
 func submission(j *wire.Job) map[string]any {
 	data, _ := json.Marshal(j) // a job can always be encoded
@@ -113,6 +121,15 @@
 	return c.Send(ctx, http.MethodGet, path, nil)
 }
 
+// Once gets a path, and does not try again.
+func (c *Client) Once(ctx context.Context, path string) ([]byte, error) {
+	status, body, _, err := c.do(ctx, http.MethodGet, path, nil, answerWithin)
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("%w: status %d", ErrUnknown, status)
+	}
+	return body, err
+}
+
 // Send sends a request of the operators' interface, again until there is an
 // answer for good.
 func (c *Client) Send(ctx context.Context, method, path string, data []byte) (out []byte, err error) {
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -187,7 +187,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
 	defer cancel()
-	n, err := d.book.Take(ctx, ask.Count)
+	n, err := d.book.Next(ctx, ask.Count)
 	if err != nil {
 		d.unsure(w, err)
 		return
@@ -230,7 +230,11 @@
 		refuse(w, http.StatusBadRequest, 0, "job and terms are needed, in no more than 64 KiB")
 		return
 	}
-	rep := d.intake.Submit(r.Context(), intake.Request{Verb: intake.VerbSubmit, Body: s.Job, Terms: s.Terms})
+	verb := intake.VerbSubmit
+	if s.Test {
+		verb = intake.VerbCheck
+	}
+	rep := d.intake.Submit(r.Context(), intake.Request{Verb: verb, Body: s.Job, Terms: s.Terms})
 	switch {
 	case rep.Status/100 == 2:
 		respond.JSON(w, rep.Status, rep.State)
--- /dev/null
+++ b/internal/desk/desk_test.go
@@ -0,0 +1,205 @@
+package desk_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-json"
+
+	"github.com/wallrack/wallrack/internal/accounting"
+	"github.com/wallrack/wallrack/internal/client"
+	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/desk"
+	"github.com/wallrack/wallrack/internal/intake"
+	"github.com/wallrack/wallrack/internal/listing"
+	"github.com/wallrack/wallrack/internal/numbers"
+	"github.com/wallrack/wallrack/internal/owner"
+	"github.com/wallrack/wallrack/internal/statestore"
+	"github.com/wallrack/wallrack/internal/terms"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// site is everything around a desk.
+type site struct {
+	keys  []string // of accounting, in order
+	pages map[string]string
+	most  int // pages that one answer of the store held
+	jobs  []listing.Info
+	lists int
+	owns  bool
+}
+
+func (s *site) Get(context.Context, string) (wire.Item, error) {
+	return wire.Item{}, statestore.ErrNotFound
+}
+func (s *site) Txn(context.Context, []wire.Guard, ...wire.Op) (uint64, error) { return 1, nil }
+func (s *site) Page(_ context.Context, prefix, after string, limit int) ([]wire.Item, bool, error) {
+	at := sort.SearchStrings(s.keys, max(after+"\x00", prefix))
+	var out []wire.Item
+	for ; at < len(s.keys) && len(out) < limit && strings.HasPrefix(s.keys[at], prefix); at++ {
+		data, _ := json.Marshal(s.pages[s.keys[at]])
+		out = append(out, wire.Item{Key: s.keys[at], Value: data})
+	}
+	s.most = max(s.most, len(out))
+	return out, at < len(s.keys) && strings.HasPrefix(s.keys[at], prefix), nil
+}
+func (s *site) Listing(from listing.Cursor, most int) ([]listing.Info, *listing.Cursor) {
+	s.lists++
+	return s.jobs, nil
+}
+func (s *site) InfoHere(string) (listing.Info, bool)                { return listing.Info{}, false }
+func (s *site) Hold(context.Context, string, bool) error            { return statestore.ErrUnknown }
+func (s *site) Drop(context.Context, string, terms.Ranges) error    { return owner.ErrInput }
+func (s *site) Owns() bool                                          { return s.owns }
+func (s *site) Owners() []string                                    { return nil }
+func (s *site) All() []wire.MachineType                             { return nil }
+func (s *site) Submit(context.Context, intake.Request) intake.Reply { return intake.Reply{} }
+func (s *site) AskDesk(context.Context, string, desk.Request) (*desk.Reply, error) {
+	return nil, errors.New("cut off")
+}
+
+func (s *site) handler(perS float64) http.Handler {
+	s.owns = true
+	mux := http.NewServeMux()
+	set := &desk.Settings{Cluster: "c", PerS: perS}
+	desk.New(set, &config.Platform{}, s, s, numbers.New(s), s, s, s, slog.New(slog.NewTextHandler(io.Discard, nil))).Register(mux)
+	return mux
+}
+
+// A flood of listings is refused in order: as many are answered as the settings
+// say, and the others are told to come back one after another, not all at once.
+func TestFloodOfListings(t *testing.T) {
+	s := &site{}
+	h := s.handler(5)
+	answered, last, spread := 0, 0, map[int]int{}
+	for range 500 {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/slurm/jobs", nil))
+		switch w.Code {
+		case http.StatusOK:
+			answered++
+		case http.StatusTooManyRequests:
+			back, err := strconv.Atoi(w.Header().Get("Retry-After"))
+			if err != nil || back < last || back > 30 {
+				t.Fatalf("come back in %d s after %d s: %v", back, last, err)
+			}
+			last = back
+			spread[back]++
+		default:
+			t.Fatalf("status %d", w.Code)
+		}
+	}
+	if answered < 10 || answered > 15 || s.lists != answered || last != 30 {
+		t.Errorf("%d answered with %d listings, the last comes back in %d s", answered, s.lists, last)
+	}
+	for back, n := range spread {
+		if back < 30 && n > 6 {
+			t.Errorf("%d are told to come back in %d s", n, back)
+		}
+	}
+}
+
+// What can't be told is 503, what can't be done 422, and nothing but a job is one.
+func TestDeskAnswers(t *testing.T) {
+	s := &site{}
+	h := s.handler(1000)
+	for _, c := range []struct {
+		method, path, body string
+		status             int
+	}{
+		{"GET", "/slurm/numbers/7", "", 404}, {"GET", "/slurm/numbers/x", "", 404}, {"GET", "/slurm/jobs/j-1", "", 404}, {"GET", "/slurm/jobs/..%2f", "", 404},
+		{"POST", "/slurm/jobs/j-1/hold", "", 503}, {"POST", "/slurm/jobs/j-1/drop", `{"tasks":"0-3"}`, 422}, {"POST", "/slurm/jobs/j-1/drop", `{"tasks":"3-0"}`, 400},
+		{"POST", "/slurm/jobs", `{`, 400}, {"POST", "/slurm/jobs", `{"job":{}}`, 400}, {"POST", "/slurm/jobs", `{"job":{},"terms":{"n":1}}`, 503},
+		{"POST", "/slurm/numbers", `{"count":0}`, 400}, {"POST", "/slurm/numbers", `{"count":3}`, 200}, {"GET", "/accounting/20261301", "", 400}, {"GET", "/accounting/20261201", "", 200},
+	} {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(c.method, c.path, strings.NewReader(c.body)))
+		if w.Code != c.status || c.status == 503 && w.Header().Get("Retry-After") == "" {
+			t.Errorf("%s %s %s: %d, not %d: %s", c.method, c.path, c.body, w.Code, c.status, w.Body)
+		}
+	}
+	s.owns = false
+	w := httptest.NewRecorder()
+	if h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/slurm/jobs", nil)); w.Code != 503 {
+		t.Errorf("a listing that nobody can make: %d", w.Code)
+	}
+}
+
+func TestSettings(t *testing.T) {
+	for text, want := range map[string]string{
+		`(slurm (cluster "c") (accounting on) (listings-per-s 2.5))`: "",
+		`(slurm)`:                                  "",
+		`(slurm (accounting yes))`:                 "accounting: on or off is needed",
+		`(slurm (listings-per-s 0))`:               "listings-per-s: 0 is outside 0.1 to 1000",
+		`(slurm (cluster ""))`:                     "cluster: a text of 1 to 100 bytes is needed",
+		`(slurm (bogus 1))`:                        "bogus: unknown key",
+		`(slurm (accounting on) (accounting off))`: "accounting: given twice",
+		`(slurm accounting)`:                       "entry 1: expected (key value)",
+	} {
+		_, err := desk.ParseSettings([]byte(text))
+		if got := fmt.Sprint(err); err == nil && want != "" || err != nil && got != want {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
+
+// fill writes so many rows of a day.
+func (s *site) fill(b testing.TB, day time.Time, rows int) {
+	if s.pages == nil {
+		s.pages = map[string]string{}
+	}
+	book := accounting.NewBook(uint64(len(s.keys)+1), 14<<10)
+	var batch []accounting.Row
+	for i := range rows {
+		start := day.UnixMilli() + int64(i%86_000)*1000
+		batch = append(batch, accounting.Row{Kind: accounting.RowAttempt, UID: fmt.Sprintf("j-%06d", i/10), Number: uint64(i / 10 * 100), Task: uint32(i % 10), Attempt: 1,
+			State: "COMPLETED", Start: start, End: start + int64(i*7919%90_000), Machine: fmt.Sprintf("n-%06d", i*31%1300), CPUs: 2, MemoryGB: 4, Useful: true, Price: 0.37})
+		if len(batch) < 60 && i < rows-1 {
+			continue
+		}
+		w, err := book.Add(batch, day)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, there := s.pages[w.Key]; !there {
+			s.keys = append(s.keys, w.Key)
+		}
+		s.pages[w.Key] = w.Value
+		book.Done(w, uint64(i+1))
+		batch = batch[:0]
+	}
+	sort.Strings(s.keys)
+}
+
+// BenchmarkDay queries days of accounting over HTTP, of a million rows in all.
+func BenchmarkDay(b *testing.B) {
+	for _, rows := range []int{100_000, 1_000_000} {
+		b.Run(fmt.Sprint(rows), func(b *testing.B) {
+			s := &site{}
+			day := time.Date(2026, 11, 1, 0, 0, 0, 0, time.UTC)
+			for d := range 1_000_000 / rows {
+				s.fill(b, day.AddDate(0, 0, d), rows)
+			}
+			srv := httptest.NewServer(s.handler(1000))
+			defer srv.Close()
+			c := client.New(srv.URL)
+			for b.Loop() {
+				n := 0
+				if err := c.Accounts(b.Context(), day, func(*accounting.Row) { n++ }); err != nil || n != rows {
+					b.Fatal(n, err)
+				}
+			}
+			b.ReportMetric(float64(s.most), "pages/answer")
+		})
+	}
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -67,6 +67,7 @@
 	VerbSubmit = "submit"
 	VerbPoll   = "poll"
 	VerbCancel = "cancel"
+	VerbCheck  = "check" // a submission, of which nothing shall come
 )
 
 // Peers are the other controllers.
@@ -251,6 +252,8 @@
 	switch req.Verb {
 	case VerbSubmit:
 		return in.accept(ctx, req.Body, req.Terms)
+	case VerbCheck:
+		return in.check(ctx, req)
 	case VerbKnown:
 		if s, ok := in.jobs.Known(req.UID); ok {
 			return Reply{Status: http.StatusOK, State: s}
@@ -351,6 +354,22 @@
 	}
 }
 
+// check says whether a submission would be accepted.
+func (in *Intake) check(ctx context.Context, req Request) Reply {
+	job, err := wire.ParseJob(req.Body)
+	if err != nil {
+		return Reply{Status: http.StatusBadRequest, Reason: err.Error()}
+	}
+	status, reason := in.runnable(job)
+	if reason == "" {
+		_, status, reason = in.terms(ctx, job, req.Terms)
+	}
+	if reason != "" {
+		return Reply{Status: status, Reason: reason}
+	}
+	return Reply{Status: http.StatusOK, State: wire.JobState{UID: job.UID, Stage: wire.StageQueued}}
+}
+
 // runnable says why a job can never run, or that it can't be told yet.
 func (in *Intake) runnable(job *wire.Job) (status int, reason string) {
 	types := in.catalog.All()
--- a/internal/listing/listing.go
+++ b/internal/listing/listing.go
@@ -56,6 +56,7 @@
 type Submission struct {
 	Job   json.RawMessage `json:"job"`
 	Terms *terms.Terms    `json:"terms"`
+	Test  bool            `json:"test,omitempty"` // check it, and accept nothing
 }
 
 // Site is what clients need to know of a site.
--- a/internal/numbers/numbers.go
+++ b/internal/numbers/numbers.go
@@ -48,27 +48,46 @@
 	Next uint64 `json:"next"`
 }
 
-// Take returns the first of count numbers in a row that nobody else gets.
+// Take returns the first of count numbers in a row that nobody else gets, of the
+// block in hand: cheap, but in no order with those of other controllers.
 func (b *Book) Take(ctx context.Context, count int) (uint64, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := uint64(max(1, count))
-	for range tries {
-		if b.end-b.next >= n && b.next > 0 {
-			first := b.next
-			b.next += n
-			return first, nil
+	if b.end-b.next < n || b.next == 0 {
+		first, err := b.reserve(ctx, max(block, n))
+		if err != nil {
+			return 0, err
 		}
+		b.next, b.end = first, first+max(block, n)
+	}
+	first := b.next
+	b.next += n
+	return first, nil
+}
+
+// Next is Take from the counter itself: numbers grow in the order of the answers,
+// at a write each.
+func (b *Book) Next(ctx context.Context, count int) (uint64, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reserve(ctx, uint64(max(1, count)))
+}
+
+// reserve moves the counter on.
+func (b *Book) reserve(ctx context.Context, n uint64) (uint64, error) {
+	for range tries {
 		c, version, err := b.read(ctx)
 		if err != nil {
 			return 0, err
 		}
-		up := c.Next + max(block, n)
+		up := c.Next + n
 		_, err = b.store.Txn(ctx, []wire.Guard{{Key: counterKey, Version: version}}, wire.Op{Put: counterKey, Value: counter{up}})
 		var conflict *statestore.Conflict
 		switch {
 		case err == nil:
-			b.next, b.end, b.top = c.Next, up, max(b.top, up)
+			b.top = max(b.top, up)
+			return c.Next, nil
 		case errors.As(err, &conflict), errors.Is(err, statestore.ErrUnknown):
 			// Another took them, or perhaps this one: these stay unused.
 		default:
--- a/internal/owner/bench_test.go
+++ b/internal/owner/bench_test.go
@@ -10,9 +10,12 @@
 	"time"
 
 	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/listing"
 	"github.com/wallrack/wallrack/internal/machine"
 	"github.com/wallrack/wallrack/internal/owner"
 	"github.com/wallrack/wallrack/internal/placement"
+	"github.com/wallrack/wallrack/internal/slurm"
+	"github.com/wallrack/wallrack/internal/terms"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -143,3 +146,28 @@
 		f.owner.Demand(20)
 	}
 }
+
+// BenchmarkLargeArray is a job of 100,000 tasks: accepted, placed as far as its
+// throttle lets it, and listed in pages, a row for each task.
+func BenchmarkLargeArray(b *testing.B) {
+	for b.Loop() {
+		f := newFleet(b, 50, 0)
+		f.owner.Accepted(&wire.Job{UID: "j-big", Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: 100_000, CPUs: 1, Estimate: 30, Spot: true},
+			&terms.Terms{Number: 1, Array: "0-99999", Most: 20}, 0, time.Now().UnixMilli(), 1)
+		f.owner.Pass()
+		tasks, pages := 0, 0
+		for from := (listing.Cursor{}); ; pages++ {
+			jobs, next := f.owner.Listing(from, 500)
+			for i := range jobs {
+				tasks += len(slurm.Queue(&jobs[i], true, 0, time.UTC))
+			}
+			if next == nil {
+				break
+			}
+			from = *next
+		}
+		if tasks < 100_000 {
+			b.Fatalf("%d tasks in %d pages", tasks, pages)
+		}
+	}
+}
--- a/internal/slurm/values.go
+++ b/internal/slurm/values.go
@@ -138,6 +138,16 @@
 	return now, bad
 }
 
+// ParsePast reads a point of time that a report begins or ends with: a time of day
+// is the last such.
+func ParsePast(v string, now time.Time) (time.Time, error) {
+	t, err := ParseTime(v, now)
+	if err == nil && t.After(now) && !strings.ContainsAny(v, "-/") {
+		t = t.AddDate(0, 0, -1)
+	}
+	return t, err
+}
+
 func nextClock(t, now time.Time) time.Time {
 	if t.Before(now) {
 		return t.AddDate(0, 0, 1)
--- /dev/null
+++ b/internal/testkit/alike_test.go
@@ -0,0 +1,158 @@
+package testkit_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/accounting"
+	"github.com/wallrack/wallrack/internal/listing"
+	"github.com/wallrack/wallrack/internal/owner"
+	"github.com/wallrack/wallrack/internal/slurm"
+	"github.com/wallrack/wallrack/internal/terms"
+	"github.com/wallrack/wallrack/internal/testkit"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// asNative and asSlurm are the same submission, as users of either client write it.
+func asNative(t *testing.T, class, team, priority string, tasks int) (*wire.Job, *terms.Terms) {
+	body := fmt.Sprintf(`{"uid":"j-x","docket":%q,"crew":%q,"sort":"sweep","urgency":%q,"pieces":%d,"cpus":2,"cards":0,"memoryGb":1,"kit":"none","pullGb":0,
+		"together":false,"apart":false,"loaners":true,"reckonS":60,"markS":0,"stashS":0}`, class, team, priority, tasks)
+	j, err := wire.ParseJob([]byte(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return j, &terms.Terms{}
+}
+
+func asSlurm(t *testing.T, class, team, priority string, tasks int) (*wire.Job, *terms.Terms) {
+	line := fmt.Sprintf("-p %s -A %s -q %s -c 2 --mem 1G -C spot -t 1 --array=0-%d", class, team, priority, tasks-1)
+	given, _, err := slurm.ParseArgs(slurm.Sbatch, strings.Fields(line))
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := slurm.Join(slurm.Sbatch, time.Now(), given)
+	if err != nil {
+		t.Fatal(err)
+	}
+	site := &listing.Site{Classes: []string{"tips", "study"}, Teams: []string{"t", "lab"}}
+	r, err := slurm.Translate(slurm.Sbatch, o, &slurm.Work{Script: "#!/bin/sh\n", File: "s"}, site, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &r.Job, &r.Terms
+}
+
+// workload plays a workload on one machine, its jobs made by make, which may differ
+// from job to job, and returns the order of starts and the rows of accounting,
+// without the names that each client gives.
+func workload(t *testing.T, make func(n int) func(*testing.T, string, string, string, int) (*wire.Job, *terms.Terms)) (starts, rows []string) {
+	w := newWorld(t, 1)
+	w.accounts = true
+	w.workers = w.workers[:1]
+	var mu = &w.mu
+	w.workers[0].Run = func(string) time.Duration { return 4 * time.Second }
+	w.workers[0].Started = func(task string, _ uint64) { starts = append(starts, task) }
+	w.start("a")
+	n := w.nodes["a"]
+	n.view.Lose, n.view.Late = nil, nil
+	for _, x := range []string{"b", "c"} {
+		w.nodes[x] = &node{w: w, name: x, down: true}
+	}
+	time.Sleep(2 * time.Second)
+	clean := &testkit.View{Store: w.store}
+	jobs := []struct {
+		class, team, priority string
+		tasks                 int
+	}{{"study", "lab", "low", 3}, {"study", "t", "normal", 2}, {"tips", "t", "production", 2}, {"study", "lab", "low", 1}, {"tips", "t", "urgent", 3}, {"study", "t", "normal", 2}, {"tips", "t", "production", 1}}
+	for i, k := range jobs {
+		j, tm := make(i)(t, k.class, k.team, k.priority, k.tasks)
+		j.UID, tm.Number = fmt.Sprintf("j-%d", i), uint64(100*(i+1))
+		at := time.Now().UnixMilli()
+		guards, ops := owner.AcceptTxn(j, tm, owner.ShardOf(j, nil, 4), at)
+		if _, err := clean.Txn(context.Background(), guards, ops...); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	for end := time.Now().Add(10 * time.Minute); len(w.store.Keys("final/")) < len(jobs); {
+		if time.Now().After(end) {
+			t.Fatalf("only %v ended", w.store.Keys("final/"))
+		}
+		mu.Lock()
+		rep := w.workers[0].Report()
+		rep.Endpoint = w.workers[0].Name
+		sent := time.Now()
+		mu.Unlock()
+		if _, body := n.holder.Report(context.Background(), rep); body != nil {
+			if a, ok := body.(wire.ReportAnswer); ok {
+				mu.Lock()
+				w.workers[0].Answer(sent, rep.Session, a)
+				mu.Unlock()
+			}
+		}
+		time.Sleep(reportEvery)
+	}
+	jobRows, attempts, _ := w.rows()
+	for name, r := range attempts {
+		jobRows[name] = r
+	}
+	for name, r := range jobRows {
+		r.Name, r.User, r.Array = "", "", ""
+		began, took := r.Start, r.End-r.Start
+		r.Submit, r.Eligible, r.Start, r.End = 0, 0, 0, 0
+		if r.Kind == accounting.RowJob {
+			took = 0 // until the end was recorded
+		}
+		data, err := json.Marshal(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rows = append(rows, fmt.Sprintf("%s began %v, took %d s: %s", name, began > 0, (took+500)/1000, data))
+	}
+	slices.Sort(rows)
+	w.crash("a")
+	return starts, rows
+}
+
+// The same workload, submitted by native clients, by Slurm's, and by both in turn,
+// starts in the same order and leaves the same rows of accounting, line for line. No
+// client goes before the other.
+func TestClientsAreTreatedAlike(t *testing.T) {
+	type maker = func(*testing.T, string, string, string, int) (*wire.Job, *terms.Terms)
+	var starts, rows [][]string
+	for _, m := range []func(int) maker{func(int) maker { return asNative }, func(int) maker { return asSlurm },
+		func(n int) maker { return []maker{asNative, asSlurm}[n%2] }} {
+		synctest.Test(t, func(t *testing.T) {
+			s, r := workload(t, m)
+			starts, rows = append(starts, s), append(rows, r)
+		})
+	}
+	ranks := func(starts []string) (out []string) {
+		for _, s := range starts {
+			out = append(out, strings.Split(s, "/")[0])
+		}
+		return out
+	}
+	for i := 1; i < 3; i++ {
+		if !slices.Equal(ranks(starts[i]), ranks(starts[0])) {
+			t.Errorf("starts: %v, and not %v", starts[i], starts[0])
+		}
+		if !slices.Equal(rows[i], rows[0]) {
+			t.Errorf("rows:\n%s\nand not\n%s", strings.Join(rows[i], "\n"), strings.Join(rows[0], "\n"))
+		}
+	}
+	if len(rows[0]) != 7+14 || len(starts[0]) != 14 {
+		t.Errorf("%d rows, %d starts", len(rows[0]), len(starts[0]))
+	}
+	// Production before urgent before normal before low, but for what ran already.
+	order := ranks(starts[0])
+	if slices.Index(order, "j-4") > slices.Index(order, "j-5") || slices.Index(order, "j-6") > slices.Index(order, "j-4") {
+		t.Errorf("order %v", order)
+	}
+}
