--- a/cmd/wallctl/main.go
+++ b/cmd/wallctl/main.go
@@ -284,14 +284,14 @@
 		if err != nil {
 			return err
 		}
-		out, err := cl.Raw(cmd.Context(), "/ops/machines")
-		if err != nil || a.json {
+		if a.json {
+			out, err := cl.Raw(cmd.Context(), machinesPath)
 			_, werr := cmd.OutOrStdout().Write(out)
 			return errors.Join(err, werr)
 		}
-		var ms []wire.MachineInfo
-		if err := json.Unmarshal(out, &ms); err != nil {
-			return fmt.Errorf("malformed answer: %w", err)
+		ms, err := machines(cmd.Context(), cl)
+		if err != nil {
+			return err
 		}
 		t := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
 		fmt.Fprintln(t, "MACHINE\tTYPE\tZONE\tSPOT\tCPUS\tUSED\tTASKS\tHEARD")
--- a/cmd/wallctl/slurm.go
+++ b/cmd/wallctl/slurm.go
@@ -601,6 +601,20 @@
 	return err
 }
 
+const machinesPath = "/ops/machines"
+
+// machines lists the machines.
+func machines(ctx context.Context, cl *client.Client) (ms []wire.MachineInfo, err error) {
+	data, err := cl.Raw(ctx, machinesPath)
+	if err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal(data, &ms); err != nil {
+		return nil, fmt.Errorf("malformed answer: %w", err)
+	}
+	return ms, nil
+}
+
 func sinfo(cmd *cobra.Command, cl *client.Client, args []string) error {
 	fs := pflag.NewFlagSet("sinfo", pflag.ContinueOnError)
 	each, noHeader := fs.BoolP("Node", "N", false, "a line for each machine"), fs.BoolP("noheader", "h", false, "no titles")
@@ -613,17 +627,17 @@
 	if err != nil {
 		return err
 	}
-	data, err := cl.Raw(cmd.Context(), "/ops/machines")
-	if err != nil {
-		return err
-	}
 	if *asJSON {
-		_, err := fmt.Fprintf(cmd.OutOrStdout(), "{\"sinfo\":%s}\n", strings.TrimSpace(string(data)))
+		data, err := cl.Raw(cmd.Context(), machinesPath)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(cmd.OutOrStdout(), "{\"sinfo\":%s}\n", strings.TrimSpace(string(data)))
 		return err
 	}
-	var ms []wire.MachineInfo
-	if err := json.Unmarshal(data, &ms); err != nil {
-		return fmt.Errorf("malformed answer: %w", err)
+	ms, err := machines(cmd.Context(), cl)
+	if err != nil {
+		return err
 	}
 	t, err := slurm.NodeTable(*format, *each)
 	if err != nil {
@@ -726,14 +740,10 @@
 	if err != nil {
 		return err
 	}
-	data, err := cl.Raw(cmd.Context(), "/ops/machines")
+	ms, err := machines(cmd.Context(), cl)
 	if err != nil {
 		return err
 	}
-	var ms []wire.MachineInfo
-	if err := json.Unmarshal(data, &ms); err != nil {
-		return fmt.Errorf("malformed answer: %w", err)
-	}
 	one := *site
 	one.Classes = []string{site.Class}
 	shown := 0
--- a/cmd/wallctl/slurm_test.go
+++ b/cmd/wallctl/slurm_test.go
@@ -84,14 +84,22 @@
 func TestBothClientsAreTreatedAlike(t *testing.T) {
 	url, _ := localSite(t, 1)
 	t.Chdir(t.TempDir())
-	must(t, url, "submit", "--class", "adhoc", "--cpus", "2", "--estimate-s", "3", "--", "sleep", "3") // so that all the others wait
-	time.Sleep(1500 * time.Millisecond)
+	// All the others wait until it is cancelled: on a busy machine submitting them took
+	// longer than a short job did, and the last to come, an urgent one, started last.
+	blocker := must(t, url, "submit", "--class", "adhoc", "--cpus", "2", "--estimate-s", "3", "--", "sleep", "300")
+	for i := 0; !strings.Contains(must(t, url, "status", blocker), "running"); i++ {
+		if i > 60 {
+			t.Fatal("the first job does not run")
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
 	var want []string
 	for _, p := range []string{"low", "normal", "urgent"} {
-		native := must(t, url, "submit", "--priority", p, "--cpus", "2", "--memory-gb", "0.125", "--estimate-s", "60", "--", "sleep", "0.4")
-		number := must(t, url, "sbatch", "--parsable", "-q", p, "-c", "2", "--mem", "128", "-t", "1", "--wrap", "sleep 0.4")
+		native := must(t, url, "submit", "--priority", p, "--cpus", "2", "--memory-gb", "0.125", "--estimate-s", "60", "--", "sleep", "0.1")
+		number := must(t, url, "sbatch", "--parsable", "-q", p, "-c", "2", "--mem", "128", "-t", "1", "--wrap", "sleep 0.1")
 		want = append([]string{native, number}, want...)
 	}
+	must(t, url, "cancel", blocker)
 	for i := 0; must(t, url, "squeue", "-h") != ""; i++ {
 		if i > 60 {
 			t.Fatal("the jobs are not over:\n" + must(t, url, "squeue"))
--- a/internal/owner/log.go
+++ b/internal/owner/log.go
@@ -190,6 +190,9 @@
 // keepRows keeps the changes that are taken for their rows alone, so that they are
 // put back with the others.
 func (b *logBuilder) keepRows() {
+	if len(b.rows) == 0 {
+		return
+	}
 	in := map[*place]bool{}
 	for _, c := range b.changes {
 		in[c.p] = true
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -120,7 +120,7 @@
 	o.now = time.Now()
 	var waiting []*job
 	for _, j := range o.order {
-		if len(j.pending) > 0 && !j.cancelled && j.ended == "" && o.now.After(j.notBefore) && o.room(j) > 0 {
+		if !j.cancelled && j.ended == "" && o.now.After(j.notBefore) && o.room(j) > 0 {
 			waiting = append(waiting, j)
 		}
 	}
