A storm of tiny jobs no longer ends every lease: lanes for the state service, plans by groups

Plans took 25,000 tasks one by one; accounting rows held up the records of places; polls that the owner could not answer used up the state service's requests, touches and joinings were refused, nobody owned the jobs for 680 s and all were forgotten.

--- a/cmd/wallrack/daemon.go
+++ b/cmd/wallrack/daemon.go
@@ -66,7 +66,7 @@
 
 	st := p.Params.State
 	store := statestore.New(p.Endpoints.State, st.RPS, st.WriteRPS, st.TxnOps)
-	member := membership.New(store, p.Node, config.Seconds(op.LeaseS), op.Shards, op.Spread, log)
+	member := membership.New(statestore.Urgently{Client: store}, p.Node, config.Seconds(op.LeaseS), op.Shards, op.Spread, log)
 	cloud := fleet.NewCloud(p.Endpoints.Cloud, p.Params.Cloud.RPS)
 	catalog := fleet.NewCatalog(cloud, store, log)
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/owner"
 	"github.com/wallrack/wallrack/internal/placement"
@@ -148,3 +150,48 @@
 func (d *drains) Gone(string)       {}
 func (d *drains) Probe(context.Context, map[string]string, time.Duration) {
 }
+
+// An array of many small tasks and a storm of tiny jobs on machines that are there:
+// planned task by task they held a small controller's processor for seconds at a
+// time (kitaboard-ops, incident d184), and nothing was started. What comes out must be what
+// one task after the other gives.
+func TestPlanTakesTasksTogether(t *testing.T) {
+	f := planner()
+	now := time.Now()
+	load := owner.Load{Matrix: placement.NewMatrix(placement.Shape{CPUs: 64, MemoryGB: 128},
+		[]placement.Use{{Shape: placement.Shape{CPUs: 30, MemoryGB: 9}, Left: 7}, {Shape: placement.Shape{CPUs: 3, MemoryGB: 70}, Left: 12}}, nil), Heard: now}
+	for i := range 200 {
+		name := fmt.Sprintf("n-%d", i)
+		f.boxes[name] = &box{name: name, offer: offer{"large", "a", true}, hired: now, known: now, heard: now, load: &load}
+	}
+	d := demand(25_000, true, 200)
+	d[0].Shape = placement.Shape{CPUs: 0.5, MemoryGB: 1}
+	d[0].Run = 5
+	start := time.Now()
+	f.plan(now, d)
+	if took := time.Since(start); took > 200*time.Millisecond {
+		t.Errorf("a plan took %v", took)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		total := placement.Shape{CPUs: 64, MemoryGB: 128}
+		var running []placement.Use
+		for range rapid.IntRange(0, 6).Draw(t, "running") {
+			running = append(running, placement.Use{Shape: placement.Shape{CPUs: rapid.Float64Range(0.5, 10).Draw(t, "cpus"), MemoryGB: rapid.Float64Range(0, 20).Draw(t, "memory")}, Left: rapid.Float64Range(0, 50).Draw(t, "left")})
+		}
+		d := &owner.Demand{Shape: placement.Shape{CPUs: float64(rapid.IntRange(1, 40).Draw(t, "size")) / 4, MemoryGB: float64(rapid.IntRange(0, 30).Draw(t, "gb"))}, Run: rapid.Float64Range(0.5, 30).Draw(t, "run")}
+		n, patience := rapid.IntRange(0, 300).Draw(t, "tasks"), rapid.Float64Range(0, 90).Draw(t, "patience")
+		s := &sim{matrix: placement.NewMatrix(total, running, nil), boot: 3}
+		one := s.matrix
+		left := n
+		for ; left > 0; left-- {
+			w := one.Wait(d.Shape, d.Run)
+			if s.boot+w > patience {
+				break
+			}
+			one = one.Reserve(d.Shape, w, d.Run)
+		}
+		if got := f.fillOne(d, s, n, patience); got != left {
+			t.Fatalf("%d of %d tasks are left, %d one by one", got, n, left)
+		}
+	})
+}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -166,14 +166,18 @@
 	return n
 }
 
+// fillOne puts up to n tasks on a machine, all that can start together at a time:
+// an array of 25,000 small tasks, taken one by one, held a small controller's
+// processor for two seconds of every plan, and nothing else was done.
 func (f *Fleet) fillOne(d *owner.Demand, s *sim, n int, patience float64) int {
 	for n > 0 {
-		w := s.matrix.Wait(d.Shape, d.Run)
+		w := s.matrix.WaitWithin(d.Shape, d.Run, patience-s.boot)
 		if s.boot+w > patience {
 			break
 		}
-		s.matrix = s.matrix.Reserve(d.Shape, w, d.Run)
-		n--
+		k := max(1, s.matrix.Times(d.Shape, w, d.Run, n))
+		s.matrix = s.matrix.Reserve(d.Shape.Scale(float64(k)), w, d.Run)
+		n -= k
 	}
 	return n
 }
@@ -252,19 +256,8 @@
 	return best, bestT, !math.IsInf(cost, 1)
 }
 
-func tasksIn(s, size placement.Shape) int {
-	k := math.Inf(1)
-	if s.CPUs > 0 {
-		k = min(k, size.CPUs/s.CPUs)
-	}
-	if s.GPUs > 0 {
-		k = min(k, size.GPUs/s.GPUs)
-	}
-	if s.MemoryGB > 0 {
-		k = min(k, size.MemoryGB/s.MemoryGB)
-	}
-	return max(1, int(min(k, 1e6)))
-}
+// tasksIn is how many tasks a machine of that size runs side by side, at least one.
+func tasksIn(s, size placement.Shape) int { return max(1, s.Times(size, 1e6)) }
 
 // capacity is the CPUs of all machines in the plan.
 func (f *Fleet) capacity(sims []*sim) float64 {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -8,7 +8,10 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
+	"sync"
 	"time"
 
 	"github.com/wallrack/wallrack/internal/config"
@@ -25,7 +28,8 @@
 	answerWithin = 3500 * time.Millisecond // submissions and cancels; users wait 5 s
 	pollWithin   = 1500 * time.Millisecond // users wait 2 s
 	peerWithin   = 700 * time.Millisecond
-	maxInFlight  = 256 // requests worked on at once; more are told to come back
+	pressedRetry = 2   // seconds, and up to twice that, after which to submit again what the state service had no room for
+	maxInFlight  = 128 // submissions worked on at once, and as many polls and cancels; more are told to come back
 )
 
 // Store is what intake needs of the state service.
@@ -52,6 +56,8 @@
 	UID  string `json:"uid"`
 	Body []byte `json:"body,omitempty"`
 
+	UIDs []string `json:"uids,omitempty"` // of gathered polls
+
 	Terms *terms.Terms `json:"terms,omitempty"` // of a submission
 }
 
@@ -60,6 +66,9 @@
 	Status int           `json:"status"`
 	State  wire.JobState `json:"state"`
 	Reason string        `json:"reason,omitempty"`
+	Busy   bool          `json:"busy,omitempty"` // can't tell for want of the state service's budget
+
+	States []wire.JobState `json:"states,omitempty"` // of gathered polls, in their order; without a uid: can't tell
 }
 
 // Verbs of a Request.
@@ -94,34 +103,39 @@
 	Numbers Numbers     // nil: jobs have none, and no terms. Set it before Register
 	Crowded func() bool // whether to take no new jobs; nil: never. Set it before Register
 
-	cfg     *config.Platform
-	op      *config.Operator
-	store   Store
-	jobs    Jobs
-	catalog Catalog
-	peers   Peers
-	log     *slog.Logger
-	slots   chan struct{}
+	cfg      *config.Platform
+	op       *config.Operator
+	store    Store
+	jobs     Jobs
+	catalog  Catalog
+	peers    Peers
+	log      *slog.Logger
+	jobSlots chan struct{} // of submissions: a storm of them must not keep users from asking
+	slots    chan struct{} // of polls and cancels
+
+	mu        sync.Mutex
+	gatherers map[string]*gatherer // by peer
 }
 
 // New returns the users' interface.
 func New(cfg *config.Platform, op *config.Operator, store Store, jobs Jobs, catalog Catalog, peers Peers, log *slog.Logger) *Intake {
-	return &Intake{cfg: cfg, op: op, store: store, jobs: jobs, catalog: catalog, peers: peers, log: log, slots: make(chan struct{}, maxInFlight)}
+	return &Intake{cfg: cfg, op: op, store: store, jobs: jobs, catalog: catalog, peers: peers, log: log,
+		jobSlots: make(chan struct{}, maxInFlight), slots: make(chan struct{}, maxInFlight), gatherers: map[string]*gatherer{}}
 }
 
 // Register adds the interface's paths.
 func (in *Intake) Register(mux *http.ServeMux) {
-	mux.HandleFunc("POST /api/jobs", in.limited(in.submit))
-	mux.HandleFunc("GET /api/jobs/{id}", in.limited(in.poll))
-	mux.HandleFunc("POST /api/jobs/{id}/cancel", in.limited(in.cancel))
+	mux.HandleFunc("POST /api/jobs", in.limited(in.jobSlots, in.submit))
+	mux.HandleFunc("GET /api/jobs/{id}", in.limited(in.slots, in.poll))
+	mux.HandleFunc("POST /api/jobs/{id}/cancel", in.limited(in.slots, in.cancel))
 	mux.HandleFunc("GET /up", in.up)
 }
 
-func (in *Intake) limited(f http.HandlerFunc) http.HandlerFunc {
+func (in *Intake) limited(slots chan struct{}, f http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		select {
-		case in.slots <- struct{}{}:
-			defer func() { <-in.slots }()
+		case slots <- struct{}{}:
+			defer func() { <-slots }()
 			defer usage.Count(usage.Users, time.Now())
 			f(w, r)
 		default:
@@ -132,7 +146,7 @@
 }
 
 func refuse(w http.ResponseWriter, status int, why string) {
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable && w.Header().Get("Retry-After") == "" {
 		w.Header().Set("Retry-After", "1")
 	}
 	respond.JSON(w, status, wire.Problem{Error: why})
@@ -163,7 +177,11 @@
 		refuse(w, http.StatusBadRequest, "body unreadable or over 64 KiB")
 		return
 	}
-	in.reply(w, in.Submit(r.Context(), Request{Verb: VerbSubmit, Body: body}))
+	rep := in.Submit(r.Context(), Request{Verb: VerbSubmit, Body: body})
+	if rep.Busy {
+		w.Header().Set("Retry-After", strconv.Itoa(pressedRetry+rand.IntN(pressedRetry)))
+	}
+	in.reply(w, rep)
 }
 
 // Submit takes a submission here, or at a peer if this controller can't tell.
@@ -171,7 +189,7 @@
 	ctx, cancel := context.WithTimeout(ctx, answerWithin)
 	defer cancel()
 	rep := in.Serve(ctx, req)
-	if rep.Status == 0 {
+	if rep.Status == 0 && !rep.Busy {
 		rep = in.elsewhere(ctx, req)
 	}
 	return rep
@@ -190,19 +208,19 @@
 		return
 	}
 	for _, p := range in.peers.Owners() {
-		if rep, ok := in.ask(ctx, p, Request{Verb: VerbKnown, UID: req.UID}); ok {
-			in.reply(w, rep)
+		if s, ok := in.gather(p).known(ctx, req.UID); ok {
+			respond.JSON(w, http.StatusOK, s)
 			return
 		}
 	}
 	rep := in.Serve(ctx, req)
-	if rep.Status == 0 {
+	if rep.Status == 0 && !rep.Busy {
 		rep = in.elsewhere(ctx, req)
 	}
 	in.reply(w, rep)
 }
 
-// VerbKnown asks an owner for what it has in memory.
+// VerbKnown asks an owner for what it has of jobs in memory.
 const VerbKnown = "known"
 
 func (in *Intake) cancel(w http.ResponseWriter, r *http.Request) {
@@ -220,7 +238,7 @@
 		}
 	}
 	rep := in.Serve(ctx, req)
-	if rep.Status == 0 {
+	if rep.Status == 0 && !rep.Busy {
 		rep = in.elsewhere(ctx, req)
 	}
 	in.reply(w, rep)
@@ -255,12 +273,9 @@
 	case VerbCheck:
 		return in.check(ctx, req)
 	case VerbKnown:
-		if s, ok := in.jobs.Known(req.UID); ok {
-			return Reply{Status: http.StatusOK, State: s}
-		}
-		return Reply{}
+		return in.known(req.UIDs)
 	case VerbPoll:
-		s, err := in.lookup(ctx, req.UID)
+		s, err := in.lookup(statestore.In(ctx, statestore.Lookup), req.UID)
 		return in.found(s, err, http.StatusOK)
 	case VerbCancel:
 		s, err := in.jobs.Cancel(ctx, req.UID)
@@ -277,9 +292,12 @@
 		return Reply{Status: http.StatusNotFound, Reason: "no such job"}
 	}
 	in.log.Debug("unsure", "err", err)
-	return Reply{}
+	return unsure(err)
 }
 
+// unsure answers when this controller can't tell.
+func unsure(err error) Reply { return Reply{Busy: errors.Is(err, statestore.ErrBusy)} }
+
 func (in *Intake) lookup(ctx context.Context, uid string) (wire.JobState, error) {
 	if s, ok := in.jobs.Known(uid); ok {
 		return s, nil
@@ -350,7 +368,7 @@
 			continue
 		}
 		in.log.Debug("submission not recorded", "job", job.UID, "err", err)
-		return Reply{}
+		return unsure(err)
 	}
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -397,7 +397,7 @@
 }
 
 func (m *Member) hold(ctx context.Context) {
-	tick := time.NewTicker(m.ttl / 5)
+	tick := time.NewTimer(m.ttl / 5)
 	defer tick.Stop()
 	var excessSince time.Time
 	for {
@@ -426,6 +426,11 @@
 		tctx, cancel := context.WithTimeout(ctx, m.ttl/4)
 		err := m.store.Touch(tctx, lease)
 		cancel()
+		next := m.ttl / 5
+		if errors.Is(err, statestore.ErrUnavailable) {
+			next = m.ttl / 20 // refused at once, perhaps as one request too many
+		}
+		tick.Reset(next)
 		switch {
 		case err == nil:
 			m.mu.Lock()
--- a/internal/owner/accept.go
+++ b/internal/owner/accept.go
@@ -6,6 +6,7 @@
 
 	"github.com/goccy/go-json"
 
+	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/terms"
 	"github.com/wallrack/wallrack/internal/usage"
 	"github.com/wallrack/wallrack/internal/wire"
@@ -21,7 +22,7 @@
 		}
 		o.take(&r, version)
 	}
-	o.store.Watch(ctx, liveKey, 20*time.Second, func(items []wire.Item) {
+	o.store.Watch(statestore.In(ctx, statestore.Urgent), liveKey, 20*time.Second, func(items []wire.Item) {
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		for _, it := range items {
--- a/internal/owner/demand.go
+++ b/internal/owner/demand.go
@@ -18,6 +18,16 @@
 	Slack float64 // how long it may wait and still meet an aim that a new machine can help with
 }
 
+// demandKey is what makes waiting work alike for planning.
+type demandKey struct {
+	room       roomKey
+	rank       int
+	run, slack int
+}
+
+// nearly is the same for times, in seconds, that differ by less than about a tenth.
+func nearly(s float64) int { return int(math.Log(max(s, 1)) / math.Log(1.1)) }
+
 // Demand returns the work that has no machine yet, most urgent first, and what
 // each machine's future looks like. boot is how long a new machine takes.
 func (o *Owner) Demand(boot float64) ([]Demand, []Load) {
@@ -50,8 +60,27 @@
 	}
 	o.sortJobs(waiting)
 	ds := make([]Demand, 0, len(waiting))
+	like := map[demandKey]int{}
 	for _, j := range waiting {
-		ds = append(ds, Demand{Shape: j.shape, Job: j.spec, Count: count[j], Run: j.runEstimate(), Rank: j.spec.Rank(), Slack: o.slack(j, boot)})
+		d := Demand{Shape: j.shape, Job: j.spec, Count: count[j], Run: j.runEstimate(), Rank: j.spec.Rank(), Slack: o.slack(j, boot)}
+		if d.Job.Gang() || d.Job.Service() {
+			ds = append(ds, d)
+			continue
+		}
+		key := demandKey{j.roomKey(), d.Rank, nearly(d.Run), nearly(d.Slack)}
+		i, known := like[key]
+		if !known {
+			like[key] = len(ds)
+			ds = append(ds, d)
+			continue
+		}
+		// Planned together: a storm of tiny jobs, each planned for itself, takes
+		// a small controller's processor for seconds.
+		a := &ds[i]
+		all := float64(a.Count + d.Count)
+		a.Run = (a.Run*float64(a.Count) + d.Run*float64(d.Count)) / all
+		a.Slack = min(a.Slack, d.Slack)
+		a.Count += d.Count
 	}
 	var ls []Load
 	for _, m := range o.machines {
--- a/internal/owner/listing.go
+++ b/internal/owner/listing.go
@@ -178,7 +178,7 @@
 		o.mu.Unlock()
 		return listing.Info{}, false
 	}
-	if v, ok := o.member.Owns(j.shard); !ok || v != o.loaded[j.shard] || j.ended != "" || j.unsure {
+	if v, ok := o.member.Owns(j.shard); !ok || v != o.loaded[j.shard] || j.ending || j.unsure {
 		o.mu.Unlock()
 		return listing.Info{}, false
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -122,6 +122,7 @@
 	cancelled bool
 	unsure    bool   // a cancel was sent, and may have been applied
 	ended     string // stage to finish with
+	ending    bool   // the write of its end is out
 	chunks    []*chunk
 	pending   []int // tasks with no place, a stack
 	places    map[int][]*place
--- a/internal/owner/users.go
+++ b/internal/owner/users.go
@@ -31,8 +31,10 @@
 		return wire.JobState{}, false
 	}
 	// A write of its end may have been applied although the answer is out:
-	// others may tell its user already, so only the store is sure.
-	if j.ended != "" || j.unsure {
+	// others may tell its user already, so only the store is sure. Before that
+	// write the job is alive to everybody: in a storm of tiny jobs, polls for
+	// hundreds whose ends still waited to be written all went to the store.
+	if j.ending || j.unsure {
 		return wire.JobState{}, false
 	}
 	return j.state(), true
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -218,6 +218,7 @@
 				b.ops = append(b.ops, wire.Op{Delete: chunkKey(uid, c.n)})
 			}
 		}
+		j.ending = true
 		b.ended = append(b.ended, j)
 	}
 	if len(b.ops) == 0 && len(b.rows) == 0 {
@@ -344,6 +345,9 @@
 	for _, w := range b.logs {
 		w.log.queue = append(w.changes, w.log.queue...)
 	}
+	for _, j := range b.ended {
+		j.ending = false
+	}
 }
 
 // endLocked forgets a job whose end is recorded.
--- a/internal/placement/matrix.go
+++ b/internal/placement/matrix.go
@@ -28,6 +28,17 @@
 	return Shape{s.CPUs + f*o.CPUs, s.GPUs + f*o.GPUs, s.MemoryGB + f*o.MemoryGB}
 }
 
+// Times is how many of s fit into free side by side, at most so many.
+func (s Shape) Times(free Shape, most int) int {
+	k := float64(most)
+	for _, r := range [...][2]float64{{s.CPUs, free.CPUs}, {s.GPUs, free.GPUs}, {s.MemoryGB, free.MemoryGB}} {
+		if r[0] > 0 {
+			k = math.Min(k, math.Floor((r[1]+epsilon)/r[0]))
+		}
+	}
+	return max(0, int(k))
+}
+
 // Scale returns f times s.
 func (s Shape) Scale(f float64) Shape { return Shape{}.Add(s, f) }
 
@@ -107,6 +118,21 @@
 	return m[start].Wait
 }
 
+// Times is how many tasks of this shape can start together after a wait, at most
+// so many.
+func (m Matrix) Times(s Shape, wait, run float64, most int) int {
+	for i := range m {
+		switch {
+		case i+1 < len(m) && m[i+1].Wait <= wait: // over by then
+		case m[i].Wait >= wait+run:
+			return most
+		default:
+			most = s.Times(m[i].Free, most)
+		}
+	}
+	return most
+}
+
 // Reserve returns the matrix after a task takes its resources from a wait on.
 func (m Matrix) Reserve(s Shape, wait, run float64) Matrix {
 	end := wait + run
--- a/internal/statestore/relay.go
+++ b/internal/statestore/relay.go
@@ -19,6 +19,7 @@
 	Path   string `json:"path"`
 	Body   []byte `json:"body,omitempty"`
 	Writes int    `json:"writes,omitempty"` // puts and deletes in it
+	Lane   Lane   `json:"lane,omitempty"`
 }
 
 // Answered is the service's answer to it.
@@ -202,12 +203,13 @@
 // and never by another way round.
 func (c *Client) Pass(ctx context.Context, req Passed) (*Answered, error) {
 	if strings.HasPrefix(req.Path, "/grants") {
-		c.reqs.Allow()
-	} else if err := c.reqs.Wait(ctx); err != nil {
+		req.Lane = Urgent
+	}
+	if err := c.budget.wait(ctx, req.Lane); err != nil {
 		return &Answered{Status: http.StatusServiceUnavailable}, nil
 	}
 	if req.Writes > 0 {
-		if err := c.writes.WaitN(ctx, min(req.Writes, c.writes.Burst())); err != nil {
+		if err := c.budget.waitWrites(ctx, req.Lane, req.Writes); err != nil {
 			return &Answered{Status: http.StatusServiceUnavailable}, nil
 		}
 	}
@@ -241,6 +243,9 @@
 	if err != nil {
 		return 0, nil, fmt.Errorf("%w: %w", ErrUnknown, err)
 	}
+	if resp.StatusCode == http.StatusTooManyRequests {
+		c.budget.refused()
+	}
 	if s := resp.StatusCode; s != http.StatusServiceUnavailable && s != http.StatusTooManyRequests && s != http.StatusUnauthorized {
 		c.lastOK.Store(int64(time.Since(c.start)))
 	}
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"github.com/goccy/go-json"
-	"golang.org/x/time/rate"
 
 	"github.com/wallrack/wallrack/internal/wire"
 )
@@ -25,6 +24,9 @@
 	ErrNotFound = errors.New("not found")
 	// ErrUnavailable means that the request was not executed.
 	ErrUnavailable = errors.New("state service unavailable")
+	// ErrBusy is ErrUnavailable because the budget is used up, here or at the
+	// service: others that ask for the same would only make it worse.
+	ErrBusy = fmt.Errorf("%w: too many requests", ErrUnavailable)
 	// ErrUnknown means that the request may have been executed, or may be later.
 	ErrUnknown = errors.New("no answer from the state service")
 	// ErrNoLease means that a write named a lease that has ended.
@@ -52,11 +54,9 @@
 type Client struct {
 	base    string
 	http    *http.Client
-	reqs    *rate.Limiter
-	writes  *rate.Limiter
-	bulk    *rate.Limiter // part of writes
-	lastOK  atomic.Int64  // monotonic-ish nanoseconds of the last answer
-	lastAny atomic.Int64  // the same, by way of a peer
+	budget  *budget
+	lastOK  atomic.Int64 // monotonic-ish nanoseconds of the last answer
+	lastAny atomic.Int64 // the same, by way of a peer
 	way     detour
 	start   time.Time
 	MaxOps  int
@@ -75,9 +75,7 @@
 	tr := &http.Transport{MaxIdleConnsPerHost: 12, MaxConnsPerHost: 24, IdleConnTimeout: time.Minute}
 	return &Client{
 		base: "http://" + addr, http: &http.Client{Transport: tr},
-		reqs:   rate.NewLimiter(rate.Limit(rps*share), max(1, int(rps*share))),
-		writes: rate.NewLimiter(rate.Limit(writeRPS*share), max(maxOps, int(writeRPS*share))),
-		bulk:   rate.NewLimiter(rate.Limit(writeRPS*share*bulkShare), maxOps),
+		budget: newBudget(rps, writeRPS, maxOps),
 		start:  time.Now(), MaxOps: maxOps,
 	}
 }
@@ -98,7 +96,7 @@
 }
 
 func (c *Client) do(ctx context.Context, method, path string, writes int, body, out any) (int, error) {
-	req := Passed{Method: method, Path: path, Writes: writes}
+	req := Passed{Method: method, Path: path, Writes: writes, Lane: laneOf(ctx)}
 	if body != nil {
 		data, err := json.Marshal(body)
 		if err != nil {
@@ -111,7 +109,9 @@
 		return 0, err
 	}
 	switch status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusUnauthorized:
+	case http.StatusTooManyRequests:
+		return status, ErrBusy
+	case http.StatusServiceUnavailable, http.StatusUnauthorized:
 		return status, ErrUnavailable
 	}
 	if out != nil && len(data) > 0 && status != http.StatusGone {
@@ -133,8 +133,8 @@
 // Get reads a key.
 func (c *Client) Get(ctx context.Context, key string) (wire.Item, error) {
 	var it wire.Item
-	if err := c.reqs.Wait(ctx); err != nil {
-		return it, ErrUnavailable
+	if err := c.budget.wait(ctx, laneOf(ctx)); err != nil {
+		return it, err
 	}
 	code, err := c.do(ctx, http.MethodGet, "/store/"+key, 0, nil, &it)
 	switch {
@@ -154,8 +154,8 @@
 	var rev uint64
 	after := ""
 	for {
-		if err := c.reqs.Wait(ctx); err != nil {
-			return nil, 0, ErrUnavailable
+		if err := c.budget.wait(ctx, laneOf(ctx)); err != nil {
+			return nil, 0, err
 		}
 		q := url.Values{"starts": {prefix}, "limit": {"1000"}}
 		if after != "" {
@@ -182,8 +182,8 @@
 
 // Page reads at most so many keys with the prefix, in order, beyond after.
 func (c *Client) Page(ctx context.Context, prefix, after string, limit int) ([]wire.Item, bool, error) {
-	if err := c.reqs.Wait(ctx); err != nil {
-		return nil, false, ErrUnavailable
+	if err := c.budget.wait(ctx, laneOf(ctx)); err != nil {
+		return nil, false, err
 	}
 	q := url.Values{"starts": {prefix}, "limit": {strconv.Itoa(limit)}}
 	if after != "" {
@@ -199,11 +199,11 @@
 
 // Txn applies a transaction and returns its revision.
 func (c *Client) Txn(ctx context.Context, guards []wire.Guard, ops ...wire.Op) (uint64, error) {
-	if err := c.reqs.Wait(ctx); err != nil {
-		return 0, ErrUnavailable
+	if err := c.budget.wait(ctx, laneOf(ctx)); err != nil {
+		return 0, err
 	}
-	if err := c.writes.WaitN(ctx, max(1, len(ops))); err != nil {
-		return 0, ErrUnavailable
+	if err := c.budget.waitWrites(ctx, laneOf(ctx), len(ops)); err != nil {
+		return 0, err
 	}
 	var ans wire.TxnAnswer
 	code, err := c.do(ctx, http.MethodPost, "/txn", len(ops), wire.Txn{If: guards, Then: ops}, &ans)
@@ -220,7 +220,7 @@
 
 // BulkTxn is Txn for writes that must not hold up others.
 func (c *Client) BulkTxn(ctx context.Context, guards []wire.Guard, ops ...wire.Op) (uint64, error) {
-	if err := c.bulk.WaitN(ctx, max(1, len(ops))); err != nil {
+	if err := c.budget.bulk.WaitN(ctx, max(1, len(ops))); err != nil {
 		return 0, ErrUnavailable
 	}
 	return c.Txn(ctx, guards, ops...)
@@ -228,7 +228,7 @@
 
 // Grant opens a lease. Lease calls do not wait for the budget.
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
-	c.reqs.Allow()
+	c.budget.reqs.Allow()
 	var ans wire.LeaseAnswer
 	code, err := c.do(ctx, http.MethodPost, "/grants", 0, wire.LeaseRequest{TTLMs: ttl.Milliseconds()}, &ans)
 	if err != nil {
@@ -242,13 +242,13 @@
 
 // Touch renews a lease.
 func (c *Client) Touch(ctx context.Context, lease uint64) error {
-	c.reqs.Allow()
+	c.budget.reqs.Allow()
 	return c.lease(ctx, http.MethodPost, "/grants/"+strconv.FormatUint(lease, 10)+"/touch")
 }
 
 // Revoke ends a lease.
 func (c *Client) Revoke(ctx context.Context, lease uint64) error {
-	c.reqs.Allow()
+	c.budget.reqs.Allow()
 	return c.lease(ctx, http.MethodDelete, "/grants/"+strconv.FormatUint(lease, 10))
 }
 
@@ -268,8 +268,8 @@
 // Follow waits for changes under the prefix.
 func (c *Client) Follow(ctx context.Context, prefix string, after uint64, hold time.Duration) (wire.Events, error) {
 	var ev wire.Events
-	if err := c.reqs.Wait(ctx); err != nil {
-		return ev, ErrUnavailable
+	if err := c.budget.wait(ctx, laneOf(ctx)); err != nil {
+		return ev, err
 	}
 	q := url.Values{"starts": {prefix}, "after": {strconv.FormatUint(after, 10)}, "holdMs": {strconv.FormatInt(hold.Milliseconds(), 10)}}
 	code, err := c.do(ctx, http.MethodGet, "/follow?"+q.Encode(), 0, nil, &ev)
