Machines that nothing reaches, late copies of reports, lonely holders, faulty jobs

Change: the owner judges by effects; copies are refused before anything is counted; who is alone lets workers go; a job at fault blames no machine and is tried two tasks at a time; late boots are not waited for; nothing is returned by who no longer leads. The test of late reports now tells what was overtaken by a request from what came twice.

--- a/cmd/wallrack/links.go
+++ b/cmd/wallrack/links.go
@@ -50,6 +50,7 @@
 type seenMessage struct {
 	Machine  string `json:"machine"`
 	Endpoint string `json:"endpoint"`
+	Deaf     bool   `json:"deaf,omitempty"` // that it is heard is known: does it answer?
 }
 
 type seenReply struct {
@@ -147,7 +148,7 @@
 		return mesh.Call[json.RawMessage, json.RawMessage](ctx, n.mesh, m.To, m.Method, &m.Body)
 	})
 	mesh.Handle(n.mesh, methodSeen, func(ctx context.Context, m *seenMessage) (*seenReply, error) {
-		return &seenReply{n.holder.Seen(m.Machine).Seconds() < n.op.SilentS || m.Endpoint != "" && n.holder.Ask(ctx, m.Machine, m.Endpoint)}, nil
+		return &seenReply{!m.Deaf && n.holder.Seen(m.Machine).Seconds() < n.op.SilentS || m.Endpoint != "" && n.holder.Ask(ctx, m.Machine, m.Endpoint)}, nil
 	})
 	mesh.Handle(n.mesh, methodStore, func(ctx context.Context, m *statestore.Passed) (*statestore.Answered, error) {
 		return n.store.Pass(ctx, *m)
@@ -418,9 +419,12 @@
 	for name, why := range verdict.Back {
 		out[name] = why
 	}
-	for name, endpoint := range verdict.Ask {
+	for name, m := range verdict.Ask {
 		go func() {
-			ok := n.lives(name, endpoint)
+			ok := n.lives(m)
+			if ok && m.Deaf {
+				n.owner.Answered(name)
+			}
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.silence.Asked(name, ok, time.Now())
@@ -430,14 +434,15 @@
 }
 
 // lives asks a machine, and has all peers ask it, whether it lives.
-func (n *node) lives(name, endpoint string) bool {
+func (n *node) lives(m links.Machine) bool {
+	name, endpoint := m.Name, m.Endpoint
 	answers := make(chan bool, 1+len(n.cfg.Peers))
 	go func() { answers <- endpoint != "" && n.holder.Ask(n.ctx, name, endpoint) }()
 	for _, p := range n.cfg.Peers {
 		go func() {
 			ctx, cancel := context.WithTimeout(n.ctx, askWithin)
 			defer cancel()
-			rep, err := call[seenMessage, seenReply](ctx, n, p.Node, methodSeen, &seenMessage{name, endpoint})
+			rep, err := call[seenMessage, seenReply](ctx, n, p.Node, methodSeen, &seenMessage{name, endpoint, m.Deaf})
 			answers <- err == nil && rep.Lives
 		}()
 	}
@@ -465,6 +470,9 @@
 	return n.member.Term() != 0 && n.links.now().Entitled(n.store.SinceAny(), n.grace())
 }
 
+// Alone reports whether this controller can start nothing and knows of nobody who can.
+func (n *node) Alone() bool { return n.member.Held() <= 0 && n.links.now().Alone() }
+
 // Owners names the other controllers that own shards.
 func (n *node) Owners() []string {
 	var out []string
--- a/internal/fleet/hire.go
+++ b/internal/fleet/hire.go
@@ -10,6 +10,8 @@
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
+var errDeposed = errors.New("no longer leads the fleet")
+
 type hire struct {
 	req     wire.HireRequest
 	made    time.Time
@@ -127,7 +129,12 @@
 	if len(batch) == 0 {
 		return
 	}
-	err := f.cloud.release(ctx, batch)
+	// What was judged before a standstill is not acted on after it: a successor may
+	// use these machines by now.
+	err := errDeposed
+	if f.owner.Ready() {
+		err = f.cloud.release(ctx, batch)
+	}
 	if err != nil {
 		f.log.Info("returning failed", "machines", batch, "err", err)
 		f.mu.Lock()
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -56,7 +56,7 @@
 				sims = append(sims, s)
 			}
 		case b.heard.IsZero() && b.stage != wire.MachineFailed:
-			left := max(3, t.BootS-now.Sub(b.hired).Seconds())
+			left := bootLeft(t.BootS, now.Sub(b.hired).Seconds())
 			sims = append(sims, &sim{offer: b.offer, matrix: placement.Matrix{{Wait: 0, Free: Size(t)}}, boot: left})
 		}
 	}
@@ -132,6 +132,20 @@
 	return sims, rest, n
 }
 
+// usually is how many times its type's figure a machine takes to boot at most, if
+// nothing is wrong with it.
+const usually = 1.5
+
+// bootLeft is how much longer a machine that has booted for so long will take, in
+// seconds. One that is up later than machines usually are may take several times
+// as long, or never come: work that can't wait as long again rents another.
+func bootLeft(boot, elapsed float64) float64 {
+	if elapsed > usually*boot {
+		return elapsed
+	}
+	return max(3, boot-elapsed)
+}
+
 // forever is longer than any plan looks ahead.
 const forever = 1e6
 
--- a/internal/links/decide.go
+++ b/internal/links/decide.go
@@ -72,6 +72,21 @@
 	return near == len(v.Peers)
 }
 
+// Alone reports whether this controller, which lost its lease, knows of nobody who
+// could start work: it hears no peer. Workers that it went on answering would only
+// wait here, and their tasks would be settled later by whoever owns the jobs now.
+func (v *View) Alone() bool {
+	if v.Self.Held || v.Self.State {
+		return false
+	}
+	for i := range v.Peers {
+		if v.Peers[i].Near() {
+			return false
+		}
+	}
+	return len(v.Peers) > 0
+}
+
 // Served names the peers that reach the state service and that can be asked.
 func (v *View) Served() []string {
 	var out []string
--- a/internal/links/silence.go
+++ b/internal/links/silence.go
@@ -31,14 +31,15 @@
 	Endpoint string // "" if it is not known here: then others can only say whether they heard it
 	Silent   time.Duration
 	Busy     bool // tasks may be on it
+	Deaf     bool // it is heard, but nothing that is sent to it has an effect
 }
 
 // Verdict is what to do about silent machines.
 type Verdict struct {
-	Back map[string]string // to be returned, and why
-	Ask  map[string]string // to be asked directly: endpoints by name
-	Kept int               // silent for as long, but not returned
-	Why  string            // for which reason, of the last one kept
+	Back map[string]string  // to be returned, and why
+	Ask  map[string]Machine // to be asked directly, by name
+	Kept int                // silent for as long, but not returned
+	Why  string             // for which reason, of the last one kept
 }
 
 // Silence judges silent machines. Silence is weighed against how well this
@@ -86,7 +87,7 @@
 		s.poor = now.Add(poorFor)
 	}
 	s.refused = ears.Refused
-	out := Verdict{Back: map[string]string{}, Ask: map[string]string{}}
+	out := Verdict{Back: map[string]string{}, Ask: map[string]Machine{}}
 	keep := func(why string) { out.Kept, out.Why = out.Kept+1, why }
 
 	still := make(map[string]bool, len(silent))
@@ -129,7 +130,7 @@
 		m := &silent[i]
 		a := s.asked[m.Name]
 		if !a.pending && now.Sub(a.at) >= askAgain && len(out.Ask) < mostAsked {
-			out.Ask[m.Name] = m.Endpoint
+			out.Ask[m.Name] = *m
 			a.pending = true
 			s.asked[m.Name] = a
 		}
@@ -159,6 +160,9 @@
 				s.returned[m.Name] = now
 			}
 			out.Back[m.Name] = fmt.Sprintf("silent for %.0f s", m.Silent.Seconds())
+			if m.Deaf {
+				out.Back[m.Name] = fmt.Sprintf("nothing reaches it for %.0f s", m.Silent.Seconds())
+			}
 			if m.Busy {
 				out.Back[m.Name] += " with tasks on it"
 			}
@@ -170,6 +174,9 @@
 // elsewhere says why another controller may hear the machine without being able to
 // say so here, or "".
 func (s *Silence) elsewhere(v *View, m *Machine) string {
+	if m.Deaf {
+		return "" // to be heard is not enough: all were asked
+	}
 	for i := range v.Peers {
 		p := &v.Peers[i]
 		switch {
--- a/internal/machine/arrivals.go
+++ b/internal/machine/arrivals.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/wallrack/wallrack/internal/wire"
 )
 
 // ArrivalWindow is the time over which arrivals are counted.
@@ -37,14 +39,33 @@
 
 func (h *Holder) second() int64 { return 1 + int64(time.Since(h.started)/time.Second) }
 
-func (h *Holder) arrived(name string) {
-	h.lastReport.Store(int64(time.Since(h.started)))
+// arrived notes a report that came by itself; false for a copy of one that came
+// before, or one that came late. A worker keeps one report in flight at a time, so
+// that what is not newer than the newest of them tells nothing of now: it must not
+// count as hearing the machine, renew anything or be acted on. Copies arrive up to
+// well over a lease late. A worker whose count began anew is told apart by this:
+// nothing newer has come for a lease, and its reports grow among themselves.
+func (h *Holder) arrived(rep *wire.Report) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.arrivals.add(h.second())
-	if s := h.machines[name]; s != nil {
-		s.seen = time.Now()
+	now := time.Now()
+	if s := h.machines[rep.Machine]; s != nil {
+		c := count{rep.Session, rep.Seq}
+		if !c.newer(s.newest) {
+			again := now.Sub(s.newestAt) > h.lease && c.newer(s.doubt) && s.doubt != count{}
+			s.doubt = c
+			if !again {
+				return false
+			}
+			h.log.Info("a worker counts anew", "machine", rep.Machine, "session", c.session, "seq", c.seq, "was", s.newest.seq)
+			s.report.Session, s.report.Seq = 0, 0
+		}
+		s.newest, s.newestAt, s.doubt = c, now, count{}
+		s.seen = now
 	}
+	h.lastReport.Store(int64(time.Since(h.started)))
+	h.arrivals.add(h.second())
+	return true
 }
 
 // Arrivals returns the reports that came in the last ArrivalWindow, whatever was
--- a/internal/machine/holder.go
+++ b/internal/machine/holder.go
@@ -52,6 +52,7 @@
 	at       time.Time // when the report came
 	seen     time.Time // when any report came, whatever was answered
 	told     time.Time // when the worker last reported here unasked, and was answered
+	asked    bool      // the report answered a request
 	queue    []*queued
 	tasks    map[Ref]*listed
 	halts    map[Ref]float64
@@ -62,6 +63,16 @@
 	draining bool
 	sticky   time.Time // stays here until then, although another should hold it
 	sentAway time.Time
+	newest   count     // of the reports that came by themselves, whatever was answered
+	newestAt time.Time // when that came
+	doubt    count     // of the last one that came although a newer one had
+}
+
+// count orders a worker's reports.
+type count struct{ session, seq uint64 }
+
+func (c count) newer(than count) bool {
+	return c.session > than.session || c.session == than.session && c.seq > than.seq
 }
 
 // Holder holds the machines whose workers report to this controller.
@@ -129,7 +140,9 @@
 
 // Report takes a worker's report and returns the status and body to answer.
 func (h *Holder) Report(ctx context.Context, rep *wire.Report) (int, any) {
-	h.arrived(rep.Machine)
+	if !h.arrived(rep) {
+		return http.StatusServiceUnavailable, wire.Problem{Error: "late report"}
+	}
 	foreman := h.routing.Foreman()
 	if !h.routing.Entitled() {
 		if foreman == h.name {
@@ -137,9 +150,14 @@
 		}
 		return http.StatusMisdirectedRequest, wire.Redirect{ReportTo: foreman}
 	}
-	if foreman != "" && foreman != h.name && h.sendAway(rep.Machine) {
+	if foreman != "" && foreman != h.name && h.sendAway(rep) {
 		return http.StatusMisdirectedRequest, wire.Redirect{ReportTo: foreman}
 	}
+	if h.routing.Alone() && h.sendAway(rep) {
+		// Others may be able to start work. One that finds none is back soon,
+		// and kept.
+		return http.StatusMisdirectedRequest, wire.Redirect{}
+	}
 	term := h.tokens.Term()
 	if term < rep.Token || term == 0 {
 		rctx, cancel := context.WithTimeout(ctx, raiseTimeout)
@@ -180,7 +198,8 @@
 
 // sendAway decides whether a worker is sent to the foreman. One that comes
 // back soon could not reach it and is kept for a while.
-func (h *Holder) sendAway(name string) bool {
+func (h *Holder) sendAway(rep *wire.Report) bool {
+	name := rep.Machine
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
@@ -192,7 +211,7 @@
 		s = newHeld()
 		h.machines[name] = s
 	}
-	s.seen = now
+	s.seen, s.newest, s.newestAt = now, count{rep.Session, rep.Seq}, now
 	if now.Before(s.sticky) {
 		return false
 	}
@@ -224,6 +243,9 @@
 		s = newHeld()
 		h.machines[rep.Machine] = s
 	}
+	if c := (count{rep.Session, rep.Seq}); renews && c.newer(s.newest) {
+		s.newest, s.newestAt = c, time.Now()
+	}
 	if old := &s.report; rep.Session < old.Session || rep.Session == old.Session && rep.Seq <= old.Seq {
 		return View{}, false
 	}
@@ -233,6 +255,7 @@
 	if renews {
 		h.answered[rep.Machine], s.told = now, now
 	}
+	s.asked = !renews
 	if !same {
 		s.list(rep, now)
 	}
--- a/internal/machine/holder_test.go
+++ b/internal/machine/holder_test.go
@@ -10,6 +10,8 @@
 	"testing/synctest"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/wallrack/wallrack/internal/machine"
 	"github.com/wallrack/wallrack/internal/placement"
 	"github.com/wallrack/wallrack/internal/wire"
@@ -22,6 +24,9 @@
 	order  func(wire.Orders) (*wire.Report, bool, error)
 	sent   []wire.Orders
 	views  []machine.View
+	alone  bool
+
+	foreman string
 }
 
 func (s *stub) Observe(v machine.View) { s.views = append(s.views, v) }
@@ -42,8 +47,14 @@
 func (s *stub) Type(string) (wire.MachineType, bool) {
 	return wire.MachineType{Name: "m", CPUs: 4, MemoryGB: 8}, true
 }
-func (s *stub) Foreman() string { return "a" }
-func (s *stub) Entitled() bool  { return true }
+func (s *stub) Foreman() string {
+	if s.foreman != "" {
+		return s.foreman
+	}
+	return "a"
+}
+func (s *stub) Entitled() bool { return true }
+func (s *stub) Alone() bool    { return s.alone }
 func (s *stub) Order(_ context.Context, _ string, o wire.Orders) (*wire.Report, bool, error) {
 	s.sent = append(s.sent, o)
 	return s.order(o)
@@ -122,16 +133,17 @@
 	}
 }
 
-// A report that is older than one already taken tells nothing, whatever it
-// lists; but unless its session is over the worker gets its answer: refused, it
-// went to look for another node whenever a direct order's answer overtook it.
-func TestLateReportIsNotObserved(t *testing.T) {
+// A report that the answer to a request overtook tells nothing, whatever it lists;
+// but unless its session is over the worker gets its answer: refused, it went to look
+// for another node whenever a direct order's answer overtook it.
+func TestOvertakenReportIsAnswered(t *testing.T) {
 	s := &stub{term: 5}
 	h := holder(t.Context(), s)
-	h.Report(t.Context(), report(7, 5))
+	h.Report(t.Context(), report(5, 5))
+	h.Ask(t.Context(), "n-1", "e") // answers with report 9
 	for _, seq := range []uint64{6, 7} {
 		if status, _ := h.Report(t.Context(), report(seq, 5)); status != http.StatusOK {
-			t.Errorf("report %d refused after report 7", seq)
+			t.Errorf("report %d refused after the answer to a request", seq)
 		}
 	}
 	next := report(1, 5)
@@ -140,11 +152,95 @@
 	if status, _ := h.Report(t.Context(), report(8, 5)); status == http.StatusOK {
 		t.Error("a report of an earlier session was answered")
 	}
-	if len(s.views) != 2 {
-		t.Errorf("%d views of 2 reports that were news", len(s.views))
+	if len(s.views) != 3 || !s.views[1].Asked || s.views[2].Asked {
+		t.Errorf("views of 3 reports that were news: %+v", s.views)
 	}
 }
 
+// Copies of reports arrive late, by seconds or by well over a lease, in any order and
+// more than once, here and where the worker was sent away from. None counts as
+// hearing the machine, renews anything or changes what is known of it; a worker
+// that really begins to count anew is heard after a lease.
+func TestCopiesOfReportsAreInert(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		former := rapid.Bool().Draw(rt, "former holder")
+		late := rapid.SliceOfN(rapid.Uint64Range(1, 20), 1, 12).Draw(rt, "copies")
+		wait := time.Duration(rapid.IntRange(0, 40).Draw(rt, "seconds")) * time.Second
+		wrong := ""
+		synctest.Test(t, func(t *testing.T) {
+			s := &stub{term: 5}
+			if former {
+				s.foreman = "b"
+			}
+			h := holder(t.Context(), s)
+			for seq := uint64(1); seq <= 20; seq++ {
+				r := report(seq, 5)
+				if seq < 12 {
+					r.Tasks = []wire.Task{{Task: "j-1/0", Attempt: 1, State: wire.TaskRunning}}
+				}
+				h.Report(t.Context(), r)
+				time.Sleep(time.Second)
+			}
+			time.Sleep(wait)
+			views, seen, unanswered := len(s.views), h.Seen("n-1"), h.Unanswered("n-1")
+			for i, seq := range late {
+				if i > 0 && seq > late[i-1] && wait > 9*time.Second {
+					break // that would be a worker that counts anew
+				}
+				status, _ := h.Report(t.Context(), report(seq, 5))
+				if status == http.StatusOK {
+					wrong = "a copy was answered"
+				}
+			}
+			if len(s.views) != views || h.Seen("n-1") < seen || h.Unanswered("n-1") < unanswered {
+				wrong = "a copy counted"
+			}
+			if n, _ := h.Arrivals(); n > 0 && wait > machine.ArrivalWindow+time.Second {
+				wrong = "a copy counted as an arrival"
+			}
+		})
+		if wrong != "" {
+			rt.Fatal(wrong)
+		}
+	})
+	synctest.Test(t, func(t *testing.T) {
+		s := &stub{term: 5}
+		h := holder(t.Context(), s)
+		h.Report(t.Context(), report(300, 5))
+		heard := time.Duration(0)
+		for seq := uint64(1); heard == 0 && seq < 30; seq++ {
+			time.Sleep(time.Second)
+			if status, _ := h.Report(t.Context(), report(seq, 5)); status == http.StatusOK {
+				heard = time.Duration(seq) * time.Second
+			}
+		}
+		if heard <= 10*time.Second || heard > 12*time.Second {
+			t.Errorf("a worker that counts anew is heard after %v", heard)
+		}
+	})
+}
+
+// A controller that can start nothing and hears nobody who could sends its workers
+// to look for one, and keeps those that are soon back.
+func TestAloneLetsWorkersGo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &stub{term: 5}
+		h := holder(t.Context(), s)
+		h.Report(t.Context(), report(1, 5))
+		s.alone = true
+		for i, want := range []int{http.StatusMisdirectedRequest, http.StatusOK, http.StatusOK} {
+			time.Sleep(3 * time.Second)
+			if status, _ := h.Report(t.Context(), report(uint64(i+2), 5)); status != want {
+				t.Errorf("report %d: status %d", i, status)
+			}
+		}
+		time.Sleep(time.Minute)
+		if status, _ := h.Report(t.Context(), report(9, 5)); status == http.StatusOK {
+			t.Error("kept for ever by one that starts nothing")
+		}
+	})
+}
+
 // A clear in a direct order could arrive before a start in the answer to a
 // report, which would then start the attempt again.
 func TestClearsGoOnlyInAnswers(t *testing.T) {
--- a/internal/machine/messages.go
+++ b/internal/machine/messages.go
@@ -94,6 +94,7 @@
 	AgeS     float64          `json:"age,omitempty"` // seconds since the report came
 	NoticeS  *float64         `json:"notice"`
 	Draining bool             `json:"draining"`
+	Asked    bool             `json:"asked,omitempty"` // the report answered a request, which thus reached the machine
 	Tasks    []TaskView       `json:"tasks"`
 	Queue    []QueueView      `json:"queue"`
 	Matrix   placement.Matrix `json:"matrix"`
@@ -127,4 +128,7 @@
 	Foreman() string
 	// Entitled reports whether this controller may answer workers.
 	Entitled() bool
+	// Alone reports whether this controller can start nothing, and knows of no
+	// other that can, while there may be one.
+	Alone() bool
 }
--- a/internal/owner/demand.go
+++ b/internal/owner/demand.go
@@ -50,9 +50,6 @@
 				n++
 			}
 		}
-		if j.errors > 6 {
-			n = min(n, 2)
-		}
 		if n > 0 {
 			waiting = append(waiting, j)
 			count[j] = n
@@ -86,7 +83,7 @@
 	for _, m := range o.machines {
 		m.kind, _ = o.types.Type(m.view.Type) // prices move
 		l := Load{Name: m.name, Type: m.view.Type, Zone: m.view.Zone, Spot: m.view.Spot, Matrix: m.matrix, Heard: m.heard,
-			Places: len(m.places), Notice: !m.notice.IsZero(), Faulty: m.errors >= 4 && len(m.errJobs) >= 2}
+			Places: len(m.places), Notice: !m.notice.IsZero(), Faulty: m.faulty()}
 		for p := range m.places {
 			if p.on() {
 				l.Used = l.Used.Add(p.job.shape, 1)
--- a/internal/owner/estimate.go
+++ b/internal/owner/estimate.go
@@ -107,6 +107,8 @@
 	if m.view.Spot {
 		done, lost = done+o.spotDone/4, lost+o.spotLost/4
 	}
-	lost += 2 * float64(m.errors)
+	for _, n := range m.blame {
+		lost += 2 * float64(n)
+	}
 	return done / (done + lost)
 }
--- a/internal/owner/grant.go
+++ b/internal/owner/grant.go
@@ -48,6 +48,8 @@
 		return no
 	case m.gone || m.view.Draining || !o.allowed(j, m):
 		return no
+	case !m.deaf.IsZero() && p.state != placeGranted:
+		return no
 	case j.asked != nil && !o.termsAllow(j, n):
 		return no
 	}
@@ -57,10 +59,12 @@
 		o.stats.Refused++
 		return no
 	}
-	p.state = placeGranted
+	if p.state != placeGranted { // else the start is repeated
+		p.state, p.grantedAt = placeGranted, time.Now()
+		o.stats.Granted++
+	}
 	p.token, p.session = max(p.token, r.Token), max(p.session, r.Session)
 	o.count(p, 1)
-	o.stats.Granted++
 	for _, x := range append([]*place(nil), j.places[n]...) {
 		if x != p {
 			o.unqueue(x)
--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -21,9 +21,12 @@
 	}
 	m := o.machineOf(v.Name)
 	old := &m.view
-	if m.gone || v.Session < old.Session || v.Session == old.Session && v.Seq < old.Seq {
+	if m.gone {
 		return
 	}
+	if (v.Session < old.Session || v.Session == old.Session && v.Seq < old.Seq) && time.Since(m.heard) < seconds(o.cfg.Params.Workers.LeaseS) {
+		return // a late copy; after a lease without any other, a worker that counts anew
+	}
 	if v.Session == old.Session && v.Seq == old.Seq && v.Holder == old.Holder {
 		// The same report with a changed queue: settling it again would only
 		// repeat the directions that changed the queue.
@@ -70,6 +73,7 @@
 	for i := range v.Queue {
 		o.checkQueued(m, v.Queue[i].Ref)
 	}
+	o.heeds(m, now)
 	o.drainNotice(m)
 	o.reserveUnshown(m)
 	poke(o.wake)
@@ -141,6 +145,7 @@
 				"told", p.sentTo, "age", time.Since(p.made), "holder", m.view.Holder, "token", m.view.Token, "reported", t.State, "for", t.ForS, "halted", p.haltAt)
 		}
 		unsettled := p.state == placeUnsettled
+		m.heeded = m.heeded || p.state == placeGranted
 		p.whole = !unsettled
 		o.count(p, -1)
 		p.state, p.session = placeSeen, m.view.Session
@@ -210,7 +215,9 @@
 	p.cause = t.Cause
 	if t.Cause == wire.CauseDone {
 		o.stats.Done++
-		m.done, m.errors = m.done*0.98+1, 0
+		m.done = m.done*0.98 + 1
+		clear(m.blame)
+		j.faulty, j.failedOn = false, nil
 		if m.view.Spot {
 			o.spotDone = o.spotDone*0.995 + 1
 		}
@@ -238,11 +245,8 @@
 	switch t.Cause {
 	case wire.CauseError:
 		o.stats.Errors++
-		m.errors++
-		m.errJobs[j.spec.UID] = true
-		j.errors++
-		j.avoid[m.index] = time.Now().Add(time.Minute)
-		if j.errors > 3 {
+		o.failed(j, m)
+		if j.errors > 3+j.done {
 			j.notBefore = time.Now().Add(min(30*time.Second, time.Second<<min(j.errors-3, 5)))
 		}
 	case wire.CauseNoRoom, wire.CauseBusy:
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -75,6 +75,7 @@
 	made      time.Time
 	sentTo    string // holder that was told
 	sentAt    time.Time
+	grantedAt time.Time // first
 	running   time.Time // when it was first seen running
 	whole     bool      // its start was seen, so its run time is known
 	haltAt    time.Time // when it was last told to stop
@@ -134,6 +135,8 @@
 	team      *team
 	runs      average
 	errors    int
+	failedOn  map[int]bool // machines on which its tasks failed, until one was done
+	faulty    bool         // it fails wherever it is tried, see failed
 	notBefore time.Time
 	avoid     map[int]time.Time
 	zones     map[string]int
@@ -167,23 +170,28 @@
 
 // mach is a machine as its views show it.
 type mach struct {
-	index   int
-	name    string
-	view    machine.View
-	at      time.Time // when the view came; zero if none did
-	heard   time.Time // when the report in it came to its holder
-	since   time.Time // when this owner first knew of it
-	matrix  placement.Matrix
-	held    bool // the matrix holds room for this pass only
-	places  map[*place]struct{}
-	images  map[int]*cached
-	notice  time.Time // when the cloud takes it, if it said so
-	done    float64
-	lost    float64
-	errors  int
-	errJobs map[string]bool
-	gone    bool
-	closing bool // the fleet wants it empty
+	index  int
+	name   string
+	view   machine.View
+	at     time.Time // when the view came; zero if none did
+	heard  time.Time // when the report in it came to its holder
+	since  time.Time // when this owner first knew of it
+	matrix placement.Matrix
+	held   bool // the matrix holds room for this pass only
+	places map[*place]struct{}
+	images map[int]*cached
+	notice time.Time // when the cloud takes it, if it said so
+	done   float64
+	lost   float64
+	blame  map[string]int // errors there since a task was last done there, by job
+	// deaf is since when what was sent to the machine had no effect, as its reports
+	// show; zero: it had. See heeds.
+	deaf     time.Time
+	unheeded int  // reports in a row that showed it
+	heeded   bool // a start was seen to have come through
+	heededAt time.Time
+	gone     bool
+	closing  bool // the fleet wants it empty
 	// recorded is the last takeover whose records had tasks on it.
 	recorded int
 	kind     wire.MachineType
@@ -329,7 +337,7 @@
 	m := o.machines[name]
 	if m == nil {
 		m = &mach{index: len(o.byIndex), name: name, since: time.Now(), places: map[*place]struct{}{},
-			images: map[int]*cached{}, errJobs: map[string]bool{}}
+			images: map[int]*cached{}, blame: map[string]int{}}
 		o.machines[name] = m
 		o.byIndex = append(o.byIndex, m)
 	}
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -29,7 +29,7 @@
 	var open []*mach
 	fresh := seconds(3*o.cfg.Params.Workers.ReportS + 1)
 	for _, m := range o.byIndex {
-		if m != nil && !m.gone && !m.closing && !m.view.Draining && m.notice.IsZero() && len(m.matrix) > 0 && o.now.Sub(m.heard) < fresh {
+		if m != nil && !m.gone && !m.closing && m.deaf.IsZero() && !m.view.Draining && m.notice.IsZero() && len(m.matrix) > 0 && o.now.Sub(m.heard) < fresh {
 			open = append(open, m)
 		}
 	}
@@ -558,7 +558,7 @@
 			if p.state != placeRecorded {
 				continue
 			}
-			silent := now.Sub(later(p.mach.heard, p.made)) > fresh || !p.mach.notice.IsZero() || p.mach.view.Draining
+			silent := now.Sub(later(p.mach.heard, p.made)) > fresh || !p.mach.notice.IsZero() || p.mach.view.Draining || !p.mach.deaf.IsZero()
 			if silent {
 				// Never granted: the task can simply look elsewhere.
 				o.unqueue(p)
--- a/internal/owner/silence.go
+++ b/internal/owner/silence.go
@@ -50,14 +50,28 @@
 const maxGone = 4096
 
 // Silent returns how many machines there are, and those that were not heard for
-// longer than from.
+// longer than from, or on which what was sent had no effect for so long.
 func (o *Owner) Silent(from time.Duration) (known int, silent []links.Machine) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := time.Now()
+	unreached, reached := 0, 0
+	for _, m := range o.machines {
+		if !m.deaf.IsZero() {
+			unreached++
+		} else if now.Sub(m.heededAt) < o.heedWait() {
+			reached++
+		}
+	}
 	for name, m := range o.machines {
-		if s := now.Sub(later(m.heard, m.since)); s >= from {
-			silent = append(silent, links.Machine{Name: name, Endpoint: m.view.Endpoint, Silent: s, Busy: len(m.places) > 0})
+		// If nothing reaches most of those that were sent something, the way there is
+		// bad, and not they.
+		s, deaf := now.Sub(later(m.heard, m.since)), !m.deaf.IsZero() && unreached <= reached
+		if deaf {
+			s = max(s, now.Sub(m.deaf))
+		}
+		if s >= from {
+			silent = append(silent, links.Machine{Name: name, Endpoint: m.view.Endpoint, Silent: s, Busy: len(m.places) > 0, Deaf: deaf})
 		}
 	}
 	return len(o.machines), silent
--- a/internal/owner/terms.go
+++ b/internal/owner/terms.go
@@ -86,6 +86,9 @@
 // room is how many of the job's waiting tasks may be placed now.
 func (o *Owner) room(j *job) int {
 	n := len(j.pending)
+	if j.faulty {
+		n = min(n, max(0, faultyTries-len(j.places)))
+	}
 	if j.asked == nil || n == 0 {
 		return n
 	}
--- a/internal/testkit/cuts_test.go
+++ b/internal/testkit/cuts_test.go
@@ -13,7 +13,9 @@
 
 	"github.com/wallrack/wallrack/internal/links"
 	"github.com/wallrack/wallrack/internal/machine"
+	"github.com/wallrack/wallrack/internal/owner"
 	"github.com/wallrack/wallrack/internal/testkit"
+	"github.com/wallrack/wallrack/internal/wire"
 )
 
 // stateService names the state service in the matrix of links.
@@ -107,6 +109,12 @@
 	return n.member.Term() > 0 && n.reach.last.Entitled(since, testGrace)
 }
 
+func (n *node) Alone() bool {
+	v := n.reach.last
+	v.Self.Held = n.member.Held() > 0
+	return v.Alone()
+}
+
 // exchange has the controllers tell each other, as far as links work, and act by
 // what they then know.
 func (w *world) exchange() {
@@ -169,14 +177,18 @@
 	r := &n.reach
 	known, silent := n.owner.Silent(r.silence.From())
 	verdict := r.silence.Judge(time.Now(), v, links.Ears{}, known, silent)
-	for name, endpoint := range verdict.Ask {
+	for name, m := range verdict.Ask {
+		endpoint := m.Endpoint
 		heard := endpoint != "" && n.holder.Ask(context.Background(), name, endpoint)
 		for _, p := range w.names { // and its peers are asked whether they hear it
 			w.mu.Lock()
 			to := w.nodes[p]
 			ok := to != n && w.reach(n, to)
 			w.mu.Unlock()
-			heard = heard || ok && (to.holder.Seen(name) < r.silence.Base || endpoint != "" && to.holder.Ask(context.Background(), name, endpoint))
+			heard = heard || ok && (!m.Deaf && to.holder.Seen(name) < r.silence.Base || endpoint != "" && to.holder.Ask(context.Background(), name, endpoint))
+		}
+		if heard && m.Deaf {
+			n.owner.Answered(name)
 		}
 		r.silence.Asked(name, heard, time.Now())
 	}
@@ -377,13 +389,35 @@
 	}
 }
 
-// TestAnyCuts draws schedules of cuts, crashes and dying machines: a task is never
-// on two machines, none that is heard is returned, and every job ends.
+// poll asks a controller for a job as its users' interface does.
+func (w *world) poll(n *node, uid string) (wire.JobState, bool) {
+	if s, ok := n.owner.Known(uid); ok {
+		return s, true
+	}
+	for _, o := range n.member.Owners() {
+		w.mu.Lock()
+		to := w.nodes[o]
+		ok := w.reach(n, to)
+		w.mu.Unlock()
+		if ok && to != n {
+			if s, known := to.owner.Known(uid); known {
+				return s, true
+			}
+		}
+	}
+	s, err := owner.Stored(context.Background(), n.view, uid)
+	return s, err == nil
+}
+
+// TestAnyCuts draws schedules of cuts, crashes, dying machines, machines that nothing
+// reaches, late copies of reports and returns within a fraction of a second: a task is
+// never on two machines, none that is heard and reached is returned, every job is known
+// to everybody 20 s after the last trouble, and every job ends.
 func TestAnyCuts(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		type step struct{ What, Who, Other, Wait int }
 		steps := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) step {
-			return step{rapid.IntRange(0, 7).Draw(rt, "what"), rapid.IntRange(0, 4).Draw(rt, "who"), rapid.IntRange(0, 11).Draw(rt, "other"), rapid.IntRange(0, 12).Draw(rt, "wait")}
+			return step{rapid.IntRange(0, 12).Draw(rt, "what"), rapid.IntRange(0, 4).Draw(rt, "who"), rapid.IntRange(0, 11).Draw(rt, "other"), rapid.IntRange(0, 12).Draw(rt, "wait")}
 		}), 1, 12).Draw(rt, "steps")
 		controllers := rapid.IntRange(3, 5).Draw(rt, "controllers")
 		seed := rapid.Uint64().Draw(rt, "seed")
@@ -449,10 +483,40 @@
 					for _, n := range w.nodes {
 						n.view.Deliver()
 					}
+				case 8: // its reports arrive, and nothing reaches it
+					w.unheard(k, w.names...)
+				case 9:
+					w.unheard(k, name)
+				case 10: // late copies of reports, to whom they were for or not
+					w.deliverCopies(w.nodes[name])
+				case 11: // nothing but the workers reach it
+					for _, x := range append([]string{stateService}, w.names...) {
+						if x != name {
+							w.cutAll(name, x)
+						}
+					}
+				case 12: // back within a fraction of a second, twice
+					for range 2 {
+						if !w.nodes[name].down {
+							w.crash(name)
+							time.Sleep(time.Duration(100+50*st.Other) * time.Millisecond)
+							w.start(name)
+						}
+						time.Sleep(time.Duration(60*st.Wait) * time.Millisecond)
+					}
 				}
 				live(st.Wait)
 			}
 			w.keepCuts = false
+			live(20)
+			for i := range jobs {
+				// Troubles over, every job is known to every controller within 20 s.
+				for _, n := range w.names {
+					if s, ok := w.poll(w.nodes[n], fmt.Sprintf("j-%d", i)); !ok || s.Stage == wire.StageCancelled {
+						w.fail("20 s after the last trouble %s says %+v, %v of job %d", n, s, ok, i)
+					}
+				}
+			}
 			for end := time.Now().Add(10 * time.Minute); wrong == "" && len(w.store.Keys("final/")) < jobs && time.Now().Before(end); {
 				live(1)
 			}
--- /dev/null
+++ b/internal/testkit/deaf_test.go
@@ -0,0 +1,235 @@
+package testkit_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/testkit"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// settled starts a world with so many controllers, lets it run with a long job, and
+// returns the owner's name and the others'. live lets seconds pass, with no troubles
+// drawn and nothing healed.
+func settled(t *testing.T, seed uint64, controllers, workers int) (w *world, owner string, others []string, live func(seconds int)) {
+	w = newWorld(t, seed)
+	w.bigger(controllers, workers)
+	for _, n := range w.names {
+		w.start(n)
+		time.Sleep(100 * time.Millisecond)
+	}
+	live = func(seconds int) {
+		for range seconds {
+			w.reportAll()
+			w.step(time.Time{}.Add(1))
+		}
+	}
+	w.submit("j-0", 6000)
+	w.keepCuts = true
+	live(25)
+	for _, n := range w.names {
+		if len(w.nodes[n].member.Own()) > 0 {
+			owner = n
+		} else {
+			others = append(others, n)
+		}
+	}
+	if owner == "" || time.Since(w.started) > 3*time.Second {
+		t.Fatalf("no start before the trouble; owner %q", owner)
+	}
+	return w, owner, others, live
+}
+
+func (w *world) stopAll() {
+	for _, n := range w.names {
+		if !w.nodes[n].down {
+			w.crash(n)
+		}
+	}
+}
+
+// unheard breaks the links from controllers to a worker, not those back: its reports
+// arrive, answers and commands do not.
+func (w *world) unheard(k *testkit.Worker, by ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, n := range by {
+		w.off[[2]string{n, k.Name}] = true
+	}
+}
+
+// Machines whose reports arrive and which no answer and no command reaches must not
+// take one start after the other for nothing: by one machine, by a tenth, by all that
+// the owner reaches, by all. What runs goes on, those that nothing reaches are
+// returned in time, and no other.
+func TestReportsArriveAndAnswersDoNot(t *testing.T) {
+	for i, c := range []struct {
+		name    string
+		deaf    int  // machines
+		owner   bool // by the owner alone
+		gap     time.Duration
+		wasted  int // starts granted and not run, at most
+		back    int // machines returned, at most
+		atLeast int
+	}{
+		{"one", 1, false, 6 * time.Second, 60, 1, 1},
+		{"a tenth", 3, false, 6 * time.Second, 120, 3, 3},
+		{"all of the owner's", 24, true, 12 * time.Second, 300, 0, 0},
+		{"all", 24, false, 0, 400, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w, owner, _, live := settled(t, uint64(300+i), 3, 24)
+				by := w.names
+				if c.owner {
+					by = []string{owner}
+				}
+				for _, k := range w.workers[:c.deaf] {
+					w.unheard(k, by...)
+				}
+				ran, before := w.starts, w.nodes[owner].owner.Counters().Granted
+				longest := time.Duration(0)
+				for range 60 {
+					live(1)
+					longest = max(longest, time.Since(w.started))
+				}
+				granted := 0
+				for _, n := range w.nodes {
+					granted += n.owner.Counters().Granted
+				}
+				ran = w.starts - ran
+				t.Logf("%s: %v without a start, %d granted, %d ran, %d returned", c.name, longest, granted-before, ran, w.back)
+				if c.gap > 0 && longest > c.gap {
+					t.Errorf("%v without a start", longest)
+				}
+				if wasted := granted - before - ran; wasted > c.wasted {
+					t.Errorf("%d starts for nothing", wasted)
+				}
+				if w.back > c.back || w.back < c.atLeast {
+					t.Errorf("%d machines returned", w.back)
+				}
+				w.mu.Lock()
+				clear(w.off)
+				w.mu.Unlock()
+				live(30)
+				if time.Since(w.started) > 3*time.Second {
+					t.Errorf("after the healing no start for %v", time.Since(w.started))
+				}
+				w.stopAll()
+			})
+		})
+	}
+}
+
+// A controller that loses the state service and the other controllers, and not its
+// workers, lets them go: for whatever time, as owner or not, and two at once.
+func TestAloneWithItsWorkers(t *testing.T) {
+	for i, long := range []int{5, 12, 120} {
+		for _, who := range []string{"owner", "another", "both"} {
+			t.Run(fmt.Sprintf("%s for %d s", who, long), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w, owner, others, live := settled(t, uint64(400+i), 5, 24)
+					cut := map[string][]string{"owner": {owner}, "another": {others[0]}, "both": {owner, others[0]}}[who]
+					for _, n := range cut {
+						for _, x := range append([]string{stateService}, w.names...) {
+							if x != n {
+								w.cutAll(n, x)
+							}
+						}
+					}
+					longest := time.Duration(0)
+					for range long {
+						live(1)
+						longest = max(longest, time.Since(w.started))
+					}
+					held := 0
+					for _, k := range w.workers {
+						for _, n := range cut {
+							if w.nodes[n].holder.Unanswered(k.Name) < 10*time.Second {
+								held++
+							}
+						}
+					}
+					t.Logf("%v without a start, %d workers still there, %d returned", longest, held, w.back)
+					if longest > 9*time.Second || w.back > 0 {
+						t.Errorf("%v without a start, %d machines returned", longest, w.back)
+					}
+					if long > 60 && held > 0 {
+						t.Errorf("%d workers are still held by who can start nothing", held)
+					}
+					w.mu.Lock()
+					clear(w.off)
+					w.mu.Unlock()
+					live(20)
+					if time.Since(w.started) > 3*time.Second {
+						t.Errorf("after the healing no start for %v", time.Since(w.started))
+					}
+					w.stopAll()
+				})
+			})
+		}
+	}
+}
+
+// Jobs that were submitted with a mistake fail on every machine. They must not make
+// sound machines faulty, or take a start after the other; they stay known, and are
+// done in earnest once they can be. A machine that fails what runs elsewhere is still
+// told apart.
+func TestFaultyJobsBlameNoMachine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, owner, _, live := settled(t, 500, 3, 24)
+		mended, sick, tried := false, w.workers[0].Name, 0
+		for _, k := range w.workers {
+			k.Exit = func(task string) int {
+				bad := strings.HasPrefix(task, "j-bad")
+				if bad {
+					tried++
+				}
+				if bad && !mended || k.Name == sick {
+					return 3
+				}
+				return 0
+			}
+		}
+		for i := range 4 {
+			w.submit(fmt.Sprintf("j-bad%d", i), 40)
+			w.submit(fmt.Sprintf("j-%d", 1+i), 2000)
+		}
+		before := w.starts
+		live(90)
+		if good := w.starts - before - tried; good < 1000 {
+			t.Errorf("%d starts of the sound job in 90 s", good)
+		}
+		t.Logf("%d tries", tried)
+		if tried > 110 {
+			t.Errorf("%d tries of faulty jobs", tried)
+		}
+		_, loads := w.nodes[owner].owner.Demand(10)
+		found := false
+		for _, l := range loads {
+			if l.Faulty && l.Name != sick {
+				t.Errorf("%s is called faulty", l.Name)
+			}
+			found = found || l.Faulty
+		}
+		if !found {
+			t.Error("the sick machine was not found out")
+		}
+		for i := range 4 {
+			if s, ok := w.poll(w.nodes[owner], fmt.Sprintf("j-bad%d", i)); !ok || s.Stage == wire.StageDone {
+				t.Errorf("a faulty job: %+v, %v", s, ok)
+			}
+		}
+		mended = true
+		for end := time.Now().Add(5 * time.Minute); len(w.store.Keys("final/j-bad")) < 4 && time.Now().Before(end); {
+			live(1)
+		}
+		if n := len(w.store.Keys("final/j-bad")); n < 4 {
+			t.Errorf("%d of 4 mended jobs are done", n)
+		}
+		w.stopAll()
+	})
+}
--- a/internal/testkit/world_test.go
+++ b/internal/testkit/world_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -49,9 +50,11 @@
 	at       map[*testkit.Worker]int // controller that a worker reports to
 	byName   map[string]*testkit.Worker
 	late     []func()
+	copies   []*wire.Report                   // of reports, that may be delivered late
 	names    []string                         // of the controllers, in their order
 	off      map[[2]string]bool               // links that do not work, from and to: see cuts_test.go
 	started  time.Time                        // when a task last started
+	starts   int                              // tasks started so far
 	heard    map[string]hearing               // of each worker, by any controller
 	back     int                              // machines returned
 	keepCuts bool                             // whether links stay cut when it is calm
@@ -219,7 +222,16 @@
 	status, body := n.holder.Report(context.Background(), rep)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.hear(k.Name)
+	if status == http.StatusOK && w.works(n.name, k.Name) {
+		w.hear(k.Name) // one that nobody answers loses its tasks, and may go
+	}
+	if w.copies = append(w.copies, rep); len(w.copies) > keptCopies {
+		w.copies = w.copies[keptCopies/2:]
+	}
+	if !w.works(n.name, k.Name) {
+		w.at[k]++
+		return
+	}
 	if w.rnd.IntN(30) == 0 {
 		return // the answer is lost
 	}
@@ -254,6 +266,27 @@
 	}
 }
 
+// keptCopies is how many reports may be delivered late: those of a minute or so.
+const keptCopies = 800
+
+// deliverCopies delivers late copies of reports to a controller, in any order and
+// perhaps more than once.
+func (w *world) deliverCopies(to *node) {
+	w.mu.Lock()
+	late := slices.Clone(w.copies)
+	w.rnd.Shuffle(len(late), func(i, j int) { late[i], late[j] = late[j], late[i] })
+	w.mu.Unlock()
+	if to.down {
+		return
+	}
+	for _, rep := range late[:len(late)/2] {
+		again := *rep
+		again.Tasks = slices.Clone(rep.Tasks)
+		to.holder.Report(context.Background(), &again) // whatever is answered reaches nobody
+		w.check()
+	}
+}
+
 // publish hands the views of each controller to the owners elsewhere, and
 // lets the owners settle silent machines by vouching.
 func (w *world) publish() {
@@ -327,7 +360,7 @@
 
 // join adds a worker that reports to the i-th controller first.
 func (w *world) join(k *testkit.Worker, i int) {
-	k.Started = func(string, uint64) { w.started = time.Now() }
+	k.Started = func(string, uint64) { w.started, w.starts = time.Now(), w.starts+1 }
 	w.workers = append(w.workers, k)
 	w.byName[k.Name] = k
 	w.at[k] = i
