Late news of a shard makes no second owner after a hand-over

Change: each member knows the newest version of a shard's key, from its own writes too, and ignores what is older; the stand-in's watches lag; the check looks a second time before it calls two owners.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -94,6 +94,7 @@
 	nodes    map[string]nodeRecord
 	owners   map[int]shardRecord
 	own      map[int]uint64 // shard -> version of its key
+	newest   map[int]uint64 // shard -> highest version of its key that is known; what is older is late news
 	synced   bool
 	joinedAs uint64            // the term of this incarnation's joining
 	short    int               // see nodeRecord
@@ -120,7 +121,7 @@
 func New(store Store, name string, ttl time.Duration, shards, spread int, log *slog.Logger) *Member {
 	return &Member{
 		store: store, name: name, ttl: ttl, shards: shards, spread: spread, log: log,
-		wake: make(chan struct{}, 1), raising: make(chan struct{}, 1), nodes: map[string]nodeRecord{}, owners: map[int]shardRecord{}, own: map[int]uint64{},
+		wake: make(chan struct{}, 1), raising: make(chan struct{}, 1), nodes: map[string]nodeRecord{}, owners: map[int]shardRecord{}, own: map[int]uint64{}, newest: map[int]uint64{},
 		freed: map[int]time.Time{}, left: map[string]time.Time{}, flaps: map[string]bool{}, limbo: map[int]uint64{},
 	}
 }
@@ -511,7 +512,7 @@
 	m.mu.Lock()
 	if m.lease == lease {
 		for _, s := range free {
-			m.own[s] = rev
+			m.own[s], m.newest[s] = rev, max(m.newest[s], rev)
 			m.owners[s] = shardRecord{Node: m.name, Term: term, Lease: lease}
 		}
 	}
@@ -580,11 +581,14 @@
 	m.notify()
 	cctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
-	_, err := m.store.Txn(cctx, guards, ops...)
+	rev, err := m.store.Txn(cctx, guards, ops...)
 	m.mu.Lock()
 	m.handing = false
 	if m.lease == lease {
 		for s, v := range given {
+			if err == nil {
+				m.newest[s] = max(m.newest[s], rev)
+			}
 			if m.limbo[s] != v {
 				continue // the watch was faster
 			}
@@ -632,6 +636,9 @@
 				m.own[s] = rev
 				m.owners[s] = self
 			}
+			// If it had been applied, all that the watch still brings of the time
+			// before is late.
+			m.newest[s] = max(m.newest[s], rev, shards[s]+1)
 		}
 	}
 	m.mu.Unlock()
@@ -677,9 +684,15 @@
 
 func (m *Member) reset(items []wire.Item) {
 	m.mu.Lock()
+	known := m.owners
 	m.nodes, m.owners = map[string]nodeRecord{}, map[int]shardRecord{}
 	for _, it := range items {
 		m.applyLocked(it.Key, it.Value, it.Version)
+		if s, ok := shardOf(it.Key); ok && it.Version < m.newest[s] {
+			if r, ok := known[s]; ok {
+				m.owners[s] = r // the listing is older than what is known
+			}
+		}
 	}
 	for s := range m.own {
 		if r, ok := m.owners[s]; !ok || r.Node != m.name {
@@ -741,12 +754,18 @@
 	if !ok || json.Unmarshal(value, &r) != nil {
 		return
 	}
+	if version < m.newest[s] {
+		// Late news. An owner whose watch was behind took the news of its own
+		// claim, after it had handed the shard over, for a new claim of its own.
+		return
+	}
 	if v, out := m.limbo[s]; out {
 		if version <= v {
 			return // from before the hand-over, whose outcome is open
 		}
 		delete(m.limbo, s)
 	}
+	m.newest[s] = version
 	m.owners[s] = r
 	if m.lease != 0 && r.Lease == m.lease {
 		// A claim whose answer was lost: without this, the shard would be
@@ -774,9 +793,10 @@
 			}
 			delete(m.own, s)
 		}
-		if v, out := m.limbo[s]; out && version <= v {
+		if v, out := m.limbo[s]; out && version <= v || version < m.newest[s] {
 			return
 		}
+		m.newest[s] = version
 		delete(m.limbo, s)
 		delete(m.owners, s)
 		m.freed[s] = time.Now()
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -300,18 +300,28 @@
 				down[i] = &atomic.Bool{}
 				views[i] = &testkit.View{Store: store, Down: down[i].Load,
 					Lose: func() bool { return !calm && rnd.IntN(6) == 0 }, Late: func() bool { return !calm && rnd.IntN(6) == 0 }}
+				if !calm {
+					// Else both controllers would hear of a change at the same instant.
+					lag := time.Duration(rnd.IntN(120)) * time.Millisecond
+					views[i].Lag = func() time.Duration { return lag }
+				}
 				ctx, cancel := context.WithCancel(context.Background())
 				members[i] = member(views[i], names[i])
 				stops[i], dones[i] = cancel, run(ctx, members[i])
 			}
 			watch := func(d time.Duration) {
 				for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-					owners := map[int][]string{}
+					owner := map[int]int{}
 					for i, m := range members {
 						for s := range m.Own() {
-							if owners[s] = append(owners[s], names[i]); len(owners[s]) > 1 {
-								wrong = fmt.Sprintf("shard %d is owned by %v", s, owners[s])
+							// A hand-over may end between one look and the next: two
+							// own a shard only if the first still does.
+							if k, two := owner[s]; two {
+								if _, still := members[k].Owns(s); still {
+									wrong = fmt.Sprintf("shard %d is owned by %s and %s", s, names[k], names[i])
+								}
 							}
+							owner[s] = i
 						}
 					}
 				}
--- a/internal/testkit/store.go
+++ b/internal/testkit/store.go
@@ -138,6 +138,8 @@
 	Lose func() bool
 	// Late, if it returns true, holds a transaction back; Deliver applies it.
 	Late func() bool
+	// Lag is how long a watch's answer takes; nil: no time.
+	Lag func() time.Duration
 
 	lateMu sync.Mutex
 	late   []wire.Txn
@@ -303,6 +305,12 @@
 		rev = v.rev
 		wait := v.change
 		v.mu.Unlock()
+		if len(got) > 0 && v.Lag != nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(v.Lag()):
+			}
+		}
 		if len(got) > 0 {
 			change(got)
 		}
