Every job begins within four minutes: its first task goes first after two

Need: the operators' rule for a class's largest jobs. Change: the first task of a job that has not begun for two minutes is placed before all other work, with room held for it; counts by class, team and class's largest in /ops/stats.

--- a/cmd/wallrack/daemon.go
+++ b/cmd/wallrack/daemon.go
@@ -110,7 +110,7 @@
 	alerts.Register(mux)
 	mux.HandleFunc("GET /ops/stats", func(w http.ResponseWriter, _ *http.Request) {
 		stats := alerts.Stats()
-		stats["counters"], stats["usage"], stats["recovery"] = n.owner.Counters(), meter.Read(), n.times.Last()
+		stats["counters"], stats["usage"], stats["recovery"], stats["served"] = n.owner.Counters(), meter.Read(), n.times.Last(), n.owner.Served()
 		respond.JSON(w, http.StatusOK, stats)
 	})
 	mux.HandleFunc("GET /ops/machines", n.serveMachines)
--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -164,6 +164,7 @@
 		p.running = time.Now().Add(-time.Duration(t.ForS * float64(time.Second)))
 		j.running++
 		j.started++
+		j.begin(p.running)
 		j.asked.startedAt(p.running)
 	}
 	if j.cancelled || p.chunk.isDone(p.task) {
@@ -234,6 +235,7 @@
 		if !j.spec.Service() && !p.chunk.isDone(p.task) {
 			p.chunk.setDone(p.task)
 			j.done++
+			j.begin(time.Now())
 			o.taskOver(p)
 			return
 		}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -145,6 +145,8 @@
 	ends      []float64    // see limits
 	moved     map[int]bool // tasks that were stopped to empty a machine
 	asked     *asked       // what its terms ask; nil: it has none
+	large     bool         // it is one of its class's largest
+	begunAt   time.Time    // when its first task was seen to run, of a gang the last
 	tier      int          // limits that it has to let pass, see triage
 	over      int          // tasks that are done, failed or cancelled alone
 }
@@ -155,6 +157,7 @@
 	ratio  float64 // real run time to the owner's estimate
 	runs   average
 	starts []float64 // aims for its tasks' starts, in seconds
+	sizes  sizes
 }
 
 // team is a team's use.
@@ -249,6 +252,7 @@
 	spotDone  float64
 	spotLost  float64
 	stats     Stats
+	over      tally // of jobs that ended here
 	book      *accounting.Book
 	loose     []accounting.Row // of attempts whose end needs no record
 }
@@ -266,7 +270,7 @@
 		teams: map[string]*team{},
 		wake:  make(chan struct{}, 1), flush: make(chan struct{}, 1), out: make(chan struct{}, 1),
 		loaded: map[int]uint64{}, jobs: map[string]*job{}, machines: map[string]*mach{}, returned: recent.NewSet(maxGone), classes: map[string]*class{},
-		rooms: map[roomKey][]*mach{}, cachers: map[cacheKey][]*mach{}, logs: map[int]*shardLog{}, final: map[string]finalRecord{}, arriving: map[string]*arriving{}, flood: map[int]bool{}, pend: map[string]*machine.Direction{},
+		rooms: map[roomKey][]*mach{}, cachers: map[cacheKey][]*mach{}, logs: map[int]*shardLog{}, final: map[string]finalRecord{}, arriving: map[string]*arriving{}, over: tally{}, flood: map[int]bool{}, pend: map[string]*machine.Direction{},
 	}
 	for _, t := range cfg.Params.Teams {
 		o.teams[t.Name] = &team{Team: t}
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -256,3 +256,37 @@
 		}
 	})
 }
+
+// Every job has to begin within four minutes, the largest of the lowest priority too,
+// while more urgent work could fill the fleet for ever. From two minutes on its first
+// task goes before all others, and only that.
+func TestEveryJobBegins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 10, 0) // room for one task of 4 CPUs on each machine
+		add := func(uid, priority string, tasks int, age time.Duration) {
+			j := wire.Job{UID: uid, Class: "c" + priority, Team: "t", Kind: wire.KindArray, Priority: priority, Tasks: tasks, CPUs: 4, Estimate: 20, Spot: true}
+			f.rev++
+			f.owner.Accepted(&j, nil, 0, time.Now().Add(-age).UnixMilli(), f.rev)
+		}
+		for i := range 12 {
+			add(fmt.Sprintf("j-small%d", i), "low", 2, 10*time.Second)
+		}
+		add("j-largest", "low", 900, 3*time.Minute)
+		add("j-later", "low", 900, time.Minute)
+		add("j-urgent", "urgent", 500, 0)
+		f.owner.Pass()
+		if large, later, urgent := f.owner.Placed("j-largest"), f.owner.Placed("j-later"), f.owner.Placed("j-urgent"); large != 1 || later != 0 || urgent != 9 {
+			t.Errorf("placed: %d of the largest, %d of a younger one, %d of the urgent", large, later, urgent)
+		}
+		served := f.owner.Served()
+		if s := served["class"]["clow"]; s.Offered != 14 || s.Begun != 0 || s.Waiting != 14 {
+			t.Errorf("class: %+v", s)
+		}
+		if s := served["largest"]["clow"]; s.Offered < 1 || s.Offered > 4 {
+			t.Errorf("largest: %+v", s)
+		}
+		if s := served["team"]["t"]; s.Offered != 15 {
+			t.Errorf("team: %+v", s)
+		}
+	})
+}
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -138,10 +139,10 @@
 			break
 		}
 		// A batch holds tasks of similar priority, that can be in time or not alike.
-		rank, tier := waiting[0].spec.Rank(), waiting[0].tier
+		rank, tier, first := waiting[0].spec.Rank(), waiting[0].tier, o.first(waiting[0])
 		var jobs []*job
 		for _, j := range waiting {
-			if j.spec.Rank() == rank && j.tier == tier && len(jobs) < batchJobs {
+			if len(jobs) < batchJobs && o.first(j) == first && (first || j.spec.Rank() == rank && j.tier == tier) {
 				jobs = append(jobs, j)
 			}
 		}
@@ -165,7 +166,12 @@
 				rest = append(rest, j)
 			}
 		}
-		if len(rest) > 0 && rest[0].spec.Rank() < rank {
+		if first {
+			// Only for first tasks: what began has its turn with all others.
+			jobs = slices.DeleteFunc(jobs, func(j *job) bool { return !o.first(j) })
+			o.sortJobs(rest)
+		}
+		if len(rest) > 0 && (first || rest[0].spec.Rank() < rank) {
 			o.hold(jobs, open)
 		}
 		waiting = rest
@@ -208,16 +214,20 @@
 	}
 }
 
-// sortJobs orders jobs: within their team's guarantee first, then by priority, then
+// sortJobs orders jobs: first those that have to begin, then within their team's guarantee first, then by priority, then
 // those that can be done in time before those that can't, then by when they are due.
 func (o *Owner) sortJobs(jobs []*job) {
-	within := map[*job]bool{}
+	within, first := map[*job]bool{}, map[*job]bool{}
 	for _, j := range jobs {
+		first[j] = o.first(j)
 		t := j.team
 		within[j] = t.CPUs > 0 && t.use.CPUs+j.shape.CPUs <= t.CPUs+1e-6 || t.GPUs > 0 && t.use.GPUs+j.shape.GPUs <= t.GPUs+1e-6
 	}
 	sort.SliceStable(jobs, func(a, b int) bool {
 		x, y := jobs[a], jobs[b]
+		if first[x] != first[y] {
+			return first[x]
+		}
 		if within[x] != within[y] {
 			return within[x]
 		}
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -175,6 +175,7 @@
 	if j.team == nil {
 		j.team = &team{}
 	}
+	j.large = j.class.sizes.add(float64(spec.Tasks) * spec.CPUs)
 	for n := 0; n*chunkSize < spec.Tasks; n++ {
 		j.chunks = append(j.chunks, &chunk{n: n, done: make([]byte, chunkSize/8), next: 1, job: j})
 	}
@@ -226,6 +227,9 @@
 			j.pending = append(j.pending, t)
 		}
 	}
+	if j.done > 0 {
+		j.begin(time.Now()) // earlier, under a predecessor: nobody knows when
+	}
 	if fence == 0 && !spec.Service() && (j.asked == nil || o.waits(j, time.Now()) == "") {
 		work := float64(spec.Tasks) * spec.CPUs * j.runEstimate()
 		o.admitted += work
--- a/internal/owner/terms.go
+++ b/internal/owner/terms.go
@@ -86,6 +86,9 @@
 // room is how many of the job's waiting tasks may be placed now.
 func (o *Owner) room(j *job) int {
 	n := len(j.pending)
+	if n > 1 && o.first(j) {
+		n = 1 // the rest in its turn
+	}
 	if j.faulty {
 		n = min(n, max(0, faultyTries-len(j.places)))
 	}
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/goccy/go-json"
@@ -353,12 +352,15 @@
 // endLocked forgets a job whose end is recorded.
 func (o *Owner) endLocked(j *job) {
 	uid := j.spec.UID
-	limit := 0.0
-	if l := o.limits(j); len(l) > 0 {
-		limit = slices.Min(l)
+	limit, begun := o.firstLimit(j), 0.0
+	if !j.begunAt.IsZero() {
+		begun = j.begunAt.Sub(j.accepted).Seconds()
+	}
+	if j.ended == wire.StageDone {
+		o.over.note(j, true, time.Now(), limit)
 	}
 	o.log.Debug("job ended", "job", uid, "class", j.spec.Class, "stage", j.ended, "arrived_s", float64(j.atMs)/1000,
-		"took_s", time.Since(j.accepted).Seconds(), "run_s", j.runEstimate(), "limit_s", limit, "tasks", j.spec.Tasks, "cpus", j.spec.CPUs)
+		"took_s", time.Since(j.accepted).Seconds(), "run_s", j.runEstimate(), "limit_s", limit, "tasks", j.spec.Tasks, "cpus", j.spec.CPUs, "begun_s", begun, "large", j.large)
 	o.final[uid] = finalRecord{Stage: j.ended, Done: j.done, Ending: o.ending(j)}
 	o.finalQ = append(o.finalQ, uid)
 	if len(o.finalQ) > keepFinal {
