--- a/internal/testkit/cuts_test.go
+++ b/internal/testkit/cuts_test.go
@@ -326,32 +326,7 @@
 		for i, c := range cuts {
 			t.Run(fmt.Sprintf("%d: %s", controllers, c.name), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					w := newWorld(t, uint64(100+i))
-					w.bigger(controllers, 24)
-					for _, n := range w.names {
-						w.start(n)
-						time.Sleep(100 * time.Millisecond)
-					}
-					live := func(seconds int) {
-						for range seconds {
-							w.reportAll()
-							w.step(time.Time{}.Add(1)) // no troubles; it must not heal either
-						}
-					}
-					w.submit("j-0", 4000)
-					w.keepCuts = true
-					live(25) // an owner has settled
-					owner, others := "", []string{}
-					for _, n := range w.names {
-						if len(w.nodes[n].member.Own()) > 0 {
-							owner = n
-						} else {
-							others = append(others, n)
-						}
-					}
-					if owner == "" || time.Since(w.started) > 3*time.Second {
-						t.Fatalf("no start before the cut; owner %q", owner)
-					}
+					w, owner, others, live := settled(t, uint64(100+i), controllers, 24)
 					c.make(w, owner, others)
 					at := time.Now()
 					longest := time.Duration(0)
@@ -380,9 +355,7 @@
 					if time.Since(w.started) > 3*time.Second || w.back > 0 {
 						t.Errorf("after the healing: last start %v ago, %d machines returned", time.Since(w.started), w.back)
 					}
-					for _, n := range w.names {
-						w.crash(n)
-					}
+					w.stopAll()
 				})
 			})
 		}
