--- a/internal/owner/demand.go
+++ b/internal/owner/demand.go
@@ -40,7 +40,7 @@
 		if j.cancelled || j.ended != "" {
 			continue
 		}
-		n := o.room(j)
+		n := o.wants(j) // machines are rented for all of it
 		for _, ps := range j.places {
 			waits := true
 			for _, p := range ps {
--- a/internal/owner/terms.go
+++ b/internal/owner/terms.go
@@ -85,10 +85,16 @@
 
 // room is how many of the job's waiting tasks may be placed now.
 func (o *Owner) room(j *job) int {
-	n := len(j.pending)
+	n := o.wants(j)
 	if n > 1 && o.first(j) {
-		n = 1 // the rest in its turn
+		return 1 // the rest in its turn
 	}
+	return n
+}
+
+// wants is how many tasks of the job wait that its terms, and its faults, let start.
+func (o *Owner) wants(j *job) int {
+	n := len(j.pending)
 	if j.faulty {
 		n = min(n, max(0, faultyTries-len(j.places)))
 	}
