--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -172,6 +172,15 @@
 	if took := time.Since(start); took > 200*time.Millisecond {
 		t.Errorf("a plan took %v", took)
 	}
+	// On a quick machine the time tells nothing: each step of the plan makes a matrix.
+	steps := testing.AllocsPerRun(1, func() {
+		again := demand(25_000, true, 200)
+		again[0].Shape, again[0].Run = placement.Shape{CPUs: 0.5, MemoryGB: 1}, 5
+		f.plan(now, again)
+	})
+	if steps > 10_000 {
+		t.Errorf("a plan for 25,000 tasks allocates %.0f times", steps)
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		total := placement.Shape{CPUs: 64, MemoryGB: 128}
 		var running []placement.Use
