Tests: the simulated deployment is a cluster, and file and test names say fault and expectation

Cause: names like world, gap, deaf and pairs are metaphors of an earlier house style. Change: type world is cluster, TestTheGap is TestCancelDuringStateOutage, files are named after the fault that they play. Assertions and behaviour are the same.

--- a/internal/testkit/alike_test.go
+++ b/internal/testkit/alike_test.go
@@ -52,7 +52,7 @@
 // from job to job, and returns the order of starts and the rows of accounting,
 // without the names that each client gives.
 func workload(t *testing.T, make func(n int) func(*testing.T, string, string, string, int) (*wire.Job, *terms.Terms)) (starts, rows []string) {
-	w := newWorld(t, 1)
+	w := newCluster(t, 1)
 	w.accounts = true
 	w.workers = w.workers[:1]
 	var mu = &w.mu
--- a/internal/testkit/cancel_test.go
+++ b/internal/testkit/cancel_test.go
@@ -13,7 +13,7 @@
 // call the job running after its user had heard that it was cancelled.
 func TestCancelIsTheOwners(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1)
+		w := newCluster(t, 1)
 		for _, n := range []string{"a", "b", "c"} {
 			w.start(n)
 			w.nodes[n].view.Lose, w.nodes[n].view.Late = nil, nil
--- a/internal/testkit/world_test.go
+++ b/internal/testkit/cluster_test.go
@@ -45,9 +45,9 @@
 	return []wire.MachineType{m}
 }
 
-// world is three controllers, their store and some workers, with troubles
+// cluster is three controllers, their store and some workers, with troubles
 // drawn from a fixed seed.
-type world struct {
+type cluster struct {
 	t        testing.TB
 	size     types
 	rnd      *rand.Rand
@@ -83,7 +83,7 @@
 }
 
 type node struct {
-	w        *world
+	w        *cluster
 	name     string
 	view     *testkit.View
 	member   *membership.Member
@@ -103,7 +103,7 @@
 
 // reach reports whether a message from a controller comes through to another, by
 // the way that it takes.
-func (w *world) reach(from, to *node) bool {
+func (w *cluster) reach(from, to *node) bool {
 	if from == nil || to == nil || from.down || to.down {
 		return false
 	}
@@ -166,12 +166,12 @@
 }
 
 // holdBack keeps an order that is delivered when it may.
-func (w *world) holdBack(to *testkit.Worker, o wire.Orders) {
+func (w *cluster) holdBack(to *testkit.Worker, o wire.Orders) {
 	w.late = append(w.late, func() { to.Orders(o) })
 }
 
 // release delivers the orders that were held back, and returns how many.
-func (w *world) release() int {
+func (w *cluster) release() int {
 	w.mu.Lock()
 	late := w.late
 	w.late = nil
@@ -206,7 +206,7 @@
 // Earlier says that no owner elsewhere has such a job: there is one owner.
 func (n *node) Earlier(context.Context, string, string, uint64) (bool, error) { return false, nil }
 
-func (w *world) start(name string) {
+func (w *cluster) start(name string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{w: w, name: name, stop: cancel, done: make(chan struct{})}
 	n.reach.init(n)
@@ -252,7 +252,7 @@
 }
 
 // drawn asks a trouble that may begin and end at any time.
-func (w *world) drawn(f *func() time.Duration) time.Duration {
+func (w *cluster) drawn(f *func() time.Duration) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if *f == nil {
@@ -261,7 +261,7 @@
 	return (*f)()
 }
 
-func (w *world) crash(name string) {
+func (w *cluster) crash(name string) {
 	w.mu.Lock()
 	n := w.nodes[name]
 	n.down = true
@@ -271,7 +271,7 @@
 }
 
 // restart ends a controller that runs, and starts it again; false if it is down.
-func (w *world) restart(name string, after time.Duration) bool {
+func (w *cluster) restart(name string, after time.Duration) bool {
 	if w.nodes[name].down {
 		return false
 	}
@@ -282,7 +282,7 @@
 }
 
 // startAll starts the controllers that are down.
-func (w *world) startAll() {
+func (w *cluster) startAll() {
 	for _, n := range w.names {
 		if w.nodes[n].down {
 			w.start(n)
@@ -291,13 +291,13 @@
 }
 
 // others names the controllers but one.
-func (w *world) others(name string) []string {
+func (w *cluster) others(name string) []string {
 	return slices.DeleteFunc(slices.Clone(w.names), func(x string) bool { return x == name })
 }
 
 // report lets a worker report, and checks the rule that a task is on one
 // machine at a time.
-func (w *world) report(k *testkit.Worker) {
+func (w *cluster) report(k *testkit.Worker) {
 	w.mu.Lock()
 	rep := k.Report()
 	rep.Endpoint = k.Name
@@ -344,7 +344,7 @@
 	}
 }
 
-func (w *world) check() {
+func (w *cluster) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	on := map[string]string{}
@@ -367,7 +367,7 @@
 
 // deliverCopies delivers late copies of reports to a controller, in any order and
 // perhaps more than once.
-func (w *world) deliverCopies(to *node) {
+func (w *cluster) deliverCopies(to *node) {
 	w.mu.Lock()
 	late := slices.Clone(w.copies)
 	w.rnd.Shuffle(len(late), func(i, j int) { late[i], late[j] = late[j], late[i] })
@@ -385,7 +385,7 @@
 
 // publish hands the views of each controller to the owners elsewhere, and
 // lets the owners settle silent machines by vouching.
-func (w *world) publish() {
+func (w *cluster) publish() {
 	w.mu.Lock()
 	nodes := make([]*node, 0, len(w.names))
 	for _, name := range w.names {
@@ -435,8 +435,8 @@
 	}
 }
 
-func newWorld(t testing.TB, seed uint64) *world {
-	w := &world{t: t, fail: t.Errorf, size: 4, rnd: rand.New(rand.NewPCG(seed, 7)), store: testkit.NewStore(), nodes: map[string]*node{},
+func newCluster(t testing.TB, seed uint64) *cluster {
+	w := &cluster{t: t, fail: t.Errorf, size: 4, rnd: rand.New(rand.NewPCG(seed, 7)), store: testkit.NewStore(), nodes: map[string]*node{},
 		at: map[*testkit.Worker]int{}, byName: map[string]*testkit.Worker{},
 		names: []string{"a", "b", "c"}, off: map[[2]string]bool{}, heard: map[string]hearing{}, cancels: map[string]time.Time{}, over: map[string]bool{}, cleared: map[string]string{}}
 	w.cfg = &config.Platform{Params: config.Params{
@@ -451,12 +451,12 @@
 	return w
 }
 
-// drawnWorld plays one drawn case on a new world, whose first broken rule fails the case
+// drawnCluster plays one drawn case on a new cluster, whose first broken rule fails the case
 // and not the whole test, so that a smaller case can be looked for.
-func drawnWorld(t *testing.T, rt *rapid.T, seed uint64, controllers, workers int, play func(w *world)) {
-	var w *world
+func drawnCluster(t *testing.T, rt *rapid.T, seed uint64, controllers, workers int, play func(w *cluster)) {
+	var w *cluster
 	synctest.Test(t, func(t *testing.T) {
-		w = newWorld(t, seed)
+		w = newCluster(t, seed)
 		w.fail = func(format string, args ...any) {
 			if w.wrong == "" {
 				w.wrong = fmt.Sprintf(format, args...)
@@ -479,7 +479,7 @@
 func taskTime(task string) time.Duration { return time.Duration(1+len(task)%3) * 3 * time.Second }
 
 // join adds a worker that reports to the i-th controller first.
-func (w *world) join(k *testkit.Worker, i int) {
+func (w *cluster) join(k *testkit.Worker, i int) {
 	k.Started = func(task string, attempt uint64) {
 		w.started, w.starts = time.Now(), w.starts+1
 		if at := w.cleared[task]; at != "" {
@@ -492,9 +492,9 @@
 	w.at[k] = i
 }
 
-func (w *world) submit(uid string, tasks int) { w.submitWith(uid, tasks, nil) }
+func (w *cluster) submit(uid string, tasks int) { w.submitWith(uid, tasks, nil) }
 
-func (w *world) submitWith(uid string, tasks int, t *terms.Terms) {
+func (w *cluster) submitWith(uid string, tasks int, t *terms.Terms) {
 	job := &wire.Job{UID: uid, Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: tasks,
 		CPUs: 1, MemoryGB: 1, Image: "i", ImageGB: 0.1, Estimate: 4, Spot: true}
 	guards, ops := owner.AcceptTxn(job, t, owner.ShardOf(job, nil, 4), time.Now().UnixMilli())
@@ -505,14 +505,14 @@
 }
 
 // draw draws a number; controllers draw too, from other goroutines.
-func (w *world) draw(n int) int {
+func (w *cluster) draw(n int) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.rnd.IntN(n)
 }
 
 // trouble starts or ends one trouble.
-func (w *world) trouble() {
+func (w *cluster) trouble() {
 	name := w.names[w.draw(len(w.names))]
 	switch w.draw(6) {
 	case 0:
@@ -543,7 +543,7 @@
 }
 
 // reportAll lets every worker report.
-func (w *world) reportAll() {
+func (w *cluster) reportAll() {
 	for _, k := range w.workers {
 		w.report(k)
 		w.check()
@@ -551,7 +551,7 @@
 }
 
 // step lets a time between reports pass, with troubles until it is calm.
-func (w *world) step(calm time.Time) {
+func (w *cluster) step(calm time.Time) {
 	time.Sleep(reportEvery)
 	w.check()
 	w.exchange()
@@ -574,7 +574,7 @@
 	for seed := uint64(1); seed <= 12; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(t, seed)
+				w := newCluster(t, seed)
 				for _, n := range []string{"a", "b", "c"} {
 					w.start(n)
 				}
--- a/internal/testkit/cuts_test.go
+++ b/internal/testkit/cuts_test.go
@@ -24,11 +24,11 @@
 
 // works reports whether the link from one party to another works: between
 // controllers, to the state service, and between workers and controllers.
-func (w *world) works(from, to string) bool { return !w.off[[2]string{from, to}] }
+func (w *cluster) works(from, to string) bool { return !w.off[[2]string{from, to}] }
 
 // stored reports whether a controller's requests reach the state service, straight
 // or by a peer that passes them on.
-func (w *world) stored(n *node) bool {
+func (w *cluster) stored(n *node) bool {
 	if w.works(n.name, stateService) {
 		return true
 	}
@@ -116,7 +116,7 @@
 
 // exchange has the controllers tell each other, as far as links work, and act by
 // what they then know.
-func (w *world) exchange() {
+func (w *cluster) exchange() {
 	now := time.Now()
 	var living []*node
 	for _, name := range w.names {
@@ -174,7 +174,7 @@
 
 // judge returns the machines that an owner gives up. A machine whose worker a
 // controller heard a moment ago must not be among them.
-func (w *world) judge(n *node, v *links.View) {
+func (w *cluster) judge(n *node, v *links.View) {
 	r := &n.reach
 	known, silent := n.owner.Silent(r.silence.From())
 	verdict := r.silence.Judge(time.Now(), v, links.Ears{}, known, silent)
@@ -231,7 +231,7 @@
 // whose links have just healed may have been asked a moment before.
 const surely = 5 * time.Second
 
-func (w *world) hear(name string) {
+func (w *cluster) hear(name string) {
 	h := w.heard[name]
 	if time.Since(h.last) > 3*reportEvery {
 		h.since = time.Now()
@@ -248,7 +248,7 @@
 }
 
 // cutAll breaks the links from one party to others, and back.
-func (w *world) cutAll(one string, others ...string) {
+func (w *cluster) cutAll(one string, others ...string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, o := range others {
@@ -256,15 +256,15 @@
 	}
 }
 
-func (w *world) workerNames() (names []string) {
+func (w *cluster) workerNames() (names []string) {
 	for _, k := range w.workers {
 		names = append(names, k.Name)
 	}
 	return names
 }
 
-// bigger makes of a new world one with so many controllers and workers.
-func (w *world) bigger(controllers, workers int) {
+// bigger makes of a new cluster one with so many controllers and workers.
+func (w *cluster) bigger(controllers, workers int) {
 	w.names = nil
 	for i := range controllers {
 		w.names = append(w.names, string(rune('a'+i)))
@@ -283,43 +283,43 @@
 func TestEveryCut(t *testing.T) {
 	type cut struct {
 		name  string
-		make  func(w *world, owner string, others []string)
+		make  func(w *cluster, owner string, others []string)
 		bound time.Duration
 		moves int // hand-overs at most
 	}
-	peers := func(w *world) {
+	peers := func(w *cluster) {
 		for _, a := range w.names {
 			w.cutAll(a, w.others(a)...)
 		}
 	}
 	const calm = 3 * time.Second // between starts when nothing is cut
 	cuts := []cut{
-		{"nothing", func(*world, string, []string) {}, calm, 0},
-		{"the owner loses the state service", func(w *world, o string, _ []string) { w.cutAll(o, stateService) }, calm, 0},
-		{"another loses the state service", func(w *world, _ string, x []string) { w.cutAll(x[0], stateService) }, calm, 0},
-		{"the owner loses the workers", func(w *world, o string, _ []string) { w.cutAll(o, w.workerNames()...) }, 5 * time.Second, 1},
-		{"another loses the workers", func(w *world, _ string, x []string) { w.cutAll(x[0], w.workerNames()...) }, calm, 0},
-		{"the owner loses its peers", func(w *world, o string, x []string) { w.cutAll(o, x...) }, calm, 0},
-		{"peers refuse each other", func(w *world, _ string, _ []string) { peers(w) }, calm, 0},
-		{"the owner reaches a peer, and is not reached by it", func(w *world, o string, x []string) { w.off[[2]string{x[0], o}] = true }, calm, 0},
-		{"the owner loses state service and workers", func(w *world, o string, _ []string) { w.cutAll(o, append(w.workerNames(), stateService)...) }, 7 * time.Second, 1},
-		{"the owner loses state service and peers", func(w *world, o string, x []string) { w.cutAll(o, append(slices.Clone(x), stateService)...) }, 7 * time.Second, 1},
-		{"the owner loses everything", func(w *world, o string, x []string) {
+		{"nothing", func(*cluster, string, []string) {}, calm, 0},
+		{"the owner loses the state service", func(w *cluster, o string, _ []string) { w.cutAll(o, stateService) }, calm, 0},
+		{"another loses the state service", func(w *cluster, _ string, x []string) { w.cutAll(x[0], stateService) }, calm, 0},
+		{"the owner loses the workers", func(w *cluster, o string, _ []string) { w.cutAll(o, w.workerNames()...) }, 5 * time.Second, 1},
+		{"another loses the workers", func(w *cluster, _ string, x []string) { w.cutAll(x[0], w.workerNames()...) }, calm, 0},
+		{"the owner loses its peers", func(w *cluster, o string, x []string) { w.cutAll(o, x...) }, calm, 0},
+		{"peers refuse each other", func(w *cluster, _ string, _ []string) { peers(w) }, calm, 0},
+		{"the owner reaches a peer, and is not reached by it", func(w *cluster, o string, x []string) { w.off[[2]string{x[0], o}] = true }, calm, 0},
+		{"the owner loses state service and workers", func(w *cluster, o string, _ []string) { w.cutAll(o, append(w.workerNames(), stateService)...) }, 7 * time.Second, 1},
+		{"the owner loses state service and peers", func(w *cluster, o string, x []string) { w.cutAll(o, append(slices.Clone(x), stateService)...) }, 7 * time.Second, 1},
+		{"the owner loses everything", func(w *cluster, o string, x []string) {
 			w.cutAll(o, append(append(slices.Clone(x), stateService), w.workerNames()...)...)
 		}, 12 * time.Second, 1},
-		{"peers refuse each other, the owner loses the workers, another the state service", func(w *world, o string, x []string) {
+		{"peers refuse each other, the owner loses the workers, another the state service", func(w *cluster, o string, x []string) {
 			peers(w)
 			w.cutAll(o, w.workerNames()...)
 			w.cutAll(x[0], stateService)
 		}, 12 * time.Second, 1},
-		{"the owner loses half of the workers", func(w *world, o string, _ []string) {
+		{"the owner loses half of the workers", func(w *cluster, o string, _ []string) {
 			w.cutAll(o, w.workerNames()[:len(w.workers)/2]...)
 		}, calm, 1},
-		{"one after the other loses the state service", func(w *world, o string, x []string) {
+		{"one after the other loses the state service", func(w *cluster, o string, x []string) {
 			w.cutAll(o, stateService)
 			w.cutAll(x[0], stateService)
 		}, calm, 0},
-		{"everybody but one loses the workers", func(w *world, o string, x []string) {
+		{"everybody but one loses the workers", func(w *cluster, o string, x []string) {
 			for _, n := range append([]string{o}, x[1:]...) {
 				w.cutAll(n, w.workerNames()...)
 			}
@@ -364,7 +364,7 @@
 }
 
 // poll asks a controller for a job as its users' interface does.
-func (w *world) poll(n *node, uid string) (wire.JobState, bool) {
+func (w *cluster) poll(n *node, uid string) (wire.JobState, bool) {
 	if s, ok := n.owner.Known(uid); ok {
 		return s, true
 	}
@@ -395,7 +395,7 @@
 		}), 1, 12).Draw(rt, "steps")
 		controllers := rapid.IntRange(3, 5).Draw(rt, "controllers")
 		seed := rapid.Uint64().Draw(rt, "seed")
-		drawnWorld(t, rt, seed, controllers, 12, func(w *world) {
+		drawnCluster(t, rt, seed, controllers, 12, func(w *cluster) {
 			const jobs = 4
 			for i := range jobs {
 				w.submit(fmt.Sprintf("j-%d", i), 10+30*i)
--- a/internal/testkit/pairs_test.go
+++ b/internal/testkit/fault_pairs_test.go
@@ -29,9 +29,9 @@
 	end   func(m *met)
 }
 
-// met is a world in which two troubles meet.
+// met is a cluster in which two troubles meet.
 type met struct {
-	*world
+	*cluster
 	leader string // when the first trouble began
 	did    *int   // what the trouble at hand brought about
 	away   []*testkit.Worker
@@ -85,8 +85,8 @@
 	}, nil, (*met).machinesBack},
 	{"the state service is slow", 8, 30, func(m *met) {
 		did := m.did
-		m.world.slow = func() time.Duration { *did++; return m.ms(300, 4000) }
-	}, nil, func(m *met) { m.world.slow = nil }},
+		m.cluster.slow = func() time.Duration { *did++; return m.ms(300, 4000) }
+	}, nil, func(m *met) { m.cluster.slow = nil }},
 	{"transactions are carried out late", 8, 30, func(m *met) {
 		did := m.did
 		m.lateBy = func() time.Duration {
@@ -112,7 +112,7 @@
 		}
 	}, func(m *met) { m.holding = nil }},
 	{"the leader hands over, and back", 4, 20, nil, func(m *met, _ int) {
-		if l := m.world.leader(); l != "" {
+		if l := m.cluster.leader(); l != "" {
 			o := m.others(l)
 			if m.nodes[l].member.HandOver(context.Background(), o[m.draw(len(o))]) == nil {
 				*m.did++
@@ -130,7 +130,7 @@
 		*m.did++
 	}, nil, func(m *met) { m.meet(m.leader, append(m.others(m.leader), stateService)...) }},
 	{"the leader ends", 2, 15, func(m *met) {
-		if l := m.world.leader(); l != "" {
+		if l := m.cluster.leader(); l != "" {
 			m.crash(l)
 			*m.did++
 		}
@@ -193,8 +193,8 @@
 }
 
 func playPair(t *testing.T, seed uint64, pair [2]*trouble, did [2]*int) {
-	w := newWorld(t, seed)
-	m := &met{world: w}
+	w := newCluster(t, seed)
+	m := &met{cluster: w}
 	w.bigger(3, 6)
 	w.long()
 	ended := map[string]bool{} // tasks that ended by themselves
--- a/internal/testkit/load_test.go
+++ b/internal/testkit/load_test.go
@@ -69,7 +69,7 @@
 	}{{246, 24, 40}, {1700, 10, 130}} {
 		b.Run(fmt.Sprintf("machines=%d", c.machines), func(b *testing.B) {
 			defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // as a controller has it
-			w := newWorld(b, 1)
+			w := newCluster(b, 1)
 			w.size, w.workers, w.byName = c.cpus, nil, map[string]*testkit.Worker{}
 			w.start("a")
 			n := w.nodes["a"]
@@ -128,7 +128,7 @@
 	}
 }
 
-func (w *world) submitLoad(n int) {
+func (w *cluster) submitLoad(n int) {
 	due := 100.0
 	job := &wire.Job{UID: fmt.Sprintf("j-%06d", n), Class: fmt.Sprintf("c%d", n%3), Team: "t", Kind: wire.KindArray, Priority: []string{"low", "normal"}[n%2],
 		Tasks: 20 + n*37%150, CPUs: float64(1 + n%3), MemoryGB: 2, Image: fmt.Sprintf("i%d", n%10), ImageGB: 0.1, Estimate: 0.6, Spot: true, DueS: &due}
--- a/internal/testkit/meetings_test.go
+++ b/internal/testkit/meetings_test.go
@@ -15,11 +15,11 @@
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
-// meeting plays a meeting of troubles on a new world, in which the tasks of jobs from 80
+// meeting plays a meeting of troubles on a new cluster, in which the tasks of jobs from 80
 // on run for long. Nothing is drawn but lost messages.
-func meeting(t *testing.T, seed uint64, controllers, workers int, play func(w *world)) {
+func meeting(t *testing.T, seed uint64, controllers, workers int, play func(w *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, seed)
+		w := newCluster(t, seed)
 		w.bigger(controllers, workers)
 		w.long()
 		for _, n := range w.names {
@@ -35,7 +35,7 @@
 }
 
 // leader is the controller that owns the jobs, or "".
-func (w *world) leader() string {
+func (w *cluster) leader() string {
 	for _, n := range w.names {
 		if x := w.nodes[n]; !x.down && len(x.member.Own()) > 0 {
 			return n
@@ -45,7 +45,7 @@
 }
 
 // within lives until something holds, for at most so many seconds.
-func (w *world) within(seconds int, holds func() bool) bool {
+func (w *cluster) within(seconds int, holds func() bool) bool {
 	for range seconds {
 		if holds() {
 			return true
@@ -56,7 +56,7 @@
 }
 
 // ended reports whether jobs ended.
-func (w *world) ended(uids ...string) func() bool {
+func (w *cluster) ended(uids ...string) func() bool {
 	return func() bool {
 		keys := w.store.Keys("final/")
 		return !slices.ContainsFunc(uids, func(uid string) bool { return !slices.Contains(keys, "final/"+uid) })
@@ -64,7 +64,7 @@
 }
 
 // onMachines counts the tasks of a job that are on.
-func (w *world) onMachines(uid string) (n int) {
+func (w *cluster) onMachines(uid string) (n int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, k := range w.workers {
@@ -84,7 +84,7 @@
 	for _, deaf := range []bool{false, true} {
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprintf("deaf %v, %d", deaf, seed), func(t *testing.T) {
-				meeting(t, 900+seed, 3, 10, func(w *world) {
+				meeting(t, 900+seed, 3, 10, func(w *cluster) {
 					w.submit("j-80", 12)
 					w.live(12)
 					if n := w.onMachines("j-80"); n < 12 {
@@ -140,7 +140,7 @@
 func TestTasksEndFarApartAcrossLeaders(t *testing.T) {
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			meeting(t, 920+seed, 3, 6, func(w *world) {
+			meeting(t, 920+seed, 3, 6, func(w *cluster) {
 				over := map[string]time.Time{}
 				var last time.Time
 				for _, k := range w.workers {
@@ -214,7 +214,7 @@
 func TestSlowAndLateStateService(t *testing.T) {
 	for seed := range uint64(8) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			meeting(t, 940+seed, 3, 8, func(w *world) {
+			meeting(t, 940+seed, 3, 8, func(w *cluster) {
 				late, slow := 0, true
 				trouble := func(n *node) {
 					n.view.Slow = func() time.Duration {
@@ -292,7 +292,7 @@
 func TestOldReportsMeetNewLeaders(t *testing.T) {
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			meeting(t, 960+seed, 3, 8, func(w *world) {
+			meeting(t, 960+seed, 3, 8, func(w *cluster) {
 				w.submit("j-80", 6)
 				w.submit("j-1", 40)
 				w.live(12)
@@ -337,7 +337,7 @@
 func TestHeldUpCommands(t *testing.T) {
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			meeting(t, 980+seed, 3, 8, func(w *world) {
+			meeting(t, 980+seed, 3, 8, func(w *cluster) {
 				w.submit("j-80", 6)
 				w.submit("j-1", 120)
 				w.live(8)
@@ -379,7 +379,7 @@
 	for _, late := range []string{"the cancel", "the end"} {
 		for seed := range uint64(4) {
 			t.Run(fmt.Sprintf("%s, %d", late, seed), func(t *testing.T) {
-				meeting(t, 1100+seed, 3, 6, func(w *world) {
+				meeting(t, 1100+seed, 3, 6, func(w *cluster) {
 					for _, k := range w.workers {
 						k.Run = func(string) time.Duration { return 6 * time.Second }
 					}
--- a/internal/testkit/gap_test.go
+++ b/internal/testkit/state_outage_test.go
@@ -61,7 +61,7 @@
 }
 
 // tellCancels has a controller and a peer tell each other of cancels.
-func (w *world) tellCancels(n, to *node) {
+func (w *cluster) tellCancels(n, to *node) {
 	m := n.reg.Message(to.name)
 	err := to.reg.Take(n.name, &m)
 	rep := to.reg.Message(n.name)
@@ -71,7 +71,7 @@
 }
 
 // watchCancels does what cmd/wallrack does beside the pings.
-func (w *world) watchCancels(living []*node) {
+func (w *cluster) watchCancels(living []*node) {
 	const unheard = 2500 * time.Millisecond
 	for _, n := range living {
 		for _, p := range n.reg.Unheard(unheard) {
@@ -102,7 +102,7 @@
 }
 
 // user sends a user's request to a controller, and notes what its user hears.
-func (w *world) user(name, method, uid string) (stage string, heard bool) {
+func (w *cluster) user(name, method, uid string) (stage string, heard bool) {
 	w.mu.Lock()
 	n := w.nodes[name]
 	down := n.down
@@ -145,14 +145,14 @@
 }
 
 // refuse cuts controllers off from the state service.
-func (w *world) refuse(names ...string) {
+func (w *cluster) refuse(names ...string) {
 	for _, n := range names {
 		w.cutAll(n, stateService)
 	}
 }
 
 // meet heals the links between one controller and others.
-func (w *world) meet(one string, others ...string) {
+func (w *cluster) meet(one string, others ...string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, o := range others {
@@ -161,7 +161,7 @@
 	}
 }
 
-func (w *world) healed() {
+func (w *cluster) healed() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	clear(w.off)
@@ -169,7 +169,7 @@
 
 // cancelAll has the users of jobs cancel them at a controller, and come back for up
 // to so many seconds. It returns how many heard that their job is cancelled.
-func (w *world) cancelAll(at string, jobs []string, seconds int) (heard int) {
+func (w *cluster) cancelAll(at string, jobs []string, seconds int) (heard int) {
 	left := slices.Clone(jobs)
 	for i := 0; ; i++ {
 		left = slices.DeleteFunc(left, func(uid string) bool {
@@ -187,7 +187,7 @@
 }
 
 // workersHear leaves the workers only these controllers.
-func (w *world) workersHear(names ...string) {
+func (w *cluster) workersHear(names ...string) {
 	for _, n := range w.names {
 		if slices.Contains(names, n) {
 			w.meet(n, w.workerNames()...)
@@ -197,10 +197,10 @@
 	}
 }
 
-// gap is a world in which long tasks of some jobs run, in the hands of the old
+// gap is a cluster in which long tasks of some jobs run, in the hands of the old
 // leader.
 type gap struct {
-	*world
+	*cluster
 	leader string
 	others []string
 	jobs   []string
@@ -222,12 +222,12 @@
 	return n
 }
 
-// TestTheGap is the meeting of which the operators wrote: the state service refuses
+// TestCancelDuringStateOutage is the meeting of which the operators wrote: the state service refuses
 // the leader alone, another controller confirms cancels, and then the state service is
 // out for all for longer than a cancelled task may go on, while workers go on
 // reporting to the old leader. The tasks must be gone in time all the same, and
 // nothing else that runs may be lost where all controllers talk to each other.
-func TestTheGap(t *testing.T) {
+func TestCancelDuringStateOutage(t *testing.T) {
 	type scene struct {
 		name string
 		play func(g *gap) // up to the end of the outage
@@ -368,7 +368,7 @@
 			t.Run(fmt.Sprintf("%d: %s", controllers, s.name), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					w, leader, others, _ := settled(t, uint64(700+i), controllers, 12)
-					g := &gap{world: w, leader: leader, others: others, jobs: []string{"j-81", "j-82", "j-83"}}
+					g := &gap{cluster: w, leader: leader, others: others, jobs: []string{"j-81", "j-82", "j-83"}}
 					w.long()
 					for _, uid := range g.jobs {
 						w.submit(uid, 4)
@@ -423,7 +423,7 @@
 }
 
 // long makes the tasks of jobs from 80 on run for long.
-func (w *world) long() {
+func (w *cluster) long() {
 	for _, k := range w.workers {
 		k.Run = func(task string) time.Duration {
 			if strings.HasPrefix(task, "j-8") || strings.HasPrefix(task, "j-9") {
@@ -456,7 +456,7 @@
 		}), 1, 2).Draw(rt, "phases")
 		controllers := rapid.IntRange(3, 5).Draw(rt, "controllers")
 		seed := rapid.Uint64().Draw(rt, "seed")
-		drawnWorld(t, rt, seed, controllers, 8, func(w *world) {
+		drawnCluster(t, rt, seed, controllers, 8, func(w *cluster) {
 			w.long()
 			const jobs = 6
 			for i := range jobs {
--- a/internal/testkit/terms_test.go
+++ b/internal/testkit/terms_test.go
@@ -18,7 +18,7 @@
 )
 
 // rows reads all accounting, and says how many rows stand there more than once.
-func (w *world) rows() (jobs map[string]accounting.Row, attempts map[string]accounting.Row, twice int) {
+func (w *cluster) rows() (jobs map[string]accounting.Row, attempts map[string]accounting.Row, twice int) {
 	jobs, attempts = map[string]accounting.Row{}, map[string]accounting.Row{}
 	items, _, err := (&testkit.View{Store: w.store}).List(context.Background(), accounting.Key)
 	if err != nil {
@@ -66,7 +66,7 @@
 }
 
 func termsUnderTroubles(t *testing.T, seed uint64) {
-	w := newWorld(t, seed)
+	w := newCluster(t, seed)
 	w.accounts = true
 	began := map[string]time.Time{}
 	fails := map[string]bool{"j-fails/1": true, "j-fails/3": true}
@@ -197,7 +197,7 @@
 // must go on from what was applied, or all writes would fail for ever.
 func TestAccountingGoesOnAfterLostAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 3)
+		w := newCluster(t, 3)
 		w.accounts = true
 		w.start("a")
 		n := w.nodes["a"]
--- a/internal/testkit/deaf_test.go
+++ b/internal/testkit/unreachable_test.go
@@ -11,11 +11,11 @@
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
-// settled starts a world with so many controllers, lets it run with a long job, and
+// settled starts a cluster with so many controllers, lets it run with a long job, and
 // returns the owner's name and the others'. live lets seconds pass, with no troubles
 // drawn and nothing healed.
-func settled(t *testing.T, seed uint64, controllers, workers int) (w *world, owner string, others []string, live func(seconds int)) {
-	w = newWorld(t, seed)
+func settled(t *testing.T, seed uint64, controllers, workers int) (w *cluster, owner string, others []string, live func(seconds int)) {
+	w = newCluster(t, seed)
 	w.bigger(controllers, workers)
 	for _, n := range w.names {
 		w.start(n)
@@ -39,14 +39,14 @@
 }
 
 // live lets seconds pass, with no troubles drawn and nothing healed.
-func (w *world) live(seconds int) {
+func (w *cluster) live(seconds int) {
 	for range seconds {
 		w.reportAll()
 		w.step(time.Time{}.Add(1))
 	}
 }
 
-func (w *world) stopAll() {
+func (w *cluster) stopAll() {
 	for _, n := range w.names {
 		if !w.nodes[n].down {
 			w.crash(n)
@@ -56,7 +56,7 @@
 
 // unheard breaks the links from controllers to a worker, not those back: its reports
 // arrive, answers and commands do not.
-func (w *world) unheard(k *testkit.Worker, by ...string) {
+func (w *cluster) unheard(k *testkit.Worker, by ...string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, n := range by {
