Tests: pairs and triples of faults, with seven more kinds

Cause: lost answers of transactions, copies of reports for the next leader, machines that reach no controller, questions at all controllers at once, submissions that can't run, cancels at a task's end and machines that are up at once were in no drawn schedule. Change: they are kinds of faults; each pair of the 21 kinds is drawn twice, and 40 triples. What the test itself does repeats with its seed: it draws from a generator of its own, which the controllers' goroutines don't share. A kind without effect in a quarter of its draws fails.

--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -50,7 +50,8 @@
 type cluster struct {
 	t        testing.TB
 	size     types
-	rnd      *rand.Rand
+	rnd      *rand.Rand // fates of messages, which are asked from many goroutines
+	plan     *rand.Rand // what the test itself draws, in the order of its own steps: the same for the same seed
 	cfg      *config.Platform
 	store    *testkit.Store
 	mu       sync.Mutex
@@ -70,6 +71,7 @@
 	keepCuts bool                             // whether links stay cut when it is calm
 	slow     func() time.Duration             // how long the state service's answers take; nil: no time
 	lateBy   func() time.Duration             // how much later a transaction is carried out; nil: at once
+	losing   func() bool                      // whether a transaction that is carried out gets no answer; nil: few
 	holding  func() bool                      // whether an order is held back; nil: some are
 	fail     func(format string, args ...any) // a rule is broken
 	wrong    string                           // the first broken rule of a drawn case
@@ -212,7 +214,11 @@
 	n.reach.init(n)
 	n.view = &testkit.View{Store: w.store,
 		Down: func() bool { w.mu.Lock(); defer w.mu.Unlock(); return n.down || !w.stored(n) },
-		Lose: func() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.rnd.IntN(25) == 0 },
+		Lose: func() bool {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return w.losing != nil && w.losing() || w.rnd.IntN(25) == 0
+		},
 		Late: func() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.rnd.IntN(25) == 0 },
 
 		Slow:   func() time.Duration { return w.drawn(&w.slow) },
@@ -436,7 +442,7 @@
 }
 
 func newCluster(t testing.TB, seed uint64) *cluster {
-	w := &cluster{t: t, fail: t.Errorf, size: 4, rnd: rand.New(rand.NewPCG(seed, 7)), store: testkit.NewStore(), nodes: map[string]*node{},
+	w := &cluster{t: t, fail: t.Errorf, size: 4, rnd: rand.New(rand.NewPCG(seed, 7)), plan: rand.New(rand.NewPCG(seed, 11)), store: testkit.NewStore(), nodes: map[string]*node{},
 		at: map[*testkit.Worker]int{}, byName: map[string]*testkit.Worker{},
 		names: []string{"a", "b", "c"}, off: map[[2]string]bool{}, heard: map[string]hearing{}, cancels: map[string]time.Time{}, over: map[string]bool{}, cleared: map[string]string{}}
 	w.cfg = &config.Platform{Params: config.Params{
@@ -494,9 +500,14 @@
 
 func (w *cluster) submit(uid string, tasks int) { w.submitWith(uid, tasks, nil) }
 
-func (w *cluster) submitWith(uid string, tasks int, t *terms.Terms) {
-	job := &wire.Job{UID: uid, Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: tasks,
+// arrayJob describes an array of one-CPU tasks.
+func arrayJob(uid string, tasks int) *wire.Job {
+	return &wire.Job{UID: uid, Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: tasks,
 		CPUs: 1, MemoryGB: 1, Image: "i", ImageGB: 0.1, Estimate: 4, Spot: true}
+}
+
+func (w *cluster) submitWith(uid string, tasks int, t *terms.Terms) {
+	job := arrayJob(uid, tasks)
 	guards, ops := owner.AcceptTxn(job, t, owner.ShardOf(job, nil, 4), time.Now().UnixMilli())
 	clean := &testkit.View{Store: w.store}
 	if _, err := clean.Txn(context.Background(), guards, ops...); err != nil {
@@ -504,8 +515,13 @@
 	}
 }
 
-// draw draws a number; controllers draw too, from other goroutines.
-func (w *cluster) draw(n int) int {
+// draw draws a number for the test's own course. Only the goroutine that plays the test may
+// ask: then the faults and requests of a seed come at the same times in every run, whatever
+// the order in which the controllers' goroutines send their messages.
+func (w *cluster) draw(n int) int { return w.plan.IntN(n) }
+
+// chance draws a number for the fate of a message, from any goroutine.
+func (w *cluster) chance(n int) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.rnd.IntN(n)
--- a/internal/testkit/fault_pairs_test.go
+++ b/internal/testkit/fault_pairs_test.go
@@ -1,9 +1,9 @@
 package testkit_test
 
 import (
-	"context"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -11,288 +11,220 @@
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"github.com/wallrack/wallrack/internal/testkit"
 )
 
-// rounds is how often each pair of troubles is drawn anew: more outside CI.
-var rounds = flag.Int("rounds", 2, "how often each pair of troubles is drawn")
+var (
+	rounds = flag.Int("rounds", 2, "how often each pair of faults is drawn")
+	triple = flag.Int("triples", 40, "how many draws of three faults are played")
+)
 
-// trouble is a kind of trouble, while it lasts. Each second it does something; it
-// counts what it brought about.
-type trouble struct {
-	name  string
-	least int // seconds that it lasts, at least
-	most  int
-	begin func(m *met)
-	each  func(m *met, second int)
-	end   func(m *met)
+// TestPairsOfFaultsBreakNoRule plays any two kinds of faults at drawn times, with users that
+// submit, ask and cancel at all controllers: no rule is broken, and when they are over all
+// that was not cancelled runs or has ended, which every controller knows. What the test does
+// repeats with a seed; the fates of single messages and the order of goroutines do not.
+func TestPairsOfFaultsBreakNoRule(t *testing.T) {
+	t.Parallel()
+	var effects effectCounter
+	t.Run("pairs", func(t *testing.T) {
+		for a := range faultKinds {
+			for b := a; b < len(faultKinds); b++ {
+				for round := range *rounds {
+					effects.play(t, uint64(10000*(a*len(faultKinds)+b)+round), a, b)
+				}
+			}
+		}
+	})
+	effects.check(t)
 }
 
-// met is a cluster in which two troubles meet.
-type met struct {
-	*cluster
-	leader string // when the first trouble began
-	did    *int   // what the trouble at hand brought about
-	away   []*testkit.Worker
-	jobs   []string // with long tasks
-	users  sync.WaitGroup
+// TestTriplesOfFaultsBreakNoRule plays three kinds of faults, drawn by a fixed seed, as pairs are.
+func TestTriplesOfFaultsBreakNoRule(t *testing.T) {
+	t.Parallel()
+	var effects effectCounter
+	t.Run("triples", func(t *testing.T) {
+		for i := range *triple {
+			kinds := rand.New(rand.NewPCG(uint64(i), 3)).Perm(len(faultKinds))
+			effects.play(t, uint64(50_000_000+i), kinds[:3]...)
+		}
+	})
+	effects.check(t)
 }
 
-// ask sends a user's request, and waits for no answer.
-func (m *met) ask(method, uid string) {
-	at := m.names[m.draw(len(m.names))]
-	m.users.Add(1)
-	go func() { defer m.users.Done(); m.user(at, method, uid) }()
+// effectCounter counts in how many draws each kind of fault was played, and brought
+// something about.
+type effectCounter struct {
+	mu            sync.Mutex
+	played, acted map[int]int
 }
 
-func (m *met) machinesAway(cut func(k *testkit.Worker)) {
-	from := m.draw(len(m.workers))
-	for i := range 3 {
-		k := m.workers[(from+i)%len(m.workers)]
-		m.away = append(m.away, k)
-		cut(k)
-		*m.did++
+// play plays one draw of some kinds as a subtest.
+func (e *effectCounter) play(t *testing.T, seed uint64, kinds ...int) {
+	names := make([]string, len(kinds))
+	for i, k := range kinds {
+		names[i] = faultKinds[k].name
 	}
+	t.Run(fmt.Sprintf("%s; %d", strings.Join(names, "; "), seed), func(t *testing.T) {
+		t.Parallel()
+		did := make([]int, len(kinds))
+		synctest.Test(t, func(t *testing.T) { playFaults(t, seed, kinds, did) })
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.played == nil {
+			e.played, e.acted = map[int]int{}, map[int]int{}
+		}
+		for i, k := range kinds {
+			e.played[k]++
+			e.acted[k] += min(did[i], 1)
+		}
+	})
 }
 
-func (m *met) machinesBack() {
-	for _, k := range m.away {
-		m.meet(k.Name, m.names...)
+// check fails if a kind of fault had no effect in more than a quarter of its draws: it
+// would test nothing.
+func (e *effectCounter) check(t *testing.T) {
+	for k, played := range e.played {
+		if e.acted[k] < played*3/4 {
+			t.Errorf("%s: had an effect in %d of %d draws only", faultKinds[k].name, e.acted[k], played)
+		}
 	}
-	m.away = nil
-}
-
-func (m *met) ms(from, below int) time.Duration {
-	return time.Duration(from+m.rnd.IntN(below-from)) * time.Millisecond
 }
 
-// troubles are the kinds which may meet, each with any.
-var troubles = []trouble{
-	{"old reports come again", 5, 25, nil, func(m *met, _ int) {
-		for _, n := range m.names {
-			if m.draw(3) == 0 {
-				m.deliverCopies(m.nodes[n])
-				*m.did++
-			}
-		}
-	}, nil},
-	{"machines are away", 3, 18, func(m *met) {
-		m.machinesAway(func(k *testkit.Worker) { m.cutAll(k.Name, m.names...) })
-	}, nil, (*met).machinesBack},
-	{"machines hear nothing", 3, 18, func(m *met) {
-		m.machinesAway(func(k *testkit.Worker) { m.unheard(k, m.names...) })
-	}, nil, (*met).machinesBack},
-	{"the state service is slow", 8, 30, func(m *met) {
-		did := m.did
-		m.cluster.slow = func() time.Duration { *did++; return m.ms(300, 4000) }
-	}, nil, func(m *met) { m.cluster.slow = nil }},
-	{"transactions are carried out late", 8, 30, func(m *met) {
-		did := m.did
-		m.lateBy = func() time.Duration {
-			if m.rnd.IntN(5) > 0 {
-				return 0
-			}
-			*did++
-			return m.ms(2000, 12000)
-		}
-	}, nil, func(m *met) { m.lateBy = nil }},
-	{"commands are held up", 5, 25, func(m *met) {
-		did := m.did
-		m.holding = func() bool {
-			if m.rnd.IntN(3) == 0 {
-				return false
-			}
-			*did++
-			return true
-		}
-	}, func(m *met, _ int) {
-		if m.draw(6) == 0 {
-			m.release()
-		}
-	}, func(m *met) { m.holding = nil }},
-	{"the leader hands over, and back", 4, 20, nil, func(m *met, _ int) {
-		if l := m.cluster.leader(); l != "" {
-			o := m.others(l)
-			if m.nodes[l].member.HandOver(context.Background(), o[m.draw(len(o))]) == nil {
-				*m.did++
-			}
-		}
-	}, nil},
-	{"all end, one returns at once", 2, 12, func(m *met) {
-		m.stopAll()
-		time.Sleep(time.Duration(m.draw(1500)) * time.Millisecond)
-		m.start(m.names[m.draw(len(m.names))])
-		*m.did++
-	}, nil, func(m *met) { m.startAll() }},
-	{"the leader is cut from state and peers", 5, 70, func(m *met) {
-		m.cutAll(m.leader, append(m.others(m.leader), stateService)...)
-		*m.did++
-	}, nil, func(m *met) { m.meet(m.leader, append(m.others(m.leader), stateService)...) }},
-	{"the leader ends", 2, 15, func(m *met) {
-		if l := m.cluster.leader(); l != "" {
-			m.crash(l)
-			*m.did++
-		}
-	}, nil, func(m *met) { m.startAll() }},
-	{"controllers are back within a second", 4, 15, nil, func(m *met, second int) {
-		if second%3 == 1 {
-			if m.restart(m.names[m.draw(len(m.names))], time.Duration(m.draw(1000))*time.Millisecond) {
-				*m.did++
-			}
-		}
-	}, nil},
-	{"jobs are cancelled", 4, 20, nil, func(m *met, _ int) {
-		// The last two are left alone.
-		m.ask(http.MethodPost, m.jobs[m.draw(len(m.jobs)-2)])
-		*m.did++
-	}, nil},
-	{"the state service is out", 3, 70, func(m *met) {
-		m.refuse(m.names...)
-		*m.did++
-	}, nil, func(m *met) {
-		for _, n := range m.names {
-			m.meet(n, stateService)
-		}
-	}},
-	{"leases end at machines that are back", 12, 16, func(m *met) {
-		m.machinesAway(func(k *testkit.Worker) { m.cutAll(k.Name, m.names...) })
-	}, func(m *met, _ int) { m.release() }, (*met).machinesBack},
+// playFaults plays kinds of faults on a new cluster, each at a drawn time, and counts in did
+// what each brought about.
+func playFaults(t *testing.T, seed uint64, kinds, did []int) {
+	m := newFaultRun(t, seed)
+	from, until := make([]int, len(kinds)), make([]int, len(kinds))
+	for i, k := range kinds {
+		kind := faultKinds[k]
+		from[i] = m.draw(10)
+		until[i] = from[i] + kind.least + m.draw(kind.most-kind.least+1)
+	}
+	for second := 0; second <= slices.Max(until); second++ {
+		for i, k := range kinds {
+			m.did = &did[i]
+			faultKinds[k].act(m, second, from[i], until[i])
+		}
+		m.userActs(second)
+		m.live(1)
+		m.checkDone()
+	}
+	m.settle()
 }
 
-// Any two troubles meet, at drawn times, with users that submit, ask and cancel at all
-// controllers: no rule is broken, and when they are over all that was not cancelled
-// runs or has ended, which every controller knows.
-func TestAnyTwoTroublesMeet(t *testing.T) {
-	t.Parallel()
-	var mu sync.Mutex
-	did := make([]int, len(troubles)) // pairs in which a trouble brought something about
-	t.Run("pairs", func(t *testing.T) {
-		for a := range troubles {
-			for b := a; b < len(troubles); b++ {
-				for round := range *rounds {
-					seed := uint64(10000*(a*len(troubles)+b) + round)
-					t.Run(fmt.Sprintf("%s; %s; %d", troubles[a].name, troubles[b].name, seed), func(t *testing.T) {
-						t.Parallel()
-						n, m := 0, 0
-						synctest.Test(t, func(t *testing.T) { playPair(t, seed, [2]*trouble{&troubles[a], &troubles[b]}, [2]*int{&n, &m}) })
-						mu.Lock()
-						defer mu.Unlock()
-						did[a] += min(n, 1)
-						did[b] += min(m, 1)
-					})
-				}
-			}
-		}
-	})
-	for i, n := range did {
-		if most := (len(troubles) + 1) * *rounds; n < most*3/4 {
-			t.Errorf("%s: in %d of %d pairs only", troubles[i].name, n, most)
-		}
+// act begins, goes on with or ends a fault in the given second.
+func (k *faultKind) act(m *faultRun, second, from, until int) {
+	switch {
+	case second == from && k.begin != nil:
+		k.begin(m)
+	case second == until && k.end != nil:
+		k.end(m)
+	}
+	if second >= from && second < until && k.each != nil {
+		k.each(m, second-from)
 	}
 }
 
-func playPair(t *testing.T, seed uint64, pair [2]*trouble, did [2]*int) {
+// newFaultRun starts a cluster with some jobs, six of them with long tasks.
+func newFaultRun(t *testing.T, seed uint64) *faultRun {
 	w := newCluster(t, seed)
-	m := &met{cluster: w}
+	m := &faultRun{cluster: w, sizes: map[string]int{}, ended: map[string]bool{}}
 	w.bigger(3, 6)
 	w.long()
-	ended := map[string]bool{} // tasks that ended by themselves
 	for _, k := range w.workers {
-		k.Exit = func(task string) int { ended[task] = true; return 0 }
+		k.Exit = func(task string) int {
+			m.ended[task] = true
+			if uid, _, _ := strings.Cut(task, "/"); m.onExit != nil {
+				m.onExit(uid)
+			}
+			return 0
+		}
 	}
 	for _, n := range w.names {
 		w.start(n)
 	}
 	time.Sleep(2 * time.Second)
 	w.keepCuts = true
-	sizes := map[string]int{}
-	submit := func(uid string, tasks int) {
-		sizes[uid] = tasks
-		w.submit(uid, tasks)
-	}
 	for i := range 6 {
 		m.jobs = append(m.jobs, fmt.Sprintf("j-%d", 80+i))
-		submit(m.jobs[i], 2)
+		m.accept(m.jobs[i], 2)
 	}
-	submit("j-1", 60)
+	m.accept("j-1", 60)
 	w.live(12)
 	m.leader = w.names[0]
 	if l := w.leader(); l != "" {
 		m.leader = l
 	}
-	var from, until [2]int
-	for i, x := range pair {
-		from[i] = w.draw(10)
-		until[i] = from[i] + x.least + w.draw(x.most-x.least+1)
+	return m
+}
+
+// accept records a job.
+func (m *faultRun) accept(uid string, tasks int) {
+	m.sizes[uid] = tasks
+	m.accepted = append(m.accepted, uid)
+	m.submit(uid, tasks)
+}
+
+// userActs has a user cancel, submit or ask.
+func (m *faultRun) userActs(second int) {
+	switch m.draw(6) {
+	case 0:
+		m.ask(http.MethodPost, m.jobs[m.draw(4)])
+	case 1, 2:
+		m.accept(fmt.Sprintf("j-%d", 100+second), 1+m.draw(6))
+	default:
+		for range 1 + m.draw(4) {
+			m.ask(http.MethodGet, m.accepted[m.draw(len(m.accepted))])
+		}
 	}
-	for second := 0; second <= max(until[0], until[1]); second++ {
-		for i, x := range pair {
-			m.did = did[i]
-			switch {
-			case second == from[i] && x.begin != nil:
-				x.begin(m)
-			case second == until[i] && x.end != nil:
-				x.end(m)
-			}
-			if second >= from[i] && second < until[i] && x.each != nil {
-				x.each(m, second-from[i])
+}
+
+// checkDone fails if a user heard that a job is done before all its tasks were.
+func (m *faultRun) checkDone() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for uid := range m.over {
+		done := 0
+		for task := range m.ended {
+			if strings.HasPrefix(task, uid+"/") {
+				done++
 			}
 		}
-		switch w.draw(6) {
-		case 0:
-			m.ask(http.MethodPost, m.jobs[w.draw(4)])
-		case 1, 2:
-			submit(fmt.Sprintf("j-%d", 100+second), 1+w.draw(6))
-		default:
-			for uid := range sizes {
-				m.ask(http.MethodGet, uid) // a few, in any order
-				if w.draw(4) == 0 {
-					break
-				}
-			}
+		if done < m.sizes[uid] {
+			m.fail("%s is called done when %d of %d tasks ended", uid, done, m.sizes[uid])
 		}
-		w.live(1)
-		w.mu.Lock()
-		for uid := range w.over {
-			done := 0
-			for task := range ended {
-				if strings.HasPrefix(task, uid+"/") {
-					done++
-				}
-			}
-			if done < sizes[uid] {
-				w.fail("%s is called done when %d of %d tasks ended", uid, done, sizes[uid])
+	}
+}
+
+// unknown lists the controllers and jobs of which nothing is said.
+func (m *faultRun) unknown() (out []string) {
+	for _, n := range m.names {
+		for uid := range m.sizes {
+			if _, ok := m.user(n, http.MethodGet, uid); !ok {
+				out = append(out, n+":"+uid)
 			}
 		}
-		w.mu.Unlock()
 	}
+	return out
+}
+
+// settle ends all faults, and checks that every job is known, and runs or ends.
+func (m *faultRun) settle() {
+	w := m.cluster
 	w.startAll()
 	w.healed()
 	w.live(30)
 	m.users.Wait()
-	unknown := ""
-	if !w.within(15, func() bool {
-		unknown = ""
-		for _, n := range w.names {
-			for uid := range sizes {
-				if _, ok := w.user(n, http.MethodGet, uid); !ok {
-					unknown += " " + n + ":" + uid
-				}
-			}
-		}
-		return unknown == ""
-	}) {
-		t.Errorf("45 s after the last trouble nothing is said of%s", unknown)
+	if !w.within(15, func() bool { return len(m.unknown()) == 0 }) {
+		w.t.Errorf("45 s after the last fault nothing is said of %v", m.unknown())
 	}
 	var left []string
-	for uid := range sizes {
+	for uid := range m.sizes {
 		if w.cancels[uid].IsZero() && !slices.Contains(m.jobs, uid) {
 			left = append(left, uid)
 		}
 	}
 	if !w.within(300, w.ended(left...)) {
-		t.Errorf("of %v only %v ended", left, w.store.Keys("final/"))
+		w.t.Errorf("of %v only %v ended", left, w.store.Keys("final/"))
 	}
 	for _, uid := range m.jobs {
 		if !w.cancels[uid].IsZero() || w.ended(uid)() {
@@ -300,7 +232,7 @@
 		}
 		if !w.within(60, func() bool { return w.onMachines(uid) == 2 }) {
 			stage, ok := w.user(w.names[0], http.MethodGet, uid)
-			t.Errorf("%d of 2 long tasks of %s are on; it is %s, %v", w.onMachines(uid), uid, stage, ok)
+			w.t.Errorf("%d of 2 long tasks of %s are on; it is %s, %v", w.onMachines(uid), uid, stage, ok)
 		}
 	}
 	w.stopAll()
--- a/internal/testkit/meetings_test.go
+++ b/internal/testkit/meetings_test.go
@@ -221,14 +221,14 @@
 						if !slow {
 							return 0
 						}
-						return time.Duration(20+w.draw(400)) * time.Millisecond
+						return time.Duration(20+w.chance(400)) * time.Millisecond
 					}
 					n.view.LateBy = func() time.Duration {
-						if !slow || w.draw(6) > 0 {
+						if !slow || w.chance(6) > 0 {
 							return 0
 						}
 						late++
-						return time.Duration(2000+w.draw(10000)) * time.Millisecond
+						return time.Duration(2000+w.chance(10000)) * time.Millisecond
 					}
 				}
 				for _, n := range w.nodes {
