Errors of the Slurm commands have types that keep their texts

The strings are Slurm's own, which scripts compare, so they can't be put in lower case.

Change: errors in what a user typed are slurm.Usage, as others are already; the failure of a step (a submission, a listing) is a stepError with its cause. bbolt's ErrTimeout comes from its errors package.

--- a/cmd/wallctl/accounting.go
+++ b/cmd/wallctl/accounting.go
@@ -71,7 +71,7 @@
 		}
 	}
 	if to.Before(from) {
-		return from, to, errors.New("Start time is after end time")
+		return from, to, &slurm.Usage{Why: "Start time is after end time"}
 	}
 	return from, to, nil
 }
--- a/cmd/wallctl/slurm.go
+++ b/cmd/wallctl/slurm.go
@@ -44,6 +44,21 @@
 func (e *slurmError) Error() string { return e.command + ": error: " + e.err.Error() }
 func (e *slurmError) Unwrap() error { return e.err }
 
+// Steps that a stepError names as Slurm's commands do.
+const (
+	stepSubmit = "Batch job submission failed"
+	stepList   = "Unable to contact the site, or not to the end of the list"
+)
+
+// stepError is the failure of a step of a command, in Slurm's words, with its cause.
+type stepError struct {
+	step string
+	err  error
+}
+
+func (e *stepError) Error() string { return e.step + ": " + e.err.Error() }
+func (e *stepError) Unwrap() error { return e.err }
+
 // slurmCommand makes a command that reads its own options, as Slurm's do.
 func (a *app) slurmCommand(name, short string, run func(cmd *cobra.Command, cl *client.Client, args []string) error) *cobra.Command {
 	return &cobra.Command{Use: name, Short: short, DisableFlagParsing: true, RunE: func(cmd *cobra.Command, args []string) error {
@@ -118,11 +133,11 @@
 	sources := []slurm.Given{slurm.FromEnv(name, os.LookupEnv), given}
 	if name == slurm.Srun {
 		if w.Argv = rest; len(rest) == 0 {
-			return nil, nil, errors.New("No command given to execute.")
+			return nil, nil, &slurm.Usage{Why: "No command given to execute."}
 		}
 	} else if given["wrap"] != "" {
 		if len(rest) > 0 {
-			return nil, nil, errors.New("Script arguments not permitted with --wrap option")
+			return nil, nil, &slurm.Usage{Why: "Script arguments not permitted with --wrap option"}
 		}
 	} else {
 		if w.Script, w.File, err = script(cmd.InOrStdin(), rest); err != nil {
@@ -146,7 +161,7 @@
 	if len(args) > 0 {
 		f, err := os.Open(args[0])
 		if err != nil {
-			return "", "", fmt.Errorf("Unable to open file %s", args[0])
+			return "", "", &slurm.Usage{Why: "Unable to open file " + args[0]}
 		}
 		defer f.Close()
 		in, name = f, args[0]
@@ -156,9 +171,9 @@
 	case err != nil:
 		return "", "", err
 	case len(data) == 0:
-		return "", "", errors.New("Batch script is empty!")
+		return "", "", &slurm.Usage{Why: "Batch script is empty!"}
 	case len(data) > maxScript:
-		return "", "", fmt.Errorf("Batch script is over %d bytes", maxScript)
+		return "", "", &slurm.Usage{Why: fmt.Sprintf("Batch script is over %d bytes", maxScript)}
 	}
 	return string(data), name, nil
 }
@@ -175,16 +190,16 @@
 		return nil, err
 	}
 	if r.Terms.Number, err = cl.Numbers(ctx, r.Job.Tasks); err != nil {
-		return nil, fmt.Errorf("Batch job submission failed: %w", err)
+		return nil, &stepError{stepSubmit, err}
 	}
 	r.Job.UID, r.Descr.Slurm.Number = client.NewUID(), r.Terms.Number
 	_, err = cl.SubmitWith(ctx, &r.Job, &r.Terms, &r.Descr, o.TestOnly)
 	switch {
 	case errors.Is(err, client.ErrUnknown):
-		return nil, fmt.Errorf("Batch job submission failed: no answer came in time; job %d (%s) may have been accepted or may be yet: ask with \"wallctl status %s\" before you submit again: %w",
-			r.Terms.Number, r.Job.UID, r.Job.UID, err)
+		return nil, &stepError{stepSubmit, fmt.Errorf("no answer came in time; job %d (%s) may have been accepted or may be yet: ask with \"wallctl status %s\" before you submit again: %w",
+			r.Terms.Number, r.Job.UID, r.Job.UID, err)}
 	case err != nil:
-		return nil, fmt.Errorf("Batch job submission failed: %w", err)
+		return nil, &stepError{stepSubmit, err}
 	}
 	return r, nil
 }
@@ -366,7 +381,7 @@
 		}
 		s, ok := slurm.StateName(n)
 		if !ok {
-			return nil, fmt.Errorf("Invalid state specified: %s", n)
+			return nil, &slurm.Usage{Why: "Invalid state specified: " + n}
 		}
 		out = append(out, s)
 	}
@@ -456,7 +471,7 @@
 		return nil
 	})
 	if err != nil {
-		return fmt.Errorf("Unable to contact the site, or not to the end of the list: %w", err)
+		return &stepError{stepList, err}
 	}
 	if *asJSON {
 		if all == nil {
@@ -491,7 +506,7 @@
 	}
 	filtered := len(f.Users)+len(f.States)+len(f.Partitions)+len(f.Accounts)+len(f.Names)+len(f.QOS) > 0
 	if !filtered && len(f.Jobs)+len(uids) == 0 {
-		return errors.New("No job identification provided")
+		return &slurm.Usage{Why: "No job identification provided"}
 	}
 	var failed error
 	note := func(what string, err error) {
@@ -556,13 +571,16 @@
 	return failed
 }
 
-var errOver = errors.New("Job/step already completing or completed")
+var (
+	errOver         error = &slurm.Usage{Why: "Job/step already completing or completed"}
+	errInvalidJobID error = &slurm.Usage{Why: "Invalid job id specified"}
+)
 
 func cancelJob(ctx context.Context, cl *client.Client, uid string) error {
 	s, err := cl.Cancel(ctx, uid)
 	switch {
 	case errors.Is(err, client.ErrNotFound):
-		return errors.New("Invalid job id specified")
+		return errInvalidJobID
 	case err == nil && s.Stage != wire.StageCancelled:
 		return errOver
 	}
@@ -574,7 +592,7 @@
 	found, err := cl.Find(ctx, t.Number)
 	switch {
 	case errors.Is(err, client.ErrNotFound):
-		return errors.New("Invalid job id specified")
+		return errInvalidJobID
 	case err != nil:
 		return err
 	}
@@ -591,7 +609,7 @@
 			return errOver
 		}
 		if tasks, err = slurm.Tasks(t.Indices, info.Job.Tasks, info.Terms.Array); err != nil {
-			return errors.New("Invalid job id specified")
+			return errInvalidJobID
 		}
 	}
 	err = cl.Drop(ctx, found.UID, tasks)
@@ -704,7 +722,7 @@
 	}
 	found, err := cl.Find(ctx, t.Number)
 	if errors.Is(err, client.ErrNotFound) {
-		return "", 0, errors.New("Invalid job id specified")
+		return "", 0, errInvalidJobID
 	}
 	if err != nil {
 		return "", 0, err
@@ -754,7 +772,7 @@
 		}
 	}
 	if shown == 0 && len(args) > 0 {
-		return fmt.Errorf("Node %s not found", strings.Join(args, ","))
+		return &slurm.Usage{Why: fmt.Sprintf("Node %s not found", strings.Join(args, ","))}
 	}
 	return nil
 }
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -19,6 +19,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 	"go.etcd.io/bbolt"
+	bbolterrors "go.etcd.io/bbolt/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wallrack/wallrack/internal/config"
@@ -96,7 +97,7 @@
 		return fmt.Errorf("--dir: %w", err)
 	}
 	db, err := bbolt.Open(filepath.Join(s.Dir, "site.db"), 0o644, &bbolt.Options{Timeout: time.Second})
-	if errors.Is(err, bbolt.ErrTimeout) {
+	if errors.Is(err, bbolterrors.ErrTimeout) {
 		return fmt.Errorf("--dir: %s is in use by another site", s.Dir)
 	}
 	if err != nil {
--- a/internal/slurm/queue.go
+++ b/internal/slurm/queue.go
@@ -251,23 +251,25 @@
 	All     bool
 }
 
+func invalidID(s string) error { return &Usage{Why: fmt.Sprintf("Invalid job id %.60s", s)} }
+
 // ParseTarget reads 123, 123_4 or 123_[0-3,7].
 func ParseTarget(s string) (Target, error) {
 	num, tasks, some := strings.Cut(s, "_")
 	n, err := strconv.ParseUint(num, 10, 47)
 	if err != nil || n == 0 {
-		return Target{}, fmt.Errorf("Invalid job id %.60s", s)
+		return Target{}, invalidID(s)
 	}
 	t := Target{Number: n, All: !some}
 	if some {
 		inner, bracketed := strings.CutPrefix(tasks, "[")
 		if bracketed {
 			if inner, bracketed = strings.CutSuffix(inner, "]"); !bracketed {
-				return Target{}, fmt.Errorf("Invalid job id %.60s", s)
+				return Target{}, invalidID(s)
 			}
 		}
 		if t.Indices, err = terms.ParseRanges(inner); err != nil {
-			return Target{}, fmt.Errorf("Invalid job id %.60s: %w", s, err)
+			return Target{}, &Usage{Why: fmt.Sprintf("Invalid job id %.60s: %v", s, err)}
 		}
 	}
 	return t, nil
