Package accounting/export, formerly acctout

Cause: the name did not tell the package's duty. Change: moved and renamed, with its users, its tests' names and the docs; no change of behaviour.

--- a/cmd/wallctl/accounting.go
+++ b/cmd/wallctl/accounting.go
@@ -15,7 +15,7 @@
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
 
-	"github.com/wallrack/wallrack/internal/acctout"
+	"github.com/wallrack/wallrack/internal/accounting/export"
 	"github.com/wallrack/wallrack/internal/client"
 	"github.com/wallrack/wallrack/internal/listing"
 	"github.com/wallrack/wallrack/internal/slurm"
@@ -225,7 +225,7 @@
 			table = "json"
 		}
 		if table != "" {
-			return acctout.Write(cmd.OutOrStdout(), table, sums)
+			return export.Write(cmd.OutOrStdout(), table, sums)
 		}
 		t := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', tabwriter.AlignRight)
 		fmt.Fprintf(t, "%s\tJOBS\tTASKS\tATTEMPTS\tCPU-H\tUSEFUL\tLOST\tGB-H\tWAIT-S\tCOST\t\n", strings.ToUpper(by))
@@ -236,25 +236,25 @@
 	}})
 	report.Flags().StringVar(&by, "by", "account", "account, class, user or day")
 	report.Flags().StringVar(&table, "format", "", "csv, json or parquet instead of a table")
-	export := times(&cobra.Command{Use: "export", Short: "Write every job and attempt as CSV, JSON or Parquet", Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+	exportCommand := times(&cobra.Command{Use: "export", Short: "Write every job and attempt as CSV, JSON or Parquet", Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
 		recs, _, _, err := read(cmd)
 		if err != nil {
 			return err
 		}
-		return toFile(cmd, file, func(w io.Writer) error { return acctout.Write(w, format, acctout.Lines(recs)) })
+		return toFile(cmd, file, func(w io.Writer) error { return export.Write(w, format, export.Lines(recs)) })
 	}})
-	export.Flags().StringVar(&format, "format", "csv", "csv, json or parquet")
-	export.Flags().StringVarP(&file, "output", "o", "", "file to write; else standard output")
+	exportCommand.Flags().StringVar(&format, "format", "csv", "csv, json or parquet")
+	exportCommand.Flags().StringVarP(&file, "output", "o", "", "file to write; else standard output")
 	plot := times(&cobra.Command{Use: "plot", Short: "Write a page with plots of queue, running tasks and cost", Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
 		recs, from, to, err := read(cmd)
 		if err != nil {
 			return err
 		}
 		title := from.Format("2006-01-02 15:04") + " to " + to.Format("2006-01-02 15:04")
-		return toFile(cmd, file, func(w io.Writer) error { return acctout.Plot(w, title, recs, from, to, time.Local) })
+		return toFile(cmd, file, func(w io.Writer) error { return export.Plot(w, title, recs, from, to, time.Local) })
 	}})
 	plot.Flags().StringVarP(&file, "output", "o", "", "file to write; else standard output")
-	root.AddCommand(report, export, plot)
+	root.AddCommand(report, exportCommand, plot)
 	return root
 }
 
--- a/internal/acctout/acctout.go
+++ b/internal/accounting/export/export.go
@@ -1,6 +1,6 @@
-// Package acctout writes accounting for other programs and for the eye: CSV, JSON,
-// Parquet, and a page with a day's plots.
-package acctout
+// Package export writes accounting as CSV, JSON and Parquet for other programs, and as
+// an HTML page with plots for people.
+package export
 
 import (
 	"encoding/csv"
--- a/internal/acctout/acctout_test.go
+++ b/internal/accounting/export/export_test.go
@@ -1,4 +1,4 @@
-package acctout_test
+package export_test
 
 import (
 	"bytes"
@@ -12,7 +12,7 @@
 	"github.com/parquet-go/parquet-go"
 
 	"github.com/wallrack/wallrack/internal/accounting"
-	"github.com/wallrack/wallrack/internal/acctout"
+	"github.com/wallrack/wallrack/internal/accounting/export"
 	"github.com/wallrack/wallrack/internal/slurm"
 )
 
@@ -32,23 +32,23 @@
 	return c.Records()
 }
 
-// Every form says the same.
-func TestForms(t *testing.T) {
-	want := acctout.Lines(records())
+// Each format holds the same rows.
+func TestCSVJSONAndParquetHoldTheSameRows(t *testing.T) {
+	want := export.Lines(records())
 	if len(want) != 3 || want[1].CPUSec != 7200 || want[1].GBSec != 14400 || want[1].Cost != 6 || want[1].Name != want[0].Name {
 		t.Fatalf("%+v", want)
 	}
 	var js, pq, cs bytes.Buffer
 	for form, to := range map[string]*bytes.Buffer{"json": &js, "parquet": &pq, "csv": &cs} {
-		if err := acctout.Write(to, form, want); err != nil {
+		if err := export.Write(to, form, want); err != nil {
 			t.Fatal(err)
 		}
 	}
-	var got []acctout.Line
+	var got []export.Line
 	if err := json.Unmarshal(js.Bytes(), &got); err != nil || !reflect.DeepEqual(got, want) {
 		t.Errorf("json: %+v, %v", got, err)
 	}
-	if got, err := parquet.Read[acctout.Line](bytes.NewReader(pq.Bytes()), int64(pq.Len())); err != nil || !reflect.DeepEqual(got, want) {
+	if got, err := parquet.Read[export.Line](bytes.NewReader(pq.Bytes()), int64(pq.Len())); err != nil || !reflect.DeepEqual(got, want) {
 		t.Errorf("parquet: %+v, %v", got, err)
 	}
 	rows, err := csv.NewReader(&cs).ReadAll()
@@ -59,14 +59,14 @@
 	if !strings.HasPrefix(head, "kind,uid,number,task,attempt,state,exit_code,name") || rows[1][7] != "a \"b\", c" || rows[2][len(rows[2])-1] != "6" {
 		t.Errorf("csv: %q", rows)
 	}
-	if err := acctout.Write(&cs, "xls", want); err == nil {
-		t.Error("an unknown form is written")
+	if err := export.Write(&cs, "xls", want); err == nil {
+		t.Error("an unknown format is written")
 	}
 }
 
-// What waits, what runs and what it cost so far, at each time.
-func TestSeries(t *testing.T) {
-	points := acctout.Series(records(), noon, noon.Add(2*time.Hour), 5) // every half hour
+// A series has the waiting jobs, the running tasks and the cost so far at each point.
+func TestSeriesCountsWaitingRunningAndCost(t *testing.T) {
+	points := export.Series(records(), noon, noon.Add(2*time.Hour), 5) // every half hour
 	var got [][2]int
 	for _, p := range points {
 		got = append(got, [2]int{p.Waiting, p.Running})
@@ -81,7 +81,7 @@
 		t.Errorf("in all it cost %v", c)
 	}
 	var page bytes.Buffer
-	if err := acctout.Plot(&page, "a day", records(), noon, noon.Add(time.Hour), time.UTC); err != nil {
+	if err := export.Plot(&page, "a day", records(), noon, noon.Add(time.Hour), time.UTC); err != nil {
 		t.Fatal(err)
 	}
 	for _, want := range []string{"jobs waiting", "tasks running", "cost so far", "12:30"} {
