Package lowerbound, formerly bound

Cause: the name did not tell what is bounded. Change: renamed, with its user and its test's name; the command keeps its name. No change of behaviour.

--- a/cmd/wallrack/bound.go
+++ b/cmd/wallrack/bound.go
@@ -7,7 +7,7 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/wallrack/wallrack/internal/bound"
+	"github.com/wallrack/wallrack/internal/lowerbound"
 )
 
 // boundCommand compares a logged day with the best that could have been.
@@ -26,14 +26,14 @@
 				return err
 			}
 			defer f.Close()
-			jobs, err := bound.Read(f)
+			jobs, err := lowerbound.Read(f)
 			if err != nil {
 				return fmt.Errorf("%s: %w", args[0], err)
 			}
 			if len(jobs) == 0 {
 				return fmt.Errorf("%s: no job ended there; was it written with LOG_LEVEL=debug?", args[0])
 			}
-			r := bound.Of(jobs, cheap, dear)
+			r := lowerbound.Of(jobs, cheap, dear)
 			out := cmd.OutOrStdout()
 			fmt.Fprintf(out, "jobs %d, work %.0f CPU-seconds, busiest %.0f CPUs\n", r.Jobs, r.Work, r.BusiestCPUs)
 			fmt.Fprintf(out, "beyond cheap capacity in time: %.1f %% of the work; price at best %.2f\n", 100*r.Dear/r.Work, r.Price)
--- a/internal/bound/bound.go
+++ b/internal/lowerbound/lowerbound.go
@@ -1,9 +1,9 @@
-// Package bound says how well a day could have gone at best: from the lines that
-// a controller logged of every job that ended, it packs the same work with
-// perfect knowledge, work that flows in any parts onto cheap capacity first. No
-// scheduler can be better, since tasks come whole, machines take time to boot and
-// nobody knows what comes. The distance to it shows where to look.
-package bound
+// Package lowerbound computes what a logged day would have cost at least, and how many
+// jobs would have been late at least. From the lines that a controller logged of every
+// job that ended it packs the same work with perfect knowledge onto cheap capacity
+// first, divisible at will. No scheduler does better, since tasks are whole, machines
+// take time to boot and arrivals are not known beforehand.
+package lowerbound
 
 import (
 	"bufio"
--- a/internal/bound/bound_test.go
+++ b/internal/lowerbound/lowerbound_test.go
@@ -1,37 +1,37 @@
-package bound_test
+package lowerbound_test
 
 import (
 	"math"
 	"strings"
 	"testing"
 
-	"github.com/wallrack/wallrack/internal/bound"
+	"github.com/wallrack/wallrack/internal/lowerbound"
 )
 
-func TestReadAndPack(t *testing.T) {
+func TestCheapestPackingOfALoggedDay(t *testing.T) {
 	const log = `   12.5 racker-1 time=x level=INFO msg=started
 time=x level=DEBUG msg="job ended" job=j-1 class=study stage=done arrived_s=0.5 took_s=30 run_s=10 limit_s=20 tasks=10 cpus=1
 time=x level=DEBUG msg="job ended" job=j-1 class=study stage=done arrived_s=0.5 took_s=30 run_s=10 limit_s=20 tasks=10 cpus=1
 time=x level=DEBUG msg="job ended" job=j-2 class=quote stage=done arrived_s=0 took_s=9 run_s=10 limit_s=10 tasks=2 cpus=5
 time=x level=DEBUG msg="job ended" job=j-3 class=study stage=cancelled arrived_s=0 took_s=9 run_s=0 limit_s=10 tasks=2 cpus=5
 `
-	jobs, err := bound.Read(strings.NewReader(log))
+	jobs, err := lowerbound.Read(strings.NewReader(log))
 	if err != nil || len(jobs) != 2 {
 		t.Fatalf("%d jobs, %v", len(jobs), err)
 	}
 	// 200 CPU-seconds on 8 CPUs: the quote's 100 are cut off after 80, the
 	// study's 100 have 10 s and a half left, which is 80 on whole seconds.
-	r := bound.Of(jobs, 8, 5)
+	r := lowerbound.Of(jobs, 8, 5)
 	if r.Work != 200 || r.Dear < 20 || r.Dear > 40 || math.Abs(r.Price-(1+4*r.Dear/200)) > 1e-9 {
 		t.Errorf("%+v", r)
 	}
 	if r.Late["study"] != 1 || r.Late["quote"] != 0 || r.LateCheap["quote"] != 1 {
 		t.Errorf("late %v, on cheap capacity alone %v", r.Late, r.LateCheap)
 	}
-	if r := bound.Of(jobs, 100, 5); r.Dear != 0 || r.Price != 1 {
+	if r := lowerbound.Of(jobs, 100, 5); r.Dear != 0 || r.Price != 1 {
 		t.Errorf("with room for all: %+v", r)
 	}
-	if _, err := bound.Read(strings.NewReader(`msg="job ended" job=j-1 stage=done tasks=x`)); err == nil || !strings.Contains(err.Error(), "line 1") {
+	if _, err := lowerbound.Read(strings.NewReader(`msg="job ended" job=j-1 stage=done tasks=x`)); err == nil || !strings.Contains(err.Error(), "line 1") {
 		t.Errorf("a malformed line gave %v", err)
 	}
 }
