--- a/cmd/wallrack/daemon.go
+++ b/cmd/wallrack/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/desk"
 	"github.com/wallrack/wallrack/internal/fleet"
+	"github.com/wallrack/wallrack/internal/httpjson"
 	"github.com/wallrack/wallrack/internal/intake"
 	"github.com/wallrack/wallrack/internal/links"
 	"github.com/wallrack/wallrack/internal/machine"
@@ -27,7 +28,6 @@
 	"github.com/wallrack/wallrack/internal/mesh"
 	"github.com/wallrack/wallrack/internal/owner"
 	"github.com/wallrack/wallrack/internal/recovery"
-	"github.com/wallrack/wallrack/internal/respond"
 	"github.com/wallrack/wallrack/internal/rollout"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/usage"
@@ -117,7 +117,7 @@
 	mux.HandleFunc("GET /ops/stats", func(w http.ResponseWriter, _ *http.Request) {
 		stats := alerts.Stats()
 		stats["counters"], stats["usage"], stats["recovery"], stats["served"] = n.owner.Counters(), meter.Read(), n.times.Last(), n.owner.Served()
-		respond.JSON(w, http.StatusOK, stats)
+		httpjson.Write(w, http.StatusOK, stats)
 	})
 	mux.HandleFunc("GET /ops/machines", n.serveMachines)
 	mux.HandleFunc("GET /ops/links", n.serveLinks)
--- a/cmd/wallrack/demand.go
+++ b/cmd/wallrack/demand.go
@@ -7,9 +7,9 @@
 	"sync"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/httpjson"
 	"github.com/wallrack/wallrack/internal/mesh"
 	"github.com/wallrack/wallrack/internal/owner"
-	"github.com/wallrack/wallrack/internal/respond"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -172,9 +172,9 @@
 		}
 		if !found {
 			w.Header().Set("Retry-After", "1")
-			respond.JSON(w, http.StatusServiceUnavailable, wire.Problem{Error: "no owner answers"})
+			httpjson.Write(w, http.StatusServiceUnavailable, wire.Problem{Error: "no owner answers"})
 			return
 		}
 	}
-	respond.JSON(w, http.StatusOK, ms)
+	httpjson.Write(w, http.StatusOK, ms)
 }
--- a/cmd/wallrack/links.go
+++ b/cmd/wallrack/links.go
@@ -14,11 +14,11 @@
 
 	"github.com/wallrack/wallrack/internal/cancels"
 	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/httpjson"
 	"github.com/wallrack/wallrack/internal/links"
 	"github.com/wallrack/wallrack/internal/machine"
 	"github.com/wallrack/wallrack/internal/mesh"
 	"github.com/wallrack/wallrack/internal/recovery"
-	"github.com/wallrack/wallrack/internal/respond"
 	"github.com/wallrack/wallrack/internal/statestore"
 )
 
@@ -531,5 +531,5 @@
 	}
 	s.mu.Unlock()
 	slices.SortFunc(shown.Links, func(a, b links.ShownLink) int { return strings.Compare(a.To, b.To) })
-	respond.JSON(w, http.StatusOK, shown)
+	httpjson.Write(w, http.StatusOK, shown)
 }
--- a/cmd/wallrack/rollouts.go
+++ b/cmd/wallrack/rollouts.go
@@ -11,9 +11,9 @@
 	"github.com/goccy/go-json"
 
 	"github.com/wallrack/wallrack/internal/descr"
+	"github.com/wallrack/wallrack/internal/httpjson"
 	"github.com/wallrack/wallrack/internal/mesh"
 	"github.com/wallrack/wallrack/internal/owner"
-	"github.com/wallrack/wallrack/internal/respond"
 	"github.com/wallrack/wallrack/internal/rollout"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/terms"
@@ -109,7 +109,7 @@
 			w.Header().Set("Retry-After", "1")
 			status, v = http.StatusServiceUnavailable, wire.Problem{Error: err.Error()}
 		}
-		respond.JSON(w, status, v)
+		httpjson.Write(w, status, v)
 	}
 	within := func(r *http.Request) (context.Context, context.CancelFunc) {
 		return context.WithTimeout(r.Context(), rolloutsWithin)
--- a/internal/alert/alert.go
+++ b/internal/alert/alert.go
@@ -15,8 +15,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/httpjson"
 	"github.com/wallrack/wallrack/internal/owner"
-	"github.com/wallrack/wallrack/internal/respond"
 )
 
 const (
@@ -168,7 +168,7 @@
 		past := append([]Alert{}, a.past...)
 		a.mu.Unlock()
 		sort.Slice(open, func(i, j int) bool { return open[i].Since.Before(open[j].Since) })
-		respond.JSON(w, http.StatusOK, map[string]any{"open": open, "past": past})
+		httpjson.Write(w, http.StatusOK, map[string]any{"open": open, "past": past})
 	})
 }
 
--- a/internal/descr/descr.go
+++ b/internal/descr/descr.go
@@ -15,7 +15,7 @@
 
 	"github.com/goccy/go-json"
 
-	"github.com/wallrack/wallrack/internal/respond"
+	"github.com/wallrack/wallrack/internal/httpjson"
 	"github.com/wallrack/wallrack/internal/slurmtask"
 	"github.com/wallrack/wallrack/internal/wire"
 )
@@ -137,7 +137,7 @@
 }
 
 func problem(w http.ResponseWriter, status int, why string) {
-	respond.JSON(w, status, wire.Problem{Error: why})
+	httpjson.Write(w, status, wire.Problem{Error: why})
 }
 
 // Client uploads and fetches descriptions.
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -17,11 +17,11 @@
 
 	"github.com/wallrack/wallrack/internal/accounting"
 	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/httpjson"
 	"github.com/wallrack/wallrack/internal/intake"
 	"github.com/wallrack/wallrack/internal/listing"
 	"github.com/wallrack/wallrack/internal/numbers"
 	"github.com/wallrack/wallrack/internal/owner"
-	"github.com/wallrack/wallrack/internal/respond"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/terms"
 	"github.com/wallrack/wallrack/internal/usage"
@@ -132,7 +132,7 @@
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		w.Header().Set("Retry-After", strconv.Itoa(max(1, backS)))
 	}
-	respond.JSON(w, status, wire.Problem{Error: why})
+	httpjson.Write(w, status, wire.Problem{Error: why})
 }
 
 // gated keeps requests that cost much to so many a second: work comes first.
@@ -173,7 +173,7 @@
 	if s.Team == "" && len(s.Teams) > 0 {
 		s.Team = s.Teams[0]
 	}
-	respond.JSON(w, http.StatusOK, s)
+	httpjson.Write(w, http.StatusOK, s)
 }
 
 func (d *Desk) take(w http.ResponseWriter, r *http.Request) {
@@ -192,7 +192,7 @@
 		d.unsure(w, err)
 		return
 	}
-	respond.JSON(w, http.StatusOK, numbers.Job{First: n, Tasks: ask.Count})
+	httpjson.Write(w, http.StatusOK, numbers.Job{First: n, Tasks: ask.Count})
 }
 
 func (d *Desk) unsure(w http.ResponseWriter, err error) {
@@ -220,7 +220,7 @@
 		d.unsure(w, err)
 		return
 	}
-	respond.JSON(w, http.StatusOK, j)
+	httpjson.Write(w, http.StatusOK, j)
 }
 
 func (d *Desk) submit(w http.ResponseWriter, r *http.Request) {
@@ -237,7 +237,7 @@
 	rep := d.intake.Submit(r.Context(), intake.Request{Verb: verb, Body: s.Job, Terms: s.Terms})
 	switch {
 	case rep.Status/100 == 2:
-		respond.JSON(w, rep.Status, rep.State)
+		httpjson.Write(w, rep.Status, rep.State)
 	case rep.Status == 0:
 		refuse(w, http.StatusServiceUnavailable, 1, "can't tell now")
 	default:
@@ -350,9 +350,9 @@
 		case rep.Status != http.StatusOK:
 			refuse(w, rep.Status, 1, rep.Why)
 		case verb == verbInfo && len(rep.Jobs) == 1:
-			respond.JSON(w, http.StatusOK, rep.Jobs[0])
+			httpjson.Write(w, http.StatusOK, rep.Jobs[0])
 		default:
-			respond.JSON(w, http.StatusOK, struct{}{})
+			httpjson.Write(w, http.StatusOK, struct{}{})
 		}
 	}
 }
--- a/internal/respond/respond.go
+++ b/internal/httpjson/httpjson.go
@@ -1,5 +1,5 @@
-// Package respond writes JSON answers.
-package respond
+// Package httpjson writes JSON responses.
+package httpjson
 
 import (
 	"net/http"
@@ -7,8 +7,9 @@
 	"github.com/goccy/go-json"
 )
 
-// JSON answers with a status and a body.
-func JSON(w http.ResponseWriter, status int, body any) {
+// Write sends a response with a status and a body in JSON; one that can't be encoded is
+// status 500 with an empty body.
+func Write(w http.ResponseWriter, status int, body any) {
 	data, err := json.Marshal(body)
 	if err != nil {
 		status, data = http.StatusInternalServerError, nil
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -15,9 +15,9 @@
 	"time"
 
 	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/httpjson"
 	"github.com/wallrack/wallrack/internal/numbers"
 	"github.com/wallrack/wallrack/internal/owner"
-	"github.com/wallrack/wallrack/internal/respond"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/terms"
 	"github.com/wallrack/wallrack/internal/usage"
@@ -157,7 +157,7 @@
 	if status == http.StatusServiceUnavailable && w.Header().Get("Retry-After") == "" {
 		w.Header().Set("Retry-After", "1")
 	}
-	respond.JSON(w, status, wire.Problem{Error: why})
+	httpjson.Write(w, status, wire.Problem{Error: why})
 }
 
 func (in *Intake) up(w http.ResponseWriter, _ *http.Request) {
@@ -165,14 +165,14 @@
 		refuse(w, http.StatusServiceUnavailable, "another controller serves better")
 		return
 	}
-	respond.JSON(w, http.StatusOK, struct{}{})
+	httpjson.Write(w, http.StatusOK, struct{}{})
 }
 
 // reply answers a user.
 func (in *Intake) reply(w http.ResponseWriter, rep Reply) {
 	switch rep = in.told(rep); {
 	case rep.Status/100 == 2:
-		respond.JSON(w, rep.Status, rep.State)
+		httpjson.Write(w, rep.Status, rep.State)
 	case rep.Status == 0:
 		refuse(w, http.StatusServiceUnavailable, "can't tell now")
 	default:
--- a/internal/local/front.go
+++ b/internal/local/front.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/wallrack/wallrack/internal/respond"
+	"github.com/wallrack/wallrack/internal/httpjson"
 	"github.com/wallrack/wallrack/internal/wire"
 	"github.com/wallrack/wallrack/internal/worker"
 )
@@ -54,7 +54,7 @@
 	f.mu.Unlock()
 	busy := func() {
 		w.Header().Set("Retry-After", "1")
-		respond.JSON(w, http.StatusServiceUnavailable, wire.Problem{Error: "no controller is up"})
+		httpjson.Write(w, http.StatusServiceUnavailable, wire.Problem{Error: "no controller is up"})
 	}
 	if len(up) == 0 {
 		busy()
@@ -131,7 +131,7 @@
 func (f *front) logs(w http.ResponseWriter, r *http.Request) {
 	task := r.PathValue("job") + "/" + r.PathValue("n")
 	if _, _, err := wire.ParseTask(task); err != nil {
-		respond.JSON(w, http.StatusBadRequest, wire.Problem{Error: "not a task's name"})
+		httpjson.Write(w, http.StatusBadRequest, wire.Problem{Error: "not a task's name"})
 		return
 	}
 	file := worker.StdoutFile
@@ -148,7 +148,7 @@
 	}
 	data, err := os.ReadFile(last)
 	if err != nil {
-		respond.JSON(w, http.StatusNotFound, wire.Problem{Error: "nothing was written by " + task + " here"})
+		httpjson.Write(w, http.StatusNotFound, wire.Problem{Error: "nothing was written by " + task + " here"})
 		return
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
--- a/internal/machine/holder.go
+++ b/internal/machine/holder.go
@@ -10,9 +10,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/httpjson"
 	"github.com/wallrack/wallrack/internal/placement"
 	"github.com/wallrack/wallrack/internal/recent"
-	"github.com/wallrack/wallrack/internal/respond"
 	"github.com/wallrack/wallrack/internal/usage"
 	"github.com/wallrack/wallrack/internal/wire"
 )
@@ -130,18 +130,18 @@
 	defer bodies.Put(buf)
 	buf.Reset()
 	if _, err := buf.ReadFrom(http.MaxBytesReader(w, r.Body, wire.MaxBody)); err != nil {
-		respond.JSON(w, http.StatusBadRequest, wire.Problem{Error: "body unreadable or too large"})
+		httpjson.Write(w, http.StatusBadRequest, wire.Problem{Error: "body unreadable or too large"})
 		return
 	}
 	rep, err := wire.ParseReport(buf.Bytes())
 	if err != nil {
 		usage.Note(usage.MalformedReports)
 		h.log.Info("malformed report", "err", err)
-		respond.JSON(w, http.StatusBadRequest, wire.Problem{Error: "malformed report"})
+		httpjson.Write(w, http.StatusBadRequest, wire.Problem{Error: "malformed report"})
 		return
 	}
 	status, answer := h.Report(r.Context(), rep)
-	respond.JSON(w, status, answer)
+	httpjson.Write(w, status, answer)
 }
 
 // Report takes a worker's report and returns the status and body to answer.
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -12,7 +12,7 @@
 	"github.com/goccy/go-json"
 	"go.etcd.io/bbolt"
 
-	"github.com/wallrack/wallrack/internal/respond"
+	"github.com/wallrack/wallrack/internal/httpjson"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -90,7 +90,7 @@
 func (c *Cloud) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /machine_types", func(w http.ResponseWriter, _ *http.Request) {
-		respond.JSON(w, http.StatusOK, wire.MachineTypes{Types: c.types})
+		httpjson.Write(w, http.StatusOK, wire.MachineTypes{Types: c.types})
 	})
 	mux.HandleFunc("POST /hosts", c.hire)
 	mux.HandleFunc("POST /hosts/release", c.release)
@@ -114,13 +114,13 @@
 	}
 	t, ok := c.typeOf(&req)
 	if !ok || req.Name == "" || len(req.Name) > 200 || req.Number < 1 || req.Number > maxHire {
-		respond.JSON(w, http.StatusBadRequest, wire.Problem{Error: "unknown type or zone, or hire or number out of range"})
+		httpjson.Write(w, http.StatusBadRequest, wire.Problem{Error: "unknown type or zone, or hire or number out of range"})
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if names, had := c.hires[req.Name]; had {
-		respond.JSON(w, http.StatusOK, wire.MachineNames{Machines: names})
+		httpjson.Write(w, http.StatusOK, wire.MachineNames{Machines: names})
 		return
 	}
 	up := 0
@@ -131,7 +131,7 @@
 	}
 	n := min(req.Number, c.capacity-up)
 	if n <= 0 || req.Spot {
-		respond.JSON(w, http.StatusServiceUnavailable, wire.Problem{Error: "no capacity"})
+		httpjson.Write(w, http.StatusServiceUnavailable, wire.Problem{Error: "no capacity"})
 		return
 	}
 	var made []*wire.ListedMachine
@@ -151,7 +151,7 @@
 		}
 		return tx.Bucket(metaBucket).Put(nextMachineKey, digits(c.next+uint64(n)))
 	}); err != nil {
-		respond.JSON(w, http.StatusServiceUnavailable, wire.Problem{Error: "trouble"})
+		httpjson.Write(w, http.StatusServiceUnavailable, wire.Problem{Error: "trouble"})
 		return
 	}
 	c.next += uint64(n)
@@ -160,7 +160,7 @@
 		c.machines[m.Name], c.since[m.Name] = m, time.Now()
 		go c.boot(*m, t)
 	}
-	respond.JSON(w, http.StatusOK, wire.MachineNames{Machines: names})
+	httpjson.Write(w, http.StatusOK, wire.MachineNames{Machines: names})
 }
 
 func put(tx *bbolt.Tx, bucket []byte, key string, v any) error {
@@ -211,7 +211,7 @@
 		return
 	}
 	if len(req.Machines) > maxRelease {
-		respond.JSON(w, http.StatusBadRequest, wire.Problem{Error: "too many names"})
+		httpjson.Write(w, http.StatusBadRequest, wire.Problem{Error: "too many names"})
 		return
 	}
 	c.mu.Lock()
@@ -238,10 +238,10 @@
 		}
 		return nil
 	}); err != nil {
-		respond.JSON(w, http.StatusServiceUnavailable, wire.Problem{Error: "trouble"})
+		httpjson.Write(w, http.StatusServiceUnavailable, wire.Problem{Error: "trouble"})
 		return
 	}
-	respond.JSON(w, http.StatusOK, struct{}{})
+	httpjson.Write(w, http.StatusOK, struct{}{})
 }
 
 func (c *Cloud) list(w http.ResponseWriter, r *http.Request) {
@@ -264,7 +264,7 @@
 	if len(out.Machines) > limit {
 		out.Machines, out.More = out.Machines[:limit], true
 	}
-	respond.JSON(w, http.StatusOK, out)
+	httpjson.Write(w, http.StatusOK, out)
 }
 
 // Descriptions keeps descriptions in the same file.
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -18,7 +18,7 @@
 	"github.com/goccy/go-json"
 	"go.etcd.io/bbolt"
 
-	"github.com/wallrack/wallrack/internal/respond"
+	"github.com/wallrack/wallrack/internal/httpjson"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -221,10 +221,10 @@
 		rev := s.rev
 		s.mu.Unlock()
 		if !ok {
-			respond.JSON(w, http.StatusNotFound, wire.TxnAnswer{Revision: rev})
+			httpjson.Write(w, http.StatusNotFound, wire.TxnAnswer{Revision: rev})
 			return
 		}
-		respond.JSON(w, http.StatusOK, wire.Item{Key: key, Value: it.Value, Version: it.Version, Lease: it.Lease})
+		httpjson.Write(w, http.StatusOK, wire.Item{Key: key, Value: it.Value, Version: it.Version, Lease: it.Lease})
 	})
 	mux.HandleFunc("GET /store", s.list)
 	mux.HandleFunc("POST /txn", s.txn)
@@ -234,7 +234,7 @@
 			return
 		}
 		if req.TTLMs < 100 || req.TTLMs > 600_000 {
-			respond.JSON(w, http.StatusBadRequest, wire.Problem{Error: "lifeMs: out of range"})
+			httpjson.Write(w, http.StatusBadRequest, wire.Problem{Error: "lifeMs: out of range"})
 			return
 		}
 		s.mu.Lock()
@@ -247,36 +247,36 @@
 			}
 			return tx.Bucket(leasesBucket).Put(digits(id), digits(uint64(req.TTLMs)))
 		}); err != nil {
-			respond.JSON(w, http.StatusServiceUnavailable, wire.Problem{Error: err.Error()})
+			httpjson.Write(w, http.StatusServiceUnavailable, wire.Problem{Error: err.Error()})
 			return
 		}
 		s.next, s.leases[id] = id, &lease{life, time.Now().Add(life)}
-		respond.JSON(w, http.StatusOK, wire.LeaseAnswer{Lease: id})
+		httpjson.Write(w, http.StatusOK, wire.LeaseAnswer{Lease: id})
 	})
 	mux.HandleFunc("POST /grants/{id}/touch", func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		l := s.leases[number([]byte(r.PathValue("id")))]
 		if l == nil {
-			respond.JSON(w, http.StatusNotFound, wire.Problem{Error: "no such lease"})
+			httpjson.Write(w, http.StatusNotFound, wire.Problem{Error: "no such lease"})
 			return
 		}
 		l.ends = time.Now().Add(l.life)
-		respond.JSON(w, http.StatusOK, struct{}{})
+		httpjson.Write(w, http.StatusOK, struct{}{})
 	})
 	mux.HandleFunc("DELETE /grants/{id}", func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		id := number([]byte(r.PathValue("id")))
 		if s.leases[id] == nil {
-			respond.JSON(w, http.StatusNotFound, wire.Problem{Error: "no such lease"})
+			httpjson.Write(w, http.StatusNotFound, wire.Problem{Error: "no such lease"})
 			return
 		}
 		if err := s.endLocked(id); err != nil {
-			respond.JSON(w, http.StatusServiceUnavailable, wire.Problem{Error: err.Error()})
+			httpjson.Write(w, http.StatusServiceUnavailable, wire.Problem{Error: err.Error()})
 			return
 		}
-		respond.JSON(w, http.StatusOK, struct{}{})
+		httpjson.Write(w, http.StatusOK, struct{}{})
 	})
 	mux.HandleFunc("GET /follow", s.follow)
 	return mux
@@ -313,7 +313,7 @@
 		out.Items = append(out.Items, wire.Item{Key: k, Value: it.Value, Version: it.Version, Lease: it.Lease})
 	}
 	s.mu.Unlock()
-	respond.JSON(w, http.StatusOK, out)
+	httpjson.Write(w, http.StatusOK, out)
 }
 
 // checkTxn says what is malformed about a transaction.
@@ -345,7 +345,7 @@
 		return
 	}
 	if err := s.checkTxn(&t); err != nil {
-		respond.JSON(w, http.StatusBadRequest, wire.Problem{Error: err.Error()})
+		httpjson.Write(w, http.StatusBadRequest, wire.Problem{Error: err.Error()})
 		return
 	}
 	s.mu.Lock()
@@ -355,7 +355,7 @@
 			continue
 		}
 		if l := s.leases[op.Lease]; l == nil {
-			respond.JSON(w, http.StatusBadRequest, wire.Problem{Error: "no such lease"})
+			httpjson.Write(w, http.StatusBadRequest, wire.Problem{Error: "no such lease"})
 			return
 		}
 	}
@@ -366,14 +366,14 @@
 		}
 	}
 	if len(failed) > 0 {
-		respond.JSON(w, http.StatusConflict, wire.TxnAnswer{Failed: failed, Revision: s.rev})
+		httpjson.Write(w, http.StatusConflict, wire.TxnAnswer{Failed: failed, Revision: s.rev})
 		return
 	}
 	if err := s.writeLocked(t.Then, nil); err != nil {
-		respond.JSON(w, http.StatusServiceUnavailable, wire.Problem{Error: err.Error()})
+		httpjson.Write(w, http.StatusServiceUnavailable, wire.Problem{Error: err.Error()})
 		return
 	}
-	respond.JSON(w, http.StatusOK, wire.TxnAnswer{Revision: s.rev})
+	httpjson.Write(w, http.StatusOK, wire.TxnAnswer{Revision: s.rev})
 }
 
 func (s *State) follow(w http.ResponseWriter, r *http.Request) {
@@ -391,7 +391,7 @@
 		}
 		if after < oldest {
 			s.mu.Unlock()
-			respond.JSON(w, http.StatusGone, wire.Problem{Error: "too old"})
+			httpjson.Write(w, http.StatusGone, wire.Problem{Error: "too old"})
 			return
 		}
 		out := wire.Events{Revision: s.rev, Events: []wire.Event{}}
@@ -404,14 +404,14 @@
 		changed := s.changed
 		s.mu.Unlock()
 		if len(out.Events) > 0 {
-			respond.JSON(w, http.StatusOK, out)
+			httpjson.Write(w, http.StatusOK, out)
 			return
 		}
 		after = out.Revision
 		select {
 		case <-changed:
 		case <-timeout.C:
-			respond.JSON(w, http.StatusOK, out)
+			httpjson.Write(w, http.StatusOK, out)
 			return
 		case <-r.Context().Done():
 			return
@@ -426,7 +426,7 @@
 		err = json.Unmarshal(data, into)
 	}
 	if err != nil {
-		respond.JSON(w, http.StatusBadRequest, wire.Problem{Error: "malformed: " + err.Error()})
+		httpjson.Write(w, http.StatusBadRequest, wire.Problem{Error: "malformed: " + err.Error()})
 		return false
 	}
 	return true
--- a/internal/worker/agent.go
+++ b/internal/worker/agent.go
@@ -13,7 +13,7 @@
 
 	"github.com/goccy/go-json"
 
-	"github.com/wallrack/wallrack/internal/respond"
+	"github.com/wallrack/wallrack/internal/httpjson"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -171,21 +171,21 @@
 	mux.HandleFunc("POST /orders", func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody))
 		if err != nil {
-			respond.JSON(w, http.StatusBadRequest, wire.Problem{Error: "body unreadable or over 64 KiB"})
+			httpjson.Write(w, http.StatusBadRequest, wire.Problem{Error: "body unreadable or over 64 KiB"})
 			return
 		}
 		o, err := wire.ParseOrders(body)
 		if err != nil {
-			respond.JSON(w, http.StatusBadRequest, wire.Problem{Error: err.Error()})
+			httpjson.Write(w, http.StatusBadRequest, wire.Problem{Error: err.Error()})
 			return
 		}
 		status := http.StatusOK
 		if !a.Machine.Orders(*o) {
 			status = http.StatusConflict
 		}
-		respond.JSON(w, status, a.Machine.Report())
+		httpjson.Write(w, status, a.Machine.Report())
 	})
-	mux.HandleFunc("GET /show", func(w http.ResponseWriter, _ *http.Request) { respond.JSON(w, http.StatusOK, a.Machine.Report()) })
+	mux.HandleFunc("GET /show", func(w http.ResponseWriter, _ *http.Request) { httpjson.Write(w, http.StatusOK, a.Machine.Report()) })
 	mux.HandleFunc("GET /check/{job}/{n}/{attempt}", a.serveCheck)
 	return mux
 }
--- a/internal/worker/check.go
+++ b/internal/worker/check.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"github.com/wallrack/wallrack/internal/respond"
+	"github.com/wallrack/wallrack/internal/httpjson"
 )
 
 // Outcomes of a check.
@@ -67,13 +67,13 @@
 	ms, merr := strconv.Atoi(q.Get("timeoutMs"))
 	path := q.Get("http")
 	if err != nil || merr != nil || ms < 1 || path == "" && q.Get("tcp") == "" || path != "" && !strings.HasPrefix(path, "/") {
-		respond.JSON(w, http.StatusBadRequest, map[string]string{"error": "attempt, timeoutMs and http=/PATH or tcp=1 are needed"})
+		httpjson.Write(w, http.StatusBadRequest, map[string]string{"error": "attempt, timeoutMs and http=/PATH or tcp=1 are needed"})
 		return
 	}
 	port := a.Processes.Port(r.PathValue("job")+"/"+r.PathValue("n"), attempt)
 	if port == 0 {
-		respond.JSON(w, http.StatusNotFound, map[string]string{"error": "no such task runs here"})
+		httpjson.Write(w, http.StatusNotFound, map[string]string{"error": "no such task runs here"})
 		return
 	}
-	respond.JSON(w, http.StatusOK, map[string]string{"outcome": check(r.Context(), port, path, time.Duration(ms)*time.Millisecond)})
+	httpjson.Write(w, http.StatusOK, map[string]string{"outcome": check(r.Context(), port, path, time.Duration(ms)*time.Millisecond)})
 }
