Package jobid, formerly numbers

Cause: the name did not tell whose numbers these are. Change: renamed, Book is Allocator; its keys in the state service stay. No change of behaviour.

--- a/cmd/wallrack/slurm.go
+++ b/cmd/wallrack/slurm.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/wallrack/wallrack/internal/desk"
+	"github.com/wallrack/wallrack/internal/jobid"
 	"github.com/wallrack/wallrack/internal/mesh"
-	"github.com/wallrack/wallrack/internal/numbers"
 	"github.com/wallrack/wallrack/internal/owner"
 	"github.com/wallrack/wallrack/internal/terms"
 )
@@ -49,9 +49,9 @@
 		return
 	}
 	n.owner.Accounts = set.Accounts
-	book := numbers.New(n.store)
-	n.intake.Numbers = book
-	d := desk.New(set, n.cfg, n.store, n.owner, book, n, n.intake, catalog, n.log)
+	numbers := jobid.New(n.store)
+	n.intake.Numbers = numbers
+	d := desk.New(set, n.cfg, n.store, n.owner, numbers, n, n.intake, catalog, n.log)
 	mesh.Handle(n.mesh, methodDesk, func(ctx context.Context, r *desk.Request) (*desk.Reply, error) {
 		rep := d.Serve(ctx, *r)
 		return &rep, nil
--- a/internal/client/slurm.go
+++ b/internal/client/slurm.go
@@ -14,8 +14,8 @@
 
 	"github.com/wallrack/wallrack/internal/accounting"
 	"github.com/wallrack/wallrack/internal/descr"
+	"github.com/wallrack/wallrack/internal/jobid"
 	"github.com/wallrack/wallrack/internal/listing"
-	"github.com/wallrack/wallrack/internal/numbers"
 	"github.com/wallrack/wallrack/internal/terms"
 	"github.com/wallrack/wallrack/internal/wire"
 )
@@ -48,7 +48,7 @@
 	if err != nil {
 		return 0, err
 	}
-	var j numbers.Job
+	var j jobid.Job
 	if err := json.Unmarshal(out, &j); err != nil || j.First == 0 {
 		return 0, fmt.Errorf("%w: malformed answer", ErrUnknown)
 	}
@@ -75,8 +75,8 @@
 }
 
 // Find returns the job that a number belongs to.
-func (c *Client) Find(ctx context.Context, n uint64) (*numbers.Job, error) {
-	var j numbers.Job
+func (c *Client) Find(ctx context.Context, n uint64) (*jobid.Job, error) {
+	var j jobid.Job
 	return &j, c.get(ctx, "/slurm/numbers/"+strconv.FormatUint(n, 10), &j)
 }
 
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -19,8 +19,8 @@
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/httpjson"
 	"github.com/wallrack/wallrack/internal/intake"
+	"github.com/wallrack/wallrack/internal/jobid"
 	"github.com/wallrack/wallrack/internal/listing"
-	"github.com/wallrack/wallrack/internal/numbers"
 	"github.com/wallrack/wallrack/internal/owner"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/terms"
@@ -99,7 +99,7 @@
 	cfg     *config.Platform
 	store   Store
 	jobs    Jobs
-	book    *numbers.Book
+	numbers *jobid.Allocator
 	peers   Peers
 	intake  Submitter
 	catalog Catalog
@@ -109,8 +109,8 @@
 }
 
 // New returns a desk.
-func New(set *Settings, cfg *config.Platform, store Store, jobs Jobs, book *numbers.Book, peers Peers, in Submitter, catalog Catalog, log *slog.Logger) *Desk {
-	return &Desk{set: set, cfg: cfg, store: store, jobs: jobs, book: book, peers: peers, intake: in, catalog: catalog, log: log,
+func New(set *Settings, cfg *config.Platform, store Store, jobs Jobs, numbers *jobid.Allocator, peers Peers, in Submitter, catalog Catalog, log *slog.Logger) *Desk {
+	return &Desk{set: set, cfg: cfg, store: store, jobs: jobs, numbers: numbers, peers: peers, intake: in, catalog: catalog, log: log,
 		gate: newGate(set.PerS), slots: make(chan struct{}, maxInFlight)}
 }
 
@@ -187,12 +187,12 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
 	defer cancel()
-	n, err := d.book.Next(ctx, ask.Count)
+	n, err := d.numbers.Next(ctx, ask.Count)
 	if err != nil {
 		d.unsure(w, err)
 		return
 	}
-	httpjson.Write(w, http.StatusOK, numbers.Job{First: n, Tasks: ask.Count})
+	httpjson.Write(w, http.StatusOK, jobid.Job{First: n, Tasks: ask.Count})
 }
 
 func (d *Desk) unsure(w http.ResponseWriter, err error) {
@@ -215,7 +215,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
 	defer cancel()
-	j, err := d.book.Find(ctx, n)
+	j, err := d.numbers.Find(ctx, n)
 	if err != nil {
 		d.unsure(w, err)
 		return
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -21,8 +21,8 @@
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/desk"
 	"github.com/wallrack/wallrack/internal/intake"
+	"github.com/wallrack/wallrack/internal/jobid"
 	"github.com/wallrack/wallrack/internal/listing"
-	"github.com/wallrack/wallrack/internal/numbers"
 	"github.com/wallrack/wallrack/internal/owner"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/terms"
@@ -72,7 +72,7 @@
 	s.owns = true
 	mux := http.NewServeMux()
 	set := &desk.Settings{Cluster: "c", PerS: perS}
-	desk.New(set, &config.Platform{}, s, s, numbers.New(s), s, s, s, slog.New(slog.NewTextHandler(io.Discard, nil))).Register(mux)
+	desk.New(set, &config.Platform{}, s, s, jobid.New(s), s, s, s, slog.New(slog.NewTextHandler(io.Discard, nil))).Register(mux)
 	return mux
 }
 
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -16,7 +16,7 @@
 
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/httpjson"
-	"github.com/wallrack/wallrack/internal/numbers"
+	"github.com/wallrack/wallrack/internal/jobid"
 	"github.com/wallrack/wallrack/internal/owner"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/terms"
@@ -102,7 +102,7 @@
 type Numbers interface {
 	Take(ctx context.Context, count int) (uint64, error)
 	Given(ctx context.Context, first uint64, count int) (bool, error)
-	Find(ctx context.Context, n uint64) (numbers.Job, error)
+	Find(ctx context.Context, n uint64) (jobid.Job, error)
 }
 
 // Intake serves users.
--- a/internal/numbers/numbers.go
+++ b/internal/jobid/jobid.go
@@ -1,8 +1,8 @@
-// Package numbers gives jobs their numbers, by which Slurm's users call them. One
-// counter in the state service, of which each controller takes blocks, so that no
-// number is ever given twice; a key for each job, so that either name finds the
-// other for ever. The task k of a job with number n is also called n+k.
-package numbers
+// Package jobid allocates the numbers by which Slurm's users name jobs. Controllers
+// reserve blocks of one counter in the state service, so that no number is allocated
+// twice. Each job has a key there under its last number, by which any of its numbers
+// finds it. Task k of a job with number n also has the number n+k.
+package jobid
 
 import (
 	"context"
@@ -23,7 +23,7 @@
 	tries      = 4
 )
 
-// Store is what numbers need of the state service.
+// Store is the part of the state service that an Allocator uses.
 type Store interface {
 	Get(ctx context.Context, key string) (wire.Item, error)
 	Txn(ctx context.Context, guards []wire.Guard, ops ...wire.Op) (uint64, error)
@@ -31,65 +31,66 @@
 	Page(ctx context.Context, prefix, after string, limit int) (items []wire.Item, more bool, err error)
 }
 
-// Book gives out numbers.
-type Book struct {
+// Allocator allocates numbers. It is safe for concurrent use.
+type Allocator struct {
 	store Store
 
 	mu   sync.Mutex
-	next uint64 // of the block in hand
+	next uint64 // of the reserved block
 	end  uint64
-	top  uint64 // all numbers below were surely taken by somebody
+	top  uint64 // every number below is known to be allocated
 }
 
-// New returns a book with no numbers in hand.
-func New(store Store) *Book { return &Book{store: store} }
+// New returns an allocator that has reserved no block yet.
+func New(store Store) *Allocator { return &Allocator{store: store} }
 
 type counter struct {
 	Next uint64 `json:"next"`
 }
 
-// Take returns the first of count numbers in a row that nobody else gets, of the
-// block in hand: cheap, but in no order with those of other controllers.
-func (b *Book) Take(ctx context.Context, count int) (uint64, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+// Take allocates count consecutive numbers of the reserved block and returns the
+// first: seldom a write, but in no order with those of other controllers.
+func (a *Allocator) Take(ctx context.Context, count int) (uint64, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	n := uint64(max(1, count))
-	if b.end-b.next < n || b.next == 0 {
-		first, err := b.reserve(ctx, max(block, n))
+	if a.end-a.next < n || a.next == 0 {
+		first, err := a.reserve(ctx, max(block, n))
 		if err != nil {
 			return 0, err
 		}
-		b.next, b.end = first, first+max(block, n)
+		a.next, a.end = first, first+max(block, n)
 	}
-	first := b.next
-	b.next += n
+	first := a.next
+	a.next += n
 	return first, nil
 }
 
-// Next is Take from the counter itself: numbers grow in the order of the answers,
-// at a write each.
-func (b *Book) Next(ctx context.Context, count int) (uint64, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.reserve(ctx, uint64(max(1, count)))
+// Next allocates from the counter itself, at a write for each call: numbers grow in the
+// order of the calls, over all controllers.
+func (a *Allocator) Next(ctx context.Context, count int) (uint64, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.reserve(ctx, uint64(max(1, count)))
 }
 
-// reserve moves the counter on.
-func (b *Book) reserve(ctx context.Context, n uint64) (uint64, error) {
+// reserve advances the counter by n and returns the first number reserved.
+func (a *Allocator) reserve(ctx context.Context, n uint64) (uint64, error) {
 	for range tries {
-		c, version, err := b.read(ctx)
+		c, version, err := a.read(ctx)
 		if err != nil {
 			return 0, err
 		}
 		up := c.Next + n
-		_, err = b.store.Txn(ctx, []wire.Guard{{Key: counterKey, Version: version}}, wire.Op{Put: counterKey, Value: counter{up}})
+		_, err = a.store.Txn(ctx, []wire.Guard{{Key: counterKey, Version: version}}, wire.Op{Put: counterKey, Value: counter{up}})
 		var conflict *statestore.Conflict
 		switch {
 		case err == nil:
-			b.top = max(b.top, up)
+			a.top = max(a.top, up)
 			return c.Next, nil
 		case errors.As(err, &conflict), errors.Is(err, statestore.ErrUnknown):
-			// Another took them, or perhaps this one: these stay unused.
+			// Another controller took them, or this one did and lost the answer: they
+			// stay unused.
 		default:
 			return 0, err
 		}
@@ -97,9 +98,9 @@
 	return 0, fmt.Errorf("no numbers: %w", statestore.ErrUnavailable)
 }
 
-func (b *Book) read(ctx context.Context) (counter, uint64, error) {
+func (a *Allocator) read(ctx context.Context) (counter, uint64, error) {
 	c := counter{Next: 1}
-	it, err := b.store.Get(ctx, counterKey)
+	it, err := a.store.Get(ctx, counterKey)
 	if errors.Is(err, statestore.ErrNotFound) {
 		return c, 0, nil
 	}
@@ -109,28 +110,28 @@
 	if err := json.Unmarshal(it.Value, &c); err != nil {
 		return c, 0, fmt.Errorf("counter of numbers: %w", err)
 	}
-	b.top = max(b.top, c.Next)
+	a.top = max(a.top, c.Next)
 	return c, it.Version, nil
 }
 
-// Given reports whether the numbers were taken by somebody: a client may name only
-// such.
-func (b *Book) Given(ctx context.Context, first uint64, count int) (bool, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+// Given reports whether the numbers were allocated by any controller. A client that
+// names others is refused, or a later job would get the same numbers.
+func (a *Allocator) Given(ctx context.Context, first uint64, count int) (bool, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	last := first + uint64(max(1, count))
 	if first == 0 || last < first {
 		return false, nil
 	}
-	if last > b.top {
-		if _, _, err := b.read(ctx); err != nil {
+	if last > a.top {
+		if _, _, err := a.read(ctx); err != nil {
 			return false, err
 		}
 	}
-	return last <= b.top, nil
+	return last <= a.top, nil
 }
 
-// Job is what a number says.
+// Job is the job that numbers belong to.
 type Job struct {
 	UID   string `json:"uid"`
 	First uint64 `json:"first"`
@@ -145,12 +146,12 @@
 
 // Find returns the job that a number belongs to: the first key at or beyond it is
 // that of the job with the next higher last number.
-func (b *Book) Find(ctx context.Context, n uint64) (Job, error) {
+func (a *Allocator) Find(ctx context.Context, n uint64) (Job, error) {
 	var j Job
 	if n == 0 || n >= 1e14 {
 		return j, statestore.ErrNotFound
 	}
-	items, _, err := b.store.Page(ctx, key, keyOf(n-1), 1)
+	items, _, err := a.store.Page(ctx, key, keyOf(n-1), 1)
 	if err != nil {
 		return j, err
 	}
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -10,7 +10,7 @@
 	"github.com/goccy/go-json"
 
 	"github.com/wallrack/wallrack/internal/config"
-	"github.com/wallrack/wallrack/internal/numbers"
+	"github.com/wallrack/wallrack/internal/jobid"
 	"github.com/wallrack/wallrack/internal/terms"
 	"github.com/wallrack/wallrack/internal/wire"
 )
@@ -123,9 +123,9 @@
 	guards := []wire.Guard{{Key: liveKey + job.UID}, {Key: finalKey + job.UID}}
 	ops := []wire.Op{{Put: liveKey + job.UID, Value: liveRecord{Job: *job, Shard: shard, AtMs: atMs, Terms: t}}}
 	if t != nil {
-		key := numbers.Key(t.Number, job.Tasks)
+		key := jobid.Key(t.Number, job.Tasks)
 		guards = append(guards, wire.Guard{Key: key})
-		ops = append(ops, wire.Op{Put: key, Value: numbers.Job{UID: job.UID, First: t.Number, Tasks: job.Tasks}})
+		ops = append(ops, wire.Op{Put: key, Value: jobid.Job{UID: job.UID, First: t.Number, Tasks: job.Tasks}})
 	}
 	return guards, ops
 }
