--- a/cmd/wallctl/slurm.go
+++ b/cmd/wallctl/slurm.go
@@ -192,8 +192,8 @@
 	if r.Terms.Number, err = cl.Numbers(ctx, r.Job.Tasks); err != nil {
 		return nil, &stepError{stepSubmit, err}
 	}
-	r.Job.UID, r.Descr.Slurm.Number = client.NewUID(), r.Terms.Number
-	_, err = cl.SubmitWith(ctx, &r.Job, &r.Terms, &r.Descr, o.TestOnly)
+	r.Job.UID, r.Description.Slurm.Number = client.NewUID(), r.Terms.Number
+	_, err = cl.SubmitWith(ctx, &r.Job, &r.Terms, &r.Description, o.TestOnly)
 	switch {
 	case errors.Is(err, client.ErrUnknown):
 		return nil, &stepError{stepSubmit, fmt.Errorf("no answer came in time; job %d (%s) may have been accepted or may be yet: ask with \"wallctl status %s\" before you submit again: %w",
--- a/cmd/wallrack/rollouts.go
+++ b/cmd/wallrack/rollouts.go
@@ -10,7 +10,7 @@
 
 	"github.com/goccy/go-json"
 
-	"github.com/wallrack/wallrack/internal/descr"
+	"github.com/wallrack/wallrack/internal/description"
 	"github.com/wallrack/wallrack/internal/httpjson"
 	"github.com/wallrack/wallrack/internal/mesh"
 	"github.com/wallrack/wallrack/internal/owner"
@@ -86,7 +86,7 @@
 
 func (n *node) newRollouts(s *rollout.Settings) *rollout.Manager {
 	most := int(n.cfg.Params.State.ValueKB * 1024 * 0.9)
-	m := rollout.NewManager(s, n.store, rolloutCore{n}, descr.NewClient(s.Descriptions), rollout.NewWorkerProber(), most, n.log)
+	m := rollout.NewManager(s, n.store, rolloutCore{n}, description.NewClient(s.Descriptions), rollout.NewWorkerProber(), most, n.log)
 	mesh.Handle(n.mesh, methodRollouts, func(context.Context, *nothing) (*[]rollout.Status, error) {
 		out := m.Statuses()
 		return &out, nil
--- a/internal/client/slurm.go
+++ b/internal/client/slurm.go
@@ -13,7 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wallrack/wallrack/internal/accounting"
-	"github.com/wallrack/wallrack/internal/descr"
+	"github.com/wallrack/wallrack/internal/description"
 	"github.com/wallrack/wallrack/internal/jobid"
 	"github.com/wallrack/wallrack/internal/listing"
 	"github.com/wallrack/wallrack/internal/terms"
@@ -57,7 +57,7 @@
 
 // SubmitWith submits a job with terms, as Submit does. With test it is checked
 // only.
-func (c *Client) SubmitWith(ctx context.Context, job *wire.Job, t *terms.Terms, d *descr.Description, test bool) (*wire.JobState, error) {
+func (c *Client) SubmitWith(ctx context.Context, job *wire.Job, t *terms.Terms, d *description.Description, test bool) (*wire.JobState, error) {
 	if !test {
 		if err := c.describe(ctx, job.UID, d); err != nil {
 			return nil, err
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -23,7 +23,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wallrack/wallrack/internal/config"
-	"github.com/wallrack/wallrack/internal/descr"
+	"github.com/wallrack/wallrack/internal/description"
 	"github.com/wallrack/wallrack/internal/rollout"
 	"github.com/wallrack/wallrack/internal/spawn"
 	"github.com/wallrack/wallrack/internal/standin"
@@ -136,7 +136,7 @@
 	if err := os.WriteFile(s.slurmFile(), []byte(slurmSettings), 0o644); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
-	m := &machines{site: s, nodes: nodes, descr: "http://" + inner.Addr().String(), running: map[string]*running{}}
+	m := &machines{site: s, nodes: nodes, descriptions: "http://" + inner.Addr().String(), running: map[string]*running{}}
 	cloud, err := standin.OpenCloud(db, []wire.MachineType{{Name: Type, CPUs: s.CPUs, MemoryGB: s.MemoryGB, CacheGB: 100, FetchGBPerS: 10,
 		Price: 1, SpotPrice: 1, BootS: 0.1, Zones: []string{Zone}}}, s.Machines, m)
 	if err != nil {
@@ -152,7 +152,7 @@
 	for _, path := range []string{"/machine_types", "/hosts", "/hosts/"} {
 		mux.Handle(path, cloudService)
 	}
-	descriptions := descr.Handler(standin.Descriptions{DB: db})
+	descriptions := description.Handler(standin.Descriptions{DB: db})
 	mux.Handle("/descriptions/", descriptions)
 	front.mux.Handle("/descriptions/", descriptions)
 
@@ -320,10 +320,10 @@
 
 // machines is the cloud's launcher: a worker process each.
 type machines struct {
-	site   *Site
-	nodes  []node
-	descr  string
-	failed func(name string)
+	site         *Site
+	nodes        []node
+	descriptions string
+	failed       func(name string)
 
 	mu      sync.Mutex
 	running map[string]*running
@@ -342,7 +342,7 @@
 		return "", err
 	}
 	args := []string{"worker", "--name", l.Name, "--listen", ports[0], "--type", l.Type, "--zone", l.Zone,
-		"--cpus", fmt.Sprint(t.CPUs), "--memory-gb", fmt.Sprint(t.MemoryGB), "--descriptions", m.descr,
+		"--cpus", fmt.Sprint(t.CPUs), "--memory-gb", fmt.Sprint(t.MemoryGB), "--descriptions", m.descriptions,
 		"--report-s", fmt.Sprint(reportS), "--lease-s", fmt.Sprint(leaseS), "--dir", filepath.Join(m.site.Dir, "machines", l.Name)}
 	for _, n := range m.nodes {
 		args = append(args, "--controller", n.name+"="+n.users)
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -12,7 +12,7 @@
 
 	"github.com/goccy/go-json"
 
-	"github.com/wallrack/wallrack/internal/descr"
+	"github.com/wallrack/wallrack/internal/description"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/wire"
 )
@@ -51,7 +51,7 @@
 
 // Descriptions keeps what jobs run.
 type Descriptions interface {
-	Put(ctx context.Context, job string, d *descr.Description) error
+	Put(ctx context.Context, job string, d *description.Description) error
 }
 
 // entry is a service and its last roll-out, as recorded.
--- a/internal/rollout/manager_test.go
+++ b/internal/rollout/manager_test.go
@@ -13,7 +13,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/wallrack/wallrack/internal/descr"
+	"github.com/wallrack/wallrack/internal/description"
 	"github.com/wallrack/wallrack/internal/rollout"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/testkit"
@@ -110,7 +110,7 @@
 func (c *core) Unfinished(class string) bool { return c.classes[class] }
 
 // Put implements rollout.Descriptions.
-func (c *core) Put(_ context.Context, job string, d *descr.Description) error {
+func (c *core) Put(_ context.Context, job string, d *description.Description) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.descs[job] = d.Argv[0]
@@ -262,7 +262,7 @@
 
 func (s *site) begin(version string, change func(*rollout.Spec)) {
 	spec := spec()
-	spec.To = rollout.Version{Name: version, Desc: descr.Description{Argv: []string{version}, CPUs: 1}}
+	spec.To = rollout.Version{Name: version, Desc: description.Description{Argv: []string{version}, CPUs: 1}}
 	if change != nil {
 		change(&spec)
 	}
--- a/internal/slurm/slurm_test.go
+++ b/internal/slurm/slurm_test.go
@@ -107,7 +107,7 @@
 			return r.Job.Tasks == 1 && r.Job.CPUs == 1 && r.Job.MemoryGB == 0.5 && r.Job.Priority == "normal" && r.Job.Class == "adhoc" && r.Job.Team == "ops" && r.Terms.Final && r.Terms.Name == "job.sh"
 		},
 		"-n 4 -c 2 --mem-per-cpu=512": func(r *slurm.Request) bool {
-			return r.Job.Tasks == 1 && r.Job.CPUs == 8 && r.Job.MemoryGB == 4 && r.Descr.Env["SLURM_NTASKS"] == "4"
+			return r.Job.Tasks == 1 && r.Job.CPUs == 8 && r.Job.MemoryGB == 4 && r.Description.Env["SLURM_NTASKS"] == "4"
 		},
 		"--array=0-15:2,20%4 -t 1:00": func(r *slurm.Request) bool {
 			return r.Job.Tasks == 9 && r.Terms.Most == 4 && r.Terms.Array == "0-15:2,20" && r.Job.Estimate == 60 && r.Terms.LimitS == 60
@@ -127,7 +127,7 @@
 		"--deadline=16:30 --begin=16:00 -H": func(r *slurm.Request) bool {
 			return *r.Job.DueS == 3600 && r.Terms.BeginMs == now.Add(30*time.Minute).UnixMilli() && r.Terms.Held
 		},
-		"--export=NONE,A=b": func(r *slurm.Request) bool { return r.Descr.Env["A"] == "b" && r.Descr.Env["HOME"] == "" },
+		"--export=NONE,A=b": func(r *slurm.Request) bool { return r.Description.Env["A"] == "b" && r.Description.Env["HOME"] == "" },
 		"--qos=root":        nil, "-p nope": nil, "-A nope": nil, "-w m9": nil, "-x m8,m64,g8": nil, "-x a": nil, "-N 2": nil, "--mem=0": nil, "--mem=1G --mem-per-cpu=1G": nil,
 		"--deadline=now": nil, "--nice=-1": nil, "--gres=fpga:1": nil, "-C gpu": nil, "--array=0-200000": nil, "-d expand:3": nil, "-d after": nil, "-c 0": nil, "--kill-on-invalid-dep=maybe": nil,
 	} {
@@ -153,8 +153,8 @@
 		if err := r.Terms.Check(r.Job.Tasks, r.Job.Gang(), r.Job.Service(), now); err != nil {
 			t.Errorf("%s: terms that no site takes: %v", line, err)
 		}
-		if r.Descr.Env["SLURM_JOB_ID"] != "" || strings.Join(r.Descr.Argv, " ") != "/bin/sh -e" {
-			t.Errorf("%s: %+v", line, r.Descr)
+		if r.Description.Env["SLURM_JOB_ID"] != "" || strings.Join(r.Description.Argv, " ") != "/bin/sh -e" {
+			t.Errorf("%s: %+v", line, r.Description)
 		}
 	}
 }
--- a/internal/slurm/translate.go
+++ b/internal/slurm/translate.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"github.com/wallrack/wallrack/internal/descr"
+	"github.com/wallrack/wallrack/internal/description"
 	"github.com/wallrack/wallrack/internal/listing"
 	"github.com/wallrack/wallrack/internal/slurmtask"
 	"github.com/wallrack/wallrack/internal/terms"
@@ -17,9 +17,9 @@
 
 // Request is a submission in wallrack's own words.
 type Request struct {
-	Job   wire.Job
-	Terms terms.Terms
-	Descr descr.Description
+	Job         wire.Job
+	Terms       terms.Terms
+	Description description.Description
 }
 
 // Work is what shall run, and who asks from where.
@@ -89,7 +89,7 @@
 		}
 	}
 	r.describe(cmd, o, w, site)
-	if err := r.Descr.Check(); err != nil {
+	if err := r.Description.Check(); err != nil {
 		return nil, &Usage{Why: err.Error()}
 	}
 	return r, nil
@@ -214,7 +214,7 @@
 
 // describe says what runs.
 func (r *Request) describe(cmd Command, o *Options, w *Work, site *listing.Site) {
-	j, t, d := &r.Job, &r.Terms, &r.Descr
+	j, t, d := &r.Job, &r.Terms, &r.Description
 	d.CPUs, d.GPUs, d.MemoryGB = j.CPUs, j.GPUs, j.MemoryGB
 	d.Dir = w.Dir
 	if o.Dir != "" {
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -272,7 +272,7 @@
 
 var descrBucket = []byte("descriptions")
 
-// Put implements descr.Store.
+// Put implements description.Store.
 func (d Descriptions) Put(name string, data []byte) (old []byte, err error) {
 	err = d.DB.Update(func(tx *bbolt.Tx) error {
 		b, err := tx.CreateBucketIfNotExists(descrBucket)
@@ -288,7 +288,7 @@
 	return old, err
 }
 
-// Get implements descr.Store.
+// Get implements description.Store.
 func (d Descriptions) Get(name string) (data []byte, err error) {
 	err = d.DB.View(func(tx *bbolt.Tx) error {
 		if b := tx.Bucket(descrBucket); b != nil {
