Package slurmapi, formerly desk, in files of one job each

Cause: the name did not tell what the package serves, and one file of 447 lines held numbers, listings, single jobs and accounting.

Change: renamed, Desk is Server and its gate a rateLimiter; server.go is split into server, messages, numbers, jobs, accounting and response. The method's name between controllers stays, since two versions of them talk during an upgrade. Tests are named after what they expect. No change of behaviour.

--- a/cmd/wallrack/daemon.go
+++ b/cmd/wallrack/daemon.go
@@ -18,7 +18,6 @@
 	"github.com/wallrack/wallrack/internal/alert"
 	"github.com/wallrack/wallrack/internal/cancels"
 	"github.com/wallrack/wallrack/internal/config"
-	"github.com/wallrack/wallrack/internal/desk"
 	"github.com/wallrack/wallrack/internal/fleet"
 	"github.com/wallrack/wallrack/internal/httpjson"
 	"github.com/wallrack/wallrack/internal/intake"
@@ -29,6 +28,7 @@
 	"github.com/wallrack/wallrack/internal/owner"
 	"github.com/wallrack/wallrack/internal/recovery"
 	"github.com/wallrack/wallrack/internal/rollout"
+	"github.com/wallrack/wallrack/internal/slurmapi"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/usage"
 )
@@ -48,7 +48,7 @@
 // extras are the settings of what is off without them.
 type extras struct {
 	rollouts *rollout.Settings
-	slurm    *desk.Settings
+	slurm    *slurmapi.Settings
 }
 
 // run assembles the slices and runs them until ctx ends.
--- a/cmd/wallrack/main.go
+++ b/cmd/wallrack/main.go
@@ -14,8 +14,8 @@
 	"github.com/spf13/cobra"
 
 	"github.com/wallrack/wallrack/internal/config"
-	"github.com/wallrack/wallrack/internal/desk"
 	"github.com/wallrack/wallrack/internal/rollout"
+	"github.com/wallrack/wallrack/internal/slurmapi"
 )
 
 const version = "0.1.0"
@@ -64,7 +64,7 @@
 				}
 			}
 			if slurm != "" {
-				if more.slurm, err = desk.LoadSettings(slurm); err != nil {
+				if more.slurm, err = slurmapi.LoadSettings(slurm); err != nil {
 					return err
 				}
 			}
--- a/cmd/wallrack/slurm.go
+++ b/cmd/wallrack/slurm.go
@@ -5,16 +5,16 @@
 	"net/http"
 	"time"
 
-	"github.com/wallrack/wallrack/internal/desk"
 	"github.com/wallrack/wallrack/internal/jobid"
 	"github.com/wallrack/wallrack/internal/mesh"
 	"github.com/wallrack/wallrack/internal/owner"
+	"github.com/wallrack/wallrack/internal/slurmapi"
 	"github.com/wallrack/wallrack/internal/terms"
 )
 
 // Methods of the mesh for Slurm-style clients.
 const (
-	methodDesk    = "Desk"
+	methodSlurm   = "Desk" // as earlier versions call it: controllers of two versions talk
 	methodFacts   = "Facts"
 	methodEarlier = "Earlier"
 )
@@ -36,7 +36,7 @@
 
 // slurm switches Slurm-style clients and accounting on. What depends on another
 // owner's jobs is asked there even where they are off, for jobs from before.
-func (n *node) slurm(set *desk.Settings, catalog desk.Catalog, mux *http.ServeMux) {
+func (n *node) slurm(set *slurmapi.Settings, catalog slurmapi.Catalog, mux *http.ServeMux) {
 	n.owner.Others = n
 	mesh.Handle(n.mesh, methodFacts, func(_ context.Context, m *factsMessage) (*factsReply, error) {
 		f, ok := n.owner.FactsHere(m.UID)
@@ -51,20 +51,20 @@
 	n.owner.Accounts = set.Accounts
 	numbers := jobid.New(n.store)
 	n.intake.Numbers = numbers
-	d := desk.New(set, n.cfg, n.store, n.owner, numbers, n, n.intake, catalog, n.log)
-	mesh.Handle(n.mesh, methodDesk, func(ctx context.Context, r *desk.Request) (*desk.Reply, error) {
-		rep := d.Serve(ctx, *r)
+	server := slurmapi.New(set, n.cfg, n.store, n.owner, numbers, n, n.intake, catalog, n.log)
+	mesh.Handle(n.mesh, methodSlurm, func(ctx context.Context, r *slurmapi.Request) (*slurmapi.Reply, error) {
+		rep := server.Serve(ctx, *r)
 		return &rep, nil
 	})
-	d.Register(mux)
+	server.Register(mux)
 }
 
 // Owns reports whether this controller owns shards.
 func (n *node) Owns() bool { return n.member.Held() > 0 && len(n.member.Own()) > 0 }
 
-// AskDesk hands a Slurm-style client's request to an owner.
-func (n *node) AskDesk(ctx context.Context, peer string, r desk.Request) (*desk.Reply, error) {
-	return mesh.Call[desk.Request, desk.Reply](ctx, n.mesh, peer, methodDesk, &r)
+// AskOwner forwards a Slurm-style client's request to an owner.
+func (n *node) AskOwner(ctx context.Context, peer string, r slurmapi.Request) (*slurmapi.Reply, error) {
+	return mesh.Call[slurmapi.Request, slurmapi.Reply](ctx, n.mesh, peer, methodSlurm, &r)
 }
 
 // Facts says how far a job is: its owner knows, or the store how it ended.
--- a/internal/desk/desk_test.go
+++ b/internal/slurmapi/server_test.go
@@ -1,4 +1,4 @@
-package desk_test
+package slurmapi_test
 
 import (
 	"context"
@@ -19,17 +19,17 @@
 	"github.com/wallrack/wallrack/internal/accounting"
 	"github.com/wallrack/wallrack/internal/client"
 	"github.com/wallrack/wallrack/internal/config"
-	"github.com/wallrack/wallrack/internal/desk"
 	"github.com/wallrack/wallrack/internal/intake"
 	"github.com/wallrack/wallrack/internal/jobid"
 	"github.com/wallrack/wallrack/internal/listing"
 	"github.com/wallrack/wallrack/internal/owner"
+	"github.com/wallrack/wallrack/internal/slurmapi"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/terms"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
-// site is everything around a desk.
+// site stands in for everything that a server uses.
 type site struct {
 	keys  []string // of accounting, in order
 	pages map[string]string
@@ -64,21 +64,21 @@
 func (s *site) Owners() []string                                    { return nil }
 func (s *site) All() []wire.MachineType                             { return nil }
 func (s *site) Submit(context.Context, intake.Request) intake.Reply { return intake.Reply{} }
-func (s *site) AskDesk(context.Context, string, desk.Request) (*desk.Reply, error) {
+func (s *site) AskOwner(context.Context, string, slurmapi.Request) (*slurmapi.Reply, error) {
 	return nil, errors.New("cut off")
 }
 
 func (s *site) handler(perS float64) http.Handler {
 	s.owns = true
 	mux := http.NewServeMux()
-	set := &desk.Settings{Cluster: "c", PerS: perS}
-	desk.New(set, &config.Platform{}, s, s, jobid.New(s), s, s, s, slog.New(slog.NewTextHandler(io.Discard, nil))).Register(mux)
+	set := &slurmapi.Settings{Cluster: "c", PerS: perS}
+	slurmapi.New(set, &config.Platform{}, s, s, jobid.New(s), s, s, s, slog.New(slog.NewTextHandler(io.Discard, nil))).Register(mux)
 	return mux
 }
 
-// A flood of listings is refused in order: as many are answered as the settings
-// say, and the others are told to come back one after another, not all at once.
-func TestFloodOfListings(t *testing.T) {
+// As many listings are answered as the settings say; the others are told to retry one
+// after another, not all at once.
+func TestListingsBeyondTheRateAreRefusedInOrder(t *testing.T) {
 	s := &site{}
 	h := s.handler(5)
 	answered, last, spread := 0, 0, map[int]int{}
@@ -109,8 +109,8 @@
 	}
 }
 
-// What can't be told is 503, what can't be done 422, and nothing but a job is one.
-func TestDeskAnswers(t *testing.T) {
+// An outcome that is not known is 503, a request that can't be met 422, an unknown job 404.
+func TestResponseStatuses(t *testing.T) {
 	s := &site{}
 	h := s.handler(1000)
 	for _, c := range []struct {
@@ -135,7 +135,7 @@
 	}
 }
 
-func TestSettings(t *testing.T) {
+func TestSettingsNameTheWrongKey(t *testing.T) {
 	for text, want := range map[string]string{
 		`(slurm (cluster "c") (accounting on) (listings-per-s 2.5))`: "",
 		`(slurm)`:                                  "",
@@ -146,7 +146,7 @@
 		`(slurm (accounting on) (accounting off))`: "accounting: given twice",
 		`(slurm accounting)`:                       "entry 1: expected (key value)",
 	} {
-		_, err := desk.ParseSettings([]byte(text))
+		_, err := slurmapi.ParseSettings([]byte(text))
 		if got := fmt.Sprint(err); err == nil && want != "" || err != nil && got != want {
 			t.Errorf("%s: %v", text, err)
 		}
--- a/internal/desk/settings.go
+++ b/internal/slurmapi/settings.go
@@ -1,4 +1,4 @@
-package desk
+package slurmapi
 
 import (
 	"errors"
