--- a/cmd/wallctl/scancel.go
+++ b/cmd/wallctl/scancel.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"strconv"
 	"time"
 
@@ -43,48 +44,51 @@
 	if !filtered && len(f.Jobs)+len(uids) == 0 {
 		return &slurm.Usage{Why: "No job identification provided"}
 	}
-	var failed error
-	note := func(what string, err error) {
-		if err == nil {
-			return
-		}
-		failed = &exitError{1}
-		if !*quiet || errors.Is(err, client.ErrUnknown) {
-			fmt.Fprintf(cmd.ErrOrStderr(), "scancel: error: Kill job error on job id %s: %v\n", what, err)
-		}
-	}
+	c := &cancels{cl: cl, errors: cmd.ErrOrStderr(), quiet: *quiet}
 	ctx := cmd.Context()
 	for _, uid := range uids {
-		note(uid, cancelJob(ctx, cl, uid))
+		c.note(uid, cancelJob(ctx, cl, uid))
 	}
-	if !filtered {
-		for i, t := range f.Jobs {
-			note(numbers[i], cancelTarget(ctx, cl, t))
+	if filtered {
+		if err := c.matching(ctx, &f); err != nil {
+			return err
 		}
-		return failed
+		return c.failed
+	}
+	for i, t := range f.Jobs {
+		c.note(numbers[i], cancelTarget(ctx, cl, t))
+	}
+	return c.failed
+}
+
+// cancels runs one command's cancels and reports those that fail.
+type cancels struct {
+	cl     *client.Client
+	errors io.Writer
+	quiet  bool  // report only cancels whose outcome is not known
+	failed error // once one failed, the command's exit code
+}
+
+// note takes the outcome of the cancel of a job or task.
+func (c *cancels) note(name string, err error) {
+	if err == nil {
+		return
 	}
-	// What is meant is looked up first, so that a listing never runs into what
-	// this command changes.
-	type drop struct {
-		info *listing.Info
-		all  bool
-		rows []slurm.QueueRow
+	c.failed = &exitError{1}
+	if !c.quiet || errors.Is(err, client.ErrUnknown) {
+		fmt.Fprintf(c.errors, "scancel: error: Kill job error on job id %s: %v\n", name, err)
 	}
-	var drops []drop
-	err = cl.Jobs(ctx, func(p *listing.Page) error {
+}
+
+// matching cancels the jobs, or tasks of jobs, that the filter matches. They are
+// looked up before the first is cancelled, so that the cancels don't change the
+// listing while it is read.
+func (c *cancels) matching(ctx context.Context, f *slurm.Filter) error {
+	var found []match
+	err := c.cl.Jobs(ctx, func(p *listing.Page) error {
 		for i := range p.Jobs {
-			info := &p.Jobs[i]
-			rows := slurm.Queue(info, true, p.NowMs, time.Local)
-			d := drop{info: info, all: true}
-			for _, r := range rows {
-				if f.Has(&r) {
-					d.rows = append(d.rows, r)
-				} else {
-					d.all = false
-				}
-			}
-			if len(d.rows) > 0 {
-				drops = append(drops, d)
+			if m := matchJob(f, &p.Jobs[i], p.NowMs); len(m.tasks) > 0 {
+				found = append(found, m)
 			}
 		}
 		return nil
@@ -92,18 +96,34 @@
 	if err != nil {
 		return fmt.Errorf("the jobs could not be listed to the end, none was cancelled: %w", err)
 	}
-	for _, d := range drops {
-		if d.all {
-			note(strconv.FormatUint(d.info.Terms.Number, 10), cancelJob(ctx, cl, d.info.Job.UID))
-			continue
+	for _, m := range found {
+		name, uid := strconv.FormatUint(m.info.Terms.Number, 10), m.info.Job.UID
+		if m.all {
+			c.note(name, cancelJob(ctx, c.cl, uid))
+		} else {
+			c.note(name, c.cl.Drop(ctx, uid, terms.RangesOf(m.tasks)))
 		}
-		var ns []int
-		for _, r := range d.rows {
-			ns = append(ns, int(r.RawID-d.info.Terms.Number))
+	}
+	return nil
+}
+
+// match is what a filter matches of a job.
+type match struct {
+	info  *listing.Info
+	all   bool  // all tasks that are waiting or running
+	tasks []int // the tasks that it matches
+}
+
+func matchJob(f *slurm.Filter, info *listing.Info, nowMs int64) match {
+	m := match{info: info, all: true}
+	for _, r := range slurm.Queue(info, true, nowMs, time.Local) {
+		if f.Has(&r) {
+			m.tasks = append(m.tasks, int(r.RawID-info.Terms.Number))
+		} else {
+			m.all = false
 		}
-		note(strconv.FormatUint(d.info.Terms.Number, 10), cl.Drop(ctx, d.info.Job.UID, terms.RangesOf(ns)))
 	}
-	return failed
+	return m
 }
 
 func cancelJob(ctx context.Context, cl *client.Client, uid string) error {
--- /dev/null
+++ b/cmd/wallctl/scancel_test.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/wallrack/wallrack/internal/httpjson"
+	"github.com/wallrack/wallrack/internal/listing"
+	"github.com/wallrack/wallrack/internal/terms"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// A filter cancels a job as a whole if all its tasks match, else the tasks that do; if
+// the listing breaks off, nothing is cancelled.
+func TestFilteredCancelTakesWhatTheWholeListingMatches(t *testing.T) {
+	job := func(uid string, number uint64, tasks int, waiting string, on ...listing.On) listing.Info {
+		return listing.Info{Job: wire.Job{UID: uid, Tasks: tasks}, Terms: &terms.Terms{Number: number}, Stage: wire.StageQueued, Waiting: waiting, On: on}
+	}
+	running := listing.On{Task: 0, Attempt: 1, Machine: "m", StartMs: 5}
+	first := listing.Page{Next: &listing.Cursor{Number: 40}, NowMs: 1000,
+		Jobs: []listing.Info{job("j-all", 10, 1, "0"), job("j-part", 20, 3, "1-2", running), job("j-none", 30, 1, "", running)}}
+	last := listing.Page{NowMs: 1000, Jobs: []listing.Info{job("j-last", 40, 1, "0")}}
+	breaks := false
+	var asked []string
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.Method == http.MethodPost:
+			body, _ := io.ReadAll(r.Body) // what is missing of it fails the comparison
+			asked = append(asked, strings.TrimSpace(r.URL.Path+" "+string(body)))
+			httpjson.Write(w, http.StatusOK, wire.JobState{Stage: wire.StageCancelled})
+		case r.URL.Query().Get("number") == "0":
+			httpjson.Write(w, http.StatusOK, first)
+		case breaks:
+			httpjson.Write(w, http.StatusUnprocessableEntity, wire.Problem{Error: "no"})
+		default:
+			httpjson.Write(w, http.StatusOK, last)
+		}
+	}))
+	defer srv.Close()
+	if out, err := ctl(t, srv.URL, "scancel", "-t", "PENDING"); err != nil || out != "" {
+		t.Fatalf("%v, printed %q", err, out)
+	}
+	if want := []string{"/api/jobs/j-all/cancel", `/slurm/jobs/j-part/drop {"tasks":"1-2"}`, "/api/jobs/j-last/cancel"}; !slices.Equal(asked, want) {
+		t.Errorf("asked for %q, not %q", asked, want)
+	}
+	breaks, asked = true, nil
+	if _, err := ctl(t, srv.URL, "scancel", "-t", "PENDING"); err == nil || !strings.Contains(err.Error(), "none was cancelled") || len(asked) > 0 {
+		t.Errorf("a listing that breaks off: %v, asked for %q", err, asked)
+	}
+}
