One piece for what settings and the roll-out commands did twice

Cause: two parsers of settings read a bounded number, two loaders read a file, and two commands fetched, printed or decoded an answer, each in the same lines. Change: config.Number, config.Load and app.fetch, with the same texts of errors.

--- a/cmd/wallctl/rollout.go
+++ b/cmd/wallctl/rollout.go
@@ -66,6 +66,23 @@
 	return err
 }
 
+// fetch gets a path of the operators' interface. With --json it prints the answer as it
+// came, else it decodes it into v.
+func (a *app) fetch(cmd *cobra.Command, cl *client.Client, path string, v any) (printed bool, err error) {
+	out, err := cl.Raw(cmd.Context(), path)
+	if err != nil {
+		return false, err
+	}
+	if a.json {
+		_, err = cmd.OutOrStdout().Write(out)
+		return true, err
+	}
+	if err := json.Unmarshal(out, v); err != nil {
+		return false, fmt.Errorf("malformed answer: %w", err)
+	}
+	return false, nil
+}
+
 // describe is a roll-out in a line.
 func describe(r *rollout.Run) string {
 	s := fmt.Sprintf("%s %d to %s: %s, step %d of %d", r.Spec.Service, r.ID, r.Spec.To.Name, r.Phase, r.Step+1, len(r.Targets))
@@ -123,14 +140,9 @@
 		if watch && len(args) == 1 {
 			return a.watchRollout(cmd.Context(), cl, args[0], 0, cmd.OutOrStdout())
 		}
-		out, err := cl.Raw(cmd.Context(), rolloutPath)
-		if err != nil || a.json {
-			_, werr := cmd.OutOrStdout().Write(out)
-			return errors.Join(err, werr)
-		}
 		var all []rollout.Status
-		if err := json.Unmarshal(out, &all); err != nil {
-			return fmt.Errorf("malformed answer: %w", err)
+		if printed, err := a.fetch(cmd, cl, rolloutPath, &all); err != nil || printed {
+			return err
 		}
 		t := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
 		fmt.Fprintln(t, "SERVICE\tVERSION\tREPLICAS\tROLL-OUT")
@@ -161,14 +173,9 @@
 		if err != nil {
 			return err
 		}
-		out, err := cl.Raw(cmd.Context(), rolloutPath+"/"+args[0]+"/history")
-		if err != nil || a.json {
-			_, werr := cmd.OutOrStdout().Write(out)
-			return errors.Join(err, werr)
-		}
 		var runs []rollout.Run
-		if err := json.Unmarshal(out, &runs); err != nil {
-			return fmt.Errorf("malformed answer: %w", err)
+		if printed, err := a.fetch(cmd, cl, rolloutPath+"/"+args[0]+"/history", &runs); err != nil || printed {
+			return err
 		}
 		t := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
 		fmt.Fprintln(t, "ID\tFROM\tTO\tOUTCOME\tBEGUN\tTOOK\tRESTORED IN\tWHY")
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"os"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -97,17 +96,7 @@
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // LoadPlatform reads and checks the platform's file; unknown fields are ignored.
-func LoadPlatform(path string) (*Platform, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, errors.Unwrap(err))
-	}
-	p, err := ParsePlatform(data)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
-	return p, nil
-}
+func LoadPlatform(path string) (*Platform, error) { return Load(path, ParsePlatform) }
 
 // ParsePlatform reads and checks the platform's settings.
 func ParsePlatform(data []byte) (*Platform, error) {
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -72,7 +72,7 @@
 	return Load(path, func(data []byte) (*Operator, error) { return ParseOperator(data, op) })
 }
 
-// Load reads a file of operators' settings; complaints name the file.
+// Load reads a file of settings; errors name the file.
 func Load[T any](path string, parse func(data []byte) (*T, error)) (*T, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -103,6 +103,23 @@
 	return list[1:], nil
 }
 
+// Number reads the number of a setting, which is to be within min and max.
+func Number(value any, min, max float64) (float64, error) {
+	var v float64
+	switch n := value.(type) {
+	case int64:
+		v = float64(n)
+	case float64:
+		v = n
+	default:
+		return 0, errors.New("not a number")
+	}
+	if !(v >= min && v <= max) {
+		return 0, fmt.Errorf("%v is outside %v to %v", v, min, max)
+	}
+	return v, nil
+}
+
 // ParseOperator reads `(wallrack (key value) ...)` over base.
 func ParseOperator(data []byte, base *Operator) (*Operator, error) {
 	op := *base
@@ -129,17 +146,9 @@
 			return nil, fmt.Errorf("%s: given twice", key)
 		}
 		seen[key] = true
-		var v float64
-		switch n := pair[1].(type) {
-		case int64:
-			v = float64(n)
-		case float64:
-			v = n
-		default:
-			return nil, fmt.Errorf("%s: not a number", key)
-		}
-		if !(v >= s.min && v <= s.max) {
-			return nil, fmt.Errorf("%s: %v is outside %v to %v", key, v, s.min, s.max)
+		v, err := Number(pair[1], s.min, s.max)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", key, err)
 		}
 		if s.whole && v != math.Trunc(v) {
 			return nil, fmt.Errorf("%s: %v is not a whole number", key, v)
--- a/internal/slurmapi/settings.go
+++ b/internal/slurmapi/settings.go
@@ -68,16 +68,8 @@
 			}
 			s.Accounts = pair[1] == edn.Symbol("on")
 		case key == "listings-per-s":
-			switch n := pair[1].(type) {
-			case int64:
-				s.PerS = float64(n)
-			case float64:
-				s.PerS = n
-			default:
-				return nil, errors.New("listings-per-s: not a number")
-			}
-			if !(s.PerS >= minPerS && s.PerS <= maxPerS) {
-				return nil, fmt.Errorf("listings-per-s: %v is outside %v to %v", s.PerS, minPerS, maxPerS)
+			if s.PerS, err = config.Number(pair[1], minPerS, maxPerS); err != nil {
+				return nil, fmt.Errorf("%s: %w", key, err)
 			}
 		default:
 			return nil, fmt.Errorf("%.40v: unknown key", pair[0])
