wallctl: the failure of a step is a wrapped error

Cause: stepError did what fmt.Errorf does. Change: the steps' names stay constants, the type goes. The texts are pinned by TestMessagesAreThoseOfSlurm.

--- a/cmd/wallctl/slurm_errors.go
+++ b/cmd/wallctl/slurm_errors.go
@@ -20,21 +20,12 @@
 func (e *slurmError) Error() string { return e.command + ": error: " + e.err.Error() }
 func (e *slurmError) Unwrap() error { return e.err }
 
-// Steps that a stepError names as Slurm's commands do.
+// Steps of which an error says that they failed, in Slurm's words.
 const (
 	stepSubmit = "Batch job submission failed"
 	stepList   = "Unable to contact the site, or not to the end of the list"
 )
 
-// stepError is the failure of a step of a command, in Slurm's words, with its cause.
-type stepError struct {
-	step string
-	err  error
-}
-
-func (e *stepError) Error() string { return e.step + ": " + e.err.Error() }
-func (e *stepError) Unwrap() error { return e.err }
-
 var (
 	errOver         error = &slurm.Usage{Why: "Job/step already completing or completed"}
 	errInvalidJobID error = &slurm.Usage{Why: "Invalid job id specified"}
--- a/cmd/wallctl/slurm_submit.go
+++ b/cmd/wallctl/slurm_submit.go
@@ -93,16 +93,16 @@
 		return nil, err
 	}
 	if r.Terms.Number, err = cl.Numbers(ctx, r.Job.Tasks); err != nil {
-		return nil, &stepError{stepSubmit, err}
+		return nil, fmt.Errorf("%s: %w", stepSubmit, err)
 	}
 	r.Job.UID, r.Description.Slurm.Number = client.NewUID(), r.Terms.Number
 	_, err = cl.SubmitWith(ctx, &r.Job, &r.Terms, &r.Description, o.TestOnly)
 	switch {
 	case errors.Is(err, client.ErrUnknown):
-		return nil, &stepError{stepSubmit, fmt.Errorf("no answer came in time; job %d (%s) may have been accepted or may be yet: ask with \"wallctl status %s\" before you submit again: %w",
-			r.Terms.Number, r.Job.UID, r.Job.UID, err)}
+		return nil, fmt.Errorf("%s: no answer came in time; job %d (%s) may have been accepted or may be yet: ask with \"wallctl status %s\" before you submit again: %w",
+			stepSubmit, r.Terms.Number, r.Job.UID, r.Job.UID, err)
 	case err != nil:
-		return nil, &stepError{stepSubmit, err}
+		return nil, fmt.Errorf("%s: %w", stepSubmit, err)
 	}
 	return r, nil
 }
--- a/cmd/wallctl/squeue.go
+++ b/cmd/wallctl/squeue.go
@@ -67,7 +67,7 @@
 		return nil
 	})
 	if err != nil {
-		return &stepError{stepList, err}
+		return fmt.Errorf("%s: %w", stepList, err)
 	}
 	if *asJSON {
 		if all == nil {
