--- a/cmd/wallrack/rollouts.go
+++ b/cmd/wallrack/rollouts.go
@@ -10,10 +10,10 @@
 
 	"github.com/goccy/go-json"
 
-	"github.com/wallrack/wallrack/internal/descr"
+	"github.com/wallrack/wallrack/internal/description"
+	"github.com/wallrack/wallrack/internal/httpjson"
 	"github.com/wallrack/wallrack/internal/mesh"
 	"github.com/wallrack/wallrack/internal/owner"
-	"github.com/wallrack/wallrack/internal/respond"
 	"github.com/wallrack/wallrack/internal/rollout"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/terms"
@@ -86,7 +86,7 @@
 
 func (n *node) newRollouts(s *rollout.Settings) *rollout.Manager {
 	most := int(n.cfg.Params.State.ValueKB * 1024 * 0.9)
-	m := rollout.NewManager(s, n.store, rolloutCore{n}, descr.NewClient(s.Descriptions), rollout.NewWorkerProber(), most, n.log)
+	m := rollout.NewManager(s, n.store, rolloutCore{n}, description.NewClient(s.Descriptions), rollout.NewWorkerProber(), most, n.log)
 	mesh.Handle(n.mesh, methodRollouts, func(context.Context, *nothing) (*[]rollout.Status, error) {
 		out := m.Statuses()
 		return &out, nil
@@ -109,7 +109,7 @@
 			w.Header().Set("Retry-After", "1")
 			status, v = http.StatusServiceUnavailable, wire.Problem{Error: err.Error()}
 		}
-		respond.JSON(w, status, v)
+		httpjson.Write(w, status, v)
 	}
 	within := func(r *http.Request) (context.Context, context.CancelFunc) {
 		return context.WithTimeout(r.Context(), rolloutsWithin)
