Tests: names say fault and expectation in slurm, rollout, worker, alert, accounting, config, standin

Cause: names such as TestBook, TestSlots or TestStateByTheProtocol did not tell what is expected. Change: 18 tests and one stand-in renamed; what they assert is unchanged.

--- a/internal/accounting/accounting_test.go
+++ b/internal/accounting/accounting_test.go
@@ -25,7 +25,7 @@
 
 // Pages keep every row once and in order, within their bound, over the end of a
 // day; what was written stays when the next write adds to it.
-func TestBook(t *testing.T) {
+func TestPagesKeepEveryRowOnceAndInOrder(t *testing.T) {
 	rnd := rand.New(rand.NewPCG(3, 4))
 	const most = 7 << 10
 	b := accounting.NewBook(9, most)
--- a/internal/alert/alert_test.go
+++ b/internal/alert/alert_test.go
@@ -28,9 +28,9 @@
 	return append([]owner.Status(nil), j.list...)
 }
 
-// A job that waits past its aim is paged once, not at every look, and cleared
-// when it is over; a cancelled one is nobody's concern.
-func TestOnePageAnOccurrence(t *testing.T) {
+// A job that waits past its aim is paged once, not at every check, and cleared
+// when it is over; a cancelled one is not paged.
+func TestMissedAimIsPagedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		j := &jobs{}
 		a := alert.New([]config.Objective{{Kind: "wait", Class: "c", WithinS: 2}, {Kind: "finished", Class: "c", WithinS: 5}}, j, slog.New(slog.NewTextHandler(io.Discard, nil)))
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -84,7 +84,7 @@
 	})
 }
 
-func TestOperatorRefuses(t *testing.T) {
+func TestInvalidOperatorSettingsAreRefused(t *testing.T) {
 	for text, part := range map[string]string{
 		"":                                 "S-expression",
 		"(wallrack":                        "S-expression",
--- a/internal/rollout/manager_test.go
+++ b/internal/rollout/manager_test.go
@@ -50,20 +50,20 @@
 
 const startsAfter = 3 * time.Second
 
-// seat is the core as one controller's manager sees it.
-type seat struct {
+// controllerView is the core as one controller's manager sees it.
+type controllerView struct {
 	*core
 	name string
 	view *testkit.View
 }
 
-func (s seat) Lead() (wire.Guard, bool) {
+func (s controllerView) Lead() (wire.Guard, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return wire.Guard{Key: shardKey, Version: s.version}, s.leader == s.name
 }
 
-func (s seat) Submit(ctx context.Context, job *wire.Job, guards ...wire.Guard) error {
+func (s controllerView) Submit(ctx context.Context, job *wire.Job, guards ...wire.Guard) error {
 	_, err := s.view.Txn(ctx, append(guards, wire.Guard{Key: "live/" + job.UID}), wire.Op{Put: "live/" + job.UID, Value: job.Tasks})
 	var conflict *statestore.Conflict
 	if errors.As(err, &conflict) && conflict.Has("live/"+job.UID) {
@@ -78,7 +78,7 @@
 	return nil
 }
 
-func (s seat) Cancel(_ context.Context, uid string) error {
+func (s controllerView) Cancel(_ context.Context, uid string) error {
 	if s.view.Down != nil && s.view.Down() {
 		return statestore.ErrUnavailable
 	}
@@ -143,7 +143,7 @@
 	return a
 }
 
-// count follows the promise: replicas that answer well.
+// count records the fewest healthy and the most live replicas of a version.
 func (c *core) count() {
 	c.mu.Lock()
 	healthy, versions := 0, map[string]int{}
@@ -203,7 +203,7 @@
 func (s *site) start(name string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	view := &testkit.View{Store: s.store}
-	m := rollout.NewManager(s.settings, view, seat{s.core, name, view}, s.core, s.core, 16<<10, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	m := rollout.NewManager(s.settings, view, controllerView{s.core, name, view}, s.core, s.core, 16<<10, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	done := make(chan struct{})
 	go func() { defer close(done); _ = m.Run(ctx) }()
 	s.managers[name], s.views[name], s.stops[name], s.dones[name] = m, view, cancel, done
@@ -286,9 +286,9 @@
 	return s
 }
 
-// The operators' own case: a version turns unhealthy halfway; it is halted and
+// A version turns unhealthy halfway; it is halted and
 // the prior version is whole again within a minute.
-func TestUnhealthyHalfwayIsRestored(t *testing.T) {
+func TestUnhealthyVersionIsRolledBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := first(t, 8)
 		s.health = func(v string, replica int, since time.Duration) rollout.Answer {
@@ -326,7 +326,7 @@
 
 // A check that hangs pauses the roll-out, names the replica, and holds; it goes on
 // when an operator says so. A version that flaps below the thresholds passes.
-func TestHangPausesAndFlappingPasses(t *testing.T) {
+func TestHangingCheckPausesAndFlappingVersionPasses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := first(t, 4)
 		var hang atomic.Bool
@@ -357,7 +357,7 @@
 
 // A slot that begins in the middle of a step lets the step's soak end and then
 // holds; in a slot nothing starts.
-func TestSlots(t *testing.T) {
+func TestStepsWaitForTheEndOfASlot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := first(t, 4)
 		s.settings.Classes = []string{"tip-split"}
@@ -385,7 +385,7 @@
 // The controller that drives a roll-out is killed, or the state service goes out
 // for half a minute, at every transition in turn; machines are lost while
 // soaking. Each time the roll-out ends as it would have, with one outcome.
-func TestTroubleAtEveryTransition(t *testing.T) {
+func TestControllerLossOrStateOutageAtEveryTransition(t *testing.T) {
 	for _, bad := range []bool{false, true} {
 		for _, trouble := range []string{"killed", "deposed", "state out", "machines lost"} {
 			synctest.Test(t, func(t *testing.T) {
@@ -463,8 +463,8 @@
 	}
 }
 
-// What can't be is refused by name, and nothing is changed.
-func TestStartRefuses(t *testing.T) {
+// A roll-out that can't be is refused with the field's name, and nothing is changed.
+func TestInvalidStartIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := first(t, 4)
 		before := len(s.store.Keys("rollout/"))
--- a/internal/rollout/settings_test.go
+++ b/internal/rollout/settings_test.go
@@ -8,7 +8,7 @@
 	"github.com/wallrack/wallrack/internal/rollout"
 )
 
-func TestSettingsRefuse(t *testing.T) {
+func TestInvalidSettingsAreRefused(t *testing.T) {
 	for text, want := range map[string]string{
 		`(rollouts)`:                                                                            "descriptions: missing",
 		`(rollouts (descriptions "ftp://x"))`:                                                   "descriptions:",
--- a/internal/slurm/slurm_test.go
+++ b/internal/slurm/slurm_test.go
@@ -24,7 +24,7 @@
 )
 
 // Every form of a time limit, and what is none.
-func TestLimits(t *testing.T) {
+func TestTimeLimits(t *testing.T) {
 	for text, want := range map[string]float64{"5": 300, "5:30": 330, "1:05:30": 3930, "2-3": 2*86400 + 3*3600, "2-3:04": 2*86400 + 3*3600 + 240, "1-00:00:01": 86401,
 		"0": 0, "INFINITE": 0, "unlimited": 0, "": -1, "1:x": -1, "1:2:3:4": -1, "-5": -1, "1-2-3": -1, "1-": -1, "99999999": -1} {
 		got, err := slurm.ParseLimit(text)
@@ -64,7 +64,7 @@
 
 // The command line goes before the environment, that before the script; errors name
 // the script's line and the option.
-func TestSources(t *testing.T) {
+func TestLaterSourcesOverrideEarlierOnes(t *testing.T) {
 	script := "#!/bin/bash\n# a comment\n#SBATCH -J fromscript --time=10 # and why\n#SBATCH --mem=2G -p 'quote'\n#SBATCHED no\n\necho hello\n#SBATCH -J toolate\n"
 	lines, err := slurm.FromScript(script, now)
 	if err != nil || !reflect.DeepEqual(lines, slurm.Given{"job-name": "fromscript", "time": "10", "mem": "2G", "partition": "quote"}) {
@@ -231,7 +231,7 @@
 }
 
 // Numbers name a job, a task of its array by either name, or ranges of them.
-func TestTargets(t *testing.T) {
+func TestJobIDsNameJobsTasksAndRanges(t *testing.T) {
 	is := jobs()
 	for text, want := range map[string]int{"100": 6, "100_4": 1, "100_[2,4]": 2, "103": 1, "106": 1, "107": 0, "100_3": 0, "99": 0} {
 		target, err := slurm.ParseTarget(text)
@@ -264,7 +264,7 @@
 
 // Rows that come twice, or in two parts, make one record; a lost attempt costs, and
 // counts as lost.
-func TestAccounts(t *testing.T) {
+func TestRepeatedRowsCountOnceAndLostAttemptsCost(t *testing.T) {
 	at := func(s int) int64 { return now.Add(time.Duration(s) * time.Second).UnixMilli() }
 	job := accounting.Row{Kind: accounting.RowJob, UID: "j-a", Number: 100, State: "FAILED", Exit: 7, Submit: at(-100), Eligible: at(-100), Name: "n", User: "erin", Team: "ops", Class: "quote", Priority: "low", Tasks: 3, Done: 1, End: at(0), CPUs: 2}
 	lost := accounting.Row{Kind: accounting.RowAttempt, UID: "j-a", Number: 100, Task: 0, Attempt: 1, State: "NODE_FAIL", Start: at(-90), End: at(-60), Machine: "n-1", CPUs: 2, Price: 3.6}
--- a/internal/standin/state_test.go
+++ b/internal/standin/state_test.go
@@ -40,7 +40,7 @@
 
 // What was answered as written is there after a restart, leases go on, stamps
 // never come twice, and an old watch is told to read again.
-func TestStateByTheProtocol(t *testing.T) {
+func TestWritesAndLeasesSurviveARestart(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "state.db")
 	c, stop := open(t, file)
 	ctx := context.Background()
--- a/internal/worker/worker_test.go
+++ b/internal/worker/worker_test.go
@@ -88,7 +88,7 @@
 // Whatever commands come, late and repeated ones too: no task runs twice at a
 // time, what is reported as running runs and nothing else does, and nothing runs
 // beyond the machine or the lease.
-func TestMachineByTheProtocol(t *testing.T) {
+func TestLateAndRepeatedCommandsKeepTheProtocol(t *testing.T) {
 	type step struct {
 		Kind, Task, Attempt, Token, Wait int
 		Old                              bool
@@ -161,7 +161,7 @@
 }
 
 // A result is kept: a task that is started again exits with done at once.
-func TestResultsAreKept(t *testing.T) {
+func TestRepeatedTaskReturnsItsStoredResult(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &site{running: map[string]*fake{}}
 		m := machine(s)
@@ -237,7 +237,7 @@
 	t.Errorf("process %d still runs after %s", pid, why)
 }
 
-func TestProcessesEndWhole(t *testing.T) {
+func TestAllProcessesOfATaskAreKilled(t *testing.T) {
 	p := processes(t, t.TempDir())
 	_, ended := run(t, p, "j-1/0", `echo "$GREETING $WALLRACK_JOB $WALLRACK_TASK"; head -c 500 /dev/zero | tr '\0' x >&2`)
 	if !await(t, ended) {
@@ -270,7 +270,7 @@
 
 // A worker that is itself killed leaves nothing: the kernel ends the tasks' first
 // processes, the next worker the rest.
-func TestKilledWorkerLeavesNothing(t *testing.T) {
+func TestKilledWorkerLeavesNoProcesses(t *testing.T) {
 	if dir := os.Getenv("WORKER_TEST_DIR"); dir != "" { // the worker to be killed
 		p := processes(t, dir)
 		run(t, p, "j-1/0", "sleep 60 & echo $! > child; echo $$ > first; wait")
@@ -278,7 +278,7 @@
 		return
 	}
 	dir := t.TempDir()
-	cmd := exec.Command(os.Args[0], "-test.run=^TestKilledWorkerLeavesNothing$")
+	cmd := exec.Command(os.Args[0], "-test.run=^TestKilledWorkerLeavesNoProcesses$")
 	cmd.Env = append(os.Environ(), "WORKER_TEST_DIR="+dir)
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
