Owner: a watch that is behind brings no ended job back to life

A new owner reads the living jobs as of a revision. Its watch may be behind that: a controller that was cut off from the state service for seconds gets the acceptance of a job after it has read that the job is no more. It took the job in again: users heard queued after done, and its tasks ran once more under attempts that had been used.

The owner keeps, for each shard, the revision as of which it was read; an older record of a job that it does not have is ignored. Cost: one number for each shard, one comparison for each record of an unknown job.

A write that is still open when the last shard goes no longer counts accounting rows that come later as its own.

The view of the state service in testkit can lose the answers of chosen transactions, tells what was read, and holds back the watch of one prefix.

--- a/internal/owner/accept.go
+++ b/internal/owner/accept.go
@@ -63,6 +63,11 @@
 		return
 	}
 	j := o.jobs[r.Job.UID]
+	if j == nil && version <= o.listed[r.Shard] {
+		// The job had ended when the shard was read: a watch that is behind would have
+		// it run once more, and its user hear that it is queued.
+		return
+	}
 	if j == nil {
 		o.admit(r, version, nil, nil, 0)
 		poke(o.wake)
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -45,6 +45,7 @@
 
 func (o *Owner) unload(shard int) {
 	delete(o.loaded, shard)
+	delete(o.listed, shard)
 	delete(o.logs, shard)
 	for uid, j := range o.jobs {
 		if j.shard == shard {
@@ -53,6 +54,10 @@
 	}
 	if len(o.loaded) == 0 {
 		o.loose = nil // a successor may have written what they tell of
+		if o.open != nil {
+			// Nor is what comes after to be taken for the rows of a write that is still open.
+			o.open.loose, o.open.unlogged = 0, nil
+		}
 	}
 	o.log.Info("shard lost", "shard", shard)
 }
@@ -77,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	jobs, _, err := o.store.List(ctx, liveKey)
+	jobs, listed, err := o.store.List(ctx, liveKey)
 	if err != nil {
 		return err
 	}
@@ -97,6 +102,11 @@
 		uid, _, _ := strings.Cut(strings.TrimPrefix(it.Key, taskKey), "/")
 		byJob[uid] = append(byJob[uid], it)
 	}
+	o.mu.Lock()
+	for _, s := range shards {
+		o.listed[s] = listed
+	}
+	o.mu.Unlock()
 	n := o.adopt(shards, versions, want, jobs, byJob, slots, fence)
 	o.log.Info("took shards over", "shards", shards, "jobs", n, "fence", fence)
 	poke(o.wake)
--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -80,6 +80,10 @@
 	cancels map[string]time.Time // jobs, by when their user first heard that they are cancelled
 
 	accounts bool // whether accounting rows are written
+
+	loseAnswer func(n *node, t wire.Txn, version uint64) bool // of an applied transaction; nil: none by choice
+	seen       func(n *node, key string, version uint64)      // what a controller reads in the store; nil: nobody looks
+	behind     func(n *node, prefix string) time.Duration     // how far a controller's watch is behind; nil: not at all
 }
 
 type node struct {
@@ -218,6 +222,7 @@
 		Slow:   func() time.Duration { return w.drawn(&w.slow) },
 		LateBy: func() time.Duration { return w.drawn(&w.lateBy) },
 	}
+	w.watched(n)
 	op, err := config.LoadOperator("")
 	if err != nil {
 		w.t.Fatal(err)
--- a/internal/testkit/store.go
+++ b/internal/testkit/store.go
@@ -145,6 +145,13 @@
 	Slow func() time.Duration
 	// Lag is how long a watch's answer takes; nil: no time.
 	Lag func() time.Duration
+	// Behind is how long the watch of a prefix is behind; nil: not at all.
+	Behind func(prefix string) time.Duration
+	// LoseAnswer makes the answer of a transaction that was applied at a version get
+	// lost: the caller hears nothing until its time is over.
+	LoseAnswer func(t wire.Txn, version uint64) bool
+	// Seen is called with every key and version that a read or a watch tells of.
+	Seen func(key string, version uint64)
 
 	lateMu sync.Mutex
 	late   []wire.Txn
@@ -181,6 +188,27 @@
 	}
 }
 
+// noAnswer is how long a caller without a time limit of its own waits for an answer
+// that is lost.
+const noAnswer = 4 * time.Second
+
+// silence lets the time pass until a caller that hears nothing gives up.
+func silence(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(noAnswer):
+	}
+}
+
+func (v *View) seen(items ...wire.Item) {
+	if v.Seen == nil {
+		return
+	}
+	for _, it := range items {
+		v.Seen(it.Key, it.Version)
+	}
+}
+
 // Get reads a key.
 func (v *View) Get(ctx context.Context, key string) (wire.Item, error) {
 	if ask(v.Down) {
@@ -190,12 +218,14 @@
 		return wire.Item{}, statestore.ErrUnknown
 	}
 	v.mu.Lock()
-	defer v.mu.Unlock()
 	v.expire()
 	it, ok := v.items[key]
+	v.mu.Unlock()
 	if !ok {
+		v.seen(wire.Item{Key: key})
 		return wire.Item{}, statestore.ErrNotFound
 	}
+	v.seen(wire.Item{Key: key, Version: it.version})
 	return wire.Item{Key: key, Value: it.value, Version: it.version, Lease: it.lease}, nil
 }
 
@@ -205,7 +235,6 @@
 		return nil, 0, statestore.ErrUnavailable
 	}
 	v.mu.Lock()
-	defer v.mu.Unlock()
 	v.expire()
 	var out []wire.Item
 	for k, it := range v.items {
@@ -213,8 +242,11 @@
 			out = append(out, wire.Item{Key: k, Value: it.value, Version: it.version, Lease: it.lease})
 		}
 	}
+	rev := v.rev
+	v.mu.Unlock()
 	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
-	return out, v.rev, nil
+	v.seen(out...)
+	return out, rev, nil
 }
 
 // Page reads at most so many keys with the prefix, in order, beyond after.
@@ -258,6 +290,10 @@
 		}
 	}
 	rev, err := v.apply(t)
+	if err == nil && v.LoseAnswer != nil && v.LoseAnswer(t, rev) {
+		silence(ctx)
+		return 0, statestore.ErrUnknown
+	}
 	if ask(v.Lose) || !v.answer(ctx) {
 		return 0, statestore.ErrUnknown
 	}
@@ -346,7 +382,16 @@
 			case <-time.After(v.Lag()):
 			}
 		}
+		if len(got) > 0 && v.Behind != nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(v.Behind(prefix)):
+			}
+		}
 		if len(got) > 0 {
+			for _, e := range got {
+				v.seen(wire.Item{Key: e.Put + e.Delete, Version: e.Version})
+			}
 			change(got)
 		}
 		select {
