Membership: two open outcomes are told apart, a lost answer is no short life

A release and a hand-over, both without an answer, were taken back in one transaction. If one of them had been carried out, all shards counted as given away: those of the other stayed under this controller's lease, and nobody served them. Now only the shards whose keys had changed are let go; the others are tried again at once.

A controller whose joining was carried out without an answer found its own first try and took it for a life that had ended early: after three of them it left the jobs to others. It recognises its own lease now.

TestReleaseAndHandOverWithOpenOutcomes and TestJoiningWithoutAnswersIsNotUnsteady fail without the mends (two of four shards without an owner; freed jobs to the older peer) and pass with them.

--- /dev/null
+++ b/internal/membership/lost_answers_test.go
@@ -0,0 +1,109 @@
+package membership_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/membership"
+	"github.com/wallrack/wallrack/internal/testkit"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// A release is carried out and its answer lost; another controller reads it, and claims
+// what was released. Then a hand-over of the rest gets no answer and is carried out
+// late. What comes of the one says nothing of the other: every shard has an owner again.
+func TestReleaseAndHandOverWithOpenOutcomes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := testkit.NewStore()
+		var hold atomic.Bool // the next hand-over is carried out late
+		var lost, read atomic.Uint64
+		view := &testkit.View{Store: store, Late: func() bool { return hold.CompareAndSwap(true, false) },
+			LoseAnswer: func(txn wire.Txn, version uint64) bool {
+				return strings.HasPrefix(txn.Then[0].Delete, "c/shard/") && lost.CompareAndSwap(0, version)
+			}}
+		other := &testkit.View{Store: store, Seen: func(key string, version uint64) {
+			if strings.HasPrefix(key, "c/shard/") && version == lost.Load() {
+				read.Store(version)
+			}
+		}}
+		spread := func(v *testkit.View, name string) *membership.Member {
+			return membership.New(v, name, ttl, 4, 2, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		}
+		a, b := spread(view, "a"), spread(other, "b")
+		ctx, cancel := context.WithCancel(context.Background())
+		doneA := run(ctx, a)
+		time.Sleep(time.Second)
+		doneB := run(ctx, b)
+		for end := time.Now().Add(2 * ttl); lost.Load() == 0 && time.Now().Before(end); {
+			time.Sleep(10 * time.Millisecond)
+		}
+		// While the release is open, the rest is handed over.
+		hold.Store(true)
+		if err := a.HandOver(ctx, "b"); err == nil {
+			t.Error("handed over without an answer")
+		}
+		time.Sleep(4 * time.Second)
+		if lost.Load() == 0 || read.Load() == 0 || hold.Load() {
+			t.Errorf("release carried out as of %d, read by the other controller as of %d, hand-over still to come: %v", lost.Load(), read.Load(), hold.Load())
+		}
+		if len(a.Own())+len(b.Own()) != 4 {
+			t.Errorf("with both outcomes known a owns %v, b %v", a.Own(), b.Own())
+		}
+		view.Deliver()
+		time.Sleep(3 * ttl)
+		if len(a.Own()) != 2 || len(b.Own()) != 2 {
+			t.Errorf("in the end a owns %v, b %v", a.Own(), b.Own())
+		}
+		cancel()
+		<-doneA
+		<-doneB
+	})
+}
+
+// A controller whose tries to join are carried out while their answers are lost is no
+// unsteady one: it takes freed jobs first, as the last that joined.
+func TestJoiningWithoutAnswersIsNotUnsteady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := testkit.NewStore()
+		left := 4
+		view := &testkit.View{Store: store, LoseAnswer: func(txn wire.Txn, _ uint64) bool {
+			for _, op := range txn.Then {
+				if op.Put == "c/node/b" && left > 0 {
+					left--
+					return true
+				}
+			}
+			return false
+		}}
+		ctx, cancel := context.WithCancel(context.Background())
+		actx, stop := context.WithCancel(ctx)
+		a, b, c := member(&testkit.View{Store: store}, "a"), member(view, "b"), member(&testkit.View{Store: store}, "c")
+		doneA := run(actx, a)
+		time.Sleep(time.Second)
+		doneC := run(ctx, c)
+		time.Sleep(time.Second)
+		doneB := run(ctx, b)
+		for end := time.Now().Add(time.Minute); b.Term() == 0 && time.Now().Before(end); {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if left > 0 || b.Term() == 0 {
+			t.Fatalf("%d answers still to be lost, term %d", left, b.Term())
+		}
+		time.Sleep(time.Second)
+		stop()
+		<-doneA
+		time.Sleep(2 * ttl)
+		if len(b.Own()) != 4 {
+			t.Errorf("b joined last and owns %v, c %v", b.Own(), c.Own())
+		}
+		cancel()
+		<-doneB
+		<-doneC
+	})
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -97,6 +97,7 @@
 	newest   map[int]uint64 // shard -> highest version of its key that is known; what is older is late news
 	synced   bool
 	joinedAs uint64            // the term of this incarnation's joining
+	tried    uint64            // lease of the last try to join
 	short    int               // see nodeRecord
 	freed    map[int]time.Time // when a shard's key was seen to go
 	left     map[string]time.Time
@@ -374,7 +375,14 @@
 		return fmt.Errorf("open lease: %w", err)
 	}
 	rec := nodeRecord{Lease: lease, Joined: sent.UnixMilli()}
-	if old.Lease != 0 && rec.Joined-old.Joined < shortLife.Milliseconds() {
+	m.mu.Lock()
+	own := old.Lease != 0 && old.Lease == m.tried
+	m.tried = lease
+	m.mu.Unlock()
+	switch {
+	case own:
+		rec.Short = old.Short // its own try, whose answer was lost: no life that was short
+	case old.Lease != 0 && rec.Joined-old.Joined < shortLife.Milliseconds():
 		rec.Short = old.Short + 1
 	}
 	if err := m.startRaise(ctx); err != nil {
@@ -638,6 +646,11 @@
 	m.mu.Lock()
 	if m.lease == self.Lease {
 		for s := range shards {
+			if conflict != nil && !conflict.Has(keyOf(s)) {
+				// Given away by another transaction, whose outcome is still open: dropped
+				// with the others, it would stay this controller's, and nobody would serve it.
+				continue
+			}
 			delete(m.limbo, s)
 			if err == nil {
 				m.own[s] = rev
@@ -648,9 +661,13 @@
 			m.newest[s] = max(m.newest[s], rev, shards[s]+1)
 		}
 	}
+	left := len(m.limbo) > 0
 	m.mu.Unlock()
-	if err == nil {
+	switch {
+	case err == nil:
 		m.notify()
+	case left:
+		m.poke()
 	}
 }
 
