Fleet: a hire's record is repeated until its outcome is known, and expires

A hire whose record got no answer was given up. The record could be there all the same, or be written minutes later: it stayed for as long as the same controller led, and the next leader of the fleet rented machines for work that was long done.

Now the record is sent again, under the same name, until it is surely written or surely not; a first try that had been carried out is recognised by the name, which is never shared. Only then is the cloud asked, as before. A record says when its hire was planned. A leader repeats those of the last 30 s, which covers a change of the leader by the end of a lease; older ones are deleted, in one transaction. Nor does a controller ask the cloud for the first time for an older hire, or when it no longer leads. Machines that were rented under a dropped name are in the cloud's list, and are used or returned from there.

Cost: 25 bytes in a record; a write more for each lost answer; one deletion for each leftover at a change of the leader.

--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -47,9 +47,14 @@
 
 // NewCloud returns a client that keeps within rps.
 func NewCloud(addr string, rps float64) *Cloud {
+	return NewCloudOver(&http.Transport{MaxConnsPerHost: 6, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}, addr, rps)
+}
+
+// NewCloudOver is NewCloud with requests carried by a transport.
+func NewCloudOver(transport http.RoundTripper, addr string, rps float64) *Cloud {
 	return &Cloud{
 		base:  "http://" + addr,
-		http:  &http.Client{Transport: &http.Transport{MaxConnsPerHost: 6, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
+		http:  &http.Client{Transport: transport},
 		limit: rate.NewLimiter(rate.Limit(rps*0.85), max(1, int(rps))),
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -148,11 +148,17 @@
 			f.mu.Unlock()
 		}
 		if !f.loaded {
-			if err := f.load(ctx); err != nil {
+			old, err := f.load(ctx)
+			if err != nil {
 				f.log.Info("loading hires failed", "err", err)
 				continue
 			}
 			f.loaded = true
+			if len(old) > 0 {
+				f.log.Info("hires are too old to be repeated", "hires", old)
+				wg.Add(1)
+				go func() { defer wg.Done(); f.forget(ctx, old) }()
+			}
 		}
 		if time.Since(f.listAt) > seconds(max(3, listShare*float64(max(1, f.pages))/f.cfg.Params.Cloud.RPS)) {
 			f.listAt = time.Now()
@@ -216,7 +222,7 @@
 	}
 	for _, h := range send {
 		wg.Add(1)
-		go func() { defer wg.Done(); f.rent(ctx, h, false) }()
+		go func() { defer wg.Done(); f.rent(ctx, h) }()
 	}
 	for _, o := range first {
 		for n := wants[o]; n > 0 && free > 0; n -= maxHire {
@@ -229,7 +235,7 @@
 			f.hires[name] = h
 			f.mu.Unlock()
 			wg.Add(1)
-			go func() { defer wg.Done(); f.rent(ctx, h, true) }()
+			go func() { defer wg.Done(); f.rent(ctx, h) }()
 		}
 	}
 }
--- a/internal/fleet/hire.go
+++ b/internal/fleet/hire.go
@@ -7,69 +7,150 @@
 
 	"github.com/goccy/go-json"
 
+	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
 var errDeposed = errors.New("no longer leads the fleet")
 
+// hireExpires is how long after it was planned the cloud may first be asked for a hire.
+// A record may be written although its writer never learns of it, also minutes late, and
+// a later leader can't tell whether the cloud was asked: the work that it was for is
+// mostly done by then. Machines that were rented all the same are in the cloud's list.
+// It covers a change of the leader by the end of its lease.
+const hireExpires = 30 * time.Second
+
+// hire is a rental that the cloud has not answered yet.
 type hire struct {
-	req     wire.HireRequest
-	made    time.Time
-	sending bool
+	req      wire.HireRequest
+	made     time.Time // when it was planned
+	sending  bool
+	open     bool // its record was sent, and may have been written
+	recorded bool // its record is written
+	asked    bool // the cloud may know of it
+}
+
+// hireRecord is a hire as the state service has it. Without a time, it is old.
+type hireRecord struct {
+	wire.HireRequest
+	PlannedMs int64 `json:"planned,omitempty"` // time of day
 }
 
+func (h *hire) record() hireRecord { return hireRecord{h.req, h.made.UnixMilli()} }
+
+// expired reports whether the cloud must not be asked for a hire any more, unless it
+// was asked before.
+func expired(planned, now time.Time) bool { return now.Sub(planned) > hireExpires }
+
 // inFlight is how many hires may be out at once. More would only queue for the
 // cloud's budget, and the plan would count on machines that nobody asked for.
 func (f *Fleet) inFlight() int { return max(2, int(2*f.cfg.Params.Cloud.RPS)) }
 
-// load finds hires that were recorded but perhaps not answered: they are
-// repeated under their names.
-func (f *Fleet) load(ctx context.Context) error {
+// load finds hires that were recorded but perhaps not answered: they are repeated under
+// their names. It returns the keys of those that are too old for that.
+func (f *Fleet) load(ctx context.Context) (old []string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
 	items, _, err := f.store.List(ctx, hireKey)
 	if err != nil {
-		return err
+		return nil, err
 	}
+	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, it := range items {
-		var r wire.HireRequest
+		var r hireRecord
 		if err := json.Unmarshal(it.Value, &r); err != nil {
 			f.log.Error("unreadable hire", "key", it.Key, "err", err)
 			continue
 		}
-		f.hires[r.Name] = &hire{req: r, made: time.Now()}
+		planned := time.UnixMilli(r.PlannedMs)
+		if expired(planned, now) {
+			old = append(old, it.Key)
+			continue
+		}
+		f.hires[r.Name] = &hire{req: r.HireRequest, made: planned, recorded: true}
 	}
-	return nil
+	return old, nil
+}
+
+// forget deletes records of hires, of which nothing comes any more. Those beyond one
+// transaction, and those whose deletion fails, are left to the next leader.
+func (f *Fleet) forget(ctx context.Context, keys []string) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	var ops []wire.Op
+	for _, key := range keys[:min(len(keys), max(1, f.cfg.Params.State.TxnOps))] {
+		ops = append(ops, wire.Op{Delete: key})
+	}
+	if _, err := f.store.Txn(ctx, nil, ops...); err != nil {
+		f.log.Debug("hires stay recorded", "hires", keys, "err", err)
+	}
+}
+
+// write records a hire, so that whoever leads next repeats it under its name. It is
+// repeated itself until its outcome is known.
+func (f *Fleet) write(ctx context.Context, h *hire) error {
+	key := hireKey + h.req.Name
+	v, ok := f.member.Claimed()[0]
+	if !ok {
+		return errDeposed
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	shard := f.member.ShardKey(0)
+	_, err := f.store.Txn(ctx, []wire.Guard{{Key: shard, Version: v}, {Key: key}}, wire.Op{Put: key, Value: h.record()})
+	var conflict *statestore.Conflict
+	if errors.As(err, &conflict) && !conflict.Has(shard) {
+		return nil // by an earlier try, whose answer was lost: names are never shared
+	}
+	return err
+}
+
+// enter makes sure that a hire is recorded before the cloud is asked, and that it may
+// still be asked. again says that this can't be told yet.
+func (f *Fleet) enter(ctx context.Context, h *hire) (ok, again bool) {
+	if !h.recorded {
+		err := f.write(ctx, h)
+		var conflict *statestore.Conflict
+		h.open = h.open || errors.Is(err, statestore.ErrUnknown)
+		switch {
+		case err == nil:
+			h.recorded = true
+		case h.open && !errors.As(err, &conflict) && !errors.Is(err, errDeposed) && !expired(h.made, time.Now()):
+			f.log.Info("hire perhaps recorded", "hire", h.req.Name, "err", err)
+			return false, true
+		default:
+			// Nothing was rented, and the name is not used again.
+			f.log.Info("hire not recorded", "hire", h.req.Name, "err", err)
+			return false, false
+		}
+	}
+	if !h.asked && (expired(h.made, time.Now()) || !f.owner.Ready()) {
+		// After a standstill a successor may have rented for the same work.
+		f.log.Info("hire dropped", "hire", h.req.Name)
+		return false, false
+	}
+	h.asked = true
+	return true, false
 }
 
 // rent asks for machines under a recorded name, and repeats that name until
 // the cloud has answered.
-func (f *Fleet) rent(ctx context.Context, h *hire, record bool) {
+func (f *Fleet) rent(ctx context.Context, h *hire) {
 	key := hireKey + h.req.Name
 	drop := true
 	defer func() {
 		f.mu.Lock()
 		h.sending = false
-		if drop {
+		if drop && f.hires[h.req.Name] == h {
 			delete(f.hires, h.req.Name)
 		}
 		f.mu.Unlock()
 	}()
-	if record {
-		v, ok := f.member.Claimed()[0]
-		if !ok {
-			return
-		}
-		tctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-		_, err := f.store.Txn(tctx, []wire.Guard{{Key: f.member.ShardKey(0), Version: v}, {Key: key}}, wire.Op{Put: key, Value: h.req})
-		cancel()
-		if err != nil {
-			// Nothing was rented, and the name is not used again.
-			f.log.Info("hire not recorded", "hire", h.req.Name, "err", err)
-			return
-		}
+	if ok, again := f.enter(ctx, h); !ok {
+		drop = !again
+		return
 	}
 	names, err := f.cloud.hire(ctx, h.req)
 	o := offer{h.req.Type, h.req.Zone, h.req.Spot}
@@ -108,11 +189,7 @@
 		}
 		return
 	}
-	tctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-	defer cancel()
-	if _, err := f.store.Txn(tctx, nil, wire.Op{Delete: key}); err != nil {
-		f.log.Debug("hire stays recorded", "hire", h.req.Name, "err", err)
-	}
+	f.forget(ctx, []string{key})
 }
 
 // giveBack returns machines; when the cloud has answered, they are gone.
--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -81,6 +81,7 @@
 
 	accounts bool // whether accounting rows are written
 
+	beside     func(n *node) []func(context.Context) error    // what else a controller runs; nil: nothing
 	loseAnswer func(n *node, t wire.Txn, version uint64) bool // of an applied transaction; nil: none by choice
 	seen       func(n *node, key string, version uint64)      // what a controller reads in the store; nil: nobody looks
 	behind     func(n *node, prefix string) time.Duration     // how far a controller's watch is behind; nil: not at all
@@ -246,7 +247,11 @@
 	n.member.OnChange(n.owner.Changed)
 	n.member.OnLink(n.reach.stored)
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context) error{n.member.Run, n.owner.Run} {
+	runs := []func(context.Context) error{n.member.Run, n.owner.Run}
+	if w.beside != nil {
+		runs = append(runs, w.beside(n)...)
+	}
+	for _, f := range runs {
 		wg.Add(1)
 		go func() { defer wg.Done(); _ = f(ctx) }()
 	}
