Tests: writes carried out late are refused, and lost answers on every kind of write

Each case asserts that the late copy came and was refused, or that the answer was lost and another controller read the write before its writer knew. The accounting page alone, and logs and chunks without a page, are cases of their own: with a page in the same transaction either of two guards would do.

--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -81,10 +81,11 @@
 
 	accounts bool // whether accounting rows are written
 
-	beside     func(n *node) []func(context.Context) error    // what else a controller runs; nil: nothing
-	loseAnswer func(n *node, t wire.Txn, version uint64) bool // of an applied transaction; nil: none by choice
-	seen       func(n *node, key string, version uint64)      // what a controller reads in the store; nil: nobody looks
-	behind     func(n *node, prefix string) time.Duration     // how far a controller's watch is behind; nil: not at all
+	beside     func(n *node) []func(context.Context) error            // what else a controller runs; nil: nothing
+	loseAnswer func(n *node, t wire.Txn, version uint64) bool         // of an applied transaction; nil: none by choice
+	seen       func(n *node, key string, version uint64)              // what a controller reads in the store; nil: nobody looks
+	delay      func(n *node, t wire.Txn) (time.Duration, func(error)) // until a transaction is applied; nil: no time
+	behind     func(n *node, prefix string) time.Duration             // how far a controller's watch is behind; nil: not at all
 }
 
 type node struct {
--- a/internal/testkit/lost_answers_test.go
+++ b/internal/testkit/lost_answers_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +16,8 @@
 	"github.com/goccy/go-json"
 
 	"github.com/wallrack/wallrack/internal/accounting"
+	"github.com/wallrack/wallrack/internal/membership"
+	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/terms"
 	"github.com/wallrack/wallrack/internal/testkit"
 	"github.com/wallrack/wallrack/internal/wire"
@@ -32,8 +36,11 @@
 type answerLoss struct {
 	w      *cluster
 	prefix string
-	writer string // whose answers are lost; "": anybody's
-	left   int    // how many more
+	writer string        // whose answers are lost; "": anybody's
+	left   int           // how many more
+	alone  bool          // only of transactions that write nothing else
+	by     time.Duration // how much later the transactions are applied; 0: at once
+	late   []error       // what came of those that were applied later
 	lost   []*lostAnswer
 	wrote  func(t wire.Txn)               // is told of each; nil: nobody
 	then   func(writer *node, key string) // is called while the writer waits for the answer; nil: nothing
@@ -48,6 +55,14 @@
 		defer w.mu.Unlock()
 		return w.loseAnswer != nil && w.loseAnswer(n, t, version)
 	}
+	n.view.Delay = func(t wire.Txn) (time.Duration, func(error)) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.delay == nil {
+			return 0, nil
+		}
+		return w.delay(n, t)
+	}
 	n.view.Seen = func(key string, version uint64) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -66,23 +81,20 @@
 }
 
 // writerBehind is how far the watches of a writer are behind whose answer is lost:
-// otherwise they would tell it at once what others read.
-const writerBehind = 1500 * time.Millisecond
+// otherwise they would tell it what others read before it gives the answer up.
+const writerBehind = 3 * time.Second
 
 // loseAnswers makes the cluster lose chosen answers, from when they are armed.
-func (w *cluster) loseAnswers(prefix string) *answerLoss {
-	l := &answerLoss{w: w, prefix: prefix}
+func (w *cluster) loseAnswers(l *answerLoss) {
 	w.loseAnswer = l.lose
 	w.seen = l.saw
 	w.behind = func(n *node, _ string) time.Duration {
-		if l.left > 0 || len(l.lost) > 0 && l.lost[len(l.lost)-1].writer == n && !l.lost[len(l.lost)-1].known {
-			if l.writer == "" || l.writer == n.name {
-				return writerBehind
-			}
+		open := l.left > 0 || len(l.lost) > 0 && l.lost[len(l.lost)-1].writer == n && !l.lost[len(l.lost)-1].known
+		if open && (l.writer == "" || l.writer == n.name) {
+			return writerBehind
 		}
 		return 0
 	}
-	return l
 }
 
 // arm loses the next so many answers.
@@ -92,24 +104,45 @@
 	l.writer, l.left = writer, count
 }
 
+// takes reports whether a transaction is one whose answer shall be lost, by the key that
+// it writes.
+func (l *answerLoss) takes(n *node, t wire.Txn) (key string, ok bool) {
+	if l.left == 0 || l.writer != "" && l.writer != n.name || l.alone && len(t.Then) > 1 {
+		return "", false
+	}
+	i := slices.IndexFunc(t.Then, func(op wire.Op) bool { return strings.HasPrefix(op.Put, l.prefix) })
+	if i < 0 {
+		return "", false
+	}
+	l.left--
+	if l.then != nil {
+		l.busy.Go(func() { l.then(n, t.Then[i].Put) })
+	}
+	return t.Then[i].Put, true
+}
+
 func (l *answerLoss) lose(n *node, t wire.Txn, version uint64) bool {
-	if l.left == 0 || l.writer != "" && l.writer != n.name {
+	key, ok := l.takes(n, t)
+	if !ok {
 		return false
 	}
-	for _, op := range t.Then {
-		if key := op.Put + op.Delete; strings.HasPrefix(key, l.prefix) {
-			l.left--
-			l.lost = append(l.lost, &lostAnswer{writer: n, key: key, version: version})
-			if l.wrote != nil {
-				l.wrote(t)
-			}
-			if l.then != nil {
-				l.busy.Go(func() { l.then(n, key) })
-			}
-			return true
-		}
+	l.lost = append(l.lost, &lostAnswer{writer: n, key: key, version: version})
+	if l.wrote != nil {
+		l.wrote(t)
+	}
+	return true
+}
+
+// delay has a transaction applied later.
+func (l *answerLoss) delay(n *node, t wire.Txn) (time.Duration, func(error)) {
+	if _, ok := l.takes(n, t); !ok {
+		return 0, nil
+	}
+	return l.by, func(err error) {
+		l.w.mu.Lock()
+		defer l.w.mu.Unlock()
+		l.late = append(l.late, err)
 	}
-	return false
 }
 
 func (l *answerLoss) saw(n *node, key string, version uint64) {
@@ -128,7 +161,6 @@
 // happened fails the test unless answers were lost, and others had read what was
 // written before the writers knew of it.
 func (l *answerLoss) happened() {
-	l.busy.Wait()
 	l.w.mu.Lock()
 	defer l.w.mu.Unlock()
 	read := 0
@@ -142,6 +174,21 @@
 	}
 }
 
+// refused fails the test unless transactions were carried out late, and changed nothing.
+func (l *answerLoss) refused() {
+	l.w.mu.Lock()
+	defer l.w.mu.Unlock()
+	if len(l.late) == 0 {
+		l.w.t.Errorf("no write of %s came late", l.prefix)
+	}
+	for _, err := range l.late {
+		var conflict *statestore.Conflict
+		if !errors.As(err, &conflict) && !errors.Is(err, statestore.ErrNoLease) {
+			l.w.t.Errorf("a late write of %s: %v", l.prefix, err)
+		}
+	}
+}
+
 // submitAt has a user submit a job at a controller.
 func (w *cluster) submitAt(name, uid string, tasks int) (status int) {
 	body := fmt.Sprintf(`{"uid":%q,"docket":"c","crew":"t","sort":"sweep","urgency":"normal","pieces":%d,"cpus":1,"cards":0,"memoryGb":1,"kit":"i","pullGb":0.1,
@@ -183,12 +230,13 @@
 	name   string
 	prefix string
 	play   func(t *testing.T, w *cluster, l *answerLoss)
+	plain  bool // no accounting rows are written, whose page would be recognised too
 }
 
 // lostAnswerCases has every kind of write that controllers make, but the rental of
 // machines (new_machines_test.go), and the release of shards (package membership).
 var lostAnswerCases = []lostAnswerCase{
-	{"acceptance", "live/j-7", func(t *testing.T, w *cluster, l *answerLoss) {
+	{name: "acceptance", prefix: "live/j-7", play: func(t *testing.T, w *cluster, l *answerLoss) {
 		at := w.others(w.leader())[0]
 		l.then = func(*node, string) {
 			time.Sleep(100 * time.Millisecond)
@@ -204,7 +252,7 @@
 			t.Errorf("the submission is answered %d", status)
 		}
 	}},
-	{"cancel", "live/j-80", func(t *testing.T, w *cluster, l *answerLoss) {
+	{name: "cancel", prefix: "live/j-80", play: func(t *testing.T, w *cluster, l *answerLoss) {
 		at := w.leader()
 		l.then = func(*node, string) {
 			time.Sleep(100 * time.Millisecond)
@@ -227,7 +275,7 @@
 			t.Errorf("%d cancelled tasks are on, %d started", w.onMachines("j-80"), w.starts-started)
 		}
 	}},
-	{"changed terms", "live/j-8t", func(t *testing.T, w *cluster, l *answerLoss) {
+	{name: "changed terms", prefix: "live/j-8t", play: func(t *testing.T, w *cluster, l *answerLoss) {
 		at := w.nodes[w.leader()]
 		w.submitWith("j-8t", 40, &terms.Terms{Number: 1})
 		w.live(1)
@@ -255,7 +303,7 @@
 		}
 		w.user(at.name, http.MethodPost, "j-8t")
 	}},
-	{"end", "final/j-1", func(t *testing.T, w *cluster, l *answerLoss) {
+	{name: "end", prefix: "final/j-1", play: func(t *testing.T, w *cluster, l *answerLoss) {
 		at := w.leader()
 		l.then = func(*node, string) {
 			time.Sleep(100 * time.Millisecond)
@@ -276,7 +324,7 @@
 		}
 		l.arm(at, 1)
 	}},
-	{"end, and the successor's watch is behind", "final/j-7", func(t *testing.T, w *cluster, l *answerLoss) {
+	{name: "end, and the successor's watch is behind", prefix: "final/j-7", play: func(t *testing.T, w *cluster, l *answerLoss) {
 		at := w.leader()
 		next := w.others(at)[0]
 		behind := w.behind
@@ -305,38 +353,41 @@
 			}
 		}
 	}},
-	{"claim of shards", "c/shard/", func(t *testing.T, w *cluster, l *answerLoss) {
+	{name: "claim of shards", prefix: "c/shard/", play: func(t *testing.T, w *cluster, l *answerLoss) {
 		l.arm("", 1)
 		w.crash(w.leader())
-		w.owned(t, 15)
+		w.atMostOneOwner(t, l)
+		w.owned(t, 25)
 	}},
-	{"hand-over", "c/shard/", func(t *testing.T, w *cluster, l *answerLoss) {
+	{name: "hand-over", prefix: "c/shard/", play: func(t *testing.T, w *cluster, l *answerLoss) {
 		from := w.leader()
 		l.then = func(*node, string) {
 			time.Sleep(300 * time.Millisecond)
 			w.askAll("j-80")
 		}
 		l.arm(from, 1)
+		w.atMostOneOwner(t, l)
 		w.moveJobs(w.nodes[from])
 		w.owned(t, 4)
 		if to := w.leader(); to != w.others(from)[0] {
 			t.Errorf("%s owns the jobs, handed over to %s", to, w.others(from)[0])
 		}
 	}},
-	{"taking back after a hand-over", "c/shard/", func(t *testing.T, w *cluster, l *answerLoss) {
+	{name: "taking back after a hand-over", prefix: "c/shard/", play: func(t *testing.T, w *cluster, l *answerLoss) {
 		from := w.nodes[w.leader()]
 		late := true
 		from.view.Late = func() bool { held := late; late = false; return held }
 		l.arm(from.name, 1)
+		w.atMostOneOwner(t, l)
 		w.moveJobs(from)
-		w.owned(t, 6)
+		w.owned(t, 10)
 		from.view.Deliver()
 		w.owned(t, 1)
 		if to := w.leader(); to != from.name {
 			t.Errorf("%s owns the jobs, taken back by %s", to, from.name)
 		}
 	}},
-	{"counter of terms", "c/term", func(t *testing.T, w *cluster, l *answerLoss) {
+	{name: "counter of terms", prefix: "c/term", play: func(t *testing.T, w *cluster, l *answerLoss) {
 		var unused []uint64 // terms whose writers never learnt that they have them
 		l.wrote = func(txn wire.Txn) {
 			for _, op := range txn.Then {
@@ -363,32 +414,53 @@
 			t.Errorf("terms without an answer: %v", unused)
 		}
 	}},
-	{"log, read by a new owner", "log/", func(t *testing.T, w *cluster, l *answerLoss) {
+	{name: "log, read by a new owner", prefix: "log/", play: func(t *testing.T, w *cluster, l *answerLoss) {
 		l.then = func(writer *node, _ string) { w.moveJobs(writer) }
 		l.arm("", 2)
 		w.live(8)
 	}},
-	{"log, repeated by its owner", "log/", func(t *testing.T, w *cluster, l *answerLoss) {
+	{name: "log, repeated by its owner", prefix: "log/", plain: true, play: func(t *testing.T, w *cluster, l *answerLoss) {
 		l.then = w.look
 		l.arm("", 6)
 		w.live(20)
 	}},
-	{"chunk of tasks, read by a new owner", "task/", func(t *testing.T, w *cluster, l *answerLoss) {
+	{name: "chunk of tasks, read by a new owner", prefix: "task/", play: func(t *testing.T, w *cluster, l *answerLoss) {
 		l.then = func(writer *node, _ string) { w.moveJobs(writer) }
 		l.arm("", 2)
 		w.live(12)
 	}},
-	{"chunk of tasks, repeated by its owner", "task/", func(t *testing.T, w *cluster, l *answerLoss) {
+	{name: "chunk of tasks, repeated by its owner", prefix: "task/", plain: true, play: func(t *testing.T, w *cluster, l *answerLoss) {
 		l.then = w.look
 		l.arm("", 4)
 		w.live(20)
 	}},
-	{"accounting page", accounting.Key, func(t *testing.T, w *cluster, l *answerLoss) {
+	{name: "accounting page", prefix: accounting.Key, play: func(t *testing.T, w *cluster, l *answerLoss) {
 		l.then = w.look
 		l.arm("", 6)
 		w.live(20)
 	}},
-	{"accounting page, and the jobs move", accounting.Key, func(t *testing.T, w *cluster, l *answerLoss) {
+	{name: "accounting page alone", prefix: accounting.Key, play: func(t *testing.T, w *cluster, l *answerLoss) {
+		if !w.within(200, w.ended("j-1", "j-2", "j-3")) {
+			t.Error("the short jobs did not end")
+		}
+		w.submit("j-81", 6)
+		w.live(8)
+		// One of its machines is away: the rows of the others go with no other record.
+		away := w.workers[slices.IndexFunc(w.workers, func(k *testkit.Worker) bool {
+			return slices.ContainsFunc(k.On(), func(task string) bool { return strings.HasPrefix(task, "j-81/") })
+		})]
+		w.cutAll(away.Name, w.names...)
+		l.then, l.alone = w.look, true
+		l.arm("", 1)
+		w.user(w.leader(), http.MethodPost, "j-81")
+		w.live(5)
+		w.meet(away.Name, w.names...)
+		w.live(15)
+		if _, attempts, _ := w.rows(); len(attempts) < 162 || len(w.store.Keys("final/j-81")) == 0 { // of 156 tasks that are done, 6 that were stopped
+			t.Errorf("%d accounting rows of attempts, of the cancelled job: %v", len(attempts), w.store.Keys("final/j-81"))
+		}
+	}},
+	{name: "accounting page, and the jobs move", prefix: accounting.Key, play: func(t *testing.T, w *cluster, l *answerLoss) {
 		l.then = func(writer *node, key string) {
 			w.look(writer, key)
 			w.moveJobs(writer)
@@ -412,6 +484,32 @@
 	return it.Version
 }
 
+// atMostOneOwner fails the test if two controllers own jobs at any time in the next ten
+// seconds.
+func (w *cluster) atMostOneOwner(t *testing.T, l *answerLoss) {
+	l.busy.Go(func() {
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			w.mu.Lock()
+			members := map[string]*membership.Member{}
+			for name, n := range w.nodes {
+				members[name] = n.member
+			}
+			w.mu.Unlock()
+			owners := map[string][]string{}
+			for name, m := range members {
+				for s := range m.Own() {
+					key := m.ShardKey(s)
+					if owners[key] = append(owners[key], name); len(owners[key]) > 1 {
+						t.Errorf("%v own %s", owners[key], key)
+						return
+					}
+				}
+			}
+		}
+	})
+}
+
 // owned fails the test unless exactly one controller owns the jobs within so many
 // seconds.
 func (w *cluster) owned(t *testing.T, seconds int) {
@@ -430,68 +528,158 @@
 	}
 }
 
+// lateWriteCases has writes that are carried out after newer ones of the same controller,
+// or of a successor. Those of hand-overs, releases and cancels that meet the end of a job
+// have tests of their own.
+var lateWriteCases = []lostAnswerCase{
+	{name: "acceptance, after its repetition", prefix: "live/j-7", play: func(t *testing.T, w *cluster, l *answerLoss) {
+		l.arm("", 1)
+		if status := w.submitAt(w.leader(), "j-7", 5); status/100 != 2 {
+			t.Errorf("the submission is answered %d", status)
+		}
+	}},
+	{name: "acceptance, after the job's end", prefix: "live/j-7", play: func(t *testing.T, w *cluster, l *answerLoss) {
+		l.by = time.Minute
+		l.arm(w.leader(), 1)
+		w.submitAt(w.leader(), "j-7", 5)
+		if !w.within(50, w.ended("j-7")) {
+			t.Error("the job did not end in time")
+		}
+		w.live(60)
+		if len(w.store.Keys("live/j-7")) > 0 {
+			t.Error("the job lives again")
+		}
+	}},
+	{name: "cancel, after a hand-over", prefix: "live/j-80", play: func(t *testing.T, w *cluster, l *answerLoss) {
+		l.then = func(writer *node, _ string) { w.moveJobs(writer) }
+		from := w.leader()
+		l.arm(from, 1)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		if s, err := w.nodes[from].owner.Cancel(ctx, "j-80"); err == nil {
+			t.Errorf("%+v without an answer", s)
+		}
+	}},
+	{name: "end, after its repetition", prefix: "final/j-1", play: func(_ *testing.T, w *cluster, l *answerLoss) {
+		l.arm("", 1)
+	}},
+	{name: "claim of shards, after its repetition", prefix: "c/shard/", play: func(t *testing.T, w *cluster, l *answerLoss) {
+		l.arm("", 1)
+		w.crash(w.leader())
+		w.atMostOneOwner(t, l)
+		w.owned(t, 25)
+	}},
+	{name: "counter of terms", prefix: "c/term", play: func(t *testing.T, w *cluster, l *answerLoss) {
+		first := w.leader()
+		l.arm("", 2)
+		w.crash(first)
+		time.Sleep(500 * time.Millisecond)
+		w.start(first)
+		w.owned(t, 25)
+	}},
+	{name: "log, at a new owner", prefix: "log/", plain: true, play: moveWhileLate},
+	{name: "chunk of tasks, at a new owner", prefix: "task/", plain: true, play: moveWhileLate},
+	{name: "accounting page, at a new owner", prefix: accounting.Key, play: moveWhileLate},
+}
+
+// moveWhileLate hands the jobs over while a write of their owner is under way.
+func moveWhileLate(_ *testing.T, w *cluster, l *answerLoss) {
+	l.then = func(writer *node, _ string) { w.moveJobs(writer) }
+	l.arm("", 1)
+	w.live(15)
+}
+
+// playCase plays a case on a cluster with work: three jobs that end, and a long one.
+func playCase(t *testing.T, seed uint64, c *lostAnswerCase, begin func(w *cluster, l *answerLoss), met func(l *answerLoss)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newCluster(t, seed)
+		w.bigger(3, 8)
+		w.long()
+		w.accounts, w.whole, w.keepCuts = !c.plain, true, true
+		l := &answerLoss{w: w, prefix: c.prefix}
+		begin(w, l)
+		for _, n := range w.names {
+			w.start(n)
+			w.nodes[n].view.Lose, w.nodes[n].view.Late = nil, nil
+			time.Sleep(100 * time.Millisecond)
+		}
+		w.live(3)
+		w.submit("j-80", 6)
+		jobs := []string{"j-1", "j-2", "j-3"}
+		for i, uid := range jobs {
+			w.submit(uid, 12+40*i)
+		}
+		w.live(3)
+		c.play(t, w, l)
+		w.startAll()
+		if !w.within(200, w.ended(jobs...)) {
+			t.Errorf("only %v ended", w.store.Keys("final/"))
+		}
+		w.live(6)
+		l.busy.Wait()
+		met(l)
+		w.asBefore(t, c, jobs)
+		w.stopAll()
+		time.Sleep(15 * time.Second)
+	})
+}
+
+// asBefore fails the test unless all is in the end as if no answer had been lost.
+func (w *cluster) asBefore(t *testing.T, c *lostAnswerCase, jobs []string) {
+	for _, uid := range jobs {
+		for name, stage := range w.askAll(uid) {
+			if stage != wire.StageDone {
+				t.Errorf("%s calls %s %s", name, uid, stage)
+			}
+		}
+	}
+	if c.name != "cancel" && w.onMachines("j-80") != 6 {
+		t.Errorf("%d of 6 long tasks are on", w.onMachines("j-80"))
+	}
+	if c.plain {
+		return
+	}
+	rows, attempts, twice := w.rows()
+	if twice > 0 {
+		t.Errorf("%d accounting rows stand twice", twice)
+	}
+	useful := 0
+	for _, row := range attempts {
+		if row.UID == "j-3" {
+			useful++
+		}
+	}
+	if useful < 92 {
+		t.Errorf("%d accounting rows of 92 tasks", useful)
+	}
+	for _, uid := range jobs {
+		if _, there := rows[uid]; !there {
+			t.Errorf("no accounting row of %s", uid)
+		}
+	}
+}
+
 // TestLostAnswerOfAnAppliedWrite loses the answer of a write that was applied, while
 // other controllers read what it wrote: its writer says and does nothing that
 // contradicts them, and recognises its own first try.
 func TestLostAnswerOfAnAppliedWrite(t *testing.T) {
-	for i, c := range lostAnswerCases {
+	for i := range lostAnswerCases {
+		c := &lostAnswerCases[i]
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				w := newCluster(t, uint64(1300+i))
-				w.bigger(3, 8)
-				w.long()
-				w.accounts, w.whole, w.keepCuts = true, true, true
-				l := w.loseAnswers(c.prefix)
-				for _, n := range w.names {
-					w.start(n)
-					w.nodes[n].view.Lose, w.nodes[n].view.Late = nil, nil
-					time.Sleep(100 * time.Millisecond)
-				}
-				w.live(3)
-				w.submit("j-80", 6)
-				jobs := []string{"j-1", "j-2", "j-3"}
-				for i, uid := range jobs {
-					w.submit(uid, 12+40*i)
-				}
-				w.live(3)
-				c.play(t, w, l)
-				w.startAll()
-				if !w.within(200, w.ended(jobs...)) {
-					t.Errorf("only %v ended", w.store.Keys("final/"))
-				}
-				l.happened()
-				w.live(6)
-				for _, uid := range jobs {
-					for name, stage := range w.askAll(uid) {
-						if stage != wire.StageDone {
-							t.Errorf("%s calls %s %s", name, uid, stage)
-						}
-					}
-				}
-				if c.prefix != "live/j-80" && w.onMachines("j-80") != 6 {
-					t.Errorf("%d of 6 long tasks are on", w.onMachines("j-80"))
-				}
-				rows, attempts, twice := w.rows()
-				if twice > 0 {
-					t.Errorf("%d accounting rows stand twice", twice)
-				}
-				done := 0
-				for _, row := range attempts {
-					if strings.HasPrefix(row.UID, "j-3") {
-						done++
-					}
-				}
-				for _, uid := range jobs {
-					if _, there := rows[uid]; !there {
-						t.Errorf("no accounting row of %s", uid)
-					}
-				}
-				if done < 92 {
-					t.Errorf("%d accounting rows of 92 tasks", done)
-				}
-				w.stopAll()
-				time.Sleep(15 * time.Second)
-			})
+			playCase(t, uint64(1300+i), c, (*cluster).loseAnswers, (*answerLoss).happened)
+		})
+	}
+}
+
+// TestWriteAppliedLateIsRefused has a write applied six seconds late, when its writer has
+// repeated it or somebody else does its work: it changes nothing any more.
+func TestWriteAppliedLateIsRefused(t *testing.T) {
+	for i := range lateWriteCases {
+		c := &lateWriteCases[i]
+		t.Run(c.name, func(t *testing.T) {
+			playCase(t, uint64(1350+i), c, func(w *cluster, l *answerLoss) {
+				l.by, w.delay = 6*time.Second, l.delay
+			}, (*answerLoss).refused)
 		})
 	}
 }
--- a/internal/testkit/new_machines_test.go
+++ b/internal/testkit/new_machines_test.go
@@ -397,7 +397,8 @@
 // lostRecord plays a hire whose record is written while its writer hears nothing, and
 // returns the hire's name.
 func (c *rentedCluster) lostRecord(t *testing.T, jobs ...string) (name string) {
-	l := c.loseAnswers("fleet/hire/")
+	l := &answerLoss{w: c.cluster, prefix: "fleet/hire/"}
+	c.loseAnswers(l)
 	l.arm(c.leader(), 1)
 	for _, uid := range jobs {
 		c.order(uid, 12)
--- a/internal/testkit/store.go
+++ b/internal/testkit/store.go
@@ -150,6 +150,9 @@
 	// LoseAnswer makes the answer of a transaction that was applied at a version get
 	// lost: the caller hears nothing until its time is over.
 	LoseAnswer func(t wire.Txn, version uint64) bool
+	// Delay, if it returns more than 0, has a transaction applied so much later; its caller
+	// hears nothing, outcome what came of it.
+	Delay func(t wire.Txn) (by time.Duration, outcome func(error))
 	// Seen is called with every key and version that a read or a watch tells of.
 	Seen func(key string, version uint64)
 
@@ -289,6 +292,16 @@
 			return 0, statestore.ErrUnknown
 		}
 	}
+	if v.Delay != nil {
+		if by, outcome := v.Delay(t); by > 0 {
+			time.AfterFunc(by, func() {
+				_, err := v.apply(t)
+				outcome(err)
+			})
+			silence(ctx)
+			return 0, statestore.ErrUnknown
+		}
+	}
 	rev, err := v.apply(t)
 	if err == nil && v.LoseAnswer != nil && v.LoseAnswer(t, rev) {
 		silence(ctx)
