--- a/internal/testkit/lost_answers_test.go
+++ b/internal/testkit/lost_answers_test.go
@@ -439,27 +439,7 @@
 		l.arm("", 6)
 		w.live(20)
 	}},
-	{name: "accounting page alone", prefix: accounting.Key, play: func(t *testing.T, w *cluster, l *answerLoss) {
-		if !w.within(200, w.ended("j-1", "j-2", "j-3")) {
-			t.Error("the short jobs did not end")
-		}
-		w.submit("j-81", 6)
-		w.live(8)
-		// One of its machines is away: the rows of the others go with no other record.
-		away := w.workers[slices.IndexFunc(w.workers, func(k *testkit.Worker) bool {
-			return slices.ContainsFunc(k.On(), func(task string) bool { return strings.HasPrefix(task, "j-81/") })
-		})]
-		w.cutAll(away.Name, w.names...)
-		l.then, l.alone = w.look, true
-		l.arm("", 1)
-		w.user(w.leader(), http.MethodPost, "j-81")
-		w.live(5)
-		w.meet(away.Name, w.names...)
-		w.live(15)
-		if _, attempts, _ := w.rows(); len(attempts) < 162 || len(w.store.Keys("final/j-81")) == 0 { // of 156 tasks that are done, 6 that were stopped
-			t.Errorf("%d accounting rows of attempts, of the cancelled job: %v", len(attempts), w.store.Keys("final/j-81"))
-		}
-	}},
+	{name: "accounting page alone", prefix: accounting.Key, play: rowsAlone},
 	{name: "accounting page, and the jobs move", prefix: accounting.Key, play: func(t *testing.T, w *cluster, l *answerLoss) {
 		l.then = func(writer *node, key string) {
 			w.look(writer, key)
@@ -470,6 +450,29 @@
 	}},
 }
 
+// rowsAlone has the accounting rows of stopped tasks written in a transaction of their own.
+func rowsAlone(t *testing.T, w *cluster, l *answerLoss) {
+	if !w.within(200, w.ended("j-1", "j-2", "j-3")) {
+		t.Error("the short jobs did not end")
+	}
+	w.submit("j-81", 6)
+	w.live(8)
+	// One of its machines is away: the rows of the others go with no other record.
+	away := w.workers[slices.IndexFunc(w.workers, func(k *testkit.Worker) bool {
+		return slices.ContainsFunc(k.On(), func(task string) bool { return strings.HasPrefix(task, "j-81/") })
+	})]
+	w.cutAll(away.Name, w.names...)
+	l.then, l.alone = w.look, true
+	l.arm("", 1)
+	w.user(w.leader(), http.MethodPost, "j-81")
+	w.live(5)
+	w.meet(away.Name, w.names...)
+	w.live(15)
+	if _, attempts, _ := w.rows(); len(attempts) < 162 || len(w.store.Keys("final/j-81")) == 0 { // of 156 tasks that are done, 6 that were stopped
+		t.Errorf("%d accounting rows of attempts, of the cancelled job: %v", len(attempts), w.store.Keys("final/j-81"))
+	}
+}
+
 // look has another controller read a key, as an operator's question does.
 func (w *cluster) look(writer *node, key string) {
 	_, _ = w.nodes[w.others(writer.name)[0]].view.Get(context.Background(), key) // it is only looked at
@@ -560,7 +563,7 @@
 			t.Errorf("%+v without an answer", s)
 		}
 	}},
-	{name: "end, after its repetition", prefix: "final/j-1", play: func(_ *testing.T, w *cluster, l *answerLoss) {
+	{name: "end, after its repetition", prefix: "final/j-1", plain: true, play: func(_ *testing.T, w *cluster, l *answerLoss) {
 		l.arm("", 1)
 	}},
 	{name: "claim of shards, after its repetition", prefix: "c/shard/", play: func(t *testing.T, w *cluster, l *answerLoss) {
@@ -577,6 +580,10 @@
 		w.start(first)
 		w.owned(t, 25)
 	}},
+	{name: "accounting page alone, after newer ones", prefix: accounting.Key, play: rowsAlone},
+	{name: "log, at a new owner that has just read it", prefix: "log/", plain: true, play: moveMeanwhile},
+	{name: "chunk of tasks, at a new owner that has just read it", prefix: "task/", plain: true, play: moveMeanwhile},
+	{name: "accounting page, at a new owner that has just read it", prefix: accounting.Key, play: moveMeanwhile},
 	{name: "log, at a new owner", prefix: "log/", plain: true, play: moveWhileLate},
 	{name: "chunk of tasks, at a new owner", prefix: "task/", plain: true, play: moveWhileLate},
 	{name: "accounting page, at a new owner", prefix: accounting.Key, play: moveWhileLate},
@@ -589,6 +596,13 @@
 	w.live(15)
 }
 
+// moveMeanwhile is moveWhileLate with a write that comes before the new owner has written
+// anything itself.
+func moveMeanwhile(t *testing.T, w *cluster, l *answerLoss) {
+	l.by = 300 * time.Millisecond
+	moveWhileLate(t, w, l)
+}
+
 // playCase plays a case on a cluster with work: three jobs that end, and a long one.
 func playCase(t *testing.T, seed uint64, c *lostAnswerCase, begin func(w *cluster, l *answerLoss), met func(l *answerLoss)) {
 	synctest.Test(t, func(t *testing.T) {
