Tests: what is lost or late is chosen before a controller starts

The tests of lost answers changed a controller's view of the store while it ran, and read counts without their lock.

--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -80,6 +80,7 @@
 	cancels map[string]time.Time // jobs, by when their user first heard that they are cancelled
 
 	accounts bool // whether accounting rows are written
+	exact    bool // no transaction is lost or late by chance
 
 	beside     func(n *node) []func(context.Context) error            // what else a controller runs; nil: nothing
 	loseAnswer func(n *node, t wire.Txn, version uint64) bool         // of an applied transaction; nil: none by choice
