--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -45,6 +45,7 @@
 
 func (o *Owner) unload(shard int) {
 	delete(o.loaded, shard)
+	delete(o.listed, shard)
 	delete(o.logs, shard)
 	for uid, j := range o.jobs {
 		if j.shard == shard {
@@ -77,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	jobs, _, err := o.store.List(ctx, liveKey)
+	jobs, listed, err := o.store.List(ctx, liveKey)
 	if err != nil {
 		return err
 	}
@@ -97,6 +98,11 @@
 		uid, _, _ := strings.Cut(strings.TrimPrefix(it.Key, taskKey), "/")
 		byJob[uid] = append(byJob[uid], it)
 	}
+	o.mu.Lock()
+	for _, s := range shards {
+		o.listed[s] = listed
+	}
+	o.mu.Unlock()
 	n := o.adopt(shards, versions, want, jobs, byJob, slots, fence)
 	o.log.Info("took shards over", "shards", shards, "jobs", n, "fence", fence)
 	poke(o.wake)
--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -82,6 +82,13 @@
 	cancels map[string]time.Time // jobs, by when their user first heard that they are cancelled
 
 	accounts bool // whether accounting rows are written
+	exact    bool // no transaction is lost or late by chance
+
+	beside     func(n *node) []func(context.Context) error            // what else a controller runs; nil: nothing
+	loseAnswer func(n *node, t wire.Txn, version uint64) bool         // of an applied transaction; nil: none by choice
+	seen       func(n *node, key string, version uint64)              // what a controller reads in the store; nil: nobody looks
+	delay      func(n *node, t wire.Txn) (time.Duration, func(error)) // until a transaction is applied; nil: no time
+	behind     func(n *node, prefix string) time.Duration             // how far a controller's watch is behind; nil: not at all
 }
 
 type node struct {
@@ -224,6 +231,7 @@
 		Slow:   func() time.Duration { return w.drawn(&w.slow) },
 		LateBy: func() time.Duration { return w.drawn(&w.lateBy) },
 	}
+	w.watched(n)
 	op, err := config.LoadOperator("")
 	if err != nil {
 		w.t.Fatal(err)
@@ -247,7 +255,11 @@
 	n.member.OnChange(n.owner.Changed)
 	n.member.OnLink(n.reach.stored)
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context) error{n.member.Run, n.owner.Run} {
+	runs := []func(context.Context) error{n.member.Run, n.owner.Run}
+	if w.beside != nil {
+		runs = append(runs, w.beside(n)...)
+	}
+	for _, f := range runs {
 		wg.Add(1)
 		go func() { defer wg.Done(); _ = f(ctx) }()
 	}
