Owner: a watch that lags revives no ended job, and a lost cancel of an unheard job is unsure

(1) An owner took every living record that its watch told of as a living job if it did not know it. A watch that lags behind a takeover tells of jobs that had ended under the predecessor: they were admitted again, called "queued" after "done", and their tasks started again after their results had been cleared. (2) Cancel marked a job as unsure only if it was in memory. When the watch had not told of the job yet and the answer of the cancel's write was lost, the job was admitted afterwards as if nothing had happened, and called "queued" or "running" while others read the write and said "cancelled". (3) Cancel read the living record again when it was not there the first time: a job accepted between the two reads had its cancel answered 200 "queued".

A shard remembers the revision of the listing that it was loaded with: an unknown record that is not newer has ended. Cancel admits the job that it has just read before it writes. A cancel that finds no living record reads only the final one. The listing of jobs with terms uses the same condition as polls for what is sure, so it too minds cancels that others have confirmed.

Cost: one number for each shard.

--- a/internal/owner/accept.go
+++ b/internal/owner/accept.go
@@ -64,6 +64,12 @@
 	}
 	j := o.jobs[r.Job.UID]
 	if j == nil {
+		if version <= o.listed[r.Shard] {
+			// The listing that the shard was loaded with does not have it: it ended
+			// under a predecessor, of which a watch that lags has yet to tell. Its user
+			// was told "queued" after "done", and its tasks were started again.
+			return
+		}
 		o.admit(r, version, nil, nil, 0)
 		poke(o.wake)
 		return
--- /dev/null
+++ b/internal/owner/answers_test.go
@@ -0,0 +1,121 @@
+package owner_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+
+	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/owner"
+	"github.com/wallrack/wallrack/internal/statestore"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// scriptedStore is a fleet whose state service answers as a test says.
+type scriptedStore struct {
+	*fleet
+	get    func(key string) (wire.Item, error)
+	txn    func() (uint64, error)
+	listed uint64 // revision of every listing
+}
+
+func (s *scriptedStore) Get(_ context.Context, key string) (wire.Item, error) { return s.get(key) }
+func (s *scriptedStore) Txn(context.Context, []wire.Guard, ...wire.Op) (uint64, error) {
+	return s.txn()
+}
+func (s *scriptedStore) BulkTxn(context.Context, []wire.Guard, ...wire.Op) (uint64, error) {
+	return s.txn()
+}
+func (s *scriptedStore) List(ctx context.Context, prefix string) ([]wire.Item, uint64, error) {
+	items, _, err := s.fleet.List(ctx, prefix)
+	return items, s.listed, err
+}
+
+func notFound(string) (wire.Item, error) { return wire.Item{}, statestore.ErrNotFound }
+
+// scripted returns an owner that has not loaded anything, with its store.
+func scripted(t *testing.T) (*owner.Owner, *scriptedStore) {
+	t.Helper()
+	op, err := config.LoadOperator("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := newFleet(t, 0, 0)
+	s := &scriptedStore{fleet: f, get: notFound, txn: func() (uint64, error) { return 0, statestore.ErrUnknown }, listed: 10}
+	f.items = map[string][]wire.Item{}
+	return owner.New(f.cfg, op, s, f, f, f, slog.New(slog.NewTextHandler(io.Discard, nil))), s
+}
+
+const oneTask = `{"uid":"j-1","docket":"c","crew":"t","sort":"sweep","urgency":"normal","pieces":1,"cpus":1,"cards":0,"memoryGb":1,
+	"kit":"i","pullGb":0.1,"builds":null,"yard":null,"together":false,"apart":false,"loaners":true,"reckonS":9,"markS":0,"stashS":0,"dueS":null}`
+
+func live(t *testing.T, version uint64) (*wire.Job, wire.Item) {
+	t.Helper()
+	job, err := wire.ParseJob([]byte(oneTask))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return job, wire.Item{Key: "live/j-1", Version: version, Value: json.RawMessage(fmt.Sprintf(`{"job":%s,"shard":0,"at":0}`, oneTask))}
+}
+
+// A watch that lags tells a new owner of an acceptance when the job has ended under its
+// predecessor: it is no living job again. One that was accepted after the listing is.
+func TestLaggingWatchRevivesNoEndedJob(t *testing.T) {
+	for version, alive := range map[uint64]bool{9: false, 10: false, 11: true} {
+		o, _ := scripted(t)
+		if err := o.Load(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		job, _ := live(t, version)
+		o.Accepted(job, nil, 0, 0, version)
+		if s, ok := o.Known("j-1"); ok != alive {
+			t.Errorf("accepted at %d, listed at 10: %+v, %v", version, s, ok)
+		}
+	}
+}
+
+// A cancel whose answer is lost may have been read, and told, by others: its owner, which
+// had not heard of the job before, must not call it queued once its watch tells of the
+// acceptance.
+func TestLostCancelOfAnUnheardJobIsUnsure(t *testing.T) {
+	o, s := scripted(t)
+	if err := o.Load(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	job, record := live(t, 11)
+	s.get = func(string) (wire.Item, error) { return record, nil }
+	if st, err := o.Cancel(t.Context(), "j-1"); err == nil {
+		t.Fatalf("the cancel is answered %+v without an answer of the state service", st)
+	}
+	o.Accepted(job, nil, 0, 0, 11)
+	if st, ok := o.Known("j-1"); ok {
+		t.Errorf("the owner says %+v after a cancel that may have been applied", st)
+	}
+}
+
+// A cancel of a job that is accepted between its two reads is not answered "queued".
+func TestCancelIsNeverAnsweredQueued(t *testing.T) {
+	o, s := scripted(t)
+	if err := o.Load(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	_, record := live(t, 11)
+	reads := 0
+	s.get = func(key string) (wire.Item, error) {
+		if reads++; reads > 1 && key == record.Key {
+			return record, nil
+		}
+		return wire.Item{}, statestore.ErrNotFound
+	}
+	st, err := o.Cancel(t.Context(), "j-1")
+	if reads < 2 {
+		t.Fatal("the acceptance was not met")
+	}
+	if !errors.Is(err, statestore.ErrNotFound) {
+		t.Errorf("answered %+v, %v", st, err)
+	}
+}
--- a/internal/owner/listing.go
+++ b/internal/owner/listing.go
@@ -174,11 +174,7 @@
 func (o *Owner) InfoHere(uid string) (listing.Info, bool) {
 	o.mu.Lock()
 	j := o.jobs[uid]
-	if j == nil || j.asked == nil {
-		o.mu.Unlock()
-		return listing.Info{}, false
-	}
-	if v, ok := o.member.Owns(j.shard); !ok || v != o.loaded[j.shard] || j.ending || j.unsure {
+	if j == nil || j.asked == nil || !o.sure(j) {
 		o.mu.Unlock()
 		return listing.Info{}, false
 	}
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return err
 	}
-	jobs, _, err := o.store.List(ctx, liveKey)
+	jobs, listed, err := o.store.List(ctx, liveKey)
 	if err != nil {
 		return err
 	}
@@ -97,15 +97,15 @@
 		uid, _, _ := strings.Cut(strings.TrimPrefix(it.Key, taskKey), "/")
 		byJob[uid] = append(byJob[uid], it)
 	}
-	n := o.adopt(shards, versions, want, jobs, byJob, slots, fence)
+	n := o.adopt(shards, versions, want, jobs, listed, byJob, slots, fence)
 	o.log.Info("took shards over", "shards", shards, "jobs", n, "fence", fence)
 	poke(o.wake)
 	poke(o.flush)
 	return nil
 }
 
-// adopt makes living jobs of what a takeover has read.
-func (o *Owner) adopt(shards []int, versions map[int]uint64, want map[int]bool, jobs []wire.Item, byJob map[string][]wire.Item, slots []wire.Item, fence uint64) (n int) {
+// adopt makes living jobs of what a takeover has read, as of revision listed or later.
+func (o *Owner) adopt(shards []int, versions map[int]uint64, want map[int]bool, jobs []wire.Item, listed uint64, byJob map[string][]wire.Item, slots []wire.Item, fence uint64) (n int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.fence = max(o.fence, fence-1)
@@ -138,7 +138,7 @@
 		}
 	}
 	for _, s := range shards {
-		o.loaded[s] = versions[s]
+		o.loaded[s], o.listed[s] = versions[s], listed
 	}
 	if o.Accounts {
 		o.book = accounting.NewBook(fence, o.valueBytes())
--- a/internal/owner/users.go
+++ b/internal/owner/users.go
@@ -27,21 +27,28 @@
 	if j == nil {
 		return wire.JobState{}, false
 	}
+	if !o.sure(j) {
+		return wire.JobState{}, false
+	}
+	return j.state(), true
+}
+
+// sure reports whether what is in memory of a living job is not older than what any
+// controller may have told.
+func (o *Owner) sure(j *job) bool {
 	// An owner whose lease may have ended could miss a later end.
 	if v, ok := o.member.Owns(j.shard); !ok || v != o.loaded[j.shard] {
-		return wire.JobState{}, false
+		return false
 	}
 	// A write of its end may have been applied although the answer is out:
 	// others may tell its user already, so only the store is sure. Before that
 	// write the job is alive to everybody: in a storm of tiny jobs, polls for
 	// hundreds whose ends still waited to be written all went to the store.
 	if j.ending || j.unsure {
-		return wire.JobState{}, false
+		return false
 	}
-	if !j.cancelled && o.Cancels != nil && o.Cancels.Has(uid) {
-		return wire.JobState{}, false // its user may have heard of it
-	}
-	return j.state(), true
+	// Its user may have heard of a cancel that was not recorded here.
+	return j.cancelled || o.Cancels == nil || !o.Cancels.Has(j.spec.UID)
 }
 
 func (j *job) state() wire.JobState {
@@ -73,7 +80,12 @@
 	if !errors.Is(err, statestore.ErrNotFound) {
 		return wire.JobState{}, err
 	}
-	it, err = store.Get(ctx, finalKey+uid)
+	return storedEnd(ctx, store, uid)
+}
+
+// storedEnd answers from the store for a job that is not living.
+func storedEnd(ctx context.Context, store Reader, uid string) (wire.JobState, error) {
+	it, err := store.Get(ctx, finalKey+uid)
 	if err != nil {
 		return wire.JobState{}, err
 	}
@@ -96,7 +108,9 @@
 	for {
 		it, err := o.store.Get(ctx, liveKey+uid)
 		if errors.Is(err, statestore.ErrNotFound) {
-			return Stored(ctx, o.store, uid)
+			// The living record is not read again: a job that was accepted in the
+			// meantime would have its cancel answered with "queued".
+			return storedEnd(ctx, o.store, uid)
 		}
 		if err != nil {
 			return wire.JobState{}, err
@@ -108,20 +122,28 @@
 		if r.Cancelled {
 			return wire.JobState{UID: uid, Stage: wire.StageCancelled}, nil
 		}
-		r.Cancelled = true
-		if r.Terms != nil {
-			r.Terms.Why = why
-		}
 		version, mine := o.member.Owns(r.Shard)
 		o.mu.Lock()
 		if mine && o.loaded[r.Shard] != version {
 			o.mu.Unlock()
 			return wire.JobState{}, fmt.Errorf("shard %d is being taken over: %w", r.Shard, statestore.ErrUnavailable)
 		}
+		if mine {
+			// A watch that lags may not have told of the job yet. Were it admitted after
+			// the write below, it would be called queued although others, who read that
+			// write, had told its user that it is cancelled.
+			o.take(&r, it.Version)
+		}
 		if j := o.jobs[uid]; j != nil {
 			j.unsure = true
 		}
 		o.mu.Unlock()
+		r.Cancelled = true
+		if r.Terms != nil {
+			asked := *r.Terms // the job has the other
+			asked.Why = why
+			r.Terms = &asked
+		}
 		guards := []wire.Guard{{Key: o.member.ShardKey(r.Shard), Version: version}, {Key: liveKey + uid, Version: it.Version}}
 		rev, err := o.store.Txn(ctx, guards, wire.Op{Put: liveKey + uid, Value: r})
 		var conflict *statestore.Conflict
@@ -132,30 +154,14 @@
 			return wire.JobState{}, err
 		}
 		if mine {
-			o.cancelled(&r, rev)
+			o.mu.Lock()
+			o.take(&r, rev)
+			o.mu.Unlock()
 		}
 		return wire.JobState{UID: uid, Stage: wire.StageCancelled}, nil
 	}
 }
 
-// cancelled acts on a cancel that this owner has just recorded.
-func (o *Owner) cancelled(r *liveRecord, version uint64) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	j := o.jobs[r.Job.UID]
-	if _, loaded := o.loaded[r.Shard]; j == nil && loaded {
-		if _, over := o.final[r.Job.UID]; !over {
-			o.admit(r, version, nil, nil, 0)
-		}
-		return
-	}
-	if j != nil {
-		j.version = max(j.version, version)
-		o.retermed(j, r)
-		o.cancelLocked(j)
-	}
-}
-
 // cancelLocked stops everything of a job whose cancel is recorded.
 func (o *Owner) cancelLocked(j *job) {
 	if j.cancelled {
