Owner: what a successor wrote is not taken for one's own write

After a conflict the writer reads the keys that failed, and takes a log record with its own number, or a missing living record, for its own write whose answer was lost. A successor continues the same log: its first record has the same key and the same number. A leader that had lost the state service and its peers just as tasks ended, and was back before it noticed that its shards were taken over, so counted a write as applied that never was. It called jobs done of which the successor went on to say "queued", and had workers clear results that nobody had recorded, so that those tasks ran again. A job that the successor had recorded as cancelled could be called done.

If the shard's key is among the conditions that failed, nothing is concluded about that shard. Other shards of the transaction are judged as before.

Cost: a comparison of keys after a conflict.

--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/goccy/go-json"
@@ -409,9 +410,13 @@
 		o.commit(b, it.Version) // nobody else writes this page, and no other write of it is open
 		return nil
 	}
+	// What a successor wrote tells nothing of this transaction: its log records have the
+	// same keys and numbers, and an end that it recorded may be another one. Jobs were
+	// called done here that nobody had recorded as done.
+	lost := func(shard int) bool { return slices.Contains(keys, o.member.ShardKey(shard)) }
 	for _, w := range b.logs {
 		it, failed := items[slotKey(w.shard, w.slot.n)]
-		if !failed {
+		if !failed || lost(w.shard) {
 			continue
 		}
 		if r, err := parseLog(it.Value); err == nil && r.Seq == w.seq && it.Version != 0 {
@@ -429,7 +434,7 @@
 	}
 	for _, j := range b.ended {
 		it, failed := items[liveKey+j.spec.UID]
-		if failed && o.jobs[j.spec.UID] == j {
+		if failed && !lost(j.shard) && o.jobs[j.spec.UID] == j {
 			o.adoptLive(j, it)
 		}
 	}
