A controller without peers confirms cancels

A controller confirms cancels once it has told its peers that it may. One without peers sends no messages, so it never had, and answered every cancel 503 for ever (as with wallctl local and one controller).

Without peers there is nobody to be told: cancels are confirmed while the lease holds.

--- a/internal/cancels/cancels.go
+++ b/internal/cancels/cancels.go
@@ -216,8 +216,8 @@
 		r.armed, r.rearmed = false, 0
 		return false
 	}
-	if r.armed {
-		return true
+	if r.armed || len(r.peers) == 0 {
+		return true // a lone controller tells nobody, and confirmed no cancel for want of a peer
 	}
 	if r.rearmed == 0 {
 		return false // nobody was told yet
--- /dev/null
+++ b/internal/cancels/lone_test.go
@@ -0,0 +1,21 @@
+package cancels_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/cancels"
+)
+
+// A controller without peers confirms cancels while its lease holds, and none after it.
+func TestLoneControllerConfirms(t *testing.T) {
+	held := time.Minute
+	r := cancels.New(nil, time.Minute, func() time.Duration { return held })
+	if err := r.Confirm("j-1"); err != nil {
+		t.Error(err)
+	}
+	held = 0
+	if err := r.Confirm("j-2"); err == nil {
+		t.Error("a cancel is confirmed without the lease")
+	}
+}
