--- /dev/null
+++ b/internal/testkit/answers_observer_test.go
@@ -0,0 +1,178 @@
+package testkit_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Kinds of users' requests.
+const (
+	submission   = "submission"
+	question     = "question"
+	cancellation = "cancellation"
+)
+
+// heardAnswer is an HTTP answer as a user received it, and when.
+type heardAnswer struct {
+	kind, node, job string
+	sent, arrived   time.Time
+	status          int
+	body            []byte
+}
+
+// jobHistory is what users know of a job by the first answers that arrived.
+type jobHistory struct {
+	accepted, done, cancelled time.Time // when that answer first arrived; zero: never
+	cancelSent                bool
+	ended                     time.Time // when its last task ended; zero: it has not
+	runs                      []taskRun
+}
+
+// taskRun is the time for which a task runs if nothing stops it.
+type taskRun struct{ from, to time.Time }
+
+// stageLag is how much a stage may lag.
+const stageLag = 3 * time.Second
+
+// answerObserver checks the order of all answers that users received, over all
+// controllers. An answer is judged against those that had arrived before its request
+// was sent. It reads the answers' bytes itself, and shares no code with controllers.
+type answerObserver struct {
+	mu      sync.Mutex
+	jobs    map[string]*jobHistory
+	broken  []string
+	answers int // with a stage
+	refused int // of status 503
+	behind  int // "queued" although a task has been running for longer than a stage may lag
+}
+
+func newAnswerObserver() *answerObserver {
+	return &answerObserver{jobs: map[string]*jobHistory{}}
+}
+
+func (o *answerObserver) historyLocked(job string) *jobHistory {
+	h := o.jobs[job]
+	if h == nil {
+		h = &jobHistory{}
+		o.jobs[job] = h
+	}
+	return h
+}
+
+// history returns what is known of a job by now.
+func (o *answerObserver) history(job string) jobHistory {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return *o.historyLocked(job)
+}
+
+// cancelSent notes that a job's user is about to cancel it.
+func (o *answerObserver) cancelSent(job string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.historyLocked(job).cancelSent = true
+}
+
+// lastTaskEnded notes that all tasks of a job have ended by themselves.
+func (o *answerObserver) lastTaskEnded(job string, at time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.historyLocked(job).ended = at
+}
+
+// taskStarted notes the start of a task that runs for so long.
+func (o *answerObserver) taskStarted(job string, runs time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	h := o.historyLocked(job)
+	h.runs = append(h.runs, taskRun{time.Now(), time.Now().Add(runs)})
+}
+
+func (o *answerObserver) failLocked(a *heardAnswer, why string) {
+	const most = 20
+	if len(o.broken) < most {
+		o.broken = append(o.broken, fmt.Sprintf("%s to %s for %s, sent %s, arrived %s: %d %s: %s", a.kind, a.node, a.job,
+			a.sent.Format("05.000000"), a.arrived.Format("05.000000"), a.status, a.body, why))
+	}
+}
+
+// hear judges an answer that has just arrived, and remembers it.
+func (o *answerObserver) hear(a heardAnswer) (stage string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	h := o.historyLocked(a.job)
+	before := func(at time.Time) bool { return !at.IsZero() && at.Before(a.sent) }
+	switch a.status {
+	case 200, 201:
+	case 429, 503, 504:
+		o.refused++
+		return ""
+	case 400, 404, 422:
+		if before(h.accepted) {
+			o.failLocked(&a, "the job was accepted before")
+		}
+		return ""
+	default:
+		o.failLocked(&a, "no status of the protocol")
+		return ""
+	}
+	var state struct {
+		Job   string `json:"uid"`
+		Stage string `json:"stage"`
+	}
+	if err := json.Unmarshal(a.body, &state); err != nil || state.Job != a.job {
+		o.failLocked(&a, "no answer about that job")
+		return ""
+	}
+	o.answers++
+	o.judgeStageLocked(&a, state.Stage, h, before)
+	if state.Stage == "queued" {
+		for _, run := range h.runs {
+			if run.from.Before(a.sent.Add(-stageLag)) && run.to.After(a.arrived) {
+				o.behind++
+				break
+			}
+		}
+	}
+	first := func(at *time.Time) {
+		if at.IsZero() {
+			*at = a.arrived
+		}
+	}
+	first(&h.accepted)
+	switch state.Stage {
+	case "done":
+		first(&h.done)
+	case "cancelled":
+		first(&h.cancelled)
+	}
+	return state.Stage
+}
+
+func (o *answerObserver) judgeStageLocked(a *heardAnswer, stage string, h *jobHistory, before func(time.Time) bool) {
+	switch stage {
+	case "queued", "running", "done", "cancelled":
+	default:
+		o.failLocked(a, "no stage of the protocol")
+	}
+	switch {
+	case stage != "done" && before(h.done):
+		o.failLocked(a, "it was called done before")
+	case stage != "cancelled" && before(h.cancelled):
+		o.failLocked(a, "it was called cancelled before")
+	case stage == "done" && !h.cancelled.IsZero() || stage == "cancelled" && !h.done.IsZero():
+		o.failLocked(a, "it is called both done and cancelled")
+	case stage == "cancelled" && !h.cancelSent:
+		o.failLocked(a, "nobody cancelled it")
+	case stage == "done" && (h.ended.IsZero() || h.ended.After(a.arrived)):
+		o.failLocked(a, "its last task has not ended")
+	}
+	if a.kind == cancellation && stage != "done" && stage != "cancelled" {
+		o.failLocked(a, "no answer to a cancellation")
+	}
+	if a.status == 201 && (a.kind != submission || before(h.accepted)) {
+		o.failLocked(a, "accepted anew")
+	}
+}
--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -67,10 +67,13 @@
 	heard    map[string]hearing               // of each worker, by any controller
 	back     int                              // machines returned
 	whole    bool                             // no report and no answer is lost by chance
+	reliable bool                             // no transaction is lost or late by chance
 	keepCuts bool                             // whether links stay cut when it is calm
 	slow     func() time.Duration             // how long the state service's answers take; nil: no time
 	lateBy   func() time.Duration             // how much later a transaction is carried out; nil: at once
 	holding  func() bool                      // whether an order is held back; nil: some are
+	lag      func() time.Duration             // how much later a watch tells of a change; nil: at once
+	transit  func() time.Duration             // how long a message takes one way, orders and views aside; nil: no time
 	fail     func(format string, args ...any) // a rule is broken
 	wrong    string                           // the first broken rule of a drawn case
 
@@ -114,6 +117,8 @@
 func (n *node) Observe(v machine.View)                              { n.owner.Observe(v) }
 func (n *node) GrantHere(r machine.GrantRequest) machine.GrantReply { return n.owner.GrantHere(r) }
 func (n *node) GrantThere(_ context.Context, at string, r machine.GrantRequest) (machine.GrantReply, error) {
+	n.w.travel()
+	defer n.w.travel()
 	n.w.mu.Lock()
 	to := n.w.nodes[at]
 	ok := n.w.reach(n, to)
@@ -125,6 +130,9 @@
 }
 
 func (n *node) Direct(_ context.Context, holder string, d machine.Direction) (machine.Unlaunched, error) {
+	if holder != n.name {
+		n.w.travel()
+	}
 	n.w.mu.Lock()
 	to := n.w.nodes[holder]
 	ok := to == n || n.w.reach(n, to)
@@ -212,11 +220,14 @@
 	n.reach.init(n)
 	n.view = &testkit.View{Store: w.store,
 		Down: func() bool { w.mu.Lock(); defer w.mu.Unlock(); return n.down || !w.stored(n) },
-		Lose: func() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.rnd.IntN(25) == 0 },
-		Late: func() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.rnd.IntN(25) == 0 },
+		Lose: func() bool { w.mu.Lock(); defer w.mu.Unlock(); return !w.reliable && w.rnd.IntN(25) == 0 },
+		Late: func() bool { w.mu.Lock(); defer w.mu.Unlock(); return !w.reliable && w.rnd.IntN(25) == 0 },
 
 		Slow:   func() time.Duration { return w.drawn(&w.slow) },
 		LateBy: func() time.Duration { return w.drawn(&w.lateBy) },
+		Lag:    func() time.Duration { return w.drawn(&w.lag) },
+
+		Transit: func() time.Duration { return w.drawn(&w.transit) },
 	}
 	op, err := config.LoadOperator("")
 	if err != nil {
@@ -261,6 +272,13 @@
 	return (*f)()
 }
 
+// travel lets the time pass that a message takes one way.
+func (w *cluster) travel() {
+	if d := w.drawn(&w.transit); d > 0 {
+		time.Sleep(d)
+	}
+}
+
 func (w *cluster) crash(name string) {
 	w.mu.Lock()
 	n := w.nodes[name]
@@ -311,7 +329,9 @@
 		w.mu.Unlock()
 		return
 	}
+	w.travel()
 	status, body := n.holder.Report(context.Background(), rep)
+	w.travel()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if status == http.StatusOK && w.works(n.name, k.Name) {
--- a/internal/testkit/state_outage_test.go
+++ b/internal/testkit/state_outage_test.go
@@ -33,8 +33,9 @@
 		}
 		return out
 	}
-	for i := range n.reach.last.Peers {
-		if p := &n.reach.last.Peers[i]; p.Fresh() && p.Row.Held {
+	v := n.linksSeen()
+	for i := range v.Peers {
+		if p := &v.Peers[i]; p.Fresh() && p.Row.Held {
 			add(p.Row.Chief)
 		}
 	}
@@ -42,7 +43,7 @@
 }
 
 // Served names the controllers that reach the state service.
-func (n *node) Served() []string { return n.reach.last.Served() }
+func (n *node) Served() []string { v := n.linksSeen(); return v.Served() }
 
 // Up reports whether this controller takes users.
 func (n *node) Up() bool { return true }
@@ -56,8 +57,10 @@
 	if !ok {
 		return nil, errCut
 	}
+	n.w.travel()
 	rep := to.intake.Serve(ctx, r)
-	return &rep, nil
+	n.w.travel()
+	return &rep, ctx.Err()
 }
 
 // tellCancels has a controller and a peer tell each other of cancels.
--- a/internal/testkit/store.go
+++ b/internal/testkit/store.go
@@ -129,6 +129,13 @@
 	return out
 }
 
+// Text returns a key's value as it is stored, or "".
+func (s *Store) Text(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.items[key].value)
+}
+
 // View is one controller's access to the store.
 type View struct {
 	*Store
@@ -145,6 +152,9 @@
 	Slow func() time.Duration
 	// Lag is how long a watch's answer takes; nil: no time.
 	Lag func() time.Duration
+	// Transit is how long a request is under way before it is executed, and its answer
+	// after that, each; nil: no time. Leases and watches have none.
+	Transit func() time.Duration
 
 	lateMu sync.Mutex
 	late   []wire.Txn
@@ -181,24 +191,53 @@
 	}
 }
 
+// travel lets the time pass that a message is under way; false if nobody waits for it
+// any more, which does not stop it.
+func (v *View) travel(ctx context.Context) bool {
+	if v.Transit == nil {
+		return true
+	}
+	if d := v.Transit(); d > 0 {
+		time.Sleep(d)
+	}
+	return ctx.Err() == nil
+}
+
+// lag draws how long a watch's answer takes.
+func (v *View) lag() time.Duration {
+	if v.Lag == nil {
+		return 0
+	}
+	return v.Lag()
+}
+
 // Get reads a key.
 func (v *View) Get(ctx context.Context, key string) (wire.Item, error) {
 	if ask(v.Down) {
 		return wire.Item{}, statestore.ErrUnavailable
 	}
+	v.travel(ctx)
 	if !v.answer(ctx) {
 		return wire.Item{}, statestore.ErrUnknown
 	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.expire()
-	it, ok := v.items[key]
+	it, ok := v.read(key)
+	if !v.travel(ctx) {
+		return wire.Item{}, statestore.ErrUnknown
+	}
 	if !ok {
 		return wire.Item{}, statestore.ErrNotFound
 	}
 	return wire.Item{Key: key, Value: it.value, Version: it.version, Lease: it.lease}, nil
 }
 
+func (s *Store) read(key string) (item, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	it, ok := s.items[key]
+	return it, ok
+}
+
 // List reads the keys with a prefix.
 func (v *View) List(_ context.Context, prefix string) ([]wire.Item, uint64, error) {
 	if ask(v.Down) {
@@ -257,8 +296,9 @@
 			return 0, statestore.ErrUnknown
 		}
 	}
+	v.travel(ctx)
 	rev, err := v.apply(t)
-	if ask(v.Lose) || !v.answer(ctx) {
+	if ask(v.Lose) || !v.answer(ctx) || !v.travel(ctx) {
 		return 0, statestore.ErrUnknown
 	}
 	return rev, err
@@ -340,13 +380,13 @@
 		rev = v.rev
 		wait := v.change
 		v.mu.Unlock()
-		if len(got) > 0 && v.Lag != nil {
-			select {
-			case <-ctx.Done():
-			case <-time.After(v.Lag()):
-			}
-		}
 		if len(got) > 0 {
+			if d := v.lag(); d > 0 {
+				select {
+				case <-ctx.Done():
+				case <-time.After(d):
+				}
+			}
 			change(got)
 		}
 		select {
--- a/internal/testkit/worker.go
+++ b/internal/testkit/worker.go
@@ -66,6 +66,17 @@
 	return out
 }
 
+// EndedSince reports whether a task has ended by itself since a time.
+func (w *Worker) EndedSince(at time.Time) bool {
+	w.advance()
+	for _, t := range w.tasks {
+		if t.State == wire.TaskExited && t.Cause == wire.CauseDone && t.ends.After(at) {
+			return true
+		}
+	}
+	return false
+}
+
 // Report makes the worker's next report.
 func (w *Worker) Report() *wire.Report {
 	w.advance()
