--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -236,7 +236,7 @@
 	mu       sync.Mutex
 	fence    uint64         // the highest token that an earlier owner may have granted a start for
 	loaded   map[int]uint64 // shard -> version of its key when loaded
-	listed   map[int]uint64 // shard -> revision as of which its living jobs were read
+	listed   map[int]uint64 // shard -> revision of the listing of living jobs that it was loaded with
 	loadedAt time.Time
 	loading  bool    // shards are being read
 	early    []early // what came in the meantime
--- a/internal/testkit/store.go
+++ b/internal/testkit/store.go
@@ -129,6 +129,13 @@
 	return out
 }
 
+// Text returns a key's value as it is stored, or "".
+func (s *Store) Text(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.items[key].value)
+}
+
 // View is one controller's access to the store.
 type View struct {
 	*Store
@@ -155,6 +162,9 @@
 	Delay func(t wire.Txn) (by time.Duration, outcome func(error))
 	// Seen is called with every key and version that a read or a watch tells of.
 	Seen func(key string, version uint64)
+	// Transit is how long a request is under way before it is executed, and its answer
+	// after that, each; nil: no time. Leases and watches have none.
+	Transit func() time.Duration
 
 	lateMu sync.Mutex
 	late   []wire.Txn
@@ -212,18 +222,42 @@
 	}
 }
 
+// travel lets the time pass that a message is under way; false if nobody waits for it
+// any more, which does not stop it.
+func (v *View) travel(ctx context.Context) bool {
+	if v.Transit == nil {
+		return true
+	}
+	if d := v.Transit(); d > 0 {
+		time.Sleep(d)
+	}
+	return ctx.Err() == nil
+}
+
+// lag is how long the answer of a prefix's watch takes.
+func (v *View) lag(prefix string) (d time.Duration) {
+	if v.Lag != nil {
+		d = v.Lag()
+	}
+	if v.Behind != nil {
+		d += v.Behind(prefix)
+	}
+	return d
+}
+
 // Get reads a key.
 func (v *View) Get(ctx context.Context, key string) (wire.Item, error) {
 	if ask(v.Down) {
 		return wire.Item{}, statestore.ErrUnavailable
 	}
+	v.travel(ctx)
 	if !v.answer(ctx) {
 		return wire.Item{}, statestore.ErrUnknown
 	}
-	v.mu.Lock()
-	v.expire()
-	it, ok := v.items[key]
-	v.mu.Unlock()
+	it, ok := v.read(key)
+	if !v.travel(ctx) {
+		return wire.Item{}, statestore.ErrUnknown
+	}
 	if !ok {
 		v.seen(wire.Item{Key: key})
 		return wire.Item{}, statestore.ErrNotFound
@@ -232,6 +266,14 @@
 	return wire.Item{Key: key, Value: it.value, Version: it.version, Lease: it.lease}, nil
 }
 
+func (s *Store) read(key string) (item, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	it, ok := s.items[key]
+	return it, ok
+}
+
 // List reads the keys with a prefix.
 func (v *View) List(_ context.Context, prefix string) ([]wire.Item, uint64, error) {
 	if ask(v.Down) {
@@ -302,12 +344,13 @@
 			return 0, statestore.ErrUnknown
 		}
 	}
+	v.travel(ctx)
 	rev, err := v.apply(t)
 	if err == nil && v.LoseAnswer != nil && v.LoseAnswer(t, rev) {
 		silence(ctx)
 		return 0, statestore.ErrUnknown
 	}
-	if ask(v.Lose) || !v.answer(ctx) {
+	if ask(v.Lose) || !v.answer(ctx) || !v.travel(ctx) {
 		return 0, statestore.ErrUnknown
 	}
 	return rev, err
@@ -389,19 +432,13 @@
 		rev = v.rev
 		wait := v.change
 		v.mu.Unlock()
-		if len(got) > 0 && v.Lag != nil {
-			select {
-			case <-ctx.Done():
-			case <-time.After(v.Lag()):
-			}
-		}
-		if len(got) > 0 && v.Behind != nil {
-			select {
-			case <-ctx.Done():
-			case <-time.After(v.Behind(prefix)):
-			}
-		}
 		if len(got) > 0 {
+			if d := v.lag(prefix); d > 0 {
+				select {
+				case <-ctx.Done():
+				case <-time.After(d):
+				}
+			}
 			for _, e := range got {
 				v.seen(wire.Item{Key: e.Put + e.Delete, Version: e.Version})
 			}
