Late reports at a new leader end no task and say nothing of a later session

Cause 1: an attempt whose start was granted in one session of its worker, and which showed in no report, was granted again in the next session. A report of the first session that reached the next leader late was taken for what became of the attempt in the second: "ended by an error", or seen and then gone. The task was started elsewhere while it ran. Change: an attempt is started in one session only (Owner.granted, Owner.GrantHere); the task gets a new attempt. Cost: one more place recorded for a start that a worker lost with its lease.

Cause 2: a new owner halted every recorded place that a report did not list, so that a start under way could not come after. Change: only what is to stop is halted; a newer token alone settles the others, as before.

Simulated workers have a zone.

--- a/internal/owner/grant.go
+++ b/internal/owner/grant.go
@@ -44,6 +44,11 @@
 	switch {
 	case j.cancelled || p.chunk.isDone(n):
 		return drop
+	case !p.exited && p.session > 0 && r.Session > p.session && (p.state == placeRecorded || p.state == placeGranted):
+		// Its worker has lost whatever it was granted in the session before, in which it
+		// may have run: see granted.
+		o.detach(p)
+		return drop
 	case o.Cancels != nil && o.Cancels.Has(uid):
 		return no // recorded by another; the record is on its way here
 	case p.state == placeWriting || p.state == placeUnsettled || p.state == placeSeen || !p.haltAt.IsZero():
--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -310,8 +310,14 @@
 // elsewhere, like all that waits. One that is not sure for long is asked about by a newer
 // token: its start may be lost, and the room taken by what another holder started. Both
 // stood for ever behind tasks that ran for long, beside idle machines.
+//
+// An attempt is started in one session of its worker only. It may have run, and ended, in a
+// session of which no report came; a report of that session that comes late, to the next
+// leader too, would be taken for what became of the attempt in the session after it.
 func (o *Owner) granted(m *mach, p *place, now time.Time) {
 	switch {
+	case m.view.Session > p.session:
+		o.unqueue(p)
 	case off(m, p):
 		o.count(p, -1)
 		p.state, p.grantedAt = placeRecorded, time.Time{}
@@ -347,14 +353,16 @@
 			o.tell(p, false)
 		}
 	default:
-		// Perhaps a late command: a newer token settles it.
-		if time.Since(p.haltAt) > time.Second {
+		// Perhaps a late command: a newer token settles it. Only what is to stop is halted:
+		// the report may be older than the start, and a halt would end a task that a
+		// predecessor started after it.
+		d := o.direction(m.view.Holder)
+		d.RaiseAbove = max(d.RaiseAbove, p.token)
+		if (p.job.cancelled || !p.haltAt.IsZero()) && time.Since(p.haltAt) > time.Second {
 			p.haltAt = time.Now()
-			d := o.direction(m.view.Holder)
 			d.Halt = append(d.Halt, machine.Halt{Ref: p.ref})
-			d.RaiseAbove = max(d.RaiseAbove, p.token)
-			poke(o.out)
 		}
+		poke(o.out)
 	}
 }
 
--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -37,7 +37,7 @@
 type types float64
 
 func (t types) Type(string) (wire.MachineType, bool) {
-	return wire.MachineType{Name: "m", CPUs: float64(t), MemoryGB: 4 * float64(t), CacheGB: 50, FetchGBPerS: 1, Price: 1, SpotPrice: 0.3, BootS: 10, Zones: []string{"z"}}, true
+	return wire.MachineType{Name: "m", CPUs: float64(t), MemoryGB: 4 * float64(t), CacheGB: 50, FetchGBPerS: 1, Price: 1, SpotPrice: 0.3, BootS: 10, Zones: []string{"z", "y"}}, true
 }
 
 func (t types) All() []wire.MachineType {
@@ -80,6 +80,8 @@
 	cancels map[string]time.Time // jobs, by when their user first heard that they are cancelled
 
 	accounts bool // whether accounting rows are written
+
+	onStart func(k *testkit.Worker, task string, attempt uint64) // a task starts; nil: nobody looks
 }
 
 type node struct {
@@ -482,6 +484,9 @@
 func (w *cluster) join(k *testkit.Worker, i int) {
 	k.Started = func(task string, attempt uint64) {
 		w.started, w.starts = time.Now(), w.starts+1
+		if w.onStart != nil {
+			w.onStart(k, task, attempt)
+		}
 		if at := w.cleared[task]; at != "" {
 			w.fail("%s is started again, as attempt %d on %s, when it was done and cleared on %s", task, attempt, k.Name, at)
 		}
--- a/internal/testkit/cuts_test.go
+++ b/internal/testkit/cuts_test.go
@@ -211,7 +211,7 @@
 			w.back++
 			k.Started, k.Forgot = nil, nil // what is still sent to it does nothing
 			fresh := testkit.NewWorker(fmt.Sprintf("r-%d", w.back), workerLease, k.Run)
-			fresh.Exit = k.Exit
+			fresh.Exit, fresh.Zone = k.Exit, k.Zone
 			w.join(fresh, w.back)
 		}
 		w.mu.Unlock()
--- a/internal/testkit/worker.go
+++ b/internal/testkit/worker.go
@@ -9,6 +9,7 @@
 // Worker is a worker's state by the protocol: tokens, lease, session, commands.
 type Worker struct {
 	Name    string
+	Zone    string
 	Lease   time.Duration
 	Run     func(task string) time.Duration // how long a task runs
 	Started func(task string, attempt uint64)
@@ -32,7 +33,7 @@
 
 // NewWorker returns a worker that has just come up.
 func NewWorker(name string, lease time.Duration, run func(string) time.Duration) *Worker {
-	return &Worker{Name: name, Lease: lease, Run: run, session: 1, renewed: time.Now(), tasks: map[ref]*running{}}
+	return &Worker{Name: name, Zone: "z", Lease: lease, Run: run, session: 1, renewed: time.Now(), tasks: map[ref]*running{}}
 }
 
 func (w *Worker) advance() {
@@ -70,7 +71,7 @@
 func (w *Worker) Report() *wire.Report {
 	w.advance()
 	w.seq++
-	r := &wire.Report{Machine: w.Name, Endpoint: "127.0.0.1:1", Type: "m", Zone: "z", Session: w.session, Seq: w.seq, Token: w.token}
+	r := &wire.Report{Machine: w.Name, Endpoint: "127.0.0.1:1", Type: "m", Zone: w.Zone, Session: w.session, Seq: w.seq, Token: w.token}
 	for _, t := range w.tasks {
 		r.Tasks = append(r.Tasks, t.Task)
 	}
