A new owner gives up no machines that were cut off together with the owner before it

Cause: a machine's silence counts from the take-over for an owner that never heard it, that is 5 to 7 s later than that of the former owner, with which its zone was cut off. With reports every second the two did not count as fallen silent together, so that machines were returned on which the former owner went on answering. Cost: while a former owner stays away, machines that died before the take-over wait until it could not answer any more (as they did where reports come every 4 s or 8 s); none where it is back.

Two cases more in TestSilence.

--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -19,7 +19,7 @@
 }
 
 func judge() *links.Silence {
-	return &links.Silence{Base: 14 * time.Second, Lease: 44 * time.Second, Report: 8 * time.Second, Grace: 17 * time.Second}
+	return &links.Silence{Base: 14 * time.Second, Lease: 44 * time.Second, Report: 8 * time.Second, Grace: 17 * time.Second, Takeover: 7 * time.Second}
 }
 
 // near is a peer with which all is well.
@@ -30,6 +30,14 @@
 // An owner that heard nobody gave 1,300 living machines back in a minute; another,
 // whose sockets were full, 1,000 in every 50 s. Silence is weighed against how well
 // one hears, what others hear, and what no accident does.
+// unheard makes machines ones that a new owner has not heard.
+func unheard(silent []links.Machine) []links.Machine {
+	for i := range silent {
+		silent[i].Unheard = true
+	}
+	return silent
+}
+
 func TestSilence(t *testing.T) {
 	apart := func(names ...string) links.Peer {
 		p := near("b", 0)
@@ -74,6 +82,9 @@
 		{"a peer hears three, and its calls don't come through", fine, []links.Peer{oneWay}, 1000, silences(70, 14*time.Second), links.Ears{}, false, 67},
 		{"a peer hears three, and can't be asked", links.Row{Node: "a", Lacks: []string{"b"}}, []links.Peer{unasked}, 1000, silences(70, 14*time.Second), links.Ears{}, false, 67},
 		{"a peer went dark with them", fine, []links.Peer{dark(14 * time.Second)}, 1000, silences(70, 15*time.Second), links.Ears{}, false, 0},
+		{"a peer went dark before the take-over, and they were heard since", fine, []links.Peer{dark(36 * time.Second)}, 1000, silences(70, 14*time.Second), links.Ears{}, false, 70},
+		{"the owner before went dark, and they were not heard since", fine, []links.Peer{dark(36 * time.Second)}, 1000, unheard(silences(70, 14*time.Second)), links.Ears{}, false, 0},
+		{"a peer went dark long before the take-over", fine, []links.Peer{dark(50 * time.Second)}, 1000, unheard(silences(70, 15*time.Second)), links.Ears{}, false, 70},
 		{"a peer went dark long before", fine, []links.Peer{dark(50 * time.Second)}, 1000, silences(70, 15*time.Second), links.Ears{}, false, 70},
 		{"a peer has been dark for longer than it may answer", fine, []links.Peer{dark(62 * time.Second)}, 1000, silences(70, 62*time.Second), links.Ears{}, false, 70},
 	} {
--- a/internal/links/silence.go
+++ b/internal/links/silence.go
@@ -32,6 +32,7 @@
 	Silent   time.Duration
 	Busy     bool // tasks may be on it
 	Deaf     bool // it is heard, but nothing that is sent to it has an effect
+	Unheard  bool // not heard since this owner's take-over, from which Silent counts then: its silence is older
 }
 
 // Verdict is what to do about silent machines.
@@ -52,6 +53,10 @@
 	Report time.Duration // between a worker's reports
 	Grace  time.Duration // for which a controller goes on answering workers when it is cut off from all others
 
+	// Takeover is how long after the last word of an owner that is cut off another one has
+	// taken over, at most.
+	Takeover time.Duration
+
 	asked    map[string]ask
 	returned map[string]time.Time
 	refused  int64
@@ -204,7 +209,7 @@
 			if p.Row.Heard.Has(m.Name) {
 				return p.Name + " hears it, and can't say so directly"
 			}
-		case p.Age < s.Grace+s.Lease && (m.Silent-p.Age).Abs() < 2*s.Report+Lost:
+		case p.Age < s.Grace+s.Lease && s.together(m, p.Age):
 			// Both may be cut off together: then the controller goes on
 			// answering the machine for so long.
 			return "it fell silent together with " + p.Name
@@ -212,3 +217,14 @@
 	}
 	return ""
 }
+
+// together reports whether a machine fell silent when a controller did that was last heard
+// so long ago. A new owner that judged by its own time alone gave up the machines of a
+// whole zone that was cut off together with the owner before it.
+func (s *Silence) together(m *Machine, age time.Duration) bool {
+	apart := 2*s.Report + Lost
+	if m.Unheard {
+		apart += s.Takeover
+	}
+	return (m.Silent - age).Abs() < apart
+}
--- a/internal/owner/silence.go
+++ b/internal/owner/silence.go
@@ -71,7 +71,7 @@
 			s = max(s, now.Sub(m.deaf))
 		}
 		if s >= from {
-			silent = append(silent, links.Machine{Name: name, Endpoint: m.view.Endpoint, Silent: s, Busy: len(m.places) > 0, Deaf: deaf})
+			silent = append(silent, links.Machine{Name: name, Endpoint: m.view.Endpoint, Silent: s, Busy: len(m.places) > 0, Deaf: deaf, Unheard: m.heard.Before(m.since)})
 		}
 	}
 	return len(o.machines), silent
