Controllers reserve a term each, so that a leader's end in an outage ends no lease

Change: each controller draws a term ahead of time from the same counter, 4,096 above those raised as usual, so that it stays above them until the next take-over, and answers reports with it when its lease does not hold and raising fails. Terms stay nobody else's: guarded by the counter's version, kept by one process, dropped with its lease; an incarnation that joins draws one above the last. Cost: two requests and one write for each controller and take-over, at most every 5 s. What remains: who stays away vouches for no cancels, so that the others stop answering cancel_s - lease_s - 3 s after its last word, as before.

--- a/internal/machine/holder.go
+++ b/internal/machine/holder.go
@@ -171,6 +171,9 @@
 		term, err = h.tokens.Raise(rctx, rep.Token)
 		cancel()
 		if err != nil {
+			term = h.tokens.Spare(rep.Token)
+		}
+		if term == 0 {
 			// An answer with a lower token would keep the worker here
 			// while its lease runs out.
 			h.log.Info("cannot raise the term", "machine", rep.Machine, "token", rep.Token, "err", err)
--- a/internal/machine/holder_test.go
+++ b/internal/machine/holder_test.go
@@ -36,7 +36,9 @@
 func (s *stub) GrantThere(context.Context, string, machine.GrantRequest) (machine.GrantReply, error) {
 	return machine.GrantReply{}, errors.New("no peer")
 }
-func (s *stub) Term() uint64 { return s.term }
+func (s *stub) Term() uint64        { return s.term }
+func (s *stub) Spare(uint64) uint64 { return 0 }
+
 func (s *stub) Raise(_ context.Context, above uint64) (uint64, error) {
 	if !s.raises {
 		return 0, errors.New("state service out")
--- a/internal/machine/messages.go
+++ b/internal/machine/messages.go
@@ -123,6 +123,9 @@
 type Tokens interface {
 	Term() uint64
 	Raise(ctx context.Context, above uint64) (uint64, error)
+	// Spare is a term above some that was drawn ahead of time, for when none can be
+	// drawn now, or 0.
+	Spare(above uint64) uint64
 }
 
 // Types knows the cloud's machine types.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -62,10 +62,6 @@
 	Lease uint64 `json:"lease"`
 }
 
-type termRecord struct {
-	N uint64 `json:"n"`
-}
-
 // movesRecord is when jobs were handed over, by time of day, ms. It outlives the
 // leases, so that a successor too knows how often they moved.
 type movesRecord struct {
@@ -91,6 +87,8 @@
 	lease    uint64
 	goodSend time.Time
 	term     uint64
+	spare    uint64 // a term drawn ahead of time; see reserve
+	used     uint64 // the highest term in use, as far as is known here
 	nodes    map[string]nodeRecord
 	owners   map[int]shardRecord
 	own      map[int]uint64 // shard -> version of its key
@@ -106,6 +104,9 @@
 	moves    movesRecord
 	onChange []func()
 	onLink   func(value json.RawMessage)
+
+	reservedAt time.Time // when a term was last drawn ahead of time
+	reserving  sync.WaitGroup
 }
 
 // stagger is how long a controller leaves a freed shard to each one that joined
@@ -269,16 +270,17 @@
 	if t := m.Term(); t > above {
 		return t, nil
 	}
-	return m.raiseLocked(ctx, above, nil)
+	return m.raiseLocked(ctx, func(r termRecord) termRecord { return r.above(above) }, nil)
 }
 
-// Fresh takes a term that no token given out before is equal to or above.
+// Fresh takes a term that no token given out before is equal to or above, reserved ones
+// included.
 func (m *Member) Fresh(ctx context.Context) (uint64, error) {
 	if err := m.startRaise(ctx); err != nil {
 		return 0, err
 	}
 	defer m.endRaise()
-	return m.raiseLocked(ctx, 0, nil)
+	return m.raiseLocked(ctx, func(r termRecord) termRecord { return r.highest(0) }, nil)
 }
 
 // startRaise waits for its turn to change the term, but not beyond ctx.
@@ -293,22 +295,36 @@
 
 func (m *Member) endRaise() { <-m.raising }
 
-func (m *Member) raiseLocked(ctx context.Context, above uint64, with func(term uint64) ([]wire.Guard, []wire.Op)) (uint64, error) {
+func (m *Member) raiseLocked(ctx context.Context, next func(termRecord) termRecord, with func(term uint64) ([]wire.Guard, []wire.Op)) (uint64, error) {
+	rec, err := m.draw(ctx, next, with)
+	if err != nil {
+		return 0, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.term = max(m.term, rec.inUse())
+	m.used = max(m.used, m.term)
+	return m.term, nil
+}
+
+// draw changes the counter of terms, in one transaction with what with adds for the term
+// that is then in use.
+func (m *Member) draw(ctx context.Context, next func(termRecord) termRecord, with func(term uint64) ([]wire.Guard, []wire.Op)) (termRecord, error) {
 	for n := 0; ; n++ {
 		it, err := m.store.Get(ctx, termKey)
 		var rec termRecord
 		if err == nil {
 			if err := json.Unmarshal(it.Value, &rec); err != nil {
-				return 0, fmt.Errorf("read term: %w", err)
+				return rec, fmt.Errorf("read term: %w", err)
 			}
 		} else if !errors.Is(err, statestore.ErrNotFound) {
-			return 0, fmt.Errorf("read term: %w", err)
+			return rec, fmt.Errorf("read term: %w", err)
 		}
-		next := max(rec.N, above) + 1
+		rec = next(rec)
 		guards := []wire.Guard{{Key: termKey, Version: it.Version}}
-		ops := []wire.Op{{Put: termKey, Value: termRecord{N: next}}}
+		ops := []wire.Op{{Put: termKey, Value: rec}}
 		if with != nil {
-			g, o := with(next)
+			g, o := with(rec.inUse())
 			guards, ops = append(guards, g...), append(ops, o...)
 		}
 		_, err = m.store.Txn(ctx, guards, ops...)
@@ -318,13 +334,9 @@
 			continue
 		}
 		if err != nil {
-			return 0, fmt.Errorf("raise term: %w", err)
+			return rec, fmt.Errorf("raise term: %w", err)
 		}
-		m.mu.Lock()
-		m.term = max(m.term, next)
-		t := m.term
-		m.mu.Unlock()
-		return t, nil
+		return rec, nil
 	}
 }
 
@@ -347,6 +359,7 @@
 		m.lost()
 	}
 	<-watching
+	m.reserving.Wait()
 	return ctx.Err()
 }
 
@@ -380,7 +393,8 @@
 	if err := m.startRaise(ctx); err != nil {
 		return fmt.Errorf("register: %w", err)
 	}
-	term, err := m.raiseLocked(ctx, 0, func(term uint64) ([]wire.Guard, []wire.Op) {
+	last := m.Term() // of this process's last incarnation; a reserved one may be above the counter's next
+	term, err := m.raiseLocked(ctx, func(r termRecord) termRecord { return r.above(last) }, func(term uint64) ([]wire.Guard, []wire.Op) {
 		rec.Term = term
 		return []wire.Guard{{Key: key}}, []wire.Op{{Put: key, Value: rec, Lease: lease}}
 	})
@@ -445,6 +459,7 @@
 			was := m.heldLocked()
 			m.goodSend = sent
 			m.mu.Unlock()
+			m.reserve(ctx)
 			if was <= 0 {
 				m.log.Info("lease holds again")
 				m.notify()
@@ -460,7 +475,7 @@
 
 func (m *Member) lost() {
 	m.mu.Lock()
-	m.lease = 0
+	m.lease, m.spare = 0, 0
 	m.own, m.limbo = map[int]uint64{}, map[int]uint64{}
 	m.mu.Unlock()
 	m.notify()
@@ -726,8 +741,12 @@
 	relevant := false
 	for _, e := range events {
 		key := e.Put + e.Delete
-		if key == termKey || strings.HasPrefix(key, linkKey) {
-			if e.Put != "" && key != termKey && m.onLink != nil {
+		if key == termKey {
+			m.sawTermLocked(e.Value)
+			continue
+		}
+		if strings.HasPrefix(key, linkKey) {
+			if e.Put != "" && m.onLink != nil {
 				m.onLink(e.Value)
 			}
 			continue
@@ -747,6 +766,9 @@
 
 func (m *Member) applyLocked(key string, value json.RawMessage, version uint64) {
 	switch {
+	case key == termKey:
+		m.sawTermLocked(value)
+		return
 	case key == movesKey:
 		var r movesRecord
 		if json.Unmarshal(value, &r) == nil {
--- /dev/null
+++ b/internal/membership/reserve.go
@@ -0,0 +1,111 @@
+package membership
+
+import (
+	"context"
+	"time"
+
+	"github.com/goccy/go-json"
+)
+
+const (
+	reserveEvery   = 5 * time.Second // between terms that a controller reserves
+	reserveTimeout = 2 * time.Second
+	reserveAbove   = 4096 // terms that may be raised before reserved ones are overtaken
+)
+
+// termRecord is the counter of terms. Reserved ones are taken from above those that are
+// raised as usual, so that they stay the highest until shards are taken over.
+type termRecord struct {
+	N     uint64 `json:"n"`               // the highest that was given to anybody, reserved or not
+	Low   uint64 `json:"low,omitempty"`   // the highest below those reserved; 0: none is reserved
+	Floor uint64 `json:"floor,omitempty"` // the lowest reserved; 0: none is
+}
+
+// inUse is the highest term that was not merely reserved.
+func (r termRecord) inUse() uint64 {
+	if r.Floor == 0 {
+		return r.N
+	}
+	return r.Low
+}
+
+// above gives out a term that is larger than some.
+func (r termRecord) above(above uint64) termRecord {
+	if next := max(r.Low, above) + 1; next < r.Floor {
+		return termRecord{N: r.N, Low: next, Floor: r.Floor}
+	}
+	return r.highest(above)
+}
+
+// highest gives out a term that is larger than all that were given, and than some.
+func (r termRecord) highest(above uint64) termRecord { return termRecord{N: max(r.N, above) + 1} }
+
+// reserved gives out a term, N, that is larger than all, and leaves room below it.
+func (r termRecord) reserved() termRecord {
+	if r.Floor > 0 {
+		return termRecord{N: r.N + 1, Low: r.Low, Floor: r.Floor}
+	}
+	term := r.N + reserveAbove
+	return termRecord{N: term, Low: r.N, Floor: term}
+}
+
+// reserve draws a term ahead of time, unless the one in hand is higher than every term
+// known to be in use. While the state service is out nobody can draw one: when a holder
+// ended then, whose token its workers had seen, no other could answer them, and their leases
+// ended. It comes from the one counter, so that it is nobody else's, and lower than any that
+// an owner draws later to settle what ran before.
+func (m *Member) reserve(ctx context.Context) {
+	m.mu.Lock()
+	due := m.spare <= m.used && time.Since(m.reservedAt) >= reserveEvery
+	lease := m.lease
+	if due {
+		m.reservedAt = time.Now()
+	}
+	m.mu.Unlock()
+	if !due {
+		return
+	}
+	m.reserving.Add(1)
+	go func() {
+		defer m.reserving.Done()
+		ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+		defer cancel()
+		rec, err := m.draw(ctx, termRecord.reserved, nil)
+		if err != nil {
+			m.log.Debug("reserving a term failed", "err", err)
+			return
+		}
+		m.mu.Lock()
+		if m.lease == lease {
+			m.spare = rec.N
+		}
+		m.mu.Unlock()
+	}()
+}
+
+// Spare makes the reserved term this controller's term, if it is larger than above, and
+// returns it; 0: there is none. It is for answering workers when Raise fails, and there is
+// none while the lease holds: a term used for one lost answer would overtake all that others
+// reserved.
+func (m *Member) Spare(above uint64) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.term > above {
+		return m.term
+	}
+	if m.spare <= above || m.heldLocked() > 0 {
+		return 0
+	}
+	m.term, m.spare = m.spare, 0
+	m.used = max(m.used, m.term)
+	m.log.Info("took the reserved term", "term", m.term, "above", above)
+	return m.term
+}
+
+// sawTermLocked notes which terms are in use.
+func (m *Member) sawTermLocked(value json.RawMessage) {
+	var r termRecord
+	if json.Unmarshal(value, &r) == nil {
+		m.used = max(m.used, r.inUse())
+	}
+}
