--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -37,7 +37,7 @@
 type types float64
 
 func (t types) Type(string) (wire.MachineType, bool) {
-	return wire.MachineType{Name: "m", CPUs: float64(t), MemoryGB: 4 * float64(t), CacheGB: 50, FetchGBPerS: 1, Price: 1, SpotPrice: 0.3, BootS: 10, Zones: []string{"z"}}, true
+	return wire.MachineType{Name: "m", CPUs: float64(t), MemoryGB: 4 * float64(t), CacheGB: 50, FetchGBPerS: 1, Price: 1, SpotPrice: 0.3, BootS: 10, Zones: []string{"z", "y"}}, true
 }
 
 func (t types) All() []wire.MachineType {
@@ -85,13 +85,14 @@
 	cancels map[string]time.Time // jobs, by when their user first heard that they are cancelled
 
 	accounts bool // whether accounting rows are written
-	exact    bool // no transaction is lost or late by chance
 
 	beside     func(n *node) []func(context.Context) error            // what else a controller runs; nil: nothing
 	loseAnswer func(n *node, t wire.Txn, version uint64) bool         // of an applied transaction; nil: none by choice
 	seen       func(n *node, key string, version uint64)              // what a controller reads in the store; nil: nobody looks
 	delay      func(n *node, t wire.Txn) (time.Duration, func(error)) // until a transaction is applied; nil: no time
 	behind     func(n *node, prefix string) time.Duration             // how far a controller's watch is behind; nil: not at all
+
+	onStart func(k *testkit.Worker, task string, attempt uint64) // a task starts; nil: nobody looks
 }
 
 type node struct {
@@ -520,6 +521,9 @@
 func (w *cluster) join(k *testkit.Worker, i int) {
 	k.Started = func(task string, attempt uint64) {
 		w.started, w.starts = time.Now(), w.starts+1
+		if w.onStart != nil {
+			w.onStart(k, task, attempt)
+		}
 		if at := w.cleared[task]; at != "" {
 			w.fail("%s is started again, as attempt %d on %s, when it was done and cleared on %s", task, attempt, k.Name, at)
 		}
--- a/internal/testkit/lost_answers_test.go
+++ b/internal/testkit/lost_answers_test.go
@@ -44,7 +44,7 @@
 // watched connects a controller's view of the store to the cluster's troubles that
 // concern chosen keys.
 func (w *cluster) watched(n *node) {
-	if w.exact {
+	if w.reliable {
 		n.view.Lose, n.view.Late = nil, nil
 	}
 	n.view.LoseAnswer = func(t wire.Txn, version uint64) bool {
@@ -259,7 +259,7 @@
 		w := newCluster(t, seed)
 		w.bigger(3, 8)
 		w.long()
-		w.accounts, w.whole, w.exact, w.keepCuts = !c.plain, true, true, true
+		w.accounts, w.whole, w.reliable, w.keepCuts = !c.plain, true, true, true
 		l := &answerLoss{w: w, prefix: c.prefix}
 		begin(w, l)
 		for _, n := range w.names {
--- a/internal/testkit/rented_cluster_test.go
+++ b/internal/testkit/rented_cluster_test.go
@@ -60,7 +60,7 @@
 	}
 	t.Cleanup(func() { _ = db.Close() })
 	c := &rentedCluster{cluster: newCluster(t, seed), ended: map[string]bool{}, asked: map[string]int{}, rented: map[string][]string{}, answered: map[string]bool{}}
-	c.exact = true
+	c.reliable = true
 	c.workers, c.byName = nil, map[string]*testkit.Worker{}
 	c.cfg.Params.Cloud = config.Cloud{RPS: 4, ListLagS: listLag.Seconds()}
 	kind, _ := c.size.Type("m")
