A repeated submission with an unreadable field is answered by its id; fields are read by exact names

Cause: a submission was read as one JSON object, so that one field of a wrong type left no id: a repeat of an accepted job with such a body was answered 400, which tells its user that the job is forgotten. The JSON library also took "CPUS" for "cpus", so that a job that lacks a field was accepted. Change: each field is read by itself and by its exact name; a job whose id could be read is looked up whatever else is wrong. FuzzSubmission holds every accepted body to the protocol's table, read by encoding/json.

--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -44,7 +44,7 @@
 const job = `{"uid":"j-7","docket":"c","crew":"t","sort":"sweep","urgency":"normal","pieces":3,"cpus":2,"cards":0,"memoryGb":1,
 	"kit":"i","pullGb":1,"builds":null,"yard":null,"together":false,"apart":false,"loaners":true,"reckonS":9,"markS":0,"stashS":0,"dueS":null}`
 
-func serve(t *testing.T) (s *stub, in *intake.Intake, ask func(method, path, body string) (int, http.Header, wire.JobState)) {
+func serve(t testing.TB) (s *stub, in *intake.Intake, ask func(method, path, body string) (int, http.Header, wire.JobState)) {
 	s = &stub{View: &testkit.View{Store: testkit.NewStore()}, up: true, types: []wire.MachineType{{Name: "m", CPUs: 4, MemoryGB: 8, Zones: []string{"z"}}}}
 	cfg := &config.Platform{Node: "a", Params: config.Params{Teams: []config.Team{{Name: "t", CPUsMax: 8}}}}
 	op, err := config.LoadOperator("")
--- /dev/null
+++ b/internal/intake/odd_requests_test.go
@@ -0,0 +1,128 @@
+package intake_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/wallrack/wallrack/internal/intake"
+	"github.com/wallrack/wallrack/internal/testkit"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// fieldKinds are the fields of a submission as the protocol's table has them, each with
+// the Go type that encoding/json gives its value. A trailing ? marks one that may be null,
+// and so left out.
+var fieldKinds = map[string]string{
+	"uid": "string", "docket": "string", "crew": "string", "sort": "string", "urgency": "string", "pieces": "float64",
+	"cpus": "float64", "cards": "float64", "memoryGb": "float64", "kit": "string", "pullGb": "float64",
+	"builds": "[]interface {}?", "yard": "string?", "together": "bool", "apart": "bool", "loaners": "bool",
+	"reckonS": "float64", "markS": "float64", "stashS": "float64", "dueS": "float64?",
+}
+
+// lacks names a field that a submission lacks or has with a wrong type, or "". It reads the
+// body with another library than the service does, by exact names.
+func lacks(body []byte) string {
+	var given map[string]any
+	if json.Unmarshal(body, &given) != nil {
+		return "all"
+	}
+	for name, kind := range fieldKinds {
+		kind, nullable := strings.CutSuffix(kind, "?")
+		if value := given[name]; !(value == nil && nullable) && fmt.Sprintf("%T", value) != kind {
+			return name
+		}
+	}
+	return ""
+}
+
+// fits reports whether a submission that lacks nothing can run on the one machine type that
+// serve has, within the limit of the one team.
+func fits(body []byte) bool {
+	var given map[string]any
+	if json.Unmarshal(body, &given) != nil {
+		return false
+	}
+	number := func(name string) float64 { value, _ := given[name].(float64); return value }
+	anywhere := given["builds"] == nil
+	types, _ := given["builds"].([]any)
+	for _, name := range types {
+		anywhere = anywhere || name == "m"
+	}
+	together := 1.0
+	if given["sort"] != wire.KindArray {
+		together = number("pieces")
+	}
+	for _, name := range []string{"pullGb", "reckonS", "markS", "stashS", "dueS"} {
+		if number(name) < 0 {
+			return false
+		}
+	}
+	return given["crew"] == "t" && anywhere && (given["yard"] == nil || given["yard"] == "z") &&
+		number("pieces") >= 1 && number("pieces") <= 100_000 && number("pieces") == math.Trunc(number("pieces")) &&
+		number("cpus") > 0 && number("cpus") < 4.001 && number("cpus")*together < 8.001 && number("cards") >= 0 && number("cards") < 0.001 &&
+		number("memoryGb") >= 0 && number("memoryGb") < 8.001 &&
+		strings.Contains(" low normal urgent production ", fmt.Sprintf(" %v ", given["urgency"]))
+}
+
+// A submission that is accepted has every field, with its type, and can run; one that has
+// none of it is refused and leaves nothing in the state service.
+func FuzzSubmission(f *testing.F) {
+	f.Add([]byte(job))
+	for name := range fieldKinds {
+		f.Add([]byte(strings.Replace(job, `"`+name+`"`, `"`+strings.ToUpper(name)+`"`, 1)))
+	}
+	f.Add([]byte(strings.Replace(job, `"sweep"`, `"daemon"`, 1)))
+	f.Add([]byte(strings.Replace(job, `"builds":null`, `"builds":["m",null]`, 1)))
+	f.Add([]byte(strings.Replace(job, `"cpus":2`, `"cpus":02`, 1)))
+	f.Add([]byte(strings.Replace(job, `"cpus":2`, `"cpus":2,"CPUS":90`, 1)))
+	f.Add([]byte(strings.Replace(job, `"kit"`, `"x":tru,"kit"`, 1)))
+	stub, service, _ := serve(f)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		stub.View = &testkit.View{Store: testkit.NewStore()}
+		rep := service.Serve(t.Context(), intake.Request{Verb: intake.VerbSubmit, Body: body})
+		switch kept := stub.Keys(""); rep.Status {
+		case http.StatusCreated:
+			if missing := lacks(body); missing != "" || !fits(body) || len(kept) != 1 {
+				t.Errorf("accepted %q, which lacks %q; it can run: %v; kept %v", body, missing, fits(body), kept)
+			}
+		case http.StatusBadRequest, http.StatusUnprocessableEntity:
+			if len(kept) > 0 {
+				t.Errorf("refused %q, and kept %v", body, kept)
+			}
+		default:
+			t.Errorf("%q is answered %d", body, rep.Status)
+		}
+	})
+}
+
+// A repeated submission of a known job is answered with its state, however little of its
+// body can be read beside the id: 400 would tell its user that it was never accepted.
+func TestRepeatWithUnreadableFieldsIsAnsweredById(t *testing.T) {
+	_, _, ask := serve(t)
+	if status, _, _ := ask(http.MethodPost, "/api/jobs", job); status != http.StatusCreated {
+		t.Fatalf("submission: %d", status)
+	}
+	for name := range fieldKinds {
+		if name == "uid" {
+			continue
+		}
+		var fields map[string]any
+		if err := json.Unmarshal([]byte(job), &fields); err != nil {
+			t.Fatal(err)
+		}
+		for _, value := range []any{map[string]any{}, []any{1}, "x", -1, true, nil} {
+			fields[name] = value
+			body, err := json.Marshal(fields)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if status, _, state := ask(http.MethodPost, "/api/jobs", string(body)); status != http.StatusOK || state.Stage != wire.StageQueued {
+				t.Errorf("%s is %v: %d, %+v", name, value, status, state)
+			}
+		}
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -98,27 +98,39 @@
 // Gang reports whether the job's tasks run together or not at all.
 func (j *Job) Gang() bool { return j.Kind == KindGang }
 
+// jobMessage is a submission's fields as they came; nil: missing, null or of a wrong type.
 type jobMessage struct {
-	UID      *string   `json:"uid"`
-	Class    *string   `json:"docket"`
-	Team     *string   `json:"crew"`
-	Kind     *string   `json:"sort"`
-	Priority *string   `json:"urgency"`
-	Tasks    *int      `json:"pieces"`
-	CPUs     *float64  `json:"cpus"`
-	GPUs     *float64  `json:"cards"`
-	MemoryGB *float64  `json:"memoryGb"`
-	Image    *string   `json:"kit"`
-	ImageGB  *float64  `json:"pullGb"`
-	Types    *[]string `json:"builds"`
-	Zone     *string   `json:"yard"`
-	OneZone  *bool     `json:"together"`
-	Spread   *bool     `json:"apart"`
-	Spot     *bool     `json:"loaners"`
-	Estimate *float64  `json:"reckonS"`
-	MarkS    *float64  `json:"markS"`
-	SaveS    *float64  `json:"stashS"`
-	DueS     *float64  `json:"dueS"`
+	UID, Class, Team, Kind, Priority, Image, Zone               *string
+	Tasks                                                       *int
+	CPUs, GPUs, MemoryGB, ImageGB, Estimate, MarkS, SaveS, DueS *float64
+	OneZone, Spread, Spot                                       *bool
+	Types                                                       *[]string
+}
+
+// read takes the fields of a JSON object by their exact names, and returns the first that
+// is of a wrong type. The others are read all the same: a repeated submission is answered
+// by its id, whatever else its body holds. A library that reads the whole object at once
+// also takes "CPUS" for "cpus", so that a job that lacks the field would be accepted.
+func (m *jobMessage) read(given map[string]json.RawMessage) error {
+	var bad error
+	for _, field := range []struct {
+		name string
+		into any
+	}{
+		{"uid", &m.UID}, {"docket", &m.Class}, {"crew", &m.Team}, {"sort", &m.Kind}, {"urgency", &m.Priority},
+		{"pieces", &m.Tasks}, {"cpus", &m.CPUs}, {"cards", &m.GPUs}, {"memoryGb", &m.MemoryGB}, {"kit", &m.Image},
+		{"pullGb", &m.ImageGB}, {"builds", &m.Types}, {"yard", &m.Zone}, {"together", &m.OneZone}, {"apart", &m.Spread},
+		{"loaners", &m.Spot}, {"reckonS", &m.Estimate}, {"markS", &m.MarkS}, {"stashS", &m.SaveS}, {"dueS", &m.DueS},
+	} {
+		value, ok := given[field.name]
+		if !ok {
+			continue
+		}
+		if err := json.Unmarshal(value, field.into); err != nil && bad == nil {
+			bad = fmt.Errorf("%s: of a wrong type", field.name)
+		}
+	}
+	return bad
 }
 
 // maxAmount bounds resources and durations so that sums stay exact.
@@ -127,17 +139,19 @@
 // maxName bounds every name in a job, so that its record fits a store value.
 const maxName = 120
 
-// ParseJob reads a submission, with a short reason for what is wrong.
+// ParseJob reads a submission, with a short reason for what is wrong. The job comes with
+// the error wherever the body is an object, so that its id can be told.
 func ParseJob(body []byte) (*Job, error) {
 	trimmed := strings.TrimLeft(string(body), " \t\r\n")
 	if !strings.HasPrefix(trimmed, "{") {
 		return nil, errors.New("body is not a JSON object")
 	}
-	var m jobMessage
-	if err := json.Unmarshal(body, &m); err != nil {
+	var given map[string]json.RawMessage
+	if err := json.Unmarshal(body, &given); err != nil {
 		return nil, fmt.Errorf("body is not a valid job: %w", err)
 	}
-	var bad error
+	var m jobMessage
+	bad := m.read(given)
 	fail := func(field, why string) {
 		if bad == nil {
 			bad = fmt.Errorf("%s: %s", field, why)
