Odd requests get the protocol's answer at every controller and in every state, by a table

Cause: submissions that lack a field, have one of a wrong type or can't run, and repeats and cancels of what is over, were tested at one controller by a few examples. Change: a table of 167 bodies at three controllers, with all well, one refused by the state service, one without the machine types, the leader away and the state service out; what is accepted is what is kept. Then the same bodies as repeats of a job that runs and of one that is done.

--- /dev/null
+++ b/internal/testkit/odd_requests_test.go
@@ -0,0 +1,234 @@
+package testkit_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/intake"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// request sends a user's request to a controller, and returns what its user gets.
+func (w *cluster) request(name, method, path, body string) (status int, state wire.JobState) {
+	rec := httptest.NewRecorder()
+	w.nodes[name].mux.ServeHTTP(rec, httptest.NewRequest(method, path, strings.NewReader(body)))
+	_ = json.Unmarshal(rec.Body.Bytes(), &state) // a refusal has no state
+	return rec.Code, state
+}
+
+// submission is the body of a submission of one short task, with some fields changed.
+func submission(uid string, change map[string]any) string {
+	fields := map[string]any{"uid": uid, "docket": "c", "crew": "t", "sort": "sweep", "urgency": "normal", "pieces": 1, "cpus": 1, "cards": 0,
+		"memoryGb": 1, "kit": "i", "pullGb": 0.1, "builds": nil, "yard": nil, "together": false, "apart": false, "loaners": true,
+		"reckonS": 4, "markS": 0, "stashS": 0, "dueS": nil}
+	for name, value := range change {
+		if fields[name] = value; value == absent {
+			delete(fields, name)
+		}
+	}
+	body, err := json.Marshal(fields)
+	if err != nil {
+		panic(err)
+	}
+	return string(body)
+}
+
+// absent is the value of a field that is left out.
+const absent = "(absent)"
+
+// oddSubmission is a submission that the protocol refuses, and one that it accepts if
+// status is 201.
+type oddSubmission struct {
+	name   string
+	change map[string]any
+	status int
+	judged bool // the machine types or the teams decide, and not the body alone
+}
+
+func oddSubmissions() (odd []oddSubmission) {
+	add := func(status int, judged bool, field string, values ...any) {
+		for _, value := range values {
+			odd = append(odd, oddSubmission{fmt.Sprintf("%s=%v", field, value), map[string]any{field: value}, status, judged})
+		}
+	}
+	for _, field := range []string{"docket", "crew", "sort", "urgency", "kit"} {
+		add(http.StatusBadRequest, false, field, absent, nil, 3, true, []string{"a"}, map[string]int{}, "", strings.Repeat("x", 500))
+	}
+	for _, field := range []string{"pieces", "cpus", "cards", "memoryGb", "pullGb", "reckonS", "markS", "stashS"} {
+		add(http.StatusBadRequest, false, field, absent, nil, "3", true, []int{1}, map[string]int{}, -1, json.Number("1e300"), json.Number("1e400"))
+	}
+	for _, field := range []string{"together", "apart", "loaners"} {
+		add(http.StatusBadRequest, false, field, absent, nil, "true", 1, []bool{true}, map[string]int{})
+	}
+	add(http.StatusBadRequest, false, "pieces", 0, 1.5, 100_001)
+	add(http.StatusBadRequest, false, "cpus", 0)
+	add(http.StatusBadRequest, false, "builds", "m", 1, true, []any{}, []any{1}, []any{nil}, []any{""}, map[string]int{})
+	add(http.StatusBadRequest, false, "yard", "", 1, true, []string{"z"})
+	add(http.StatusBadRequest, false, "dueS", -1, "9", true)
+	add(http.StatusBadRequest, false, "sort", "Sweep")
+	add(http.StatusBadRequest, false, "urgency", "highest")
+	// What can never run.
+	add(http.StatusUnprocessableEntity, true, "crew", "nobody", "T")
+	add(http.StatusUnprocessableEntity, true, "cpus", 4.1, 1e6)
+	add(http.StatusUnprocessableEntity, true, "cards", 1)
+	add(http.StatusUnprocessableEntity, true, "memoryGb", 16.5)
+	add(http.StatusUnprocessableEntity, true, "builds", []string{"other"}, []string{"M", "other"})
+	add(http.StatusUnprocessableEntity, true, "yard", "elsewhere")
+	odd = append(odd,
+		oddSubmission{"one task over the limit", map[string]any{"crew": "small", "cpus": 3}, http.StatusUnprocessableEntity, true},
+		oddSubmission{"a service over the limit", map[string]any{"crew": "small", "sort": "daemon", "pieces": 3}, http.StatusUnprocessableEntity, true},
+		oddSubmission{"an array of tasks within the limit", map[string]any{"crew": "small", "pieces": 30}, http.StatusCreated, true},
+		oddSubmission{"a service within the limit", map[string]any{"crew": "small", "sort": "daemon", "pieces": 2}, http.StatusCreated, true},
+		oddSubmission{"the only type and zone", map[string]any{"builds": []string{"other", "m"}, "yard": "z"}, http.StatusCreated, true},
+		oddSubmission{"what may be null is left out", map[string]any{"builds": absent, "yard": absent, "dueS": absent}, http.StatusCreated, true},
+		oddSubmission{"a field that nobody knows", map[string]any{"colour": map[string]any{"CPUS": 99}}, http.StatusCreated, true})
+	return odd
+}
+
+// noTypes is a controller's catalog before it knows the machine types.
+type noTypes struct{}
+
+func (noTypes) All() []wire.MachineType { return nil }
+
+// Odd requests get the answer of the protocol, the same at every controller and in every
+// state of it: one that can't decide says 503. Nothing is accepted that can't run.
+func TestOddRequestsAreAnsweredAlikeEverywhere(t *testing.T) {
+	meeting(t, 3700, 3, 8, func(w *cluster) {
+		w.cfg.Params.Teams = []config.Team{{Name: "t"}, {Name: "small", CPUsMax: 2}}
+		for _, name := range w.names {
+			w.restart(name, 0) // with these teams
+		}
+		w.live(8)
+		for _, n := range w.nodes {
+			n.view.Lose, n.view.Late = nil, nil
+		}
+		blind := w.names[2]
+		n := w.nodes[blind]
+		states := []struct {
+			name       string
+			begin, end func()
+			unsure     string // the controller that does not know the machine types
+			out        bool   // nobody reaches the state service
+		}{
+			{"all well", func() {}, func() {}, "", false},
+			{"one is refused by the state service", func() { w.refuse(w.names[0]); w.live(2) }, w.healed, "", false},
+			{"one does not know the machine types", func() {
+				op, err := config.LoadOperator("")
+				if err != nil {
+					t.Fatal(err)
+				}
+				n.mux = http.NewServeMux()
+				in := intake.New(w.cfg, op, n.view, n.owner, noTypes{}, n, slog.New(slog.DiscardHandler))
+				in.Cancels = n.reg
+				in.Register(n.mux)
+			}, func() { n.mux = http.NewServeMux(); n.intake.Register(n.mux) }, blind, false},
+			{"the leader is away", func() { w.crash(w.leader()) }, w.startAll, "", false},
+			{"the state service is out", func() { w.refuse(w.names...); w.live(1) }, w.healed, "", true},
+		}
+		odd := oddSubmissions()
+		accepted := 0
+		for s, state := range states {
+			w.live(3)
+			state.begin()
+			for i, o := range odd {
+				uid := fmt.Sprintf("j-9%d-%d", s, i) // whose tasks run for long: a replica never ends
+				known := false
+				for _, name := range w.names {
+					if w.nodes[name].down {
+						continue
+					}
+					want := o.status
+					switch {
+					case state.out:
+						want = http.StatusServiceUnavailable // it may be a known job
+					case known:
+						want = http.StatusOK
+					case o.judged && name == state.unsure:
+						want = http.StatusServiceUnavailable
+					}
+					got, _ := w.request(name, http.MethodPost, "/api/jobs", submission(uid, o.change))
+					if got != want {
+						t.Errorf("%s, %s at %s: %d, not %d", state.name, o.name, name, got, want)
+					}
+					known = known || got == http.StatusCreated
+				}
+				if kept := slices.Contains(w.store.Keys("live/"), "live/"+uid); kept != known {
+					t.Errorf("%s, %s: accepted %v, kept %v", state.name, o.name, known, kept)
+				}
+				if known {
+					accepted++
+				}
+			}
+			for _, name := range w.names {
+				if w.nodes[name].down {
+					continue
+				}
+				unknown := http.StatusNotFound
+				if state.out {
+					unknown = http.StatusServiceUnavailable
+				}
+				for path, want := range map[string]int{"/api/jobs/j-nobody": unknown, "/api/jobs/nobody": http.StatusNotFound} {
+					if got, _ := w.request(name, http.MethodGet, path, ""); got != want {
+						t.Errorf("%s, %s at %s: %d, not %d", state.name, path, name, got, want)
+					}
+					got, _ := w.request(name, http.MethodPost, path+"/cancel", "")
+					if got != want {
+						t.Errorf("%s, cancel of %s at %s: %d, not %d", state.name, path, name, got, want)
+					}
+				}
+				for _, body := range []string{"", "null", "[]", `"j-1"`, "{", submission("j-1", nil) + "x", submission("k-1", nil), submission("j-1", map[string]any{"uid": nil}), "\ufeff" + submission("j-1", nil)} {
+					if got, _ := w.request(name, http.MethodPost, "/api/jobs", body); got != http.StatusBadRequest {
+						t.Errorf("%s, %.20q at %s: %d, not 400", state.name, body, name, got)
+					}
+				}
+			}
+			state.end()
+		}
+		if want := 5 * 4; accepted != want {
+			t.Errorf("%d jobs accepted, not %d", accepted, want)
+		}
+		w.repeatsAreAnsweredByState(odd)
+	})
+}
+
+// repeatsAreAnsweredByState repeats the submission of a job that runs and of one that is
+// done, with every other body, at all controllers, and cancels the one that is done.
+func (w *cluster) repeatsAreAnsweredByState(odd []oddSubmission) {
+	w.t.Helper()
+	w.live(10)
+	for uid, pieces := range map[string]int{"j-80": 2, "j-7": 1} {
+		if got, _ := w.request("a", http.MethodPost, "/api/jobs", submission(uid, map[string]any{"pieces": pieces})); got != http.StatusCreated {
+			w.t.Fatalf("%s: %d", uid, got)
+		}
+	}
+	if !w.within(60, func() bool { return w.onMachines("j-80") == 2 && w.ended("j-7")() }) {
+		w.t.Fatal("one job does not run, or the other is not done")
+	}
+	w.live(3)
+	for _, name := range w.names {
+		for uid, want := range map[string]string{"j-80": wire.StageRunning, "j-7": wire.StageDone} {
+			for _, o := range odd {
+				got, state := w.request(name, http.MethodPost, "/api/jobs", submission(uid, o.change))
+				// Where the body is bad the store may be read, which has no count of what runs.
+				if got != http.StatusOK || state.UID != uid || (state.Stage == wire.StageDone) != (want == wire.StageDone) || state.Stage == wire.StageCancelled {
+					w.t.Errorf("%s again, with %s, at %s: %d, %+v", uid, o.name, name, got, state)
+				}
+			}
+		}
+		if got, state := w.request(name, http.MethodPost, "/api/jobs/j-7/cancel", ""); got != http.StatusOK || state.Stage != wire.StageDone {
+			w.t.Errorf("cancel of a job that is done, at %s: %d, %+v", name, got, state)
+		}
+	}
+	time.Sleep(time.Second)
+	if n := w.onMachines("j-80"); n != 2 {
+		w.t.Errorf("%d of 2 tasks are on after the repeats", n)
+	}
+}
