A successor whose watch lags runs no job again that its predecessor ended

Cause: a new owner reads the living jobs, and from then on takes what its watch brings. A watch that lags (a controller that the state service refused for a while, or a slow one) then brings the acceptance of a job that its former owner had ended before the read: the job was taken for new, run again, and called queued and running after its user had heard that it is done. Change: the owner keeps the revision at which it read a shard's living jobs, and ignores records up to it of jobs that it does not have. Cost: one integer a shard, one comparison for an unknown job. Conclusion: a job that is in neither the listing nor memory ended, if its record is no newer than the listing.

--- a/internal/owner/accept.go
+++ b/internal/owner/accept.go
@@ -63,6 +63,11 @@
 		return
 	}
 	j := o.jobs[r.Job.UID]
+	if j == nil && version <= o.listed[r.Shard] {
+		// It had ended when the shard's jobs were read, and the watch lags: its former
+		// owner told its user so, and it would run again.
+		return
+	}
 	if j == nil {
 		o.admit(r, version, nil, nil, 0)
 		poke(o.wake)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -236,6 +236,7 @@
 	mu       sync.Mutex
 	fence    uint64         // the highest token that an earlier owner may have granted a start for
 	loaded   map[int]uint64 // shard -> version of its key when loaded
+	listed   map[int]uint64 // shard -> revision at which its living jobs were read
 	loadedAt time.Time
 	loading  bool    // shards are being read
 	early    []early // what came in the meantime
@@ -284,7 +285,7 @@
 		cfg:       cfg, op: op, store: store, member: member, holders: holders, types: types, log: log,
 		teams: map[string]*team{},
 		wake:  make(chan struct{}, 1), flush: make(chan struct{}, 1), out: make(chan struct{}, 1),
-		loaded: map[int]uint64{}, jobs: map[string]*job{}, machines: map[string]*mach{}, returned: recent.NewSet(maxGone), classes: map[string]*class{},
+		loaded: map[int]uint64{}, listed: map[int]uint64{}, jobs: map[string]*job{}, machines: map[string]*mach{}, returned: recent.NewSet(maxGone), classes: map[string]*class{},
 		rooms: map[roomKey][]*mach{}, cachers: map[cacheKey][]*mach{}, logs: map[int]*shardLog{}, final: map[string]finalRecord{}, arriving: map[string]*arriving{}, over: tally{}, flood: map[int]bool{}, pend: map[string]*machine.Direction{},
 	}
 	for _, t := range cfg.Params.Teams {
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -45,6 +45,7 @@
 
 func (o *Owner) unload(shard int) {
 	delete(o.loaded, shard)
+	delete(o.listed, shard)
 	delete(o.logs, shard)
 	for uid, j := range o.jobs {
 		if j.shard == shard {
@@ -77,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	jobs, _, err := o.store.List(ctx, liveKey)
+	jobs, listed, err := o.store.List(ctx, liveKey)
 	if err != nil {
 		return err
 	}
@@ -88,24 +89,25 @@
 	// Nobody else writes chunks and logs of the shards any more, since every
 	// such write is guarded by the shard's key. A chunk whose job ended is
 	// garbage.
-	want := map[int]bool{}
-	for _, s := range shards {
-		want[s] = true
-	}
 	byJob := map[string][]wire.Item{}
 	for _, it := range chunks {
 		uid, _, _ := strings.Cut(strings.TrimPrefix(it.Key, taskKey), "/")
 		byJob[uid] = append(byJob[uid], it)
 	}
-	n := o.adopt(shards, versions, want, jobs, byJob, slots, fence)
+	n := o.adopt(shards, versions, listed, jobs, byJob, slots, fence)
 	o.log.Info("took shards over", "shards", shards, "jobs", n, "fence", fence)
 	poke(o.wake)
 	poke(o.flush)
 	return nil
 }
 
-// adopt makes living jobs of what a takeover has read.
-func (o *Owner) adopt(shards []int, versions map[int]uint64, want map[int]bool, jobs []wire.Item, byJob map[string][]wire.Item, slots []wire.Item, fence uint64) (n int) {
+// adopt makes living jobs of what a takeover has read; jobs are those that lived at the
+// revision listed.
+func (o *Owner) adopt(shards []int, versions map[int]uint64, listed uint64, jobs []wire.Item, byJob map[string][]wire.Item, slots []wire.Item, fence uint64) (n int) {
+	want := map[int]bool{}
+	for _, s := range shards {
+		want[s] = true
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.fence = max(o.fence, fence-1)
@@ -138,7 +140,7 @@
 		}
 	}
 	for _, s := range shards {
-		o.loaded[s] = versions[s]
+		o.loaded[s], o.listed[s] = versions[s], listed
 	}
 	if o.Accounts {
 		o.book = accounting.NewBook(fence, o.valueBytes())
--- /dev/null
+++ b/internal/testkit/late_watch_test.go
@@ -0,0 +1,63 @@
+package testkit_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// A job is accepted and done at one owner, which then hands over, or ends, before the
+// successor's watch has told it of the acceptance. The successor has read the records after
+// the job's end, so what the watch still brings of it is old: the job is not run again, and
+// nobody calls it anything but done.
+func TestLateWatchOfAnEndedJobAdmitsNothing(t *testing.T) {
+	const lag = 15 * time.Second
+	for _, how := range []string{"hand-over", "end"} {
+		t.Run(how, func(t *testing.T) {
+			meeting(t, 3710, 2, 6, func(w *cluster) {
+				first := w.leader()
+				second := w.others(first)[0]
+				for _, n := range w.nodes {
+					n.view.Lose, n.view.Late = nil, nil
+				}
+				late := w.nodes[second].view
+				late.LagOf = func(prefix string) time.Duration {
+					if prefix == "live/" {
+						return lag
+					}
+					return 0
+				}
+				for _, k := range w.workers {
+					k.Run = func(string) time.Duration { return time.Second }
+				}
+				w.submit("j-1", 1)
+				accepted := time.Now()
+				if !w.within(10, w.ended("j-1")) {
+					t.Fatal("the job did not end")
+				}
+				if stage, ok := w.user(first, http.MethodGet, "j-1"); !ok || stage != wire.StageDone {
+					t.Fatalf("%s says %s, %v", first, stage, ok)
+				}
+				started := w.starts
+				if how == "end" {
+					w.crash(first)
+				} else if err := w.nodes[first].member.HandOver(context.Background(), second); err != nil {
+					t.Fatal(err)
+				}
+				if !w.within(8, func() bool { return w.leader() == second && w.nodes[second].owner.Counters().Takeovers > 0 }) || time.Since(accepted) > lag {
+					t.Fatalf("the successor did not act before its watch told of the acceptance, %v ago", time.Since(accepted))
+				}
+				for time.Since(accepted) < 2*lag+5*time.Second {
+					w.live(1)
+					w.user(second, http.MethodGet, "j-1") // fails on anything but done
+				}
+				if w.starts != started {
+					t.Errorf("%d starts after the job was done", w.starts-started)
+				}
+			})
+		})
+	}
+}
--- a/internal/testkit/store.go
+++ b/internal/testkit/store.go
@@ -145,6 +145,12 @@
 	Slow func() time.Duration
 	// Lag is how long a watch's answer takes; nil: no time.
 	Lag func() time.Duration
+	// LagOf is how long the answer of the watch of a prefix takes; nil: no time.
+	LagOf func(prefix string) time.Duration
+	// Sending is called with each transaction before it is carried out, and Listing with
+	// the prefix before keys are read. They may wait; nil: nothing waits.
+	Sending func(t wire.Txn)
+	Listing func(prefix string)
 
 	lateMu sync.Mutex
 	late   []wire.Txn
@@ -204,6 +210,9 @@
 	if ask(v.Down) {
 		return nil, 0, statestore.ErrUnavailable
 	}
+	if v.Listing != nil {
+		v.Listing(prefix)
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.expire()
@@ -245,6 +254,9 @@
 			t.Then[i].Value = json.RawMessage(data)
 		}
 	}
+	if v.Sending != nil {
+		v.Sending(t)
+	}
 	if ask(v.Late) {
 		v.lateMu.Lock()
 		v.late = append(v.late, t)
@@ -346,6 +358,12 @@
 			case <-time.After(v.Lag()):
 			}
 		}
+		if len(got) > 0 && v.LagOf != nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(v.LagOf(prefix)):
+			}
+		}
 		if len(got) > 0 {
 			change(got)
 		}
