--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -80,6 +80,9 @@
 	cancels map[string]time.Time // jobs, by when their user first heard that they are cancelled
 
 	accounts bool // whether accounting rows are written
+
+	directed func(d machine.Direction)            // sees what owners tell holders; nil: nobody
+	ordering func(endpoint string, o wire.Orders) // sees a direct order before it is on its way; nil: nobody
 }
 
 type node struct {
@@ -132,12 +135,18 @@
 	if !ok {
 		return machine.Unlaunched{}, errCut
 	}
+	if n.w.directed != nil {
+		n.w.directed(d)
+	}
 	return to.holder.Direct(d), nil
 }
 
 // Order sends a direct order; some arrive, but the answer is lost, and some
 // arrive minutes late.
 func (n *node) Order(_ context.Context, endpoint string, o wire.Orders) (*wire.Report, bool, error) {
+	if n.w.ordering != nil {
+		n.w.ordering(endpoint, o)
+	}
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
 	worker := n.w.byName[endpoint]
