A hand-over's taker that ends before it is told, and a fuzz target for peers' messages on cancels

Change: one more scene: the taker ends while its watch has not told it of the hand-over; a cancel is confirmed by a third meanwhile, and another while nobody owns the shards. FuzzTake: a peer's message is taken, or is an error that changes nothing.

--- /dev/null
+++ b/internal/cancels/fuzz_test.go
@@ -0,0 +1,57 @@
+package cancels_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/cancels"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// A message of a peer, whatever it holds, is taken whole, or is an error that says what was
+// wrong and changes nothing: no job counts as cancelled, and the time up to which all is
+// known stays.
+func FuzzTake(f *testing.F) {
+	for _, m := range []cancels.Message{
+		{Life: 3, Stamp: 9, Armed: true, First: 1, News: []string{"j-1", "j-2"}},
+		{Life: 3, Stamp: 9, Echo: 1, EchoLife: 1, Ack: 1 << 63, More: true},
+		{Life: 1 << 63, Stamp: 1 << 62, News: []string{"j-1/0", ""}},
+	} {
+		body, err := json.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add("b", body)
+		f.Add("x", body)
+	}
+	f.Fuzz(func(t *testing.T, from string, body []byte) {
+		var m cancels.Message
+		if json.Unmarshal(body, &m) != nil {
+			return
+		}
+		r := cancels.New([]string{"b"}, limit, func() time.Duration { return time.Second })
+		r.Read(time.Now(), []string{"j-known"})
+		r.Message("b")
+		before := r.Known()
+		err := r.Take(from, &m)
+		after := r.Known()
+		switch {
+		case err != nil && (err.Error() == "" || r.Jobs() != 1 || !after.Equal(before)):
+			t.Errorf("%v, and %d jobs are known, up to %v later", err, r.Jobs(), after.Sub(before))
+		case err == nil && from != "b":
+			t.Errorf("a message from %q is taken", from)
+		case after.Before(before) || after.After(time.Now()):
+			t.Errorf("all is known up to %v after what was known before", after.Sub(before))
+		}
+		for _, uid := range m.News {
+			if r.Has(uid) && (!wire.ValidJobID(uid) || err != nil && uid != "j-known") {
+				t.Errorf("%q counts as cancelled", uid)
+			}
+		}
+		next := r.Message("b") // what it says to the peer still fits what was taken
+		if next.Ack > 0 && (err != nil || next.EchoLife != m.Life) {
+			t.Errorf("acknowledges %d of life %d", next.Ack, next.EchoLife)
+		}
+	})
+}
--- a/internal/testkit/cancel_hand_over_test.go
+++ b/internal/testkit/cancel_hand_over_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/testkit"
 	"github.com/wallrack/wallrack/internal/wire"
 )
@@ -20,6 +22,7 @@
 	stepUntold  = "untold"  // carried out, and the taker's watch has not told of it
 	stepLoading = "loading" // the taker reads the records
 	stepLoaded  = "loaded"
+	stepUnowned = "unowned" // the taker ended: its keys are gone, and nobody has claimed them
 )
 
 // handOver is a cluster in which one controller gives its shards to another, while users
@@ -41,6 +44,9 @@
 	var owner struct {
 		Node string `json:"node"`
 	}
+	if errors.Is(err, statestore.ErrNotFound) {
+		return stepUnowned
+	}
 	if err != nil || json.Unmarshal(it.Value, &owner) != nil {
 		h.t.Fatalf("the shard's key: %s, %v", it.Value, err)
 	}
@@ -275,6 +281,17 @@
 			h.cancelIn(stepLoaded, h.taker, "j-80")
 			h.start(h.giver)
 		}, 1, 2},
+		{"the taker ends before it is told, and is back", func(h *handOver) {
+			h.recordUnheard("j-80")
+			h.lag(h.taker, lag)
+			h.begin(0)
+			h.cancelIn(stepUntold, h.third, "j-80")
+			h.crash(h.taker)
+			h.cancelIn(stepUntold, h.giver, "j-81")
+			h.until(stepUnowned)
+			h.cancelIn(stepUnowned, h.third, "j-82")
+			h.start(h.taker) // it knows no cancels
+		}, 2, 1},
 		{"the giver's launches and the giver are held up right after the transaction", func(h *handOver) {
 			h.holding = func() bool { return true }
 			if _, heard := h.user(h.giver, http.MethodPost, "j-82"); !heard { // makes room for tasks of the others
