--- a/internal/testkit/cancel_hand_over_test.go
+++ b/internal/testkit/cancel_hand_over_test.go
@@ -79,37 +79,37 @@
 
 // begin has the giver hand over; the transaction is held for a time before it is carried out.
 func (h *handOver) begin(held time.Duration) {
-	sending := h.nodes[h.giver].view.Sending
-	h.nodes[h.giver].view.Sending = func(txn wire.Txn) {
+	sending := h.nodes[h.giver].view.Sending.Get()
+	h.nodes[h.giver].view.Sending.Set(func(txn wire.Txn) {
 		if sending != nil {
 			sending(txn)
 		}
 		if slices.ContainsFunc(txn.Then, func(op wire.Op) bool { return op.Put == "c/moves" }) {
 			time.Sleep(held)
 		}
-	}
+	})
 	go func() { _ = h.nodes[h.giver].member.HandOver(context.Background(), h.taker) }() // its outcome is read in the store
 	time.Sleep(20 * time.Millisecond)
 }
 
 // onCancel has f called when a controller sends the transaction of a job's cancel.
 func (h *handOver) onCancel(at, uid string, f func()) {
-	h.nodes[at].view.Sending = func(txn wire.Txn) {
+	h.nodes[at].view.Sending.Set(func(txn wire.Txn) {
 		if len(txn.Then) == 1 && txn.Then[0].Put == "live/"+uid {
 			f()
 		}
-	}
+	})
 }
 
 // recordUnheard records a job's cancel at the giver; nobody hears of it, since the store's
 // answer is lost and the user's connection with it, and the giver's watch lags.
 func (h *handOver) recordUnheard(uid string) {
-	h.nodes[h.giver].view.LagOf = func(prefix string) time.Duration {
+	h.nodes[h.giver].view.LagOf.Set(func(prefix string) time.Duration {
 		if prefix == "live/" {
 			return 3 * time.Second
 		}
 		return 0
-	}
+	})
 	var lose atomic.Bool
 	h.onCancel(h.giver, uid, func() { lose.Store(true) })
 	h.nodes[h.giver].view.Lose = func() bool { return lose.Swap(false) }
@@ -119,27 +119,28 @@
 	if s, err := storedStage(h.cluster, uid); err != nil || s != wire.StageCancelled {
 		h.t.Errorf("%s is recorded as %s, %v", uid, s, err)
 	}
-	h.nodes[h.giver].view.Sending, h.nodes[h.giver].view.Lose = nil, nil
+	h.nodes[h.giver].view.Sending.Set(nil)
+	h.nodes[h.giver].view.Lose = nil
 }
 
 // lag delays what a controller's watch tells it of owners.
 func (h *handOver) lag(name string, by time.Duration) {
-	h.nodes[name].view.LagOf = func(prefix string) time.Duration {
+	h.nodes[name].view.LagOf.Set(func(prefix string) time.Duration {
 		if prefix == "c/" {
 			return by
 		}
 		return 0
-	}
+	})
 }
 
 // holdLoad has the taker's load wait before it reads the keys with a prefix.
 func (h *handOver) holdLoad(prefix string) {
 	h.hold.Store(true)
-	h.nodes[h.taker].view.Listing = func(p string) {
+	h.nodes[h.taker].view.Listing.Set(func(p string) {
 		for p == prefix && h.hold.Load() {
 			time.Sleep(10 * time.Millisecond)
 		}
-	}
+	})
 }
 
 // until waits, without letting workers report, until the hand-over is at a step.
@@ -224,7 +225,7 @@
 			h.cancelIn(stepUntold, h.third, "j-80")
 		}, 1, 0},
 		{"the same, and the third reaches no peer until the taker has loaded", func(h *handOver) {
-			h.nodes[h.taker].view.LagOf = func(string) time.Duration { return lag }
+			h.nodes[h.taker].view.LagOf.Set(func(string) time.Duration { return lag })
 			h.recordUnheard("j-80")
 			h.cutAll(h.third, h.giver, h.taker)
 			h.begin(0)
@@ -375,7 +376,7 @@
 	h.t.Helper()
 	h.hold.Store(false)
 	for _, n := range h.nodes {
-		n.view.LagOf = nil
+		n.view.LagOf.Set(nil)
 	}
 	h.live(3)
 	for _, uid := range h.jobs {
--- a/internal/testkit/job_stream_test.go
+++ b/internal/testkit/job_stream_test.go
@@ -225,7 +225,8 @@
 		w.whole = true
 		hook := func() {
 			for _, n := range w.nodes {
-				n.view.Lose, n.view.Late, n.view.Sending = nil, nil, s.countWrites
+				n.view.Lose, n.view.Late = nil, nil
+				n.view.Sending.Set(s.countWrites)
 			}
 		}
 		hook()
--- a/internal/testkit/late_watch_test.go
+++ b/internal/testkit/late_watch_test.go
@@ -24,12 +24,12 @@
 					n.view.Lose, n.view.Late = nil, nil
 				}
 				late := w.nodes[second].view
-				late.LagOf = func(prefix string) time.Duration {
+				late.LagOf.Set(func(prefix string) time.Duration {
 					if prefix == "live/" {
 						return lag
 					}
 					return 0
-				}
+				})
 				for _, k := range w.workers {
 					k.Run = func(string) time.Duration { return time.Second }
 				}
--- a/internal/testkit/store.go
+++ b/internal/testkit/store.go
@@ -8,6 +8,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/goccy/go-json"
@@ -129,6 +130,20 @@
 	return out
 }
 
+// Hook is a function that may be set while controllers run.
+type Hook[F any] struct{ function atomic.Pointer[F] }
+
+// Set sets the function.
+func (h *Hook[F]) Set(function F) { h.function.Store(&function) }
+
+// Get returns the function, or nil.
+func (h *Hook[F]) Get() (function F) {
+	if set := h.function.Load(); set != nil {
+		function = *set
+	}
+	return function
+}
+
 // View is one controller's access to the store.
 type View struct {
 	*Store
@@ -146,11 +161,11 @@
 	// Lag is how long a watch's answer takes; nil: no time.
 	Lag func() time.Duration
 	// LagOf is how long the answer of the watch of a prefix takes; nil: no time.
-	LagOf func(prefix string) time.Duration
+	LagOf Hook[func(prefix string) time.Duration]
 	// Sending is called with each transaction before it is carried out, and Listing with
 	// the prefix before keys are read. They may wait; nil: nothing waits.
-	Sending func(t wire.Txn)
-	Listing func(prefix string)
+	Sending Hook[func(t wire.Txn)]
+	Listing Hook[func(prefix string)]
 
 	lateMu sync.Mutex
 	late   []wire.Txn
@@ -210,8 +225,8 @@
 	if ask(v.Down) {
 		return nil, 0, statestore.ErrUnavailable
 	}
-	if v.Listing != nil {
-		v.Listing(prefix)
+	if listing := v.Listing.Get(); listing != nil {
+		listing(prefix)
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -254,8 +269,8 @@
 			t.Then[i].Value = json.RawMessage(data)
 		}
 	}
-	if v.Sending != nil {
-		v.Sending(t)
+	if sending := v.Sending.Get(); sending != nil {
+		sending(t)
 	}
 	if ask(v.Late) {
 		v.lateMu.Lock()
@@ -358,10 +373,10 @@
 			case <-time.After(v.Lag()):
 			}
 		}
-		if len(got) > 0 && v.LagOf != nil {
+		if lag := v.LagOf.Get(); len(got) > 0 && lag != nil {
 			select {
 			case <-ctx.Done():
-			case <-time.After(v.LagOf(prefix)):
+			case <-time.After(lag(prefix)):
 			}
 		}
 		if len(got) > 0 {
