--- a/internal/owner/accept.go
+++ b/internal/owner/accept.go
@@ -64,8 +64,8 @@
 	}
 	j := o.jobs[r.Job.UID]
 	if j == nil && version <= o.listed[r.Shard] {
-		// It had ended when the shard's jobs were read, and the watch lags: its former
-		// owner told its user so, and it would run again.
+		// The job had ended when the shard was read: a watch that is behind would have
+		// it run once more, and its user hear that it is queued.
 		return
 	}
 	if j == nil {
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -89,25 +89,29 @@
 	// Nobody else writes chunks and logs of the shards any more, since every
 	// such write is guarded by the shard's key. A chunk whose job ended is
 	// garbage.
+	want := map[int]bool{}
+	for _, s := range shards {
+		want[s] = true
+	}
 	byJob := map[string][]wire.Item{}
 	for _, it := range chunks {
 		uid, _, _ := strings.Cut(strings.TrimPrefix(it.Key, taskKey), "/")
 		byJob[uid] = append(byJob[uid], it)
 	}
-	n := o.adopt(shards, versions, listed, jobs, byJob, slots, fence)
+	o.mu.Lock()
+	for _, s := range shards {
+		o.listed[s] = listed
+	}
+	o.mu.Unlock()
+	n := o.adopt(shards, versions, want, jobs, byJob, slots, fence)
 	o.log.Info("took shards over", "shards", shards, "jobs", n, "fence", fence)
 	poke(o.wake)
 	poke(o.flush)
 	return nil
 }
 
-// adopt makes living jobs of what a takeover has read; jobs are those that lived at the
-// revision listed.
-func (o *Owner) adopt(shards []int, versions map[int]uint64, listed uint64, jobs []wire.Item, byJob map[string][]wire.Item, slots []wire.Item, fence uint64) (n int) {
-	want := map[int]bool{}
-	for _, s := range shards {
-		want[s] = true
-	}
+// adopt makes living jobs of what a takeover has read.
+func (o *Owner) adopt(shards []int, versions map[int]uint64, want map[int]bool, jobs []wire.Item, byJob map[string][]wire.Item, slots []wire.Item, fence uint64) (n int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.fence = max(o.fence, fence-1)
@@ -140,7 +144,7 @@
 		}
 	}
 	for _, s := range shards {
-		o.loaded[s], o.listed[s] = versions[s], listed
+		o.loaded[s] = versions[s]
 	}
 	if o.Accounts {
 		o.book = accounting.NewBook(fence, o.valueBytes())
--- a/internal/slurm/slurm_test.go
+++ b/internal/slurm/slurm_test.go
@@ -24,7 +24,7 @@
 )
 
 // Every form of a time limit, and what is none.
-func TestLimits(t *testing.T) {
+func TestTimeLimits(t *testing.T) {
 	for text, want := range map[string]float64{"5": 300, "5:30": 330, "1:05:30": 3930, "2-3": 2*86400 + 3*3600, "2-3:04": 2*86400 + 3*3600 + 240, "1-00:00:01": 86401,
 		"0": 0, "INFINITE": 0, "unlimited": 0, "": -1, "1:x": -1, "1:2:3:4": -1, "-5": -1, "1-2-3": -1, "1-": -1, "99999999": -1} {
 		got, err := slurm.ParseLimit(text)
@@ -64,7 +64,7 @@
 
 // The command line goes before the environment, that before the script; errors name
 // the script's line and the option.
-func TestSources(t *testing.T) {
+func TestLaterSourcesOverrideEarlierOnes(t *testing.T) {
 	script := "#!/bin/bash\n# a comment\n#SBATCH -J fromscript --time=10 # and why\n#SBATCH --mem=2G -p 'quote'\n#SBATCHED no\n\necho hello\n#SBATCH -J toolate\n"
 	lines, err := slurm.FromScript(script, now)
 	if err != nil || !reflect.DeepEqual(lines, slurm.Given{"job-name": "fromscript", "time": "10", "mem": "2G", "partition": "quote"}) {
@@ -107,7 +107,7 @@
 			return r.Job.Tasks == 1 && r.Job.CPUs == 1 && r.Job.MemoryGB == 0.5 && r.Job.Priority == "normal" && r.Job.Class == "adhoc" && r.Job.Team == "ops" && r.Terms.Final && r.Terms.Name == "job.sh"
 		},
 		"-n 4 -c 2 --mem-per-cpu=512": func(r *slurm.Request) bool {
-			return r.Job.Tasks == 1 && r.Job.CPUs == 8 && r.Job.MemoryGB == 4 && r.Descr.Env["SLURM_NTASKS"] == "4"
+			return r.Job.Tasks == 1 && r.Job.CPUs == 8 && r.Job.MemoryGB == 4 && r.Description.Env["SLURM_NTASKS"] == "4"
 		},
 		"--array=0-15:2,20%4 -t 1:00": func(r *slurm.Request) bool {
 			return r.Job.Tasks == 9 && r.Terms.Most == 4 && r.Terms.Array == "0-15:2,20" && r.Job.Estimate == 60 && r.Terms.LimitS == 60
@@ -127,7 +127,7 @@
 		"--deadline=16:30 --begin=16:00 -H": func(r *slurm.Request) bool {
 			return *r.Job.DueS == 3600 && r.Terms.BeginMs == now.Add(30*time.Minute).UnixMilli() && r.Terms.Held
 		},
-		"--export=NONE,A=b": func(r *slurm.Request) bool { return r.Descr.Env["A"] == "b" && r.Descr.Env["HOME"] == "" },
+		"--export=NONE,A=b": func(r *slurm.Request) bool { return r.Description.Env["A"] == "b" && r.Description.Env["HOME"] == "" },
 		"--qos=root":        nil, "-p nope": nil, "-A nope": nil, "-w m9": nil, "-x m8,m64,g8": nil, "-x a": nil, "-N 2": nil, "--mem=0": nil, "--mem=1G --mem-per-cpu=1G": nil,
 		"--deadline=now": nil, "--nice=-1": nil, "--gres=fpga:1": nil, "-C gpu": nil, "--array=0-200000": nil, "-d expand:3": nil, "-d after": nil, "-c 0": nil, "--kill-on-invalid-dep=maybe": nil,
 	} {
@@ -153,8 +153,8 @@
 		if err := r.Terms.Check(r.Job.Tasks, r.Job.Gang(), r.Job.Service(), now); err != nil {
 			t.Errorf("%s: terms that no site takes: %v", line, err)
 		}
-		if r.Descr.Env["SLURM_JOB_ID"] != "" || strings.Join(r.Descr.Argv, " ") != "/bin/sh -e" {
-			t.Errorf("%s: %+v", line, r.Descr)
+		if r.Description.Env["SLURM_JOB_ID"] != "" || strings.Join(r.Description.Argv, " ") != "/bin/sh -e" {
+			t.Errorf("%s: %+v", line, r.Description)
 		}
 	}
 }
@@ -231,7 +231,7 @@
 }
 
 // Numbers name a job, a task of its array by either name, or ranges of them.
-func TestTargets(t *testing.T) {
+func TestJobIDsNameJobsTasksAndRanges(t *testing.T) {
 	is := jobs()
 	for text, want := range map[string]int{"100": 6, "100_4": 1, "100_[2,4]": 2, "103": 1, "106": 1, "107": 0, "100_3": 0, "99": 0} {
 		target, err := slurm.ParseTarget(text)
@@ -264,7 +264,7 @@
 
 // Rows that come twice, or in two parts, make one record; a lost attempt costs, and
 // counts as lost.
-func TestAccounts(t *testing.T) {
+func TestRepeatedRowsCountOnceAndLostAttemptsCost(t *testing.T) {
 	at := func(s int) int64 { return now.Add(time.Duration(s) * time.Second).UnixMilli() }
 	job := accounting.Row{Kind: accounting.RowJob, UID: "j-a", Number: 100, State: "FAILED", Exit: 7, Submit: at(-100), Eligible: at(-100), Name: "n", User: "erin", Team: "ops", Class: "quote", Priority: "low", Tasks: 3, Done: 1, End: at(0), CPUs: 2}
 	lost := accounting.Row{Kind: accounting.RowAttempt, UID: "j-a", Number: 100, Task: 0, Attempt: 1, State: "NODE_FAIL", Start: at(-90), End: at(-60), Machine: "n-1", CPUs: 2, Price: 3.6}
--- a/internal/testkit/cancel_hand_over_test.go
+++ b/internal/testkit/cancel_hand_over_test.go
@@ -104,12 +104,7 @@
 // recordUnheard records a job's cancel at the giver; nobody hears of it, since the store's
 // answer is lost and the user's connection with it, and the giver's watch lags.
 func (h *handOver) recordUnheard(uid string) {
-	h.nodes[h.giver].view.LagOf.Set(func(prefix string) time.Duration {
-		if prefix == "live/" {
-			return 3 * time.Second
-		}
-		return 0
-	})
+	h.lag(h.giver, "live/", 3*time.Second)
 	var lose atomic.Bool
 	h.onCancel(h.giver, uid, func() { lose.Store(true) })
 	h.nodes[h.giver].view.Lose = func() bool { return lose.Swap(false) }
@@ -123,16 +118,6 @@
 	h.nodes[h.giver].view.Lose = nil
 }
 
-// lag delays what a controller's watch tells it of owners.
-func (h *handOver) lag(name string, by time.Duration) {
-	h.nodes[name].view.LagOf.Set(func(prefix string) time.Duration {
-		if prefix == "c/" {
-			return by
-		}
-		return 0
-	})
-}
-
 // holdLoad has the taker's load wait before it reads the keys with a prefix.
 func (h *handOver) holdLoad(prefix string) {
 	h.hold.Store(true)
@@ -214,18 +199,18 @@
 			}
 		}, 0, 1},
 		{"the taker is not told", func(h *handOver) {
-			h.lag(h.taker, lag)
+			h.lag(h.taker, "c/", lag)
 			h.begin(0)
 			everywhere(h, stepUntold)
 		}, 0, 3},
 		{"recorded before, confirmed by a third while the taker is not told", func(h *handOver) {
 			h.recordUnheard("j-80")
-			h.lag(h.taker, lag)
+			h.lag(h.taker, "c/", lag)
 			h.begin(0)
 			h.cancelIn(stepUntold, h.third, "j-80")
 		}, 1, 0},
 		{"the same, and the third reaches no peer until the taker has loaded", func(h *handOver) {
-			h.nodes[h.taker].view.LagOf.Set(func(string) time.Duration { return lag })
+			h.lag(h.taker, "", lag)
 			h.recordUnheard("j-80")
 			h.cutAll(h.third, h.giver, h.taker)
 			h.begin(0)
@@ -257,7 +242,7 @@
 			h.cancelIn(stepLoading, h.taker, "j-82")
 		}, 1, 2},
 		{"a third asks the former owner", func(h *handOver) {
-			h.lag(h.third, 4*lag)
+			h.lag(h.third, "c/", 4*lag)
 			h.begin(0)
 			h.until(stepLoaded)
 			if o := h.nodes[h.third].member.Owners(); o[0] != h.giver {
@@ -271,7 +256,7 @@
 			}
 		}, 1, 0},
 		{"the giver ends right after the transaction", func(h *handOver) {
-			h.lag(h.taker, lag)
+			h.lag(h.taker, "c/", lag)
 			h.begin(0)
 			h.crash(h.giver)
 			h.cancelIn(stepUntold, h.third, "j-80")
@@ -282,7 +267,7 @@
 		}, 1, 2},
 		{"the taker ends before it is told, and is back", func(h *handOver) {
 			h.recordUnheard("j-80")
-			h.lag(h.taker, lag)
+			h.lag(h.taker, "c/", lag)
 			h.begin(0)
 			h.cancelIn(stepUntold, h.third, "j-80")
 			h.crash(h.taker)
@@ -375,9 +360,9 @@
 func (h *handOver) settle() {
 	h.t.Helper()
 	h.hold.Store(false)
-	for _, n := range h.nodes {
-		n.view.LagOf.Set(nil)
-	}
+	h.mu.Lock()
+	h.behind = nil
+	h.mu.Unlock()
 	h.live(3)
 	for _, uid := range h.jobs {
 		if h.cancelAll(h.third, []string{uid}, 20) != 1 {
--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -50,7 +50,8 @@
 type cluster struct {
 	t        testing.TB
 	size     types
-	rnd      *rand.Rand
+	rnd      *rand.Rand // fates of messages, which are asked from many goroutines
+	plan     *rand.Rand // what the test itself draws, in the order of its own steps: the same for the same seed
 	cfg      *config.Platform
 	store    *testkit.Store
 	mu       sync.Mutex
@@ -70,6 +71,7 @@
 	keepCuts bool                             // whether links stay cut when it is calm
 	slow     func() time.Duration             // how long the state service's answers take; nil: no time
 	lateBy   func() time.Duration             // how much later a transaction is carried out; nil: at once
+	losing   func() bool                      // whether a transaction that is carried out gets no answer; nil: few
 	holding  func() bool                      // whether an order is held back; nil: some are
 	fail     func(format string, args ...any) // a rule is broken
 	wrong    string                           // the first broken rule of a drawn case
@@ -79,10 +81,16 @@
 	over    map[string]bool      // jobs whose user heard that they are done
 	cancels map[string]time.Time // jobs, by when their user first heard that they are cancelled
 
-	accounts bool // whether accounting rows are written
-
+	accounts bool                                 // whether accounting rows are written
 	directed func(d machine.Direction)            // sees what owners tell holders; nil: nobody
 	ordering func(endpoint string, o wire.Orders) // sees a direct order before it is on its way; nil: nobody
+	exact    bool                                 // no transaction is lost or late by chance
+
+	beside     func(n *node) []func(context.Context) error            // what else a controller runs; nil: nothing
+	loseAnswer func(n *node, t wire.Txn, version uint64) bool         // of an applied transaction; nil: none by choice
+	seen       func(n *node, key string, version uint64)              // what a controller reads in the store; nil: nobody looks
+	delay      func(n *node, t wire.Txn) (time.Duration, func(error)) // until a transaction is applied; nil: no time
+	behind     func(n *node, prefix string) time.Duration             // how far a controller's watch is behind; nil: not at all
 }
 
 type node struct {
@@ -221,12 +229,17 @@
 	n.reach.init(n)
 	n.view = &testkit.View{Store: w.store,
 		Down: func() bool { w.mu.Lock(); defer w.mu.Unlock(); return n.down || !w.stored(n) },
-		Lose: func() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.rnd.IntN(25) == 0 },
+		Lose: func() bool {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return w.losing != nil && w.losing() || w.rnd.IntN(25) == 0
+		},
 		Late: func() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.rnd.IntN(25) == 0 },
 
 		Slow:   func() time.Duration { return w.drawn(&w.slow) },
 		LateBy: func() time.Duration { return w.drawn(&w.lateBy) },
 	}
+	w.watched(n)
 	op, err := config.LoadOperator("")
 	if err != nil {
 		w.t.Fatal(err)
@@ -250,7 +263,11 @@
 	n.member.OnChange(n.owner.Changed)
 	n.member.OnLink(n.reach.stored)
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context) error{n.member.Run, n.owner.Run} {
+	runs := []func(context.Context) error{n.member.Run, n.owner.Run}
+	if w.beside != nil {
+		runs = append(runs, w.beside(n)...)
+	}
+	for _, f := range runs {
 		wg.Add(1)
 		go func() { defer wg.Done(); _ = f(ctx) }()
 	}
@@ -445,7 +462,7 @@
 }
 
 func newCluster(t testing.TB, seed uint64) *cluster {
-	w := &cluster{t: t, fail: t.Errorf, size: 4, rnd: rand.New(rand.NewPCG(seed, 7)), store: testkit.NewStore(), nodes: map[string]*node{},
+	w := &cluster{t: t, fail: t.Errorf, size: 4, rnd: rand.New(rand.NewPCG(seed, 7)), plan: rand.New(rand.NewPCG(seed, 11)), store: testkit.NewStore(), nodes: map[string]*node{},
 		at: map[*testkit.Worker]int{}, byName: map[string]*testkit.Worker{},
 		names: []string{"a", "b", "c"}, off: map[[2]string]bool{}, heard: map[string]hearing{}, cancels: map[string]time.Time{}, over: map[string]bool{}, cleared: map[string]string{}}
 	w.cfg = &config.Platform{Params: config.Params{
@@ -503,9 +520,14 @@
 
 func (w *cluster) submit(uid string, tasks int) { w.submitWith(uid, tasks, nil) }
 
-func (w *cluster) submitWith(uid string, tasks int, t *terms.Terms) {
-	job := &wire.Job{UID: uid, Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: tasks,
+// arrayJob describes an array of one-CPU tasks.
+func arrayJob(uid string, tasks int) *wire.Job {
+	return &wire.Job{UID: uid, Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: tasks,
 		CPUs: 1, MemoryGB: 1, Image: "i", ImageGB: 0.1, Estimate: 4, Spot: true}
+}
+
+func (w *cluster) submitWith(uid string, tasks int, t *terms.Terms) {
+	job := arrayJob(uid, tasks)
 	guards, ops := owner.AcceptTxn(job, t, owner.ShardOf(job, nil, 4), time.Now().UnixMilli())
 	clean := &testkit.View{Store: w.store}
 	if _, err := clean.Txn(context.Background(), guards, ops...); err != nil {
@@ -513,8 +535,13 @@
 	}
 }
 
-// draw draws a number; controllers draw too, from other goroutines.
-func (w *cluster) draw(n int) int {
+// draw draws a number for the test's own course. Only the goroutine that plays the test may
+// ask: then the faults and requests of a seed come at the same times in every run, whatever
+// the order in which the controllers' goroutines send their messages.
+func (w *cluster) draw(n int) int { return w.plan.IntN(n) }
+
+// chance draws a number for the fate of a message, from any goroutine.
+func (w *cluster) chance(n int) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.rnd.IntN(n)
--- a/internal/testkit/late_watch_test.go
+++ b/internal/testkit/late_watch_test.go
@@ -9,6 +9,22 @@
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
+// lag delays what a controller's watch of a prefix tells it, of any if there is no prefix.
+func (w *cluster) lag(name, prefix string, by time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	others := w.behind
+	w.behind = func(n *node, of string) time.Duration {
+		switch {
+		case n.name == name && (prefix == "" || of == prefix):
+			return by
+		case others != nil:
+			return others(n, of)
+		}
+		return 0
+	}
+}
+
 // A job is accepted and done at one owner, which then hands over, or ends, before the
 // successor's watch has told it of the acceptance. The successor has read the records after
 // the job's end, so what the watch still brings of it is old: the job is not run again, and
@@ -23,13 +39,7 @@
 				for _, n := range w.nodes {
 					n.view.Lose, n.view.Late = nil, nil
 				}
-				late := w.nodes[second].view
-				late.LagOf.Set(func(prefix string) time.Duration {
-					if prefix == "live/" {
-						return lag
-					}
-					return 0
-				})
+				w.lag(second, "live/", lag)
 				for _, k := range w.workers {
 					k.Run = func(string) time.Duration { return time.Second }
 				}
