--- a/internal/testkit/close_looks_test.go
+++ b/internal/testkit/close_looks_test.go
@@ -77,8 +77,7 @@
 }
 
 func submissionBody(job string, tasks int) string {
-	return fmt.Sprintf(`{"uid":%q,"docket":"c","crew":"t","sort":"sweep","urgency":"normal","pieces":%d,"cpus":1,"cards":0,"memoryGb":1,
-		"kit":"i","pullGb":0.1,"builds":null,"yard":null,"together":false,"apart":false,"loaners":true,"reckonS":4,"markS":0,"stashS":0,"dueS":null}`, job, tasks)
+	return submissionWith(job, map[string]any{"pieces": tasks})
 }
 
 // send sends a request to a controller, takes the time that it and its answer travel,
--- a/internal/testkit/lost_answers_test.go
+++ b/internal/testkit/lost_answers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -161,10 +160,8 @@
 
 // submitAt has a user submit a job at a controller.
 func (w *cluster) submitAt(name, uid string, tasks int) (status int) {
-	body := fmt.Sprintf(`{"uid":%q,"docket":"c","crew":"t","sort":"sweep","urgency":"normal","pieces":%d,"cpus":1,"cards":0,"memoryGb":1,"kit":"i","pullGb":0.1,
-		"together":false,"apart":false,"loaners":true,"reckonS":4,"markS":0,"stashS":0}`, uid, tasks)
 	rec := httptest.NewRecorder()
-	w.nodes[name].mux.ServeHTTP(rec, httptest.NewRequest(http.MethodPost, "/api/jobs", strings.NewReader(body)))
+	w.nodes[name].mux.ServeHTTP(rec, httptest.NewRequest(http.MethodPost, "/api/jobs", strings.NewReader(submissionBody(uid, tasks))))
 	if rec.Code == http.StatusBadRequest {
 		w.t.Errorf("a submission is refused: %s", rec.Body)
 	}
--- a/internal/testkit/store.go
+++ b/internal/testkit/store.go
@@ -8,6 +8,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/goccy/go-json"
@@ -136,6 +137,20 @@
 	return string(s.items[key].value)
 }
 
+// Hook is a function that may be set while controllers run.
+type Hook[F any] struct{ function atomic.Pointer[F] }
+
+// Set sets the function.
+func (h *Hook[F]) Set(function F) { h.function.Store(&function) }
+
+// Get returns the function, or nil.
+func (h *Hook[F]) Get() (function F) {
+	if set := h.function.Load(); set != nil {
+		function = *set
+	}
+	return function
+}
+
 // View is one controller's access to the store.
 type View struct {
 	*Store
@@ -152,6 +167,10 @@
 	Slow func() time.Duration
 	// Lag is how long a watch's answer takes; nil: no time.
 	Lag func() time.Duration
+	// Sending is called with each transaction before it is carried out, and Listing with
+	// the prefix before keys are read. They may wait; nil: nothing waits.
+	Sending Hook[func(t wire.Txn)]
+	Listing Hook[func(prefix string)]
 	// Behind is how long the watch of a prefix is behind; nil: not at all.
 	Behind func(prefix string) time.Duration
 	// LoseAnswer makes the answer of a transaction that was applied at a version get
@@ -279,6 +298,9 @@
 	if ask(v.Down) {
 		return nil, 0, statestore.ErrUnavailable
 	}
+	if listing := v.Listing.Get(); listing != nil {
+		listing(prefix)
+	}
 	v.mu.Lock()
 	v.expire()
 	var out []wire.Item
@@ -322,6 +344,9 @@
 			t.Then[i].Value = json.RawMessage(data)
 		}
 	}
+	if sending := v.Sending.Get(); sending != nil {
+		sending(t)
+	}
 	if ask(v.Late) {
 		v.lateMu.Lock()
 		v.late = append(v.late, t)
