Tests: those of close questions let what is on its way arrive before they end

The tests share one end, which waits for users, stops the controllers and lets 15 s pass. TestCancelMeetsTheEndOfTheLastTask is now TestCancelAtTheEndOfTheLastTaskIsFinal.

--- a/internal/testkit/apart_leader_test.go
+++ b/internal/testkit/apart_leader_test.go
@@ -74,9 +74,7 @@
 				}
 				w.healed()
 				w.live(60)
-				u.pending.Wait()
-				w.stopAll()
-				u.report(t)
+				u.finish(t)
 				for job, h := range u.seen.jobs {
 					if h.done.IsZero() && job != "j-200" {
 						t.Errorf("%s is not done", job)
--- a/internal/testkit/cancel_at_end_test.go
+++ b/internal/testkit/cancel_at_end_test.go
@@ -35,7 +35,7 @@
 // has ended, but at most once every half second.
 func (r *endRace) reportOnChange(k *testkit.Worker, stop <-chan struct{}) {
 	for {
-		r.cluster.report(k)
+		r.report(k)
 		last := time.Now()
 		next := last.Add(reportEvery*3/4 + time.Duration(r.draw(int(reportEvery/2))))
 		for time.Now().Before(next) {
@@ -71,7 +71,7 @@
 			end = at
 		}
 	}
-	r.pending.Go(func() { r.meetEnd(job, end) })
+	r.pending.Go(func() { r.actAtEnd(job, end) })
 }
 
 // aroundEnd draws how long before or after the end a request is sent: as it ends, or
@@ -83,8 +83,8 @@
 	return time.Duration(r.draw(800)) * time.Millisecond
 }
 
-// meetEnd is what a job's user does about the end of its last task.
-func (r *endRace) meetEnd(job string, end time.Time) {
+// actAtEnd is what a job's user does about the end of its last task.
+func (r *endRace) actAtEnd(job string, end time.Time) {
 	at := func(act func()) {
 		when := end.Add(r.aroundEnd())
 		r.pending.Go(func() { time.Sleep(time.Until(when)); act() })
@@ -133,12 +133,12 @@
 	})
 }
 
-// A cancel, questions and a repeated submission meet the end of a job's last task, in
+// A cancel, questions and a repeated submission come at the end of a job's last task, in
 // 1,000 drawn interleavings at one and at two controllers, with the latencies of the state
 // service, of watches and of links down to a millisecond, and no other trouble. A job is
 // either done or cancelled, to everybody and for ever, and nothing of it starts after a
 // confirmed cancel.
-func TestCancelMeetsTheEndOfTheLastTask(t *testing.T) {
+func TestCancelAtTheEndOfTheLastTaskIsFinal(t *testing.T) {
 	const seeds, jobs = 10, 50
 	scales := []time.Duration{time.Millisecond, 4 * time.Millisecond, 20 * time.Millisecond, 100 * time.Millisecond}
 	for controllers := 1; controllers <= 2; controllers++ {
@@ -236,7 +236,6 @@
 	r.pending.Wait()
 	close(stop)
 	reporting.Wait()
-	w.stopAll()
-	r.closeUsers.report(t)
+	r.finish(t)
 	return r
 }
--- a/internal/testkit/close_looks_test.go
+++ b/internal/testkit/close_questions_test.go
@@ -208,8 +208,12 @@
 	}
 }
 
-// report fails the test for answers that are out of order.
-func (u *closeUsers) report(t *testing.T) {
+// finish waits for the users, stops the controllers, lets what is on its way arrive, and
+// fails the test for answers that are out of order.
+func (u *closeUsers) finish(t *testing.T) {
+	u.pending.Wait()
+	u.stopAll()
+	time.Sleep(15 * time.Second)
 	for _, b := range u.seen.broken {
 		t.Error(b)
 	}
@@ -373,9 +377,7 @@
 	w.healed()
 	w.startAll()
 	w.live(75)
-	u.pending.Wait()
-	w.stopAll()
-	u.report(t)
+	u.finish(t)
 	for job, h := range u.seen.jobs {
 		if h.done.IsZero() && h.cancelled.IsZero() && !h.accepted.IsZero() {
 			t.Errorf("%s was accepted, and is not over", job)
