--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -317,6 +317,12 @@
 			statestore.Backoff(ctx, n, 20*time.Millisecond, 200*time.Millisecond)
 			continue
 		}
+		if errors.Is(err, statestore.ErrUnknown) && ctx.Err() == nil {
+			// The number may be taken, now or later: the next one is read anew. A
+			// take-over that gave up here began again from its start.
+			statestore.Backoff(ctx, n, 20*time.Millisecond, 200*time.Millisecond)
+			continue
+		}
 		if err != nil {
 			return 0, fmt.Errorf("raise term: %w", err)
 		}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -47,6 +47,32 @@
 	})
 }
 
+// A fresh term whose first transactions' answers are lost is tried for again with the next
+// number: a new owner that gave up began its take-over anew. A number that may be taken is
+// never used.
+func TestFreshTermWithLostAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var losing atomic.Int32
+		view := &testkit.View{Store: testkit.NewStore(), Lose: func() bool { return losing.Add(-1) >= 0 }}
+		m := member(view, "a")
+		ctx, cancel := context.WithCancel(context.Background())
+		done := run(ctx, m)
+		time.Sleep(3 * time.Second)
+		was := m.Term()
+		losing.Store(2)
+		at := time.Now()
+		term, err := m.Fresh(ctx)
+		if err != nil || term != was+3 || losing.Load() >= 0 {
+			t.Errorf("term %d after %d, %v; %d answers left to lose", term, was, err, losing.Load())
+		}
+		if took := time.Since(at); took > time.Second {
+			t.Errorf("took %v", took)
+		}
+		cancel()
+		<-done
+	})
+}
+
 // The lease counts as held from the send of the last good touch: an owner that
 // loses the state service stops before another can begin.
 func TestOneOwnerAtATime(t *testing.T) {
