In an outage few reports ask the state service for a higher term

After a refusal the next try is now made no sooner than 0.25 s later; reports in between are answered like the refused one (421). A new owner's own term and joining are not held up.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -86,6 +86,7 @@
 	wake   chan struct{}
 
 	raising chan struct{} // holds a token while a change of the term is under way: one at a time
+	refused time.Time     // when the state service last refused one; guarded by raising
 
 	mu       sync.Mutex
 	lease    uint64
@@ -269,9 +270,20 @@
 	if t := m.Term(); t > above {
 		return t, nil
 	}
-	return m.raiseLocked(ctx, above, nil)
+	if time.Since(m.refused) < raiseAgain {
+		return 0, fmt.Errorf("raise term: refused just now: %w", statestore.ErrUnavailable)
+	}
+	t, err := m.raiseLocked(ctx, above, nil)
+	if errors.Is(err, statestore.ErrUnavailable) {
+		m.refused = time.Now()
+	}
+	return t, err
 }
 
+// raiseAgain is the time from a refused change of the term to the next. In an outage
+// every report with a higher token asks for one: hundreds a second, where a leader has ended.
+const raiseAgain = 250 * time.Millisecond
+
 // Fresh takes a term that no token given out before is equal to or above.
 func (m *Member) Fresh(ctx context.Context) (uint64, error) {
 	if err := m.startRaise(ctx); err != nil {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -14,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/wallrack/wallrack/internal/membership"
+	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/testkit"
 )
 
@@ -73,6 +75,39 @@
 	})
 }
 
+// In an outage of the state service every worker that has seen a higher token asks for a
+// change of the term with each of its reports: few of them reach the state service, and
+// the first after the outage does.
+func TestRefusedTermIsNotAskedForAgainAndAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var asked atomic.Int32
+		var down atomic.Bool
+		view := &testkit.View{Store: testkit.NewStore(), Down: func() bool { asked.Add(1); return down.Load() }}
+		m := member(view, "a")
+		ctx, cancel := context.WithCancel(context.Background())
+		done := run(ctx, m)
+		time.Sleep(3 * time.Second)
+		was, before := m.Term(), asked.Load()
+		down.Store(true)
+		for range 500 {
+			if _, err := m.Raise(ctx, was+1); !errors.Is(err, statestore.ErrUnavailable) {
+				t.Fatalf("in an outage: %v", err)
+			}
+			time.Sleep(2 * time.Millisecond)
+		}
+		if n := asked.Load() - before; n > 60 { // the lease and the watch ask too
+			t.Errorf("%d requests in a second of an outage", n)
+		}
+		down.Store(false)
+		time.Sleep(300 * time.Millisecond)
+		if term, err := m.Raise(ctx, was+1); err != nil || term <= was+1 {
+			t.Errorf("after the outage: %d, %v", term, err)
+		}
+		cancel()
+		<-done
+	})
+}
+
 // The lease counts as held from the send of the last good touch: an owner that
 // loses the state service stops before another can begin.
 func TestOneOwnerAtATime(t *testing.T) {
