Tests: hanging machines, slow links, and the teams' limits in the shared checker

The simulated workers could be cut off, but not hang: a machine that hangs executes and reports nothing, its tasks stay on while its lease lasts, and what came in the meantime is carried out when it continues, after its lease is judged. Messages to workers and peers may take time.

--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -80,6 +80,11 @@
 	cancels map[string]time.Time // jobs, by when their user first heard that they are cancelled
 
 	accounts bool // whether accounting rows are written
+
+	specs     map[string]*wire.Job     // jobs that were submitted
+	startsOf  map[string]int           // tasks started so far, by job
+	linkDelay func() time.Duration     // how long a message to a worker or a peer takes; nil: no time
+	reporting map[*testkit.Worker]bool // workers with a report under way over a slow link
 }
 
 type node struct {
@@ -113,31 +118,46 @@
 
 func (n *node) Observe(v machine.View)                              { n.owner.Observe(v) }
 func (n *node) GrantHere(r machine.GrantRequest) machine.GrantReply { return n.owner.GrantHere(r) }
-func (n *node) GrantThere(_ context.Context, at string, r machine.GrantRequest) (machine.GrantReply, error) {
-	n.w.mu.Lock()
-	to := n.w.nodes[at]
-	ok := n.w.reach(n, to)
-	n.w.mu.Unlock()
-	if !ok {
-		return machine.GrantReply{}, errCut
-	}
-	return to.owner.GrantHere(r), nil
+func (n *node) GrantThere(ctx context.Context, at string, r machine.GrantRequest) (machine.GrantReply, error) {
+	return overLink(ctx, n.w, func() (machine.GrantReply, error) {
+		n.w.mu.Lock()
+		to := n.w.nodes[at]
+		ok := n.w.reach(n, to)
+		n.w.mu.Unlock()
+		if !ok {
+			return machine.GrantReply{}, errCut
+		}
+		return to.owner.GrantHere(r), nil
+	})
 }
 
-func (n *node) Direct(_ context.Context, holder string, d machine.Direction) (machine.Unlaunched, error) {
-	n.w.mu.Lock()
-	to := n.w.nodes[holder]
-	ok := to == n || n.w.reach(n, to)
-	n.w.mu.Unlock()
-	if !ok {
-		return machine.Unlaunched{}, errCut
-	}
-	return to.holder.Direct(d), nil
+func (n *node) Direct(ctx context.Context, holder string, d machine.Direction) (machine.Unlaunched, error) {
+	if holder == n.name {
+		return n.holder.Direct(d), nil
+	}
+	return overLink(ctx, n.w, func() (machine.Unlaunched, error) {
+		n.w.mu.Lock()
+		to := n.w.nodes[holder]
+		ok := n.w.reach(n, to)
+		n.w.mu.Unlock()
+		if !ok {
+			return machine.Unlaunched{}, errCut
+		}
+		return to.holder.Direct(d), nil
+	})
 }
 
 // Order sends a direct order; some arrive, but the answer is lost, and some
 // arrive minutes late.
-func (n *node) Order(_ context.Context, endpoint string, o wire.Orders) (*wire.Report, bool, error) {
+func (n *node) Order(ctx context.Context, endpoint string, o wire.Orders) (rep *wire.Report, executed bool, err error) {
+	rep, err = overLink(ctx, n.w, func() (rep *wire.Report, err error) {
+		rep, executed, err = n.order(endpoint, o)
+		return rep, err
+	})
+	return rep, executed && err == nil, err
+}
+
+func (n *node) order(endpoint string, o wire.Orders) (*wire.Report, bool, error) {
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
 	worker := n.w.byName[endpoint]
@@ -147,6 +167,10 @@
 		}
 		return nil, false, errCut
 	}
+	if worker.Hangs() {
+		worker.Orders(o) // carried out when it continues
+		return nil, false, errCut
+	}
 	if held := n.w.holding; held != nil && held() {
 		n.w.holdBack(worker, o)
 		return nil, false, errCut
@@ -186,16 +210,18 @@
 }
 
 // Show asks a worker for its report.
-func (n *node) Show(_ context.Context, endpoint string) (*wire.Report, error) {
-	n.w.mu.Lock()
-	defer n.w.mu.Unlock()
-	worker := n.w.byName[endpoint]
-	if worker == nil || !n.w.works(n.name, endpoint) {
-		return nil, errCut
-	}
-	r := worker.Report()
-	r.Endpoint = endpoint
-	return r, nil
+func (n *node) Show(ctx context.Context, endpoint string) (*wire.Report, error) {
+	return overLink(ctx, n.w, func() (*wire.Report, error) {
+		n.w.mu.Lock()
+		defer n.w.mu.Unlock()
+		worker := n.w.byName[endpoint]
+		if worker == nil || worker.Hangs() || !n.w.works(n.name, endpoint) {
+			return nil, errCut
+		}
+		r := worker.Report()
+		r.Endpoint = endpoint
+		return r, nil
+	})
 }
 
 // Facts reads how a job that the owner does not know ended.
@@ -299,6 +325,10 @@
 // machine at a time.
 func (w *cluster) report(k *testkit.Worker) {
 	w.mu.Lock()
+	if k.Hangs() {
+		w.mu.Unlock()
+		return
+	}
 	rep := k.Report()
 	rep.Endpoint = k.Name
 	n := w.nodes[w.names[w.at[k]%len(w.names)]]
@@ -311,7 +341,9 @@
 		w.mu.Unlock()
 		return
 	}
+	time.Sleep(w.drawn(&w.linkDelay))
 	status, body := n.holder.Report(context.Background(), rep)
+	time.Sleep(w.drawn(&w.linkDelay))
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if status == http.StatusOK && w.works(n.name, k.Name) {
@@ -348,9 +380,13 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	on := map[string]string{}
+	use := teamUse{}
 	for _, k := range w.workers {
 		for _, task := range k.On() {
 			uid, _, _ := strings.Cut(task, "/")
+			if job := w.specs[uid]; job != nil {
+				use[job.Team] += job.CPUs
+			}
 			if at, cancelled := w.cancels[uid]; cancelled && time.Since(at).Seconds() > w.cfg.Params.Workers.CancelS {
 				w.fail("%s is on %s %v after its user heard that it is cancelled", task, k.Name, time.Since(at))
 			}
@@ -360,6 +396,7 @@
 			on[task] = k.Name
 		}
 	}
+	w.checkLimits(use)
 }
 
 // keptCopies is how many reports may be delivered late: those of a minute or so.
@@ -438,7 +475,8 @@
 func newCluster(t testing.TB, seed uint64) *cluster {
 	w := &cluster{t: t, fail: t.Errorf, size: 4, rnd: rand.New(rand.NewPCG(seed, 7)), store: testkit.NewStore(), nodes: map[string]*node{},
 		at: map[*testkit.Worker]int{}, byName: map[string]*testkit.Worker{},
-		names: []string{"a", "b", "c"}, off: map[[2]string]bool{}, heard: map[string]hearing{}, cancels: map[string]time.Time{}, over: map[string]bool{}, cleared: map[string]string{}}
+		names: []string{"a", "b", "c"}, off: map[[2]string]bool{}, heard: map[string]hearing{}, cancels: map[string]time.Time{}, over: map[string]bool{}, cleared: map[string]string{},
+		specs: map[string]*wire.Job{}, startsOf: map[string]int{}, reporting: map[*testkit.Worker]bool{}}
 	w.cfg = &config.Platform{Params: config.Params{
 		Teams:   []config.Team{{Name: "t"}},
 		Workers: config.Workers{ReportS: 1, LeaseS: workerLease.Seconds(), CancelS: 40},
@@ -482,6 +520,8 @@
 func (w *cluster) join(k *testkit.Worker, i int) {
 	k.Started = func(task string, attempt uint64) {
 		w.started, w.starts = time.Now(), w.starts+1
+		uid, _, _ := strings.Cut(task, "/")
+		w.startsOf[uid]++
 		if at := w.cleared[task]; at != "" {
 			w.fail("%s is started again, as attempt %d on %s, when it was done and cleared on %s", task, attempt, k.Name, at)
 		}
@@ -495,9 +535,16 @@
 func (w *cluster) submit(uid string, tasks int) { w.submitWith(uid, tasks, nil) }
 
 func (w *cluster) submitWith(uid string, tasks int, t *terms.Terms) {
-	job := &wire.Job{UID: uid, Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: tasks,
-		CPUs: 1, MemoryGB: 1, Image: "i", ImageGB: 0.1, Estimate: 4, Spot: true}
-	guards, ops := owner.AcceptTxn(job, t, owner.ShardOf(job, nil, 4), time.Now().UnixMilli())
+	w.submitJob(&wire.Job{UID: uid, Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: tasks,
+		CPUs: 1, MemoryGB: 1, Image: "i", ImageGB: 0.1, Estimate: 4, Spot: true}, t)
+}
+
+// submitJob records an accepted job.
+func (w *cluster) submitJob(job *wire.Job, t *terms.Terms) {
+	w.mu.Lock()
+	w.specs[job.UID] = job
+	w.mu.Unlock()
+	guards, ops := owner.AcceptTxn(job, t, owner.ShardOf(job, w.cfg.Params.Teams, 4), time.Now().UnixMilli())
 	clean := &testkit.View{Store: w.store}
 	if _, err := clean.Txn(context.Background(), guards, ops...); err != nil {
 		w.t.Fatal(err)
@@ -545,6 +592,10 @@
 // reportAll lets every worker report.
 func (w *cluster) reportAll() {
 	for _, k := range w.workers {
+		if w.linkDelay != nil {
+			w.reportSlowly(k)
+			continue
+		}
 		w.report(k)
 		w.check()
 	}
--- a/internal/testkit/state_outage_test.go
+++ b/internal/testkit/state_outage_test.go
@@ -49,15 +49,17 @@
 
 // Ask hands a user's request to a peer.
 func (n *node) Ask(ctx context.Context, peer string, r intake.Request) (*intake.Reply, error) {
-	n.w.mu.Lock()
-	to := n.w.nodes[peer]
-	ok := n.w.reach(n, to)
-	n.w.mu.Unlock()
-	if !ok {
-		return nil, errCut
-	}
-	rep := to.intake.Serve(ctx, r)
-	return &rep, nil
+	return overLink(ctx, n.w, func() (*intake.Reply, error) {
+		n.w.mu.Lock()
+		to := n.w.nodes[peer]
+		ok := n.w.reach(n, to)
+		n.w.mu.Unlock()
+		if !ok {
+			return nil, errCut
+		}
+		rep := to.intake.Serve(ctx, r)
+		return &rep, nil
+	})
 }
 
 // tellCancels has a controller and a peer tell each other of cancels.
--- a/internal/testkit/worker.go
+++ b/internal/testkit/worker.go
@@ -18,8 +18,14 @@
 	session, seq, token uint64
 	renewed             time.Time
 	tasks               map[ref]*running
+
+	hungAt time.Time // since when the machine hangs; zero: it does not
+	heldUp []func()  // what came in the meantime, in order
 }
 
+// answerWait is how long a worker waits for the answer to a report.
+const answerWait = 4 * time.Second
+
 type ref struct {
 	task    string
 	attempt uint64
@@ -35,9 +41,45 @@
 	return &Worker{Name: name, Lease: lease, Run: run, session: 1, renewed: time.Now(), tasks: map[ref]*running{}}
 }
 
+// Hang stops the machine: it executes nothing and reports nothing until Continue.
+func (w *Worker) Hang() {
+	if w.Hangs() {
+		return
+	}
+	w.advance()
+	w.hungAt = time.Now()
+}
+
+// Hangs reports whether the machine hangs.
+func (w *Worker) Hangs() bool { return !w.hungAt.IsZero() }
+
+// Continue ends a hang. The lease is judged first; then what came in the meantime is
+// carried out, if it still may be. Tasks end as much later as the machine hung.
+func (w *Worker) Continue() {
+	if !w.Hangs() {
+		return
+	}
+	hung := time.Since(w.hungAt)
+	for _, t := range w.tasks {
+		t.ends = t.ends.Add(hung)
+	}
+	late := w.heldUp
+	w.hungAt, w.heldUp = time.Time{}, nil
+	w.advance()
+	for _, carryOut := range late {
+		carryOut()
+	}
+}
+
+// leaseOver reports whether the worker's lease has ended.
+func (w *Worker) leaseOver() bool { return time.Since(w.renewed) > w.Lease }
+
 func (w *Worker) advance() {
+	if w.Hangs() {
+		return
+	}
 	now := time.Now()
-	if now.Sub(w.renewed) > w.Lease {
+	if w.leaseOver() {
 		w.tasks = map[ref]*running{}
 		w.session++
 		w.renewed = now
@@ -54,9 +96,13 @@
 	}
 }
 
-// On lists the tasks that are on the machine now.
+// On lists the tasks that are on the machine now. Those of a machine that hangs are on
+// as long as it may continue, which is within its lease.
 func (w *Worker) On() []string {
 	w.advance()
+	if w.Hangs() && w.leaseOver() {
+		return nil
+	}
 	var out []string
 	for _, t := range w.tasks {
 		if t.State != wire.TaskExited {
@@ -77,9 +123,16 @@
 	return r
 }
 
-// Answer takes the answer to a report sent at the given time.
+// Answer takes the answer to a report sent at the given time, unless it is late.
 func (w *Worker) Answer(sent time.Time, session uint64, a wire.ReportAnswer) {
+	if w.Hangs() {
+		w.heldUp = append(w.heldUp, func() { w.Answer(sent, session, a) })
+		return
+	}
 	w.advance()
+	if time.Since(sent) > answerWait {
+		return
+	}
 	if a.Token < w.token || a.Token == 0 || session != w.session {
 		return
 	}
@@ -88,8 +141,13 @@
 	w.execute(a.Commands)
 }
 
-// Orders takes a direct message, however late it comes.
+// Orders takes a direct message, however late it comes, and reports whether it was
+// executed now. A machine that hangs takes it when it continues.
 func (w *Worker) Orders(o wire.Orders) bool {
+	if w.Hangs() {
+		w.heldUp = append(w.heldUp, func() { w.Orders(o) })
+		return false
+	}
 	w.advance()
 	if o.Token < w.token || o.Session != w.session {
 		return false
