An attestation that a lease is over holds for the moment at which it was asked for

Cause: controllers are asked one after the other for how long they left a machine unanswered, for up to a second each. A figure given late counted the time since the question as well, in which a controller that had attested before may have answered the worker, its lease still held; only that controller's view of the machine, if it came in time, kept the owner from starting the tasks again and from taking them off their team's use.

Change: what the questions took is subtracted from the least figure. Cost: one subtraction; machines are settled as much later as the questions take, normally milliseconds.

--- a/cmd/wallrack/node.go
+++ b/cmd/wallrack/node.go
@@ -293,25 +293,21 @@
 		if len(m.Machines) == 0 {
 			continue
 		}
-		asked := time.Now()
-		least := n.unanswered(m).Unanswered
-		all := true
+		a, all := machine.NewAttestation(time.Now(), n.unanswered(m).Unanswered), true
 		for _, s := range n.cfg.Peers {
 			pctx, cancel := context.WithTimeout(ctx, time.Second)
 			rep, err := call[vouchMessage, vouchReply](pctx, n, s.Node, methodVouch, m)
 			cancel()
-			if err != nil || len(rep.Unanswered) != len(least) {
+			if err != nil || !a.Add(rep.Unanswered) {
 				all = false
 				break
 			}
-			for i, u := range rep.Unanswered {
-				least[i] = min(least[i], u)
-			}
 		}
+		now := time.Now()
 		for i, name := range m.Machines {
-			if all && least[i] > lease {
+			if all && a.LeaseOver(i, now, lease) {
 				n.log.Info("all controllers vouch that the machine's lease ended", "machine", name)
-				n.owner.Vouched(name, asked)
+				n.owner.Vouched(name, a.Asked())
 			}
 		}
 	}
