A start that another holder may have sent counts against the limit after a cancel

Cause: a holder that is told to halt a task answers which of them it never sent, and the owner then took their places out, whoever had got the grant. If the grant went to another holder, or to this one before a restart, whose order is held up on its way, the order may still start the task, beside what the team's limit lets start in its stead. It takes a machine that changes holders and a cancel between the new holder's queueing and its own grant.

Change: the word of a holder counts only if the start was granted for its present token alone; else the place waits for a newer token, as all places do. The answer carries the token; without one (an older controller) nothing is taken out. Cost: eight bytes a place.

The check of the limit at the grant itself had no test that needs it, since what is queued is kept within the limit too: TestGrantIsRefusedAtTheTeamsLimit fails without it.

--- a/internal/machine/direct.go
+++ b/internal/machine/direct.go
@@ -10,7 +10,7 @@
 // holder surely never launched.
 func (h *Holder) Direct(d Direction) Unlaunched {
 	defer usage.Count(usage.Directed, time.Now())
-	var out Unlaunched
+	out := Unlaunched{Token: h.tokens.Term()}
 	touched := map[string]bool{}
 	h.mu.Lock()
 	for _, e := range d.Assign {
--- a/internal/machine/messages.go
+++ b/internal/machine/messages.go
@@ -57,9 +57,12 @@
 }
 
 // Unlaunched answers a direction: the halted tasks for which no start command
-// was ever sent by this holder.
+// was ever sent by this incarnation of the holder.
 type Unlaunched struct {
 	Refs []Ref `json:"refs"`
+	// Token is the holder's now: a task that was granted for another one may have been
+	// launched by another holder, or before this one restarted.
+	Token uint64 `json:"k,omitempty"`
 }
 
 // GrantRequest asks a task's owner whether it may start now, with this token
--- a/internal/owner/bench_test.go
+++ b/internal/owner/bench_test.go
@@ -30,6 +30,8 @@
 	raise uint64                 // the highest token that a direction asked to be beyond
 	items map[string][]wire.Item // by prefix
 	list  func(prefix string)    // called at every listing, if set
+
+	unlaunched machine.Unlaunched // how every direction with halts is answered
 }
 
 var size = wire.MachineType{Name: "m", CPUs: 16, MemoryGB: 64, CacheGB: 50, FetchGBPerS: 1, Price: 1, SpotPrice: 0.3, BootS: 10, Zones: []string{"z"}}
@@ -46,7 +48,10 @@
 func (f *fleet) ShardKey(int) string { return "c/shard/000" }
 func (f *fleet) Direct(_ context.Context, _ string, d machine.Direction) (machine.Unlaunched, error) {
 	f.raise = max(f.raise, d.RaiseAbove)
-	return machine.Unlaunched{}, nil
+	if len(d.Halt) == 0 {
+		return machine.Unlaunched{}, nil
+	}
+	return f.unlaunched, nil
 }
 func (f *fleet) Get(context.Context, string) (wire.Item, error) { return wire.Item{}, nil }
 func (f *fleet) List(_ context.Context, prefix string) ([]wire.Item, uint64, error) {
--- a/internal/owner/export_test.go
+++ b/internal/owner/export_test.go
@@ -94,3 +94,24 @@
 	o.forget("j-1", j)
 	return places, done
 }
+
+// CancelRecorded acts on a cancel of a job that is recorded.
+func (o *Owner) CancelRecorded(uid string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.cancelLocked(o.jobs[uid])
+}
+
+// TeamUse is the CPUs that a team's tasks may use.
+func (o *Owner) TeamUse(team string) float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.teams[team].use.CPUs
+}
+
+// LimitTeam sets a team's limit of CPUs.
+func (o *Owner) LimitTeam(team string, cpus float64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.teams[team].CPUsMax = cpus
+}
--- a/internal/owner/grant.go
+++ b/internal/owner/grant.go
@@ -62,10 +62,10 @@
 		return no
 	}
 	if p.state != placeGranted { // else the start is repeated
-		p.state, p.grantedAt = placeGranted, time.Now()
+		p.state, p.grantedAt, p.least = placeGranted, time.Now(), r.Token
 		o.stats.Granted++
 	}
-	p.token, p.session = max(p.token, r.Token), max(p.session, r.Session)
+	p.least, p.token, p.session = min(p.least, r.Token), max(p.token, r.Token), max(p.session, r.Session)
 	m.tokens = max(m.tokens, r.Token)
 	o.count(p, 1)
 	for _, x := range append([]*place(nil), j.places[n]...) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -81,6 +81,7 @@
 	ref       machine.Ref
 	state     placeState
 	token     uint64 // highest token a start command may carry
+	least     uint64 // lowest token for which the start was granted
 	session   uint64 // highest session a start command may be for
 	logged    bool   // the store may know of it
 	planned   float64
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -147,6 +147,89 @@
 	}
 }
 
+// A cancelled task's start was granted to a holder whose order is held up; its machine is
+// then heard by another holder, or by the first after a restart, that has the task queued
+// and did not send it. The start still counts against the team's limit: only a holder that
+// was the only one to get the grant can say that nothing is under way.
+func TestGrantSentByAnotherHolderCountsAfterCancel(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		granted, again uint64 // tokens of the holders that were granted the start
+		holder         uint64 // token of the one that says it sent nothing
+		counts         bool
+	}{
+		{"the only holder", 7, 0, 7, false},
+		{"another holder", 7, 0, 8, true},
+		{"another holder, granted too", 7, 8, 8, true},
+		{"the first of two", 7, 8, 7, true},
+		{"the first of two, of the higher token", 8, 7, 8, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 1, 0)
+				ctx, cancel := context.WithCancel(context.Background())
+				done := make(chan struct{})
+				go func() { defer close(done); _ = f.owner.Run(ctx) }()
+				f.owner.Accepted(&wire.Job{UID: "j-1", Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: 1, CPUs: 2, MemoryGB: 1, Estimate: 5, Spot: true},
+					nil, 0, time.Now().UnixMilli(), 1)
+				for range 2 {
+					f.show(0, 0.2)
+					time.Sleep(time.Second)
+				}
+				ref := f.owner.PlacesOf("j-1")[0]
+				for _, token := range []uint64{c.granted, c.again} {
+					if token > 0 && !f.owner.GrantHere(machine.GrantRequest{Ref: ref, Holder: "a", Token: token, Session: 1}).OK {
+						t.Fatal("not granted")
+					}
+				}
+				f.unlaunched = machine.Unlaunched{Refs: []machine.Ref{ref}, Token: c.holder}
+				f.owner.CancelRecorded("j-1")
+				time.Sleep(3 * time.Second)
+				if used := f.owner.TeamUse("t"); (used > 0) != c.counts {
+					t.Errorf("%v CPUs are counted", used)
+				}
+				cancel()
+				<-done
+			})
+		})
+	}
+}
+
+// A place that is queued counts nothing until it is granted: the grant itself keeps the
+// team's limit, whatever was queued, until a task is off its machine.
+func TestGrantIsRefusedAtTheTeamsLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, 0)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = f.owner.Run(ctx) }()
+		f.owner.Accepted(&wire.Job{UID: "j-1", Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: 2, CPUs: 2, MemoryGB: 1, Estimate: 5, Spot: true},
+			nil, 0, time.Now().UnixMilli(), 1)
+		for range 3 {
+			f.show(0, 0)
+			time.Sleep(time.Second)
+		}
+		refs := f.owner.PlacesOf("j-1")
+		if len(refs) != 2 {
+			t.Fatalf("placed at %v", refs)
+		}
+		f.owner.LimitTeam("t", 3)
+		grant := func(i int) bool {
+			return f.owner.GrantHere(machine.GrantRequest{Ref: refs[i], Holder: "a", Token: 7, Session: 1}).OK
+		}
+		if !grant(0) || grant(1) || !grant(0) {
+			t.Error("the limit lets one task start, which may be granted again")
+		}
+		task := wire.Task{Task: refs[0].Task, Attempt: refs[0].Attempt, State: wire.TaskExited, Cause: wire.CauseDone}
+		f.show(0, 0, machine.TaskView{Task: task})
+		if !grant(1) {
+			t.Error("refused although the other task is off")
+		}
+		cancel()
+		<-done
+	})
+}
+
 // A log that is written over must still tell a new owner all that it may not
 // forget: records replayed in order give the places and completions that a
 // chunk's own record, if it is newer, has not told already.
@@ -243,7 +326,6 @@
 func TestTakesJobsAcceptedDuringATakeover(t *testing.T) {
 	f := newFleet(t, 1, 0)
 	f.owner.Unload()
-	f.items = map[string][]wire.Item{}
 	spec := &wire.Job{UID: "j-late", Class: "c", Team: "t", Kind: wire.KindArray, Priority: "low", Tasks: 3, CPUs: 1, Estimate: 9}
 	f.list = func(prefix string) {
 		if prefix == "log/" {
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -461,6 +461,15 @@
 	}
 }
 
+// neverSent reports whether no start command for a halted place can be under way, when
+// the holder with that token says that it sent none: the start was granted for this token
+// alone. One that was granted for another may still be held up, sent by another holder or
+// before this one restarted: taken off its team's use it would run beside what the limit
+// then lets start.
+func (p *place) neverSent(token uint64) bool {
+	return p.state == placeGranted && !p.haltAt.IsZero() && p.least == token && p.token == token
+}
+
 // direct sends what was gathered for the holders.
 func (o *Owner) direct(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -504,7 +513,7 @@
 			continue
 		}
 		for _, p := range append([]*place(nil), j.places[n]...) {
-			if p.attempt == ref.Attempt && p.mach.name == ref.Machine && p.state == placeGranted && !p.haltAt.IsZero() {
+			if p.attempt == ref.Attempt && p.mach.name == ref.Machine && p.neverSent(un.Token) {
 				o.detach(p)
 			}
 		}
