--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -120,12 +120,9 @@
 func (n *node) GrantHere(r machine.GrantRequest) machine.GrantReply { return n.owner.GrantHere(r) }
 func (n *node) GrantThere(ctx context.Context, at string, r machine.GrantRequest) (machine.GrantReply, error) {
 	return overLink(ctx, n.w, func() (machine.GrantReply, error) {
-		n.w.mu.Lock()
-		to := n.w.nodes[at]
-		ok := n.w.reach(n, to)
-		n.w.mu.Unlock()
-		if !ok {
-			return machine.GrantReply{}, errCut
+		to, err := n.peer(at)
+		if err != nil {
+			return machine.GrantReply{}, err
 		}
 		return to.owner.GrantHere(r), nil
 	})
@@ -136,12 +133,9 @@
 		return n.holder.Direct(d), nil
 	}
 	return overLink(ctx, n.w, func() (machine.Unlaunched, error) {
-		n.w.mu.Lock()
-		to := n.w.nodes[holder]
-		ok := n.w.reach(n, to)
-		n.w.mu.Unlock()
-		if !ok {
-			return machine.Unlaunched{}, errCut
+		to, err := n.peer(holder)
+		if err != nil {
+			return machine.Unlaunched{}, err
 		}
 		return to.holder.Direct(d), nil
 	})
@@ -149,12 +143,16 @@
 
 // Order sends a direct order; some arrive, but the answer is lost, and some
 // arrive minutes late.
-func (n *node) Order(ctx context.Context, endpoint string, o wire.Orders) (rep *wire.Report, executed bool, err error) {
-	rep, err = overLink(ctx, n.w, func() (rep *wire.Report, err error) {
-		rep, executed, err = n.order(endpoint, o)
-		return rep, err
+func (n *node) Order(ctx context.Context, endpoint string, o wire.Orders) (*wire.Report, bool, error) {
+	type outcome struct {
+		report   *wire.Report
+		executed bool
+	}
+	a, err := overLink(ctx, n.w, func() (a outcome, err error) {
+		a.report, a.executed, err = n.order(endpoint, o)
+		return a, err
 	})
-	return rep, executed && err == nil, err
+	return a.report, a.executed, err
 }
 
 func (n *node) order(endpoint string, o wire.Orders) (*wire.Report, bool, error) {
@@ -437,9 +435,7 @@
 			ok := to != n && w.reach(n, to)
 			w.mu.Unlock()
 			if ok {
-				for _, v := range n.holder.Views() {
-					to.owner.Observe(v)
-				}
+				w.afterLink(func() { to.observe(n.holder.Views()) })
 			}
 		}
 	}
@@ -456,19 +452,7 @@
 		return
 	}
 	for _, n := range nodes {
-		_, silent := n.owner.Silent(workerLease)
-		for i := range silent {
-			name, vouched := silent[i].Name, true
-			for _, peer := range nodes {
-				w.mu.Lock()
-				ok := peer == n || w.reach(n, peer)
-				w.mu.Unlock()
-				vouched = vouched && ok && peer.holder.Unanswered(name) > workerLease+500*time.Millisecond
-			}
-			if vouched {
-				n.owner.Vouched(name, time.Now())
-			}
-		}
+		w.afterLink(func() { n.attest() })
 	}
 }
 
@@ -592,7 +576,7 @@
 // reportAll lets every worker report.
 func (w *cluster) reportAll() {
 	for _, k := range w.workers {
-		if w.linkDelay != nil {
+		if w.linksAreSlow() {
 			w.reportSlowly(k)
 			continue
 		}
--- a/internal/testkit/cuts_test.go
+++ b/internal/testkit/cuts_test.go
@@ -95,8 +95,15 @@
 	}
 }
 
+// linksNow is what the controller knew of the links at the last exchange.
+func (n *node) linksNow() links.View {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	return n.reach.last
+}
+
 func (n *node) Foreman() string {
-	v := n.reach.last
+	v := n.linksNow()
 	v.Self.Held = n.member.Held() > 0
 	if o := n.member.Owners(); len(o) > 0 {
 		v.Self.Chief = o[0]
@@ -109,7 +116,7 @@
 }
 
 func (n *node) Alone() bool {
-	v := n.reach.last
+	v := n.linksNow()
 	v.Self.Owns = len(n.member.Own()) > 0
 	return v.Alone()
 }
--- a/internal/testkit/fault_pairs_test.go
+++ b/internal/testkit/fault_pairs_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/testkit"
 )
 
@@ -59,6 +60,7 @@
 func (m *met) machinesBack() {
 	for _, k := range m.away {
 		m.meet(k.Name, m.names...)
+		m.resume(k)
 	}
 	m.away = nil
 }
@@ -158,6 +160,9 @@
 	{"leases end at machines that are back", 12, 16, func(m *met) {
 		m.machinesAway(func(k *testkit.Worker) { m.cutAll(k.Name, m.names...) })
 	}, func(m *met, _ int) { m.release() }, (*met).machinesBack},
+	{"machines hang and go on", 2, 14, func(m *met) {
+		m.machinesAway(func(k *testkit.Worker) { m.hang(k) })
+	}, nil, (*met).machinesBack},
 }
 
 // Any two troubles meet, at drawn times, with users that submit, ask and cancel at all
@@ -195,6 +200,7 @@
 func playPair(t *testing.T, seed uint64, pair [2]*trouble, did [2]*int) {
 	w := newCluster(t, seed)
 	m := &met{cluster: w}
+	w.cfg.Params.Teams = []config.Team{{Name: "t"}, {Name: "capped", CPUsMax: 14}}
 	w.bigger(3, 6)
 	w.long()
 	ended := map[string]bool{} // tasks that ended by themselves
@@ -209,7 +215,11 @@
 	sizes := map[string]int{}
 	submit := func(uid string, tasks int) {
 		sizes[uid] = tasks
-		w.submit(uid, tasks)
+		team := "t"
+		if strings.HasPrefix(uid, "j-8") || len(uid)%2 == 1 && uid[len(uid)-1]%2 == 0 {
+			team = "capped" // at its limit with these
+		}
+		w.job(uid, team, "normal", tasks, 1)
 	}
 	for i := range 6 {
 		m.jobs = append(m.jobs, fmt.Sprintf("j-%d", 80+i))
--- a/internal/testkit/links_test.go
+++ b/internal/testkit/links_test.go
@@ -4,9 +4,21 @@
 	"context"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/machine"
 	"github.com/wallrack/wallrack/internal/testkit"
 )
 
+// peer is another controller, if a message comes through to it now.
+func (n *node) peer(name string) (*node, error) {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	to := n.w.nodes[name]
+	if !n.w.reach(n, to) {
+		return nil, errCut
+	}
+	return to, nil
+}
+
 // overLink carries a request to a worker or a peer. Over a slow link it is carried out
 // even if nobody waits for it any more, and its answer may come too late.
 func overLink[T any](ctx context.Context, w *cluster, carryOut func() (T, error)) (T, error) {
@@ -34,6 +46,20 @@
 	}
 }
 
+// delayLinks sets how long messages to workers and peers take; nil: no time.
+func (w *cluster) delayLinks(delay func() time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.linkDelay = delay
+}
+
+// linksAreSlow reports whether messages to workers and peers take time.
+func (w *cluster) linksAreSlow() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.linkDelay != nil
+}
+
 // reportSlowly lets a worker report over a slow link: it has one report under way at a
 // time, and the others do not wait for it.
 func (w *cluster) reportSlowly(k *testkit.Worker) {
@@ -51,3 +77,54 @@
 		w.mu.Unlock()
 	}()
 }
+
+// afterLink does something now, or beside the rest while links are slow.
+func (w *cluster) afterLink(do func()) {
+	if !w.linksAreSlow() {
+		do()
+		return
+	}
+	go func() {
+		time.Sleep(w.drawn(&w.linkDelay))
+		do()
+	}()
+}
+
+// observe takes a peer's views of machines.
+func (n *node) observe(views []machine.View) {
+	for _, v := range views {
+		n.owner.Observe(v)
+	}
+}
+
+// attestLease is how long all controllers must have left a worker unanswered.
+const attestLease = workerLease + 500*time.Millisecond
+
+// attest settles silent machines as cmd/wallrack does: one after the other the peers say
+// for how long they left a machine unanswered.
+func (n *node) attest() {
+	w := n.w
+	_, silent := n.owner.Silent(workerLease)
+	for i := range silent {
+		name, all := silent[i].Name, true
+		a := machine.NewAttestation(time.Now(), []float64{n.holder.Unanswered(name).Seconds()})
+		for _, peer := range w.names {
+			if peer == n.name {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			unanswered, err := overLink(ctx, w, func() (time.Duration, error) {
+				to, err := n.peer(peer)
+				if err != nil {
+					return 0, err
+				}
+				return to.holder.Unanswered(name), nil
+			})
+			cancel()
+			all = all && err == nil && a.Add([]float64{unanswered.Seconds()})
+		}
+		if all && a.LeaseOver(0, time.Now(), attestLease.Seconds()) {
+			n.owner.Vouched(name, a.Asked())
+		}
+	}
+}
--- a/internal/testkit/meetings_test.go
+++ b/internal/testkit/meetings_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/owner"
 	"github.com/wallrack/wallrack/internal/testkit"
 	"github.com/wallrack/wallrack/internal/wire"
@@ -18,8 +19,18 @@
 // meeting plays a meeting of troubles on a new cluster, in which the tasks of jobs from 80
 // on run for long. Nothing is drawn but lost messages.
 func meeting(t *testing.T, seed uint64, controllers, workers int, play func(w *cluster)) {
+	meetingOf(t, seed, []config.Team{{Name: "t"}}, controllers, workers, play)
+}
+
+// meetingOf is meeting with these teams.
+func meetingOf(t *testing.T, seed uint64, teams []config.Team, controllers, workers int, play func(w *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newCluster(t, seed)
+		w.cfg.Params.Teams = teams
+		defer func() {
+			w.stopAll()
+			time.Sleep(15 * time.Second) // what is still on its way in the store
+		}()
 		w.bigger(controllers, workers)
 		w.long()
 		for _, n := range w.names {
@@ -29,8 +40,6 @@
 		w.keepCuts = true
 		w.live(5)
 		play(w)
-		w.stopAll()
-		time.Sleep(15 * time.Second) // what is still on its way in the store
 	})
 }
 
--- a/internal/testkit/state_outage_test.go
+++ b/internal/testkit/state_outage_test.go
@@ -33,8 +33,9 @@
 		}
 		return out
 	}
-	for i := range n.reach.last.Peers {
-		if p := &n.reach.last.Peers[i]; p.Fresh() && p.Row.Held {
+	peers := n.linksNow().Peers
+	for i := range peers {
+		if p := &peers[i]; p.Fresh() && p.Row.Held {
 			add(p.Row.Chief)
 		}
 	}
@@ -42,7 +43,10 @@
 }
 
 // Served names the controllers that reach the state service.
-func (n *node) Served() []string { return n.reach.last.Served() }
+func (n *node) Served() []string {
+	v := n.linksNow()
+	return v.Served()
+}
 
 // Up reports whether this controller takes users.
 func (n *node) Up() bool { return true }
@@ -50,12 +54,9 @@
 // Ask hands a user's request to a peer.
 func (n *node) Ask(ctx context.Context, peer string, r intake.Request) (*intake.Reply, error) {
 	return overLink(ctx, n.w, func() (*intake.Reply, error) {
-		n.w.mu.Lock()
-		to := n.w.nodes[peer]
-		ok := n.w.reach(n, to)
-		n.w.mu.Unlock()
-		if !ok {
-			return nil, errCut
+		to, err := n.peer(peer)
+		if err != nil {
+			return nil, err
 		}
 		rep := to.intake.Serve(ctx, r)
 		return &rep, nil
