--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -85,7 +85,7 @@
 	cancels map[string]time.Time // jobs, by when their user first heard that they are cancelled
 
 	accounts bool                                 // whether accounting rows are written
-	directed func(d machine.Direction)            // sees what owners tell holders; nil: nobody
+	directed func(d machine.Direction)            // sees what owners tell holders, before it is on its way; nil: nobody
 	ordering func(endpoint string, o wire.Orders) // sees a direct order before it is on its way; nil: nobody
 
 	beside     func(n *node) []func(context.Context) error            // what else a controller runs; nil: nothing
@@ -95,6 +95,11 @@
 	behind     func(n *node, prefix string) time.Duration             // how far a controller's watch is behind; nil: not at all
 
 	onStart func(k *testkit.Worker, task string, attempt uint64) // a task starts; nil: nobody looks
+
+	specs     map[string]*wire.Job     // jobs that were submitted
+	startsOf  map[string]int           // tasks started so far, by job
+	linkDelay func() time.Duration     // how long a message to a worker or a peer takes; nil: no time
+	reporting map[*testkit.Worker]bool // workers with a report under way over a slow link
 }
 
 type node struct {
@@ -128,42 +133,50 @@
 
 func (n *node) Observe(v machine.View)                              { n.owner.Observe(v) }
 func (n *node) GrantHere(r machine.GrantRequest) machine.GrantReply { return n.owner.GrantHere(r) }
-func (n *node) GrantThere(_ context.Context, at string, r machine.GrantRequest) (machine.GrantReply, error) {
-	n.w.travel()
-	defer n.w.travel()
-	n.w.mu.Lock()
-	to := n.w.nodes[at]
-	ok := n.w.reach(n, to)
-	n.w.mu.Unlock()
-	if !ok {
-		return machine.GrantReply{}, errCut
-	}
-	return to.owner.GrantHere(r), nil
+func (n *node) GrantThere(ctx context.Context, at string, r machine.GrantRequest) (machine.GrantReply, error) {
+	return overPeerLink(ctx, n.w, func() (machine.GrantReply, error) {
+		to, err := n.peer(at)
+		if err != nil {
+			return machine.GrantReply{}, err
+		}
+		return to.owner.GrantHere(r), nil
+	})
 }
 
-func (n *node) Direct(_ context.Context, holder string, d machine.Direction) (machine.Unlaunched, error) {
-	if holder != n.name {
-		n.w.travel()
-	}
-	n.w.mu.Lock()
-	to := n.w.nodes[holder]
-	ok := to == n || n.w.reach(n, to)
-	n.w.mu.Unlock()
-	if !ok {
-		return machine.Unlaunched{}, errCut
-	}
+func (n *node) Direct(ctx context.Context, holder string, d machine.Direction) (machine.Unlaunched, error) {
 	if n.w.directed != nil {
 		n.w.directed(d)
 	}
-	return to.holder.Direct(d), nil
+	if holder == n.name {
+		return n.holder.Direct(d), nil
+	}
+	return overPeerLink(ctx, n.w, func() (machine.Unlaunched, error) {
+		to, err := n.peer(holder)
+		if err != nil {
+			return machine.Unlaunched{}, err
+		}
+		return to.holder.Direct(d), nil
+	})
 }
 
 // Order sends a direct order; some arrive, but the answer is lost, and some
 // arrive minutes late.
-func (n *node) Order(_ context.Context, endpoint string, o wire.Orders) (*wire.Report, bool, error) {
+func (n *node) Order(ctx context.Context, endpoint string, o wire.Orders) (*wire.Report, bool, error) {
 	if n.w.ordering != nil {
 		n.w.ordering(endpoint, o)
 	}
+	type outcome struct {
+		report   *wire.Report
+		executed bool
+	}
+	a, err := overLink(ctx, n.w, func() (a outcome, err error) {
+		a.report, a.executed, err = n.order(endpoint, o)
+		return a, err
+	})
+	return a.report, a.executed, err
+}
+
+func (n *node) order(endpoint string, o wire.Orders) (*wire.Report, bool, error) {
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
 	worker := n.w.byName[endpoint]
@@ -173,6 +186,10 @@
 		}
 		return nil, false, errCut
 	}
+	if worker.Hangs() {
+		worker.Orders(o) // carried out when it continues
+		return nil, false, errCut
+	}
 	if held := n.w.holding; held != nil && held() {
 		n.w.holdBack(worker, o)
 		return nil, false, errCut
@@ -212,16 +229,18 @@
 }
 
 // Show asks a worker for its report.
-func (n *node) Show(_ context.Context, endpoint string) (*wire.Report, error) {
-	n.w.mu.Lock()
-	defer n.w.mu.Unlock()
-	worker := n.w.byName[endpoint]
-	if worker == nil || !n.w.works(n.name, endpoint) {
-		return nil, errCut
-	}
-	r := worker.Report()
-	r.Endpoint = endpoint
-	return r, nil
+func (n *node) Show(ctx context.Context, endpoint string) (*wire.Report, error) {
+	return overLink(ctx, n.w, func() (*wire.Report, error) {
+		n.w.mu.Lock()
+		defer n.w.mu.Unlock()
+		worker := n.w.byName[endpoint]
+		if worker == nil || worker.Hangs() || !n.w.works(n.name, endpoint) {
+			return nil, errCut
+		}
+		r := worker.Report()
+		r.Endpoint = endpoint
+		return r, nil
+	})
 }
 
 // Facts reads how a job that the owner does not know ended.
@@ -301,7 +320,7 @@
 
 // travel lets the time pass that a message takes one way.
 func (w *cluster) travel() {
-	if d := w.drawn(&w.transit); d > 0 {
+	if d := w.drawn(&w.transit) + w.drawn(&w.linkDelay); d > 0 {
 		time.Sleep(d)
 	}
 }
@@ -344,6 +363,10 @@
 // machine at a time.
 func (w *cluster) report(k *testkit.Worker) {
 	w.mu.Lock()
+	if k.Hangs() {
+		w.mu.Unlock()
+		return
+	}
 	rep := k.Report()
 	rep.Endpoint = k.Name
 	n := w.nodes[w.names[w.at[k]%len(w.names)]]
@@ -395,9 +418,13 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	on := map[string]string{}
+	use := teamUse{}
 	for _, k := range w.workers {
 		for _, task := range k.On() {
 			uid, _, _ := strings.Cut(task, "/")
+			if job := w.specs[uid]; job != nil {
+				use[job.Team] += job.CPUs
+			}
 			if at, cancelled := w.cancels[uid]; cancelled && time.Since(at).Seconds() > w.cfg.Params.Workers.CancelS {
 				w.fail("%s is on %s %v after its user heard that it is cancelled", task, k.Name, time.Since(at))
 			}
@@ -407,6 +434,7 @@
 			on[task] = k.Name
 		}
 	}
+	w.checkLimits(use)
 }
 
 // keptCopies is how many reports may be delivered late: those of a minute or so.
@@ -447,9 +475,7 @@
 			ok := to != n && w.reach(n, to)
 			w.mu.Unlock()
 			if ok {
-				for _, v := range n.holder.Views() {
-					to.owner.Observe(v)
-				}
+				w.afterLink(func() { to.observe(n.holder.Views()) })
 			}
 		}
 	}
@@ -466,26 +492,15 @@
 		return
 	}
 	for _, n := range nodes {
-		_, silent := n.owner.Silent(workerLease)
-		for i := range silent {
-			name, vouched := silent[i].Name, true
-			for _, peer := range nodes {
-				w.mu.Lock()
-				ok := peer == n || w.reach(n, peer)
-				w.mu.Unlock()
-				vouched = vouched && ok && peer.holder.Unanswered(name) > workerLease+500*time.Millisecond
-			}
-			if vouched {
-				n.owner.Vouched(name, time.Now())
-			}
-		}
+		w.afterLink(func() { n.attest() })
 	}
 }
 
 func newCluster(t testing.TB, seed uint64) *cluster {
 	w := &cluster{t: t, fail: t.Errorf, size: 4, rnd: rand.New(rand.NewPCG(seed, 7)), plan: rand.New(rand.NewPCG(seed, 11)), store: testkit.NewStore(), nodes: map[string]*node{},
 		at: map[*testkit.Worker]int{}, byName: map[string]*testkit.Worker{},
-		names: []string{"a", "b", "c"}, off: map[[2]string]bool{}, heard: map[string]hearing{}, cancels: map[string]time.Time{}, over: map[string]bool{}, cleared: map[string]string{}}
+		names: []string{"a", "b", "c"}, off: map[[2]string]bool{}, heard: map[string]hearing{}, cancels: map[string]time.Time{}, over: map[string]bool{}, cleared: map[string]string{},
+		specs: map[string]*wire.Job{}, startsOf: map[string]int{}, reporting: map[*testkit.Worker]bool{}}
 	w.cfg = &config.Platform{Params: config.Params{
 		Teams:   []config.Team{{Name: "t"}},
 		Workers: config.Workers{ReportS: 1, LeaseS: workerLease.Seconds(), CancelS: 40},
@@ -529,6 +544,8 @@
 func (w *cluster) join(k *testkit.Worker, i int) {
 	k.Started = func(task string, attempt uint64) {
 		w.started, w.starts = time.Now(), w.starts+1
+		uid, _, _ := strings.Cut(task, "/")
+		w.startsOf[uid]++
 		if w.onStart != nil {
 			w.onStart(k, task, attempt)
 		}
@@ -551,8 +568,15 @@
 }
 
 func (w *cluster) submitWith(uid string, tasks int, t *terms.Terms) {
-	job := arrayJob(uid, tasks)
-	guards, ops := owner.AcceptTxn(job, t, owner.ShardOf(job, nil, 4), time.Now().UnixMilli())
+	w.submitJob(arrayJob(uid, tasks), t)
+}
+
+// submitJob records an accepted job.
+func (w *cluster) submitJob(job *wire.Job, t *terms.Terms) {
+	w.mu.Lock()
+	w.specs[job.UID] = job
+	w.mu.Unlock()
+	guards, ops := owner.AcceptTxn(job, t, owner.ShardOf(job, w.cfg.Params.Teams, 4), time.Now().UnixMilli())
 	clean := &testkit.View{Store: w.store}
 	if _, err := clean.Txn(context.Background(), guards, ops...); err != nil {
 		w.t.Fatal(err)
@@ -605,6 +629,10 @@
 // reportAll lets every worker report.
 func (w *cluster) reportAll() {
 	for _, k := range w.workers {
+		if w.linksAreSlow() {
+			w.reportSlowly(k)
+			continue
+		}
 		w.report(k)
 		w.check()
 	}
--- a/internal/testkit/fault_pairs_test.go
+++ b/internal/testkit/fault_pairs_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/wallrack/wallrack/internal/config"
 )
 
 var (
@@ -127,6 +129,7 @@
 // newFaultRun starts a cluster with some jobs, six of them with long tasks.
 func newFaultRun(t *testing.T, seed uint64) *faultRun {
 	w := newCluster(t, seed)
+	w.cfg.Params.Teams = []config.Team{{Name: "t"}, {Name: "capped", CPUsMax: 14}}
 	m := &faultRun{cluster: w, sizes: map[string]int{}, ended: map[string]bool{}}
 	w.bigger(3, 6)
 	w.long()
@@ -161,7 +164,11 @@
 func (m *faultRun) accept(uid string, tasks int) {
 	m.sizes[uid] = tasks
 	m.accepted = append(m.accepted, uid)
-	m.submit(uid, tasks)
+	team := "t"
+	if strings.HasPrefix(uid, "j-8") || len(uid)%2 == 1 && uid[len(uid)-1]%2 == 0 {
+		team = "capped" // at its limit with these
+	}
+	m.job(uid, team, "normal", tasks, 1)
 }
 
 // userActs has a user cancel, submit or ask.
--- a/internal/testkit/leader_changes_test.go
+++ b/internal/testkit/leader_changes_test.go
@@ -145,12 +145,19 @@
 	return it.Version
 }
 
-// seenHigher counts the workers that have seen a higher term than any controller's but one.
-func (c *changes) seenHigher(but string) (seen int) {
-	highest := uint64(0)
+// highestTerm is the highest term of all controllers but one.
+func (c *changes) highestTerm(but string) (highest uint64) {
 	for _, n := range c.others(but) {
 		highest = max(highest, c.nodes[n].member.Term())
 	}
+	return highest
+}
+
+// seenHigher counts the workers that have seen a higher term than any controller's but one.
+func (c *changes) seenHigher(but string) (seen int) {
+	highest := c.highestTerm(but)
+	c.mu.Lock() // controllers send the workers orders meanwhile
+	defer c.mu.Unlock()
 	for _, k := range c.workers {
 		if k.Report().Token > highest {
 			seen++
@@ -170,12 +177,15 @@
 				c.whole = true
 				leader := c.leader()
 				seen := c.seenHigher(leader)
-				for range 10 { // some transactions are lost, and some workers are held by others
-					if seen = c.seenHigher(leader); seen >= 8 {
+				// Some transactions are lost, and others hold some workers: they draw a higher
+				// term in their turn when those have seen the leader's.
+				for range 30 {
+					if seen >= 8 {
 						break
 					}
-					_, _ = c.nodes[leader].member.Raise(context.Background(), c.nodes[leader].member.Term())
-					c.live(2)
+					_, _ = c.nodes[leader].member.Raise(context.Background(), max(c.highestTerm(leader), c.nodes[leader].member.Term()))
+					c.live(1)
+					seen = c.seenHigher(leader)
 				}
 				if seen < 8 {
 					t.Errorf("%d workers have seen a higher term than any other controller's", seen)
--- a/internal/testkit/state_outage_test.go
+++ b/internal/testkit/state_outage_test.go
@@ -50,17 +50,14 @@
 
 // Ask hands a user's request to a peer.
 func (n *node) Ask(ctx context.Context, peer string, r intake.Request) (*intake.Reply, error) {
-	n.w.mu.Lock()
-	to := n.w.nodes[peer]
-	ok := n.w.reach(n, to)
-	n.w.mu.Unlock()
-	if !ok {
-		return nil, errCut
-	}
-	n.w.travel()
-	rep := to.intake.Serve(ctx, r)
-	n.w.travel()
-	return &rep, ctx.Err()
+	return overPeerLink(ctx, n.w, func() (*intake.Reply, error) {
+		to, err := n.peer(peer)
+		if err != nil {
+			return nil, err
+		}
+		rep := to.intake.Serve(ctx, r)
+		return &rep, nil
+	})
 }
 
 // tellCancels has a controller and a peer tell each other of cancels.
