--- a/cmd/wallrack/daemon.go
+++ b/cmd/wallrack/daemon.go
@@ -159,6 +159,7 @@
 	g.Go(func() error { return store.Run(ctx) })
 	g.Go(func() error { return n.publish(ctx) })
 	g.Go(func() error { return n.vouch(ctx) })
+	g.Go(func() error { return n.watchLeases(ctx) })
 	log.Info("started", "version", version)
 	err = g.Wait()
 	n.holder.Wait()
--- a/internal/machine/holder.go
+++ b/internal/machine/holder.go
@@ -366,6 +366,10 @@
 func (h *Holder) Unanswered(name string) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.unanswered(name)
+}
+
+func (h *Holder) unanswered(name string) time.Duration {
 	if at, ok := h.answered[name]; ok {
 		return time.Since(at)
 	}
--- a/internal/machine/messages.go
+++ b/internal/machine/messages.go
@@ -91,22 +91,25 @@
 
 // View is what a holder publishes of a machine.
 type View struct {
-	Name     string           `json:"name"`
-	Type     string           `json:"type"`
-	Zone     string           `json:"zone"`
-	Spot     bool             `json:"spot"`
-	Session  uint64           `json:"session"`
-	Seq      uint64           `json:"seq"`
-	Token    uint64           `json:"token"`
-	Holder   string           `json:"holder"`
-	Endpoint string           `json:"endpoint,omitempty"`
-	AgeS     float64          `json:"age,omitempty"` // seconds since the report came
-	NoticeS  *float64         `json:"notice"`
-	Draining bool             `json:"draining"`
-	Asked    bool             `json:"asked,omitempty"` // the report answered a request, which thus reached the machine
-	Tasks    []TaskView       `json:"tasks"`
-	Queue    []QueueView      `json:"queue"`
-	Matrix   placement.Matrix `json:"matrix"`
+	Name     string  `json:"name"`
+	Type     string  `json:"type"`
+	Zone     string  `json:"zone"`
+	Spot     bool    `json:"spot"`
+	Session  uint64  `json:"session"`
+	Seq      uint64  `json:"seq"`
+	Token    uint64  `json:"token"`
+	Holder   string  `json:"holder"`
+	Endpoint string  `json:"endpoint,omitempty"`
+	AgeS     float64 `json:"age,omitempty"` // seconds since the report came
+	// UnansweredS is how long ago its holder last answered a report of the worker, at
+	// least: since its own start if it never has.
+	UnansweredS float64          `json:"unanswered,omitempty"`
+	NoticeS     *float64         `json:"notice"`
+	Draining    bool             `json:"draining"`
+	Asked       bool             `json:"asked,omitempty"` // the report answered a request, which thus reached the machine
+	Tasks       []TaskView       `json:"tasks"`
+	Queue       []QueueView      `json:"queue"`
+	Matrix      placement.Matrix `json:"matrix"`
 }
 
 // Owners is what a holder needs of the tasks' owners, here or elsewhere.
--- a/internal/machine/view.go
+++ b/internal/machine/view.go
@@ -49,7 +49,7 @@
 	now := time.Now()
 	r := &s.report
 	v := View{Name: r.Machine, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Session: r.Session, Seq: r.Seq, Token: r.Token,
-		Holder: h.name, Endpoint: r.Endpoint, AgeS: now.Sub(s.at).Seconds(), NoticeS: r.NoticeS, Draining: s.draining, Asked: s.asked}
+		Holder: h.name, Endpoint: r.Endpoint, AgeS: now.Sub(s.at).Seconds(), UnansweredS: h.unanswered(r.Machine).Seconds(), NoticeS: r.NoticeS, Draining: s.draining, Asked: s.asked}
 	v.Tasks = make([]TaskView, 0, len(r.Tasks))
 	for _, t := range r.Tasks {
 		l := s.tasks[Ref{r.Machine, t.Task, t.Attempt}]
--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -28,6 +28,7 @@
 	if m.gone {
 		return
 	}
+	m.renewed = later(m.renewed, time.Now().Add(-seconds(v.UnansweredS)))
 	if (v.Session < old.Session || v.Session == old.Session && v.Seq < old.Seq) && time.Since(m.heard) < seconds(o.cfg.Params.Workers.LeaseS) {
 		return // a late copy; after a lease without any other, a worker that counts anew
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -185,21 +185,25 @@
 
 // mach is a machine as its views show it.
 type mach struct {
-	index  int
-	name   string
-	view   machine.View
-	at     time.Time // when the view came; zero if none did
-	heard  time.Time // when the report in it came to its holder
-	since  time.Time // when this owner first knew of it
-	matrix placement.Matrix
-	held   bool // the matrix holds room for this pass only
-	places map[*place]struct{}
-	tokens uint64 // the highest that a start command for it may carry by a grant from here
-	images map[int]*cached
-	notice time.Time // when the cloud takes it, if it said so
-	done   float64
-	lost   float64
-	blame  map[string]int // errors there since a task was last done there, by job
+	index int
+	name  string
+	view  machine.View
+	at    time.Time // when the view came; zero if none did
+	heard time.Time // when the report in it came to its holder
+	since time.Time // when this owner first knew of it
+	// renewed is when a report of its worker was last answered, by any controller; askedAt
+	// when it was last asked for one for want of that, unanswered how often in vain.
+	renewed, askedAt time.Time
+	unanswered       int
+	matrix           placement.Matrix
+	held             bool // the matrix holds room for this pass only
+	places           map[*place]struct{}
+	tokens           uint64 // the highest that a start command for it may carry by a grant from here
+	images           map[int]*cached
+	notice           time.Time // when the cloud takes it, if it said so
+	done             float64
+	lost             float64
+	blame            map[string]int // errors there since a task was last done there, by job
 	// deaf is since when what was sent to the machine had no effect, as its reports
 	// show; zero: it had. See heeds.
 	deaf     time.Time
@@ -274,7 +278,7 @@
 
 // Stats are counters for operators.
 type Stats struct {
-	Placed, Duplicates, Granted, Refused, Lost, Done, Errors, Preempted, Evacuated, Takeovers int
+	Placed, Duplicates, Granted, Refused, Lost, Done, Errors, Preempted, Evacuated, Expiring, Takeovers int
 }
 
 // New returns an owner of nothing yet.
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -30,7 +30,7 @@
 	var open []*mach
 	fresh := seconds(3*o.cfg.Params.Workers.ReportS + 1)
 	for _, m := range o.byIndex {
-		if m != nil && !m.gone && !m.closing && m.deaf.IsZero() && !m.view.Draining && m.notice.IsZero() && len(m.matrix) > 0 && o.now.Sub(m.heard) < fresh {
+		if m != nil && !m.gone && !m.closing && !o.takesNoWork(m) && !m.view.Draining && m.notice.IsZero() && len(m.matrix) > 0 && o.now.Sub(m.heard) < fresh {
 			open = append(open, m)
 		}
 	}
@@ -572,7 +572,7 @@
 			silent = silent[:0]
 			for _, p := range ps {
 				if m := p.mach; p.state == placeRecorded &&
-					(now.Sub(later(m.heard, p.made)) > fresh || !m.notice.IsZero() || m.view.Draining || !m.deaf.IsZero()) {
+					(now.Sub(later(m.heard, p.made)) > fresh || !m.notice.IsZero() || m.view.Draining || o.takesNoWork(m)) {
 					silent = append(silent, p)
 				}
 			}
