Workers whose leases are not renewed: read, save or begin elsewhere before they end, start nothing there

Cause: a worker that reaches no controller, while requests reach it, was taken for one that is heard whenever it answered: it got new work, and all of it was killed when its lease ended unrenewed. An owner then gives the machine nothing new and counts its room for nobody; asks it for its report as often as it would report, 2 s before its lease ends and 1 s after; stops tasks that save as late as their save still fits; and stops others that will not be done in time while they have run for less than the rest of the lease, if there is room elsewhere and no aim for starts is undone. Conclusion: what is left to lose there is run that can't be saved and is longer than the rest of the lease.

--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -66,6 +66,7 @@
 	starts   int                              // tasks started so far
 	heard    map[string]hearing               // of each worker, by any controller
 	back     int                              // machines returned
+	sure     bool                             // no order is lost or held back by chance
 	whole    bool                             // no report and no answer is lost by chance
 	keepCuts bool                             // whether links stay cut when it is calm
 	slow     func() time.Duration             // how long the state service's answers take; nil: no time
@@ -151,7 +152,11 @@
 		n.w.holdBack(worker, o)
 		return nil, false, errCut
 	}
-	switch n.w.rnd.IntN(12) {
+	draw := n.w.rnd.IntN(12)
+	if n.w.sure {
+		draw = -1
+	}
+	switch draw {
 	case 0:
 		n.w.holdBack(worker, o)
 		return nil, false, errCut
@@ -413,6 +418,7 @@
 	for _, n := range nodes {
 		if len(n.member.Own()) > 0 {
 			n.holder.Probe(context.Background(), unheard, 3*reportEvery)
+			w.askExpiring(n)
 		}
 	}
 	if len(nodes) < len(w.names) {
--- /dev/null
+++ b/internal/testkit/unrenewed_lease_test.go
@@ -0,0 +1,243 @@
+package testkit_test
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/owner"
+	"github.com/wallrack/wallrack/internal/testkit"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// askExpiring does what cmd/wallrack does several times a second for workers whose
+// reports are overdue.
+func (w *cluster) askExpiring(n *node) {
+	const timesASecond = 4
+	for range timesASecond {
+		if ask := n.owner.Expiring(); len(ask) > 0 && n.Entitled() {
+			n.holder.Chase(context.Background(), ask)
+		}
+	}
+}
+
+// unreported breaks the links from a worker to all controllers, not those back: direct
+// commands reach it, and nothing renews its lease.
+func (w *cluster) unreported(k *testkit.Worker) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, n := range w.names {
+		w.off[[2]string{k.Name, n}] = true
+	}
+}
+
+// workLedger follows what tasks run, save and lose, by what the workers do.
+type workLedger struct {
+	total func(task string) time.Duration
+	saved map[string]time.Duration
+	done  map[string]time.Time
+
+	cut     map[string]time.Time     // machines, by when their reports began to be lost
+	left    map[string]time.Time     // tasks that ended there before they were done, by when
+	late    int                      // starts on them later than startsAfterCut
+	killed  map[string]int           // tasks killed by their lease, by job
+	stopped map[string]int           // tasks stopped on machines that are cut, by job
+	lostRun time.Duration            // run that was lost with killed tasks and with stopped ones that did not save
+	longest map[string]time.Duration // from the cut to a start elsewhere, at most, by job
+	read    int                      // tasks that were done on machines that are cut
+}
+
+// startsAfterCut is how long after a machine's reports began to be lost starts on it may
+// still be under way: what its owner needs to know it, and a report interval.
+const startsAfterCut = 5 * time.Second
+
+// readBeforeExpiry is how long before the end of its lease a task must be done so that
+// its owner surely reads it; the cluster asks once a second.
+const readBeforeExpiry = 3 * time.Second
+
+// follow has a ledger follow all workers.
+func (w *cluster) follow(total, save func(task string) time.Duration) *workLedger {
+	l := &workLedger{total: total, saved: map[string]time.Duration{}, done: map[string]time.Time{}, cut: map[string]time.Time{},
+		left: map[string]time.Time{}, killed: map[string]int{}, stopped: map[string]int{}, longest: map[string]time.Duration{}}
+	for _, k := range w.workers {
+		started := k.Started
+		k.Run = func(task string) time.Duration { return max(0, total(task)-l.saved[task]) }
+		k.Save = save
+		k.Started = func(task string, attempt uint64) {
+			started(task, attempt)
+			l.starts(w, k, task)
+		}
+		k.Ended = func(t wire.Task, ran time.Duration) { l.ends(w, k, t, ran) }
+	}
+	return l
+}
+
+func (l *workLedger) starts(w *cluster, k *testkit.Worker, task string) {
+	if at, cut := l.cut[k.Name]; cut && time.Since(at) > startsAfterCut {
+		l.late++
+	}
+	if at, ok := l.done[task]; ok {
+		w.fail("%s is started again on %s, %v after it was done", task, k.Name, time.Since(at))
+	}
+	if at, ok := l.left[task]; ok {
+		uid, _, _ := strings.Cut(task, "/")
+		l.longest[uid] = max(l.longest[uid], time.Since(at).Round(time.Millisecond))
+		delete(l.left, task)
+	}
+}
+
+func (l *workLedger) ends(w *cluster, k *testkit.Worker, t wire.Task, ran time.Duration) {
+	uid, _, _ := strings.Cut(t.Task, "/")
+	at, cut := l.cut[k.Name]
+	switch {
+	case t.Cause == wire.CauseDone:
+		// Done too shortly before the lease ends, it may be lost with the lease.
+		if !cut || time.Since(at) < workerLease-readBeforeExpiry {
+			l.done[t.Task] = time.Now()
+			if cut {
+				l.read++
+			}
+		}
+		return
+	case t.Saved:
+		l.saved[t.Task] += ran
+	default:
+		l.lostRun += ran
+	}
+	if t.Cause == "" {
+		l.killed[uid]++
+	} else if cut {
+		l.stopped[uid]++
+	}
+	if cut {
+		l.left[t.Task] = at
+	}
+}
+
+// mostKinds lists the workers, those with tasks of most jobs on them first.
+func (w *cluster) mostKinds() []*testkit.Worker {
+	kinds := map[*testkit.Worker]int{}
+	for _, k := range w.workers {
+		uids := map[string]bool{}
+		for _, task := range k.On() {
+			uid, _, _ := strings.Cut(task, "/")
+			uids[uid] = true
+		}
+		kinds[k] = len(uids)
+	}
+	sorted := slices.Clone(w.workers)
+	slices.SortStableFunc(sorted, func(a, b *testkit.Worker) int { return kinds[b] - kinds[a] })
+	return sorted
+}
+
+// accept records a job as accepted.
+func (w *cluster) accept(job *wire.Job) {
+	guards, ops := owner.AcceptTxn(job, nil, owner.ShardOf(job, nil, 4), time.Now().UnixMilli())
+	if _, err := (&testkit.View{Store: w.store}).Txn(context.Background(), guards, ops...); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// Workers that reach no controller, while direct commands reach them, lose their leases.
+// Before that, what is done there is read, and not run again; what can save is stopped
+// and saves; what can't be done in time, and has not run for long, is begun elsewhere;
+// and nothing new is started there. None is returned, since they answer.
+func TestWorkersThatReachNoController(t *testing.T) {
+	const savers, old, young, short = "j-save", "j-old", "j-young", "j-short"
+	for i, c := range []struct {
+		name string
+		cut  int
+	}{{"one", 1}, {"a quarter", 6}, {"all", 24}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newCluster(t, uint64(700+i))
+				w.bigger(3, 24)
+				w.size = 8 // so that there is room elsewhere
+				w.sure, w.keepCuts = true, true
+				l := w.follow(func(task string) time.Duration {
+					if strings.HasPrefix(task, short) {
+						return variedTime(task)
+					}
+					return 40 * time.Second
+				}, func(task string) time.Duration {
+					if strings.HasPrefix(task, savers) {
+						return time.Second
+					}
+					return -1
+				})
+				for _, n := range w.names {
+					w.start(n)
+					time.Sleep(100 * time.Millisecond)
+				}
+				time.Sleep(2 * time.Second)
+				submit := func(uid, priority string, tasks int, estimate, mark float64) {
+					w.accept(&wire.Job{UID: uid, Class: uid, Team: "t", Kind: wire.KindArray, Priority: priority, Tasks: tasks,
+						CPUs: 1, MemoryGB: 1, Image: "i", ImageGB: 0.1, Estimate: estimate, Spot: true, MarkS: mark, SaveS: mark / 30})
+				}
+				submit(savers, "normal", 24, 40, 30)
+				submit(old, "normal", 24, 40, 0)
+				w.live(2)
+				submit(short, "normal", 240, 6, 0)
+				w.live(8)
+				submit(young, "urgent", 24, 40, 0)
+				w.live(1)
+				sessions := map[string]uint64{}
+				cut := w.mostKinds()[:c.cut]
+				for _, k := range cut {
+					w.unreported(k)
+					l.cut[k.Name] = time.Now()
+					sessions[k.Name] = k.Report().Session
+				}
+				w.live(25)
+				for _, k := range cut {
+					if k.Report().Session == sessions[k.Name] {
+						t.Errorf("the lease of %s did not end", k.Name)
+					}
+				}
+				t.Logf("%s: killed %v, stopped %v, %d done there, %v of run lost, %d late starts, %v until all ran elsewhere, %d still wait, %d returned",
+					c.name, l.killed, l.stopped, l.read, l.lostRun, l.late, l.longest, len(l.left), w.back)
+				if l.killed[savers] > 0 {
+					t.Errorf("%d tasks that can save were killed", l.killed[savers])
+				}
+				if l.late > 0 {
+					t.Errorf("%d starts on machines whose leases are not renewed", l.late)
+				}
+				if w.back > 0 {
+					t.Errorf("%d machines that answer were returned", w.back)
+				}
+				if l.stopped[savers] == 0 || c.cut > 1 && l.read == 0 {
+					t.Errorf("%d tasks were stopped that save, %d were done on machines that reach nobody", l.stopped[savers], l.read)
+				}
+				if c.cut > 1 && c.cut < len(w.workers)/2 && l.stopped[young] == 0 {
+					t.Error("no task was stopped early")
+				}
+				if c.cut < len(w.workers)/2 {
+					if l.killed[young] > 0 {
+						t.Errorf("%d tasks that had run for less than the rest of the lease were left to be killed", l.killed[young])
+					}
+					// Those that nothing saves wait for the end of the lease, and for a request after it.
+					for uid, bound := range map[string]time.Duration{old: workerLease + 3*time.Second, savers: workerLease + time.Second, young: workerLease - 2*time.Second} {
+						if l.longest[uid] > bound {
+							t.Errorf("%v until tasks of %s ran elsewhere", l.longest[uid], uid)
+						}
+					}
+					if len(l.left) > 0 {
+						t.Errorf("%d tasks still wait", len(l.left))
+					}
+				}
+				clear(l.cut)
+				w.healed()
+				for end := time.Now().Add(5 * time.Minute); len(w.store.Keys("final/")) < 4 && time.Now().Before(end); {
+					w.live(1)
+				}
+				if n := len(w.store.Keys("final/")); n < 4 {
+					t.Errorf("%d of 4 jobs are done", n)
+				}
+				w.stopAll()
+			})
+		})
+	}
+}
--- a/internal/testkit/worker.go
+++ b/internal/testkit/worker.go
@@ -12,8 +12,10 @@
 	Lease   time.Duration
 	Run     func(task string) time.Duration // how long a task runs
 	Started func(task string, attempt uint64)
-	Exit    func(task string) int             // exit code of a task that ends by itself; nil: 0
-	Forgot  func(task string, attempt uint64) // a task that was done is cleared
+	Exit    func(task string) int                // exit code of a task that ends by itself; nil: 0
+	Forgot  func(task string, attempt uint64)    // a task that was done is cleared
+	Save    func(task string) time.Duration      // how long a task takes to save when it is stopped; nil, or negative: it can't
+	Ended   func(t wire.Task, ran time.Duration) // a task ends, with what it was exited; killed by the lease: with no cause
 
 	session, seq, token uint64
 	renewed             time.Time
@@ -27,7 +29,41 @@
 
 type running struct {
 	wire.Task
-	ends time.Time
+	begun time.Time
+	ends  time.Time // its run, or its saving
+}
+
+// end notes that a task ends, and how long it ran.
+func (w *Worker) end(t *running, ran time.Duration) {
+	if w.Ended != nil {
+		w.Ended(t.Task, ran)
+	}
+}
+
+// kill ends all tasks with the lease.
+func (w *Worker) kill(now time.Time) {
+	for _, t := range w.tasks {
+		if t.State != wire.TaskExited {
+			w.end(t, now.Sub(t.begun))
+		}
+	}
+}
+
+// stop stops a task; it saves first if it can and has the time.
+func (w *Worker) stop(t *running, grace float64) {
+	now, save := time.Now(), time.Duration(-1)
+	if w.Save != nil {
+		save = w.Save(t.Task.Task)
+	}
+	switch {
+	case t.State == wire.TaskExited:
+	case t.State == wire.TaskRunning && save >= 0 && grace >= save.Seconds():
+		t.State, t.ends = wire.TaskSaving, now.Add(save)
+	case t.State == wire.TaskSaving && grace > 0:
+	default:
+		t.State, t.Cause = wire.TaskExited, wire.CauseStopped
+		w.end(t, now.Sub(t.begun))
+	}
 }
 
 // NewWorker returns a worker that has just come up.
@@ -38,6 +74,7 @@
 func (w *Worker) advance() {
 	now := time.Now()
 	if now.Sub(w.renewed) > w.Lease {
+		w.kill(now)
 		w.tasks = map[ref]*running{}
 		w.session++
 		w.renewed = now
@@ -50,6 +87,11 @@
 					t.Cause, t.Exit = wire.CauseError, &code
 				}
 			}
+			w.end(t, t.ends.Sub(t.begun))
+		}
+		if t.State == wire.TaskSaving && !now.Before(t.ends) {
+			t.State, t.Cause, t.Saved = wire.TaskExited, wire.CauseStopped, true
+			w.end(t, t.ends.Sub(t.begun))
 		}
 	}
 }
@@ -108,7 +150,7 @@
 			if t != nil {
 				continue
 			}
-			t = &running{Task: wire.Task{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning}, ends: time.Now().Add(w.Run(c.Task))}
+			t = &running{Task: wire.Task{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning}, begun: time.Now(), ends: time.Now().Add(w.Run(c.Task))}
 			for o, other := range w.tasks {
 				if o.task == c.Task && other.State != wire.TaskExited {
 					t.State, t.Cause = wire.TaskExited, wire.CauseBusy
@@ -119,8 +161,12 @@
 				w.Started(c.Task, c.Attempt)
 			}
 		case wire.VerbStop:
-			if t != nil && t.State != wire.TaskExited {
-				t.State, t.Cause = wire.TaskExited, wire.CauseStopped
+			if t != nil {
+				grace := 0.0
+				if c.GraceS != nil {
+					grace = *c.GraceS
+				}
+				w.stop(t, grace)
 			}
 		case wire.VerbForget:
 			if t != nil && t.State == wire.TaskExited {
