A successor saves what saves on workers whose leases its predecessor renewed last

Cause: a new owner does not know when such a worker's lease ends, nor how long tasks there have run. Change: it stops tasks that save as soon as the worker's reports are overdue, and no other that a predecessor started. The test has the leader end while a quarter of the workers reach nobody, and no list. Conclusion: a save a little early costs less than the run since the last mark.

--- a/internal/owner/lease.go
+++ b/internal/owner/lease.go
@@ -141,6 +141,7 @@
 // end. If not early, only tasks that save are.
 func (o *Owner) stopExpiring(m *mach, now time.Time, early bool) {
 	left := (seconds(o.cfg.Params.Workers.LeaseS) - now.Sub(m.renewedAt())).Seconds()
+	unknown := m.renewed.Before(m.since) // renewed by a predecessor: the lease may end at any time
 	for p := range m.places {
 		j := p.job
 		if p.state != placeSeen || p.exited || !p.halted.IsZero() || j.cancelled || j.spec.Service() {
@@ -156,10 +157,10 @@
 		}
 		if j.spec.MarkS > 0 {
 			a.save = j.spec.SaveS
-		} else if !early || j.spec.Gang() {
-			continue // a gang's tasks go together
+		} else if !early || j.spec.Gang() || !p.whole && !p.running.IsZero() {
+			continue // a gang's tasks go together; how long one has run that a predecessor started is not known
 		}
-		if stopBeforeExpiry(a, left) {
+		if stopBeforeExpiry(a, left) || unknown && a.save >= 0 {
 			o.halt(p, max(0, a.save)+1)
 			o.stats.Expiring++
 		}
--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -66,6 +66,7 @@
 	starts   int                              // tasks started so far
 	heard    map[string]hearing               // of each worker, by any controller
 	back     int                              // machines returned
+	unlisted bool                             // the cloud's list tells no owner whom to ask
 	sure     bool                             // no order is lost or held back by chance
 	whole    bool                             // no report and no answer is lost by chance
 	keepCuts bool                             // whether links stay cut when it is calm
@@ -417,7 +418,9 @@
 	}
 	for _, n := range nodes {
 		if len(n.member.Own()) > 0 {
-			n.holder.Probe(context.Background(), unheard, 3*reportEvery)
+			if !w.unlisted {
+				n.holder.Probe(context.Background(), unheard, 3*reportEvery)
+			}
 			w.askExpiring(n)
 		}
 	}
