Tests: when overdue workers are asked; the leader ends a second after the reports are lost

Change: a table of when a request is due; the leader ends earlier. Conclusion: a missing request before or after the lease's end is found by the table.

--- a/internal/owner/lease_test.go
+++ b/internal/owner/lease_test.go
@@ -1,6 +1,11 @@
 package owner
 
-import "testing"
+import (
+	"testing"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/config"
+)
 
 // What is stopped before an unrenewed lease ends is what loses less by it.
 func TestStopBeforeExpiry(t *testing.T) {
@@ -27,3 +32,41 @@
 		}
 	}
 }
+
+// A worker whose reports are overdue is asked as often as it would report, and around the
+// end of its lease; one that answers no request is left alone. Seconds are since its last
+// report was answered.
+func TestOverdueWorkersAreAsked(t *testing.T) {
+	o := &Owner{cfg: &config.Platform{Params: config.Params{Workers: config.Workers{ReportS: 8, LeaseS: 44}}}}
+	began := time.Now()
+	at := func(s float64) time.Time { return began.Add(seconds(s)) }
+	for _, c := range []struct {
+		name              string
+		now, heard, asked float64
+		unanswered        int
+		stopping          bool
+		due               bool
+	}{
+		{"its report is not overdue", 10, 0, 0, 0, false, false},
+		{"its report is overdue", 11.5, 0, 0, 0, false, true},
+		{"it was asked a moment ago", 14, 11.5, 11.5, 0, false, false},
+		{"more often while it is not clear", 16, 11.5, 11.5, 0, false, true},
+		{"as often as it would report", 26, 19, 19, 0, false, false},
+		{"as often as it would report, again", 27.5, 19, 19, 0, false, true},
+		{"a task is being stopped", 20.5, 19, 19, 0, true, true},
+		{"shortly before its lease ends", 42.2, 40, 40, 0, false, true},
+		{"after that", 43, 42.2, 42.2, 0, false, false},
+		{"shortly after its lease ended", 45.2, 42.2, 42.2, 0, false, true},
+		{"long after its lease ended", 60, 45.2, 45.2, 0, false, false},
+		{"it answers no request", 30, 0, 20, unansweredAsks, false, false},
+		{"it did not answer once", 30, 0, 20, 1, false, true},
+	} {
+		m := &mach{renewed: began, heard: at(c.heard), askedAt: at(c.asked), unanswered: c.unanswered, places: map[*place]struct{}{}}
+		if c.stopping {
+			m.places[&place{state: placeSeen, halted: at(19)}] = struct{}{}
+		}
+		if due := o.expiring(m, at(c.now)) && o.askDue(m, at(c.now)); due != c.due {
+			t.Errorf("%s: %v", c.name, due)
+		}
+	}
+}
--- a/internal/testkit/unrenewed_lease_test.go
+++ b/internal/testkit/unrenewed_lease_test.go
@@ -202,8 +202,8 @@
 					sessions[k.Name] = k.Report().Session
 				}
 				if c.ends {
-					w.live(2)
-					w.restart(w.leader(), time.Second)
+					w.live(1)
+					w.restart(w.leader(), 200*time.Millisecond)
 				}
 				w.live(25)
 				for _, k := range cut {
