Tests: no job waits while a machine has room, and starts after a confirmed cancel were under way

Without troubles, a job with tasks on no machine may not wait for 90 s while one machine has had room for it at every look and its team is under its limit. Each start after its job's confirmed cancel is counted, and must be by a command that its sender sent before it knew of the cancel: at most one order a machine under way, and what fits there.

--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -81,6 +81,8 @@
 	over    map[string]bool      // jobs whose user heard that they are done
 	cancels map[string]time.Time // jobs, by when their user first heard that they are cancelled
 
+	checks checks // see checks_test.go
+
 	accounts bool // whether accounting rows are written
 }
 
@@ -97,6 +99,7 @@
 	reach    reach
 	reg      *cancels.Register
 	entitled bool // when last looked at
+	knows    knownCancels
 	intake   *intake.Intake
 	mux      *http.ServeMux // the users' interface
 }
@@ -145,12 +148,12 @@
 	worker := n.w.byName[endpoint]
 	if worker == nil || !n.w.works(n.name, endpoint) {
 		if worker != nil && n.w.rnd.IntN(2) == 0 {
-			n.w.holdBack(worker, o)
+			n.w.holdBack(n, worker, o)
 		}
 		return nil, false, errCut
 	}
 	if held := n.w.holding; held != nil && held() {
-		n.w.holdBack(worker, o)
+		n.w.holdBack(n, worker, o)
 		return nil, false, errCut
 	}
 	draw := n.w.rnd.IntN(12)
@@ -159,12 +162,14 @@
 	}
 	switch draw {
 	case 0:
-		n.w.holdBack(worker, o)
+		n.w.holdBack(n, worker, o)
 		return nil, false, errCut
 	case 1:
+		n.w.checks.sent(n, time.Now())
 		worker.Orders(o)
 		return nil, false, errCut
 	}
+	n.w.checks.sent(n, time.Now())
 	executed := worker.Orders(o)
 	r := worker.Report()
 	r.Endpoint = endpoint
@@ -172,8 +177,9 @@
 }
 
 // holdBack keeps an order that is delivered when it may.
-func (w *cluster) holdBack(to *testkit.Worker, o wire.Orders) {
-	w.late = append(w.late, func() { to.Orders(o) })
+func (w *cluster) holdBack(from *node, to *testkit.Worker, o wire.Orders) {
+	sent := time.Now()
+	w.late = append(w.late, func() { w.checks.sent(from, sent); to.Orders(o) })
 }
 
 // release delivers the orders that were held back, and returns how many.
@@ -238,7 +244,7 @@
 	n.owner.Accounts, n.owner.Others = w.accounts, n
 	n.holder = machine.New(ctx, name, workerLease, n, n.member, w.size, n, n, log)
 	n.reg = cancels.New(n.reach.peers(), config.Seconds(cfg.Params.Workers.CancelS), n.member.Held)
-	n.reg.Fresh = func([]string) { go n.holder.Recall() }
+	n.reg.Fresh = func(uids []string) { n.knows.learn(uids); go n.holder.Recall() }
 	n.owner.Cancels, n.holder.Cancels = n.reg, n.reg
 	n.intake = intake.New(&cfg, op, n.view, n.owner, w.size, n, log)
 	n.intake.Cancels = n.reg
@@ -335,6 +341,7 @@
 	}
 	switch a := body.(type) {
 	case wire.ReportAnswer:
+		w.checks.sent(n, time.Now())
 		k.Answer(sent, rep.Session, a)
 	case wire.Redirect:
 		w.at[k]++
@@ -448,6 +455,7 @@
 	w := &cluster{t: t, fail: t.Errorf, size: 4, rnd: rand.New(rand.NewPCG(seed, 7)), store: testkit.NewStore(), nodes: map[string]*node{},
 		at: map[*testkit.Worker]int{}, byName: map[string]*testkit.Worker{},
 		names: []string{"a", "b", "c"}, off: map[[2]string]bool{}, heard: map[string]hearing{}, cancels: map[string]time.Time{}, over: map[string]bool{}, cleared: map[string]string{}}
+	w.checks.init()
 	w.cfg = &config.Platform{Params: config.Params{
 		Teams:   []config.Team{{Name: "t"}},
 		Workers: config.Workers{ReportS: 1, LeaseS: workerLease.Seconds(), CancelS: 40},
@@ -491,11 +499,13 @@
 func (w *cluster) join(k *testkit.Worker, i int) {
 	k.Started = func(task string, attempt uint64) {
 		w.started, w.starts = time.Now(), w.starts+1
+		w.checkStart(task)
 		if at := w.cleared[task]; at != "" {
 			w.fail("%s is started again, as attempt %d on %s, when it was done and cleared on %s", task, attempt, k.Name, at)
 		}
 	}
 	k.Forgot = func(task string, attempt uint64) { w.cleared[task] = fmt.Sprintf("%s as attempt %d", k.Name, attempt) }
+	k.Ended = func(t wire.Task, _ time.Duration) { w.checkEnd(t) }
 	w.workers = append(w.workers, k)
 	w.byName[k.Name] = k
 	w.at[k] = i
@@ -565,6 +575,7 @@
 	w.check()
 	w.exchange()
 	w.publish()
+	w.checkWaits()
 	if time.Now().Before(calm) {
 		if w.draw(4) == 0 {
 			w.trouble()
--- a/internal/testkit/unrenewed_lease_test.go
+++ b/internal/testkit/unrenewed_lease_test.go
@@ -70,7 +70,8 @@
 			started(task, attempt)
 			l.starts(w, k, task)
 		}
-		k.Ended = func(t wire.Task, ran time.Duration) { l.ends(w, k, t, ran) }
+		ended := k.Ended
+		k.Ended = func(t wire.Task, ran time.Duration) { ended(t, ran); l.ends(w, k, t, ran) }
 	}
 	return l
 }
