An unrenewed worker still gets what will be done before its lease ends

Cause: with no new work for a quarter of the machines, lost starts fell, but so did jobs done in time: the rest of a lease, and each session's lease after it, is room that nobody else can use. Change: the owner knows when the lease of the worker's present session ends, and starts there what will be done and read before, by a cautious estimate; its room counts for the plan again; only what surely will not be done in time is stopped early.

--- a/internal/owner/demand.go
+++ b/internal/owner/demand.go
@@ -82,11 +82,7 @@
 	var ls []Load
 	for _, m := range o.machines {
 		m.kind, _ = o.types.Type(m.view.Type) // prices move
-		heard := m.heard
-		if o.overdue(m, renewOverdue) {
-			heard = m.renewedAt() // its room is of no use, although it answers when asked
-		}
-		l := Load{Name: m.name, Type: m.view.Type, Zone: m.view.Zone, Spot: m.view.Spot, Matrix: m.matrix, Heard: heard,
+		l := Load{Name: m.name, Type: m.view.Type, Zone: m.view.Zone, Spot: m.view.Spot, Matrix: m.matrix, Heard: m.heard,
 			Places: len(m.places), Notice: !m.notice.IsZero(), Faulty: m.faulty()}
 		for p := range m.places {
 			if p.on() {
--- a/internal/owner/grant.go
+++ b/internal/owner/grant.go
@@ -50,7 +50,7 @@
 		return no
 	case m.gone || m.view.Draining || !o.allowed(j, m):
 		return no
-	case o.takesNoWork(m) && p.state != placeGranted:
+	case (!m.deaf.IsZero() || !o.fitsLease(j, m)) && p.state != placeGranted:
 		return no
 	case j.asked != nil && !o.termsAllow(j, n):
 		return no
--- a/internal/owner/lease.go
+++ b/internal/owner/lease.go
@@ -12,10 +12,12 @@
 
 const (
 	reportOverdue  = 1.25 // report intervals without an answered report, and overdueSlack, after which a worker is asked
-	renewOverdue   = 1.5  // the same, after which it gets no new work
+	renewOverdue   = 1.5  // the same, after which it gets no work that its lease may cut short
 	haltOverdue    = 2    // the same, after which tasks on it are stopped
+	sameRenewal    = 0.25 // the same, within which two times are of one renewal
 	overdueSlack   = time.Second
 	haltTakes      = 3.0 // seconds from the decision to stop a task until its worker has surely got the command
+	surelyLate     = 1.5 // by which a task's estimated rest exceeds that of its lease if it surely is not done in time
 	showTakes      = 2.0 // seconds before the end of a lease at which its worker is asked a last time
 	settleTakes    = time.Second
 	unansweredAsks = 2   // requests without an answer after which a machine is left to the rules of silence
@@ -35,9 +37,32 @@
 	return m.heard.Sub(m.renewedAt()) > seconds(intervals*o.cfg.Params.Workers.ReportS)+overdueSlack
 }
 
-// takesNoWork reports whether what is started on the machine would be lost: commands
-// don't reach it, or its worker's lease is not renewed.
-func (o *Owner) takesNoWork(m *mach) bool { return !m.deaf.IsZero() || o.overdue(m, renewOverdue) }
+// leaseEnd is when the lease of the machine's worker ends if it is not renewed: each
+// session after the one in which it was renewed last has had a lease to itself.
+func (o *Owner) leaseEnd(m *mach) time.Time {
+	leases := 1.0
+	if m.view.Session > m.renewedIn {
+		leases += float64(m.view.Session - m.renewedIn)
+	}
+	return m.renewedAt().Add(seconds(leases * o.cfg.Params.Workers.LeaseS))
+}
+
+// leaseUnknown reports whether a predecessor renewed the worker's lease last: it may end
+// at any time.
+func (m *mach) leaseUnknown() bool { return m.renewed.Before(m.since) }
+
+// fitsLease reports whether a task of the job that starts on the machine now would be
+// done, and read, before a lease ends that is not renewed.
+func (o *Owner) fitsLease(j *job, m *mach) bool {
+	if !o.overdue(m, renewOverdue) {
+		return true
+	}
+	if m.leaseUnknown() || j.spec.Service() || j.spec.Gang() {
+		return false
+	}
+	takes := startTakes + o.fetchTime(j, m) + pessimism*j.runEstimate() + showTakes
+	return takes < time.Until(o.leaseEnd(m)).Seconds()
+}
 
 // attempt is a task on a worker whose lease is not renewed. Times are in seconds.
 type attempt struct {
@@ -48,10 +73,11 @@
 }
 
 // stopBeforeExpiry decides whether to stop a task now, left seconds before its worker
-// kills it. One that saves runs on as long as it can be saved. Any other that will not
-// be done in time loses its run if the lease ends, and the rest of the lease too: it is
-// stopped while it has run for less than that, so that no more is lost than twice the
-// least possible, whether or not the worker is heard again.
+// kills it. One that saves runs on as long as it can be saved. Any other that surely
+// will not be done in time loses its run if the lease ends, and the rest of the lease too:
+// it is stopped while it has run for less than that, so that no more is lost than twice
+// the least possible, whether or not the worker is heard again. What may be done runs on:
+// its machine is of use to nobody else.
 func stopBeforeExpiry(a attempt, left float64) bool {
 	switch {
 	case left <= 0 || a.counted:
@@ -59,7 +85,7 @@
 	case a.save >= 0:
 		return left <= a.save+haltTakes
 	default:
-		return a.rest+showTakes >= left && a.elapsed < left
+		return a.rest+showTakes >= surelyLate*left && a.elapsed < left
 	}
 }
 
@@ -106,8 +132,7 @@
 // long.
 func (o *Owner) expiring(m *mach, now time.Time) bool {
 	w := &o.cfg.Params.Workers
-	unrenewed := now.Sub(m.renewedAt())
-	return unrenewed > seconds(reportOverdue*w.ReportS)+overdueSlack && unrenewed < seconds(w.LeaseS+w.ReportS)+settleTakes
+	return now.Sub(m.renewedAt()) > seconds(reportOverdue*w.ReportS)+overdueSlack && now.Before(o.leaseEnd(m).Add(seconds(w.ReportS)+settleTakes))
 }
 
 // askDue reports whether an unrenewed worker is to be asked for its report: as often as
@@ -128,7 +153,7 @@
 			interval = min(interval, 1)
 		}
 	}
-	ends := m.renewedAt().Add(seconds(w.LeaseS))
+	ends := o.leaseEnd(m)
 	for _, at := range []time.Time{ends.Add(-seconds(showTakes)), ends.Add(settleTakes)} {
 		if last.Before(at) && !now.Before(at) {
 			return true
@@ -140,8 +165,7 @@
 // stopExpiring stops what is to be stopped on a machine whose worker's lease is about to
 // end. If not early, only tasks that save are.
 func (o *Owner) stopExpiring(m *mach, now time.Time, early bool) {
-	left := (seconds(o.cfg.Params.Workers.LeaseS) - now.Sub(m.renewedAt())).Seconds()
-	unknown := m.renewed.Before(m.since) // renewed by a predecessor: the lease may end at any time
+	left := o.leaseEnd(m).Sub(now).Seconds()
 	for p := range m.places {
 		j := p.job
 		if p.state != placeSeen || p.exited || !p.halted.IsZero() || j.cancelled || j.spec.Service() {
@@ -160,7 +184,7 @@
 		} else if !early || j.spec.Gang() || !p.whole && !p.running.IsZero() {
 			continue // a gang's tasks go together; how long one has run that a predecessor started is not known
 		}
-		if stopBeforeExpiry(a, left) || unknown && a.save >= 0 {
+		if stopBeforeExpiry(a, left) || m.leaseUnknown() && a.save >= 0 {
 			o.halt(p, max(0, a.save)+1)
 			o.stats.Expiring++
 		}
--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -28,7 +28,10 @@
 	if m.gone {
 		return
 	}
-	m.renewed = later(m.renewed, time.Now().Add(-seconds(v.UnansweredS)))
+	// A view takes time to come, which makes the same renewal look a little later.
+	if at := time.Now().Add(-seconds(v.UnansweredS)); at.Sub(m.renewed) > seconds(sameRenewal*o.cfg.Params.Workers.ReportS) {
+		m.renewed, m.renewedIn = at, v.Session
+	}
 	if (v.Session < old.Session || v.Session == old.Session && v.Seq < old.Seq) && time.Since(m.heard) < seconds(o.cfg.Params.Workers.LeaseS) {
 		return // a late copy; after a lease without any other, a worker that counts anew
 	}
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -30,7 +30,7 @@
 	var open []*mach
 	fresh := seconds(3*o.cfg.Params.Workers.ReportS + 1)
 	for _, m := range o.byIndex {
-		if m != nil && !m.gone && !m.closing && !o.takesNoWork(m) && !m.view.Draining && m.notice.IsZero() && len(m.matrix) > 0 && o.now.Sub(m.heard) < fresh {
+		if m != nil && !m.gone && !m.closing && m.deaf.IsZero() && !m.view.Draining && m.notice.IsZero() && len(m.matrix) > 0 && o.now.Sub(m.heard) < fresh {
 			open = append(open, m)
 		}
 	}
@@ -78,7 +78,7 @@
 	}
 	ms := []*mach{}
 	for _, m := range open {
-		if !o.allowed(j, m) {
+		if !o.allowed(j, m) || !o.fitsLease(j, m) {
 			continue
 		}
 		most := o.op.HorizonS + o.now.Sub(m.at).Seconds()
@@ -197,7 +197,7 @@
 			soonest := math.Inf(1)
 			run := j.runEstimate()
 			for _, m := range open {
-				if !o.allowed(j, m) {
+				if !o.allowed(j, m) || !o.fitsLease(j, m) {
 					continue
 				}
 				if w := m.matrix.WaitWithin(j.shape, run, min(soonest, holdWithin)); w < soonest && w <= holdWithin {
@@ -286,7 +286,7 @@
 type estimate struct{ wait, cost, fetch float64 }
 
 func (o *Owner) estimate(j *job, m *mach) (estimate, bool) {
-	if !o.allowed(j, m) || !o.within(j, m) || !o.underLimit(j) {
+	if !o.allowed(j, m) || !o.within(j, m) || !o.underLimit(j) || !o.fitsLease(j, m) {
 		return estimate{}, false
 	}
 	if until, ok := j.avoid[m.index]; len(j.avoid) > 0 && ok {
@@ -572,7 +572,7 @@
 			silent = silent[:0]
 			for _, p := range ps {
 				if m := p.mach; p.state == placeRecorded &&
-					(now.Sub(later(m.heard, p.made)) > fresh || !m.notice.IsZero() || m.view.Draining || o.takesNoWork(m)) {
+					(now.Sub(later(m.heard, p.made)) > fresh || !m.notice.IsZero() || m.view.Draining || !m.deaf.IsZero() || !o.fitsLease(j, m)) {
 					silent = append(silent, p)
 				}
 			}
