Commands reach a worker that has seen a higher token and reports to nobody

Cause: a holder raised its term above a worker's token only when the worker reported; one that had seen another controller's token and then reached nobody got no direct command, so that nothing on it was saved. Change: the holder raises its term when it would send a command and can't.

--- a/internal/machine/push.go
+++ b/internal/machine/push.go
@@ -27,8 +27,14 @@
 		return
 	}
 	term := h.tokens.Term()
-	if term == 0 || term < s.report.Token {
-		return // the next report raises the term
+	if term == 0 {
+		return
+	}
+	if term < s.report.Token {
+		// The next report raises the term too, but may never come: a worker that had seen
+		// another controller's token, and reached nobody any more, got no command.
+		h.raiseLocked(s.report.Token)
+		return
 	}
 	cmds := h.commands(name, term, false)
 	if len(cmds) == 0 {
--- a/internal/owner/lease_test.go
+++ b/internal/owner/lease_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/wire"
 )
 
 // What is stopped before an unrenewed lease ends is what loses less by it.
@@ -70,3 +71,33 @@
 		}
 	}
 }
+
+// Each session of a worker has a lease of its own, and what is started in the rest of it
+// must be done before it ends.
+func TestWhatFitsAnUnrenewedLease(t *testing.T) {
+	o := &Owner{cfg: &config.Platform{Params: config.Params{Workers: config.Workers{ReportS: 8, LeaseS: 44}}}}
+	ago := func(s float64) time.Time { return time.Now().Add(-seconds(s)) }
+	for _, c := range []struct {
+		name              string
+		renewed, known    float64 // seconds ago
+		session, lastHere uint64  // now, and when it was renewed
+		run               float64
+		kind              string
+		want              bool
+	}{
+		{"its reports are answered", 5, 100, 1, 1, 600, wire.KindArray, true},
+		{"a short task in the rest of the lease", 20, 100, 1, 1, 10, wire.KindArray, true},
+		{"a long task in the rest of the lease", 20, 100, 1, 1, 20, wire.KindArray, false},
+		{"the same in the next session's lease", 46, 100, 2, 1, 20, wire.KindArray, true},
+		{"the lease has ended, and the session is not known to have", 46, 100, 1, 1, 1, wire.KindArray, false},
+		{"a service", 20, 100, 1, 1, 1, wire.KindService, false},
+		{"a predecessor renewed it last", 40, 20, 1, 1, 1, wire.KindArray, false},
+	} {
+		m := &mach{renewed: ago(c.renewed), since: ago(c.known), heard: time.Now(), renewedIn: c.lastHere}
+		m.view.Session = c.session
+		j := &job{spec: &wire.Job{Kind: c.kind, Estimate: c.run}, class: &class{ratio: 1}}
+		if got := o.fitsLease(j, m); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
