--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -67,6 +67,8 @@
 	starts   int                              // tasks started so far
 	heard    map[string]hearing               // of each worker, by any controller
 	back     int                              // machines returned
+	unlisted bool                             // the cloud's list tells no owner whom to ask
+	sure     bool                             // no order is lost or held back by chance
 	whole    bool                             // no report and no answer is lost by chance
 	reliable bool                             // no transaction is lost or late by chance
 	keepCuts bool                             // whether links stay cut when it is calm
@@ -100,6 +102,8 @@
 	startsOf  map[string]int           // tasks started so far, by job
 	linkDelay func() time.Duration     // how long a message to a worker or a peer takes; nil: no time
 	reporting map[*testkit.Worker]bool // workers with a report under way over a slow link
+
+	checks checks // see checks_test.go
 }
 
 type node struct {
@@ -115,6 +119,7 @@
 	reach    reach
 	reg      *cancels.Register
 	entitled bool // when last looked at
+	knows    knownCancels
 	intake   *intake.Intake
 	mux      *http.ServeMux // the users' interface
 }
@@ -182,7 +187,7 @@
 	worker := n.w.byName[endpoint]
 	if worker == nil || !n.w.works(n.name, endpoint) {
 		if worker != nil && n.w.rnd.IntN(2) == 0 {
-			n.w.holdBack(worker, o)
+			n.w.holdBack(n, worker, o)
 		}
 		return nil, false, errCut
 	}
@@ -191,17 +196,23 @@
 		return nil, false, errCut
 	}
 	if held := n.w.holding; held != nil && held() {
-		n.w.holdBack(worker, o)
+		n.w.holdBack(n, worker, o)
 		return nil, false, errCut
 	}
-	switch n.w.rnd.IntN(12) {
+	draw := n.w.rnd.IntN(12)
+	if n.w.sure {
+		draw = -1
+	}
+	switch draw {
 	case 0:
-		n.w.holdBack(worker, o)
+		n.w.holdBack(n, worker, o)
 		return nil, false, errCut
 	case 1:
+		n.w.checks.sent(n, time.Now())
 		worker.Orders(o)
 		return nil, false, errCut
 	}
+	n.w.checks.sent(n, time.Now())
 	executed := worker.Orders(o)
 	r := worker.Report()
 	r.Endpoint = endpoint
@@ -209,8 +220,9 @@
 }
 
 // holdBack keeps an order that is delivered when it may.
-func (w *cluster) holdBack(to *testkit.Worker, o wire.Orders) {
-	w.late = append(w.late, func() { to.Orders(o) })
+func (w *cluster) holdBack(from *node, to *testkit.Worker, o wire.Orders) {
+	sent := time.Now()
+	w.late = append(w.late, func() { w.checks.sent(from, sent); to.Orders(o) })
 }
 
 // release delivers the orders that were held back, and returns how many.
@@ -285,7 +297,7 @@
 	n.owner.Accounts, n.owner.Others = w.accounts, n
 	n.holder = machine.New(ctx, name, workerLease, n, n.member, w.size, n, n, log)
 	n.reg = cancels.New(n.reach.peers(), config.Seconds(cfg.Params.Workers.CancelS), n.member.Held)
-	n.reg.Fresh = func([]string) { go n.holder.Recall() }
+	n.reg.Fresh = func(uids []string) { n.knows.learn(uids); go n.holder.Recall() }
 	n.owner.Cancels, n.holder.Cancels = n.reg, n.reg
 	n.intake = intake.New(&cfg, op, n.view, n.owner, w.size, n, log)
 	n.intake.Cancels = n.reg
@@ -399,6 +411,7 @@
 	}
 	switch a := body.(type) {
 	case wire.ReportAnswer:
+		w.checks.sent(n, time.Now())
 		k.Answer(sent, rep.Session, a)
 	case wire.Redirect:
 		w.at[k]++
@@ -485,7 +498,10 @@
 	}
 	for _, n := range nodes {
 		if len(n.member.Own()) > 0 {
-			n.holder.Probe(context.Background(), unheard, 3*reportEvery)
+			if !w.unlisted {
+				n.holder.Probe(context.Background(), unheard, 3*reportEvery)
+			}
+			w.askExpiring(n)
 		}
 	}
 	if len(nodes) < len(w.names) {
@@ -501,6 +517,7 @@
 		at: map[*testkit.Worker]int{}, byName: map[string]*testkit.Worker{},
 		names: []string{"a", "b", "c"}, off: map[[2]string]bool{}, heard: map[string]hearing{}, cancels: map[string]time.Time{}, over: map[string]bool{}, cleared: map[string]string{},
 		specs: map[string]*wire.Job{}, startsOf: map[string]int{}, reporting: map[*testkit.Worker]bool{}}
+	w.checks.init()
 	w.cfg = &config.Platform{Params: config.Params{
 		Teams:   []config.Team{{Name: "t"}},
 		Workers: config.Workers{ReportS: 1, LeaseS: workerLease.Seconds(), CancelS: 40},
@@ -549,11 +566,13 @@
 		if w.onStart != nil {
 			w.onStart(k, task, attempt)
 		}
+		w.checkStart(task)
 		if at := w.cleared[task]; at != "" {
 			w.fail("%s is started again, as attempt %d on %s, when it was done and cleared on %s", task, attempt, k.Name, at)
 		}
 	}
 	k.Forgot = func(task string, attempt uint64) { w.cleared[task] = fmt.Sprintf("%s as attempt %d", k.Name, attempt) }
+	k.Ended = func(t wire.Task, _ time.Duration) { w.checkEnd(t) }
 	w.workers = append(w.workers, k)
 	w.byName[k.Name] = k
 	w.at[k] = i
@@ -644,6 +663,7 @@
 	w.check()
 	w.exchange()
 	w.publish()
+	w.checkWaits()
 	if time.Now().Before(calm) {
 		if w.draw(4) == 0 {
 			w.trouble()
