Pieces of a local site that other runs need; stand-ins in memory, metered

Cause: a run of a large site needs the same controllers' settings, supervision and front as 'wallrack local', and services with latencies and budgets that write no disk. Change: local.Controllers, Keep and Front are exported; the stand-ins keep records in memory without a file; standin.Metered counts and bounds one client's requests; the cloud may bound the machines of a zone; a worker's reports may go by a given transport. Behaviour of 'wallrack local' is unchanged (its test and the stand-ins' pass).

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -59,6 +59,11 @@
 	if err := c.describe(ctx, job.UID, d); err != nil {
 		return nil, err
 	}
+	return c.SubmitDescribed(ctx, job)
+}
+
+// SubmitDescribed submits a job whose description is there already.
+func (c *Client) SubmitDescribed(ctx context.Context, job *wire.Job) (*wire.JobState, error) {
 	body, err := json.Marshal(submission(job))
 	if err != nil {
 		return nil, fmt.Errorf("encode job: %w", err)
--- a/internal/local/front.go
+++ b/internal/local/front.go
@@ -22,12 +22,12 @@
 	probeWithin = time.Second
 )
 
-// front is where users come: it hands requests to controllers that are up, and
+// Front is where users come: it hands requests to controllers that are up, and
 // shows what tasks wrote.
-type front struct {
+type Front struct {
 	mux    *http.ServeMux
 	dir    string
-	nodes  []node
+	nodes  []Controller
 	client *http.Client
 	turn   atomic.Uint64
 
@@ -35,17 +35,18 @@
 	up []bool
 }
 
-func newFront(nodes []node, dir string) *front {
-	f := &front{mux: http.NewServeMux(), dir: dir, nodes: nodes, up: make([]bool, len(nodes)), client: &http.Client{Timeout: probeWithin}}
+// NewFront returns a front to the controllers; what tasks wrote is below dir.
+func NewFront(nodes []Controller, dir string) *Front {
+	f := &Front{mux: http.NewServeMux(), dir: dir, nodes: nodes, up: make([]bool, len(nodes)), client: &http.Client{Timeout: probeWithin}}
 	f.mux.HandleFunc("/", f.pass)
 	f.mux.HandleFunc("GET /logs/{job}/{n}", f.logs)
 	return f
 }
 
 // pass hands a request to the next controller that is up.
-func (f *front) pass(w http.ResponseWriter, r *http.Request) {
+func (f *Front) pass(w http.ResponseWriter, r *http.Request) {
 	f.mu.Lock()
-	var up []node
+	var up []Controller
 	for i, n := range f.nodes {
 		if f.up[i] {
 			up = append(up, n)
@@ -62,13 +63,17 @@
 	}
 	n := up[f.turn.Add(1)%uint64(len(up))]
 	proxy := httputil.ReverseProxy{
-		Rewrite:      func(p *httputil.ProxyRequest) { p.SetURL(&url.URL{Scheme: "http", Host: n.users}) },
+		Rewrite:      func(p *httputil.ProxyRequest) { p.SetURL(&url.URL{Scheme: "http", Host: n.Users}) },
 		ErrorHandler: func(http.ResponseWriter, *http.Request, error) { busy() },
 	}
 	proxy.ServeHTTP(w, r)
 }
 
-func (f *front) watch(ctx context.Context) {
+// ServeHTTP implements http.Handler.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) { f.mux.ServeHTTP(w, r) }
+
+// Watch probes the controllers until ctx ends.
+func (f *Front) Watch(ctx context.Context) {
 	tick := time.NewTicker(probeEvery)
 	defer tick.Stop()
 	for {
@@ -77,7 +82,7 @@
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
-				resp, err := f.client.Get("http://" + n.users + "/up")
+				resp, err := f.client.Get("http://" + n.Users + "/up")
 				ok := err == nil && resp.StatusCode == http.StatusOK
 				if err == nil {
 					_ = resp.Body.Close()
@@ -96,10 +101,10 @@
 	}
 }
 
-// await waits until a controller that is up knows the machine types and reaches
+// Await waits until a controller that is up knows the machine types and reaches
 // the state service, so that a job is sure to be taken: a job of a team that
 // cannot be is refused for good then, and not for now.
-func (f *front) await(ctx context.Context) bool {
+func (f *Front) Await(ctx context.Context) bool {
 	const probe = `{"uid":"j-ready-probe","docket":"probe","crew":"\u0001","sort":"sweep","urgency":"low","pieces":1,"cpus":1,"cards":0,"memoryGb":0,` +
 		`"kit":"probe","pullGb":0,"builds":null,"yard":null,"together":false,"apart":false,"loaners":false,"reckonS":1,"markS":0,"stashS":0,"dueS":null}`
 	for ctx.Err() == nil {
@@ -110,7 +115,7 @@
 			if !up[i] {
 				continue
 			}
-			resp, err := f.client.Post("http://"+n.users+"/api/jobs", "application/json", strings.NewReader(probe))
+			resp, err := f.client.Post("http://"+n.Users+"/api/jobs", "application/json", strings.NewReader(probe))
 			if err != nil {
 				continue
 			}
@@ -128,7 +133,7 @@
 }
 
 // logs shows what the last attempt of a task wrote, on whatever machine.
-func (f *front) logs(w http.ResponseWriter, r *http.Request) {
+func (f *Front) logs(w http.ResponseWriter, r *http.Request) {
 	task := r.PathValue("job") + "/" + r.PathValue("n")
 	if _, _, err := wire.ParseTask(task); err != nil {
 		httpjson.Write(w, http.StatusBadRequest, wire.Problem{Error: "not a task's name"})
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -13,11 +13,9 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
 	"go.etcd.io/bbolt"
 	bbolterrors "go.etcd.io/bbolt/errors"
 	"golang.org/x/sync/errgroup"
@@ -25,7 +23,6 @@
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/description"
 	"github.com/wallrack/wallrack/internal/rollout"
-	"github.com/wallrack/wallrack/internal/spawn"
 	"github.com/wallrack/wallrack/internal/standin"
 	"github.com/wallrack/wallrack/internal/wire"
 	"github.com/wallrack/wallrack/internal/worker"
@@ -39,13 +36,12 @@
 )
 
 const (
-	reportS   = 1.0
-	leaseS    = 10.0
-	cancelS   = 30.0
-	stateRPS  = 2000.0
-	txnOps    = 48
-	valueKB   = 16.0
-	backAfter = time.Second // before a controller that ended is started again
+	reportS  = 1.0
+	leaseS   = 10.0
+	cancelS  = 30.0
+	stateRPS = 2000.0
+	txnOps   = 48
+	valueKB  = 16.0
 )
 
 // Part starts a part of the site and returns when it has ended. It ends the part
@@ -126,7 +122,9 @@
 	ctlCtx, stopControllers := context.WithCancel(context.Background())
 	defer stopServices()
 	defer stopControllers()
-	nodes, err := s.settings(inner.Addr().String())
+	nodes, err := Controllers(filepath.Join(s.Dir, "controllers"), "local", s.Controllers, s.params(), []string{Zone}, func(int) config.Endpoints {
+		return config.Endpoints{Cloud: inner.Addr().String(), State: inner.Addr().String()}
+	})
 	if err != nil {
 		return err
 	}
@@ -143,7 +141,7 @@
 		return err
 	}
 	m.failed = cloud.Failed
-	front := newFront(nodes, s.Dir)
+	front := NewFront(nodes, s.Dir)
 	mux := http.NewServeMux()
 	stateService, cloudService := state.Handler(), cloud.Handler()
 	for _, path := range []string{"/store", "/store/", "/txn", "/grants", "/grants/", "/follow"} {
@@ -173,14 +171,19 @@
 	serve(inner, mux)
 	serve(users, front.mux)
 	g.Go(func() error { state.Sweep(svcCtx.Done()); return nil })
-	g.Go(func() error { front.watch(svcCtx); return nil })
+	g.Go(func() error { front.Watch(svcCtx); return nil })
 	var controllers sync.WaitGroup
 	for _, n := range nodes {
 		controllers.Add(1)
-		go func() { defer controllers.Done(); s.keep(ctlCtx, n) }()
+		go func() {
+			defer controllers.Done()
+			Keep(ctlCtx, s.Log, n.Name, nil, func(ctx context.Context) error {
+				return s.Start(ctx, n.Name, []string{"--config", n.File, "--rollouts", s.rolloutsFile(), "--slurm", s.slurmFile()})
+			})
+		}()
 	}
 	g.Go(func() error {
-		if front.await(gctx) {
+		if front.Await(gctx) {
 			s.Log.Info("ready", "users", users.Addr().String())
 			ready("http://" + users.Addr().String())
 		}
@@ -222,46 +225,12 @@
 	return nil
 }
 
-// node is a controller of the site.
-type node struct {
-	name, users, file string
-}
-
-// settings writes the controllers' settings.
-func (s *Site) settings(inner string) ([]node, error) {
-	ports, err := freeAddrs(2 * s.Controllers)
-	if err != nil {
-		return nil, err
-	}
-	dir := filepath.Join(s.Dir, "controllers")
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return nil, fmt.Errorf("--dir: %w", err)
-	}
-	nodes := make([]node, s.Controllers)
-	for i := range nodes {
-		name := fmt.Sprintf("local-%d", i)
-		nodes[i] = node{name, ports[2*i], filepath.Join(dir, name+".toml")}
-	}
-	for i, n := range nodes {
-		p := config.Platform{Node: n.name, Zone: Zone, Listen: ports[2*i], Mesh: ports[2*i+1], Endpoints: config.Endpoints{Cloud: inner, State: inner},
-			Params: config.Params{Zones: []string{Zone}, Teams: []config.Team{{Name: Team}},
-				Workers: config.Workers{ReportS: reportS, LeaseS: leaseS, CancelS: cancelS},
-				State:   config.State{RPS: stateRPS, WriteRPS: stateRPS, ValueKB: valueKB, TxnOps: txnOps},
-				Cloud:   config.Cloud{RPS: 50, ListLagS: 0.5}, Limits: config.Limits{CPU: 1, RAMMB: 512, Sockets: 4096}}}
-		for k, o := range nodes {
-			if k != i {
-				p.Peers = append(p.Peers, config.Peer{Node: o.name, Zone: Zone, Addr: ports[2*k+1]})
-			}
-		}
-		data, err := toml.Marshal(p)
-		if err != nil {
-			return nil, fmt.Errorf("settings: %w", err)
-		}
-		if err := os.WriteFile(n.file, data, 0o644); err != nil {
-			return nil, fmt.Errorf("settings: %w", err)
-		}
-	}
-	return nodes, nil
+// params are the figures that the platform hands over.
+func (s *Site) params() config.Params {
+	return config.Params{Zones: []string{Zone}, Teams: []config.Team{{Name: Team}},
+		Workers: config.Workers{ReportS: reportS, LeaseS: leaseS, CancelS: cancelS},
+		State:   config.State{RPS: stateRPS, WriteRPS: stateRPS, ValueKB: valueKB, TxnOps: txnOps},
+		Cloud:   config.Cloud{RPS: 50, ListLagS: 0.5}, Limits: config.Limits{CPU: 1, RAMMB: 512, Sockets: 4096}}
 }
 
 // slurmSettings are those of Slurm-style clients: as wallctl submit has it where
@@ -293,35 +262,10 @@
 	return nil
 }
 
-// freeAddrs finds loopback addresses that nobody listens on now.
-func freeAddrs(n int) ([]string, error) {
-	ports, err := spawn.FreePorts(n)
-	out := make([]string, len(ports))
-	for i, p := range ports {
-		out[i] = net.JoinHostPort("127.0.0.1", strconv.Itoa(p))
-	}
-	return out, err
-}
-
-// keep runs a controller, again whenever it ends by itself.
-func (s *Site) keep(ctx context.Context, n node) {
-	for ctx.Err() == nil {
-		err := s.Start(ctx, n.name, []string{"--config", n.file, "--rollouts", s.rolloutsFile(), "--slurm", s.slurmFile()})
-		if ctx.Err() != nil {
-			return
-		}
-		s.Log.Error("a controller ended by itself", "name", n.name, "err", err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(backAfter):
-		}
-	}
-}
-
 // machines is the cloud's launcher: a worker process each.
 type machines struct {
 	site         *Site
-	nodes        []node
+	nodes        []Controller
 	descriptions string
 	failed       func(name string)
 
@@ -337,7 +281,7 @@
 
 // Launch implements standin.Launcher.
 func (m *machines) Launch(l wire.ListedMachine, t wire.MachineType) (string, error) {
-	ports, err := freeAddrs(1)
+	ports, err := FreeAddrs(1)
 	if err != nil {
 		return "", err
 	}
@@ -345,7 +289,7 @@
 		"--cpus", fmt.Sprint(t.CPUs), "--memory-gb", fmt.Sprint(t.MemoryGB), "--descriptions", m.descriptions,
 		"--report-s", fmt.Sprint(reportS), "--lease-s", fmt.Sprint(leaseS), "--dir", filepath.Join(m.site.Dir, "machines", l.Name)}
 	for _, n := range m.nodes {
-		args = append(args, "--controller", n.name+"="+n.users)
+		args = append(args, "--controller", n.Name+"="+n.Users)
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	r := &running{stop, make(chan struct{})}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -42,6 +42,10 @@
 	db       *bbolt.DB
 	types    []wire.MachineType
 	capacity int // machines of all types together
+
+	// PerZone bounds the machines of a zone; 0 is no bound. Set it before the first
+	// request.
+	PerZone  int
 	launcher Launcher
 
 	mu       sync.Mutex
@@ -52,10 +56,10 @@
 }
 
 // OpenCloud reads what db holds. Machines of an earlier run are listed as
-// failed: nothing runs there any more.
+// failed: nothing runs there any more. Without a db the records are in memory alone.
 func OpenCloud(db *bbolt.DB, types []wire.MachineType, capacity int, l Launcher) (*Cloud, error) {
 	c := &Cloud{db: db, types: types, capacity: capacity, launcher: l, machines: map[string]*wire.ListedMachine{}, since: map[string]time.Time{}, hires: map[string][]string{}}
-	err := db.Update(func(tx *bbolt.Tx) error {
+	err := update(db, func(tx *bbolt.Tx) error {
 		for _, b := range [][]byte{hiresBucket, machinesBucket, metaBucket} {
 			if _, err := tx.CreateBucketIfNotExists(b); err != nil {
 				return err
@@ -123,13 +127,19 @@
 		httpjson.Write(w, http.StatusOK, wire.MachineNames{Machines: names})
 		return
 	}
-	up := 0
+	up, inZone := 0, 0
 	for _, m := range c.machines {
 		if m.Stage != wire.MachineFailed {
 			up++
+			if m.Zone == req.Zone {
+				inZone++
+			}
 		}
 	}
 	n := min(req.Number, c.capacity-up)
+	if c.PerZone > 0 {
+		n = min(n, c.PerZone-inZone)
+	}
 	if n <= 0 || req.Spot {
 		httpjson.Write(w, http.StatusServiceUnavailable, wire.Problem{Error: "no capacity"})
 		return
@@ -140,7 +150,7 @@
 		m := &wire.ListedMachine{Name: fmt.Sprintf("n-%06d", c.next+uint64(i)+1), Type: t.Name, Zone: req.Zone, Stage: wire.MachineBooting}
 		made, names = append(made, m), append(names, m.Name)
 	}
-	if err := c.db.Update(func(tx *bbolt.Tx) error {
+	if err := update(c.db, func(tx *bbolt.Tx) error {
 		for _, m := range made {
 			if err := put(tx, machinesBucket, m.Name, m); err != nil {
 				return err
@@ -230,7 +240,7 @@
 		go func() { defer ended.Done(); c.launcher.End(n) }()
 	}
 	ended.Wait()
-	if err := c.db.Update(func(tx *bbolt.Tx) error {
+	if err := update(c.db, func(tx *bbolt.Tx) error {
 		for _, n := range known {
 			if err := tx.Bucket(machinesBucket).Delete([]byte(n)); err != nil {
 				return err
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -67,10 +67,10 @@
 }
 
 // OpenState reads what db holds. All leases get their full time again, as after
-// an outage.
+// an outage. Without a db the records are in memory alone.
 func OpenState(db *bbolt.DB, txnOps int, valueKB float64) (*State, error) {
 	s := &State{db: db, txnOps: txnOps, valueB: int(valueKB * 1024), items: map[string]item{}, leases: map[uint64]*lease{}, changed: make(chan struct{})}
-	err := db.Update(func(tx *bbolt.Tx) error {
+	err := update(db, func(tx *bbolt.Tx) error {
 		for _, b := range [][]byte{itemsBucket, leasesBucket, metaBucket} {
 			if _, err := tx.CreateBucketIfNotExists(b); err != nil {
 				return err
@@ -101,6 +101,14 @@
 	return s, nil
 }
 
+// update makes a change of the records durable, if they are on disk.
+func update(db *bbolt.DB, change func(*bbolt.Tx) error) error {
+	if db == nil {
+		return nil
+	}
+	return db.Update(change)
+}
+
 func number(b []byte) uint64 {
 	n, _ := strconv.ParseUint(string(b), 10, 64) // absent is 0, and only numbers are written
 	return n
@@ -151,7 +159,16 @@
 		rev++
 	}
 	values := make([]json.RawMessage, len(ops))
-	err := s.db.Update(func(tx *bbolt.Tx) error {
+	for i, op := range ops {
+		if op.Delete != "" {
+			continue
+		}
+		var err error
+		if values[i], err = json.Marshal(op.Value); err != nil {
+			return err
+		}
+	}
+	err := update(s.db, func(tx *bbolt.Tx) error {
 		b := tx.Bucket(itemsBucket)
 		for i, op := range ops {
 			if op.Delete != "" {
@@ -160,12 +177,7 @@
 				}
 				continue
 			}
-			data, err := json.Marshal(op.Value)
-			if err != nil {
-				return err
-			}
-			values[i] = data
-			rec, err := json.Marshal(item{data, rev, op.Lease})
+			rec, err := json.Marshal(item{values[i], rev, op.Lease})
 			if err != nil {
 				return err
 			}
@@ -348,6 +360,10 @@
 		httpjson.Write(w, http.StatusBadRequest, wire.Problem{Error: err.Error()})
 		return
 	}
+	if !mayWrite(r.Context(), len(t.Then)) {
+		overBudget(w)
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, op := range t.Then {
--- a/internal/worker/agent.go
+++ b/internal/worker/agent.go
@@ -34,6 +34,7 @@
 	Processes   *Processes
 	Controllers []Controller
 	ReportEvery time.Duration
+	Transport   http.RoundTripper // for reports; nil: one connection of its own
 	Log         *slog.Logger
 
 	once   sync.Once
@@ -59,7 +60,10 @@
 	}
 	a.init()
 	go a.expire(ctx)
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	client := &http.Client{Transport: a.Transport}
+	if a.Transport == nil {
+		client.Transport = &http.Transport{MaxIdleConnsPerHost: 1}
+	}
 	at := rand.IntN(len(a.Controllers))
 	for {
 		sent := time.Now()
--- a/internal/worker/check.go
+++ b/internal/worker/check.go
@@ -70,6 +70,10 @@
 		httpjson.Write(w, http.StatusBadRequest, map[string]string{"error": "attempt, timeoutMs and http=/PATH or tcp=1 are needed"})
 		return
 	}
+	if a.Processes == nil {
+		httpjson.Write(w, http.StatusNotFound, map[string]string{"error": "tasks here have no ports"})
+		return
+	}
 	port := a.Processes.Port(r.PathValue("job")+"/"+r.PathValue("n"), attempt)
 	if port == 0 {
 		httpjson.Write(w, http.StatusNotFound, map[string]string{"error": "no such task runs here"})
