wallrack scale: a site of the planned size on one machine

Change: internal/scale plays real controllers as child processes against the stand-ins, hollow workers (worker.Machine and worker.Agent, which keep the protocol, with timers as tasks) and users by a constant schedule whose waits count from the intended time; settings are checked as a whole before anything starts (exit 2). Results as text, JSON and a plot.

--- a/cmd/wallrack/main.go
+++ b/cmd/wallrack/main.go
@@ -25,10 +25,21 @@
 	defer stop()
 	if err := command().ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "wallrack:", err)
-		os.Exit(1)
+		os.Exit(exitCode(err))
 	}
 }
 
+// badSettings is a settings file that can't be used: nothing was started.
+type badSettings struct{ error }
+
+func exitCode(err error) int {
+	var bad badSettings
+	if errors.As(err, &bad) {
+		return 2
+	}
+	return 1
+}
+
 func command() *cobra.Command {
 	var platform, operator, rollouts, slurm string
 	load := func() (*config.Platform, *config.Operator, error) {
@@ -87,7 +98,7 @@
 			}
 			return err
 		},
-	}, boundCommand(), workerCommand(), localCommand())
+	}, boundCommand(), workerCommand(), localCommand(), scaleCommand())
 	return root
 }
 
--- /dev/null
+++ b/internal/scale/run.go
@@ -0,0 +1,383 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/wallrack/wallrack/internal/client"
+	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/local"
+	"github.com/wallrack/wallrack/internal/standin"
+	"github.com/wallrack/wallrack/internal/wire"
+	"github.com/wallrack/wallrack/internal/worker"
+)
+
+const (
+	machineType   = "hollow"
+	fetchGBPerS   = 1.0
+	cacheGB       = 100
+	hireAtOnce    = 50 // machines in one request to the cloud
+	valueKB       = 16
+	failedShownIn = 30 * time.Second // a machine that died is listed as running for so long
+	filledShare   = 0.99             // of the services, that is enough to go on
+	readyWithin   = time.Minute
+	endWithin     = time.Minute
+)
+
+var seconds = config.Seconds
+
+// Run is a run of the site.
+type Run struct {
+	Settings *Settings
+	Dir      string     // for settings and logs
+	Start    local.Part // starts "wallrack ARGS"
+	Log      *slog.Logger
+	Progress func(phase string, running, starts int) // once a second; may be nil
+
+	track       *tracker
+	workers     *workers
+	users       *users
+	cloud       *standin.Cloud
+	controllers []*controller
+	phases      []*phase
+	samples     []Sample
+	random      *rand.Rand
+}
+
+// controller is a controller with what is measured of it.
+type controller struct {
+	local.Controller
+	restart chan struct{}
+	counts  standin.Counts
+	bytes   atomic.Int64
+	usage   usageTotals
+}
+
+// Do plays the run and returns what was measured; its children have ended then.
+func (r *Run) Do(ctx context.Context) (*Result, error) {
+	s := r.Settings
+	loadBefore := hostLoad()
+	ctx, cancel := context.WithTimeout(ctx, r.longest())
+	defer cancel()
+	services, stopServices := context.WithCancel(context.Background())
+	defer stopServices()
+	r.random = rand.New(rand.NewPCG(1, 1)) // the same workers fail in every run
+	r.track = newTracker(s.Teams, seconds(s.UrgentWithinS))
+	g, gctx := errgroup.WithContext(ctx)
+	front, err := r.prepare(services, g)
+	if err != nil {
+		return nil, err
+	}
+	var running sync.WaitGroup
+	controllersCtx, stopControllers := context.WithCancel(context.Background())
+	defer stopControllers()
+	args := []string{}
+	if s.Operator != nil {
+		file := filepath.Join(r.Dir, "operator.sexp")
+		if err := os.WriteFile(file, s.Operator, 0o644); err != nil {
+			return nil, fmt.Errorf("--dir: %w", err)
+		}
+		args = append(args, "--operator", file)
+	}
+	for _, c := range r.controllers {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			local.Keep(controllersCtx, r.Log, c.Name, c.restart, func(ctx context.Context) error {
+				return r.Start(ctx, c.Name, append([]string{"--config", c.File}, args...))
+			})
+		}()
+	}
+	var playErr error
+	g.Go(func() error {
+		defer func() {
+			stopControllers()
+			running.Wait()
+			r.workers.close()
+			stopServices()
+		}()
+		playErr = r.play(gctx, front)
+		return playErr
+	})
+	if err := g.Wait(); err != nil {
+		return nil, err
+	}
+	return r.result(loadBefore), nil
+}
+
+// longest bounds the run in time.
+func (r *Run) longest() time.Duration {
+	s := r.Settings
+	cuts := s.RackS + s.ZoneS + s.RegionS + 3*s.SettleS
+	return readyWithin + seconds(s.FillWithinS+s.SteadyS+s.PeakS+s.FailuresS+cuts+s.RestartEveryS*float64(s.Controllers)+s.SettleS*2+s.DrainS) + endWithin
+}
+
+// prepare brings the services up, rents the workers and writes the controllers'
+// settings.
+func (r *Run) prepare(ctx context.Context, g *errgroup.Group) (*local.Front, error) {
+	s := r.Settings
+	state, err := standin.OpenState(nil, s.StateTxns, valueKB)
+	if err != nil {
+		return nil, err
+	}
+	zones := make([]string, s.Zones)
+	for i := range zones {
+		zones[i] = fmt.Sprintf("zone-%02d", i)
+	}
+	r.workers = &workers{settings: s, track: r.track, all: map[string]*hollow{}, bytes: map[string]*atomic.Int64{}, log: r.Log}
+	r.cloud, err = standin.OpenCloud(nil, []wire.MachineType{{Name: machineType, CPUs: s.WorkerCPUs, MemoryGB: s.WorkerMemoryGB, CacheGB: cacheGB,
+		FetchGBPerS: fetchGBPerS, Price: 1, BootS: s.BootS, Zones: zones}}, s.Workers, r.workers)
+	if err != nil {
+		return nil, err
+	}
+	r.cloud.PerZone = s.Workers / s.Zones
+	serve := func(h http.Handler) (string, error) {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+		g.Go(func() error {
+			if err := srv.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		})
+		g.Go(func() error { <-ctx.Done(); return srv.Close() })
+		return lis.Addr().String(), nil
+	}
+	cloudAddr, err := serve(standin.Metered(r.cloud.Handler(), seconds(s.CloudLatencyMs/1000), standin.NewBudget(s.CloudRPS, 1), &standin.Counts{}))
+	if err != nil {
+		return nil, err
+	}
+	g.Go(func() error { state.Sweep(ctx.Done()); return nil })
+	budget, stateHandler := standin.NewBudget(s.StateRPS, s.StateWriteRPS), state.Handler()
+	stateAddrs := make([]string, s.Controllers)
+	for i := range stateAddrs {
+		c := &controller{restart: make(chan struct{})}
+		r.controllers = append(r.controllers, c)
+		if stateAddrs[i], err = serve(standin.Metered(stateHandler, seconds(s.StateLatencyMs/1000), budget, &c.counts)); err != nil {
+			return nil, err
+		}
+	}
+	params := config.Params{Zones: zones, Workers: config.Workers{ReportS: s.ReportS, LeaseS: s.LeaseS, CancelS: s.CancelS},
+		State: config.State{RPS: s.StateRPS, WriteRPS: s.StateWriteRPS, ValueKB: valueKB, TxnOps: s.StateTxns},
+		Cloud: config.Cloud{RPS: s.CloudRPS, ListLagS: s.CloudLagS}, Limits: config.Limits{CPU: s.ControllerCPU, RAMMB: s.ControllerMB, Sockets: s.ControllerSockets}}
+	for _, t := range s.Teams {
+		params.Teams = append(params.Teams, config.Team{Name: t.Name, CPUs: t.Guarantee, CPUsMax: t.Limit})
+	}
+	files, err := local.Controllers(filepath.Join(r.Dir, "controllers"), "scale", s.Controllers, params, zones, func(i int) config.Endpoints {
+		return config.Endpoints{Cloud: cloudAddr, State: stateAddrs[i]}
+	})
+	if err != nil {
+		return nil, err
+	}
+	for i, c := range r.controllers {
+		c.Controller = files[i]
+		r.workers.bytes[c.Users] = &c.bytes
+		r.workers.controllers = append(r.workers.controllers, worker.Controller{Name: c.Name, Addr: c.Users})
+	}
+	front := local.NewFront(files, r.Dir)
+	addr, err := serve(front)
+	if err != nil {
+		return nil, err
+	}
+	g.Go(func() error { front.Watch(ctx); return nil })
+	r.users = &users{settings: s, track: r.track, client: client.New("http://" + addr)}
+	return front, r.hire(zones)
+}
+
+// hire rents the site's workers, as an earlier day of the site would have left them.
+func (r *Run) hire(zones []string) error {
+	for _, z := range zones {
+		for left := r.cloud.PerZone; left > 0; left -= hireAtOnce {
+			name := fmt.Sprintf("before-%s-%d", z, left)
+			names, err := r.cloud.Hire(&wire.HireRequest{Name: name, Type: machineType, Zone: z, Number: min(left, hireAtOnce)})
+			if err != nil || len(names) < min(left, hireAtOnce) {
+				return fmt.Errorf("workers in %s: %d rented: %w", z, len(names), err)
+			}
+		}
+	}
+	return nil
+}
+
+// play goes through the phases.
+func (r *Run) play(ctx context.Context, front *local.Front) error {
+	s := r.Settings
+	ready, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	if !front.Await(ready) {
+		return errors.New("no controller took jobs in time")
+	}
+	ctx, stop := context.WithCancel(ctx)
+	var sampling sync.WaitGroup
+	sampling.Add(1)
+	go func() { defer sampling.Done(); r.sample(ctx) }()
+	defer func() {
+		stop()
+		sampling.Wait()
+		r.users.sent.Wait()
+	}()
+	r.users.fill(ctx)
+	if err := r.filled(ctx); err != nil {
+		return err
+	}
+	r.phase(ctx, "steady", s.SteadyStarts, seconds(s.SteadyS), nil)
+	r.phase(ctx, "peak", s.PeakStarts, seconds(s.PeakS), nil)
+	if s.PeakS > 0 {
+		r.phase(ctx, "after the peak", s.SteadyStarts, seconds(s.SettleS), nil)
+	}
+	r.phase(ctx, "failures", s.SteadyStarts, seconds(s.FailuresS), r.failures)
+	for _, c := range []struct {
+		name string
+		s    float64
+		pick func() map[string]bool
+	}{
+		{"rack cut", s.RackS, func() map[string]bool { return r.zoneWorkers(1, s.RackWorkers) }},
+		{"zone cut", s.ZoneS, func() map[string]bool { return r.zoneWorkers(1, s.Workers) }},
+		{"region cut", s.RegionS, func() map[string]bool { return r.zoneWorkers(s.Zones/s.Regions, s.Workers) }},
+	} {
+		if c.s == 0 {
+			continue
+		}
+		names := c.pick()
+		r.phase(ctx, c.name, s.SteadyStarts, seconds(c.s), func(context.Context) {
+			r.track.lose(c.name, names)
+			r.workers.cut(names, true)
+		})
+		r.workers.cut(names, false)
+		r.track.found(names)
+		r.phase(ctx, "after the "+c.name, s.SteadyStarts, seconds(s.SettleS), nil)
+	}
+	r.phase(ctx, "rolling restart", s.SteadyStarts, seconds(s.RestartEveryS*float64(s.Controllers)), r.restarts)
+	r.drain(ctx)
+	return ctx.Err()
+}
+
+// filled waits until what runs all the time runs.
+func (r *Run) filled(ctx context.Context) error {
+	end := time.Now().Add(seconds(r.Settings.FillWithinS))
+	for {
+		on, _ := r.track.running()
+		if float64(on) >= filledShare*float64(r.Settings.services()) {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("fill-within-s: %d of %d tasks run after %v s", on, r.Settings.services(), r.Settings.FillWithinS)
+		}
+		if !wait(ctx, 100*time.Millisecond) {
+			return ctx.Err()
+		}
+	}
+}
+
+// phase plays a load for so long, with something that happens meanwhile.
+func (r *Run) phase(ctx context.Context, name string, starts float64, length time.Duration, meanwhile func(context.Context)) {
+	if length <= 0 || ctx.Err() != nil {
+		return
+	}
+	r.phases = append(r.phases, r.track.next(name, starts))
+	var events sync.WaitGroup
+	if meanwhile != nil {
+		events.Add(1)
+		go func() { defer events.Done(); meanwhile(ctx) }()
+	}
+	r.users.load(ctx, starts, length)
+	events.Wait()
+}
+
+// drain waits, without new jobs, until all tasks of arrays are completed.
+func (r *Run) drain(ctx context.Context) {
+	r.phases = append(r.phases, r.track.next("drain", 0))
+	end := time.Now().Add(seconds(r.Settings.DrainS))
+	for time.Now().Before(end) && wait(ctx, 100*time.Millisecond) {
+		if _, unfinished := r.track.running(); unfinished == 0 {
+			break
+		}
+	}
+	r.phases = append(r.phases, r.track.next("end", 0))
+}
+
+// zoneWorkers picks workers of the last zones, the oldest first.
+func (r *Run) zoneWorkers(zones, most int) map[string]bool {
+	all := r.workers.pick(func(h *hollow) bool { return h.zone >= fmt.Sprintf("zone-%02d", r.Settings.Zones-zones) })
+	names := make([]string, 0, len(all))
+	for n := range all {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	for _, n := range names[min(most, len(names)):] {
+		delete(all, n)
+	}
+	return all
+}
+
+// failures plays an ordinary day's at its pace: some machines die, and are listed as
+// running for a while, others are restarted or replaced, which the cloud shows.
+func (r *Run) failures(ctx context.Context) {
+	s := r.Settings
+	perS := (s.FailADay + s.RestartADay) * s.Pace / (24 * 3600)
+	if perS <= 0 {
+		return
+	}
+	began := time.Now()
+	for n := 1; ; n++ {
+		at := began.Add(seconds(float64(n) / perS))
+		if at.Sub(began) >= seconds(s.FailuresS) || !wait(ctx, time.Until(at)) {
+			return
+		}
+		name := r.anyWorker()
+		died := r.random.Float64() < s.FailADay/(s.FailADay+s.RestartADay)
+		event := "machine restarted or replaced"
+		if died {
+			event = "machine died"
+		}
+		r.track.lose(event, map[string]bool{name: true})
+		r.workers.End(name)
+		if died {
+			time.AfterFunc(failedShownIn, func() { r.cloud.Failed(name) })
+		} else {
+			r.cloud.Failed(name)
+		}
+	}
+}
+
+func (r *Run) anyWorker() string {
+	all := r.workers.pick(func(*hollow) bool { return true })
+	names := make([]string, 0, len(all))
+	for n := range all {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	if len(names) == 0 {
+		return ""
+	}
+	return names[r.random.IntN(len(names))]
+}
+
+// restarts restarts each controller in turn.
+func (r *Run) restarts(ctx context.Context) {
+	for _, c := range r.controllers {
+		select {
+		case c.restart <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		if !wait(ctx, seconds(r.Settings.RestartEveryS)) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/scale/settings.go
@@ -0,0 +1,272 @@
+// Package scale runs a site of a planned size on one machine: real controllers
+// against the stand-in services, hollow workers that keep the protocol and run
+// timers, and users at a constant rate; and measures what becomes of it.
+package scale
+
+import (
+	"errors"
+	"fmt"
+	"math"
+
+	"olympos.io/encoding/edn"
+
+	"github.com/wallrack/wallrack/internal/config"
+)
+
+// Team is a team of the site, in CPUs.
+type Team struct {
+	Name             string
+	Guarantee, Limit float64
+}
+
+// Settings say what a run plays. Durations are in seconds.
+type Settings struct {
+	Workers, Controllers, Zones, Regions, RackWorkers int
+	WorkerCPUs, WorkerMemoryGB                        float64
+	ReportS, LeaseS, CancelS, BootS                   float64
+
+	Teams     []Team // named ones first, then generated ones
+	teamCount int    // how many are generated
+	TeamSpare float64
+
+	Running                      int // tasks on machines in the steady state
+	TaskCPUs, RunS, FetchS       float64
+	TasksPerJob                  int
+	SteadyStarts, PeakStarts     float64 // tasks asked to start a second
+	UrgentStarts, UrgentWithinS  float64
+	FillWithinS, SteadyS, PeakS  float64
+	FailuresS, RackS, ZoneS      float64
+	RegionS, SettleS             float64
+	RestartEveryS, DrainS, Pace  float64
+	FailADay, RestartADay        float64
+	StateRPS, StateWriteRPS      float64
+	StateLatencyMs, CloudRPS     float64
+	CloudLatencyMs, CloudLagS    float64
+	ControllerCPU, ControllerMB  float64
+	ControllerSockets, StateTxns int
+	MemoryGB                     float64 // most that the run may be planned to take
+
+	Operator []byte // settings that the controllers get, or nil
+}
+
+// figure is a setting that is a number; one of n and v is where it goes.
+type figure struct {
+	min, max float64
+	n        *int
+	v        *float64
+}
+
+func (s *Settings) figures() map[string]figure {
+	const day = 86400
+	return map[string]figure{
+		"workers": {min: 1, max: 20000, n: &s.Workers}, "controllers": {min: 1, max: 16, n: &s.Controllers},
+		"zones": {min: 1, max: 100, n: &s.Zones}, "regions": {min: 1, max: 100, n: &s.Regions},
+		"rack-workers": {min: 1, max: 1000, n: &s.RackWorkers}, "worker-cpus": {min: 0.1, max: 1024, v: &s.WorkerCPUs},
+		"worker-memory-gb": {min: 0.1, max: 1e5, v: &s.WorkerMemoryGB}, "report-s": {min: 0.1, max: 60, v: &s.ReportS},
+		"lease-s": {min: 1, max: 600, v: &s.LeaseS}, "cancel-s": {min: 1, max: 600, v: &s.CancelS}, "boot-s": {min: 0, max: 600, v: &s.BootS},
+		"teams": {min: 0, max: 4096, n: &s.teamCount}, "team-spare-cpus": {min: 1, max: 1e6, v: &s.TeamSpare},
+		"running": {min: 0, max: 200000, n: &s.Running}, "task-cpus": {min: 0.01, max: 1024, v: &s.TaskCPUs},
+		"run-s": {min: 0.1, max: 3600, v: &s.RunS}, "fetch-s": {min: 0, max: 600, v: &s.FetchS}, "tasks-per-job": {min: 1, max: 10000, n: &s.TasksPerJob},
+		"steady-starts": {min: 0.1, max: 1e5, v: &s.SteadyStarts}, "peak-starts": {min: 0.1, max: 1e5, v: &s.PeakStarts},
+		"urgent-starts": {min: 0.1, max: 1e4, v: &s.UrgentStarts}, "urgent-within-s": {min: 0.1, max: 600, v: &s.UrgentWithinS},
+		"fill-within-s": {min: 1, max: 1800, v: &s.FillWithinS}, "steady-s": {min: 0, max: 3600, v: &s.SteadyS}, "peak-s": {min: 0, max: 3600, v: &s.PeakS},
+		"failures-s": {min: 0, max: 3600, v: &s.FailuresS}, "rack-cut-s": {min: 0, max: 3600, v: &s.RackS}, "zone-cut-s": {min: 0, max: 3600, v: &s.ZoneS},
+		"region-cut-s": {min: 0, max: 3600, v: &s.RegionS}, "settle-s": {min: 0, max: 600, v: &s.SettleS},
+		"restart-every-s": {min: 0, max: 600, v: &s.RestartEveryS}, "drain-s": {min: 1, max: 600, v: &s.DrainS},
+		"failures-a-day": {min: 0, max: day, v: &s.FailADay}, "restarts-a-day": {min: 0, max: day, v: &s.RestartADay}, "day-pace": {min: 1, max: 1000, v: &s.Pace},
+		"state-rps": {min: 1, max: 1e6, v: &s.StateRPS}, "state-write-rps": {min: 1, max: 1e6, v: &s.StateWriteRPS}, "state-latency-ms": {min: 0, max: 1000, v: &s.StateLatencyMs},
+		"state-txn-ops": {min: 4, max: 1000, n: &s.StateTxns}, "cloud-rps": {min: 0.1, max: 1e4, v: &s.CloudRPS}, "cloud-latency-ms": {min: 0, max: 10000, v: &s.CloudLatencyMs},
+		"cloud-lag-s": {min: 0, max: 60, v: &s.CloudLagS}, "controller-cpu": {min: 0.01, max: 64, v: &s.ControllerCPU},
+		"controller-memory-mb": {min: 24, max: 65536, v: &s.ControllerMB}, "controller-sockets": {min: 96, max: 65536, n: &s.ControllerSockets},
+		"memory-gb": {min: 0.1, max: 1024, v: &s.MemoryGB},
+	}
+}
+
+// planned is the planned size.
+func planned() *Settings {
+	return &Settings{Workers: 2600, Controllers: 6, Zones: 10, Regions: 5, RackWorkers: 40, WorkerCPUs: 6, WorkerMemoryGB: 64,
+		ReportS: 4, LeaseS: 22, CancelS: 52, BootS: 2, teamCount: 410, TeamSpare: 60,
+		Running: 11000, TaskCPUs: 1, RunS: 3, FetchS: 0.2, TasksPerJob: 40, SteadyStarts: 90, PeakStarts: 890, UrgentStarts: 5, UrgentWithinS: 1.7,
+		FillWithinS: 180, SteadyS: 60, PeakS: 60, FailuresS: 180, RackS: 180, ZoneS: 180, RegionS: 180, SettleS: 30, RestartEveryS: 20, DrainS: 60,
+		Pace: 60, FailADay: 23, RestartADay: 330, StateRPS: 600, StateWriteRPS: 240, StateLatencyMs: 5, StateTxns: 48, CloudRPS: 6, CloudLatencyMs: 150, CloudLagS: 4,
+		ControllerCPU: 1, ControllerMB: 512, ControllerSockets: 4096, MemoryGB: 11, Operator: []byte("(wallrack (idle-s 3600))")}
+}
+
+// LoadSettings reads `(scale (key number) ... (team "name" guarantee limit) ...
+// (operator (key value) ...))` over the planned size.
+func LoadSettings(path string) (*Settings, error) { return config.Load(path, ParseSettings) }
+
+// ParseSettings reads the text of the settings.
+func ParseSettings(data []byte) (*Settings, error) {
+	entries, err := config.Entries(data, "scale", "(key value ...)")
+	if err != nil {
+		return nil, err
+	}
+	s := planned()
+	figures, seen := s.figures(), map[string]bool{}
+	for i, e := range entries {
+		entry, ok := e.([]any)
+		if !ok || len(entry) < 2 {
+			return nil, fmt.Errorf("entry %d: expected (key value ...)", i+1)
+		}
+		sym, _ := entry[0].(edn.Symbol) // another kind is an unknown key
+		key := string(sym)
+		if key != "team" && seen[key] {
+			return nil, fmt.Errorf("%s: given twice", key)
+		}
+		seen[key] = true
+		switch f, isFigure := figures[key]; {
+		case isFigure && len(entry) == 2:
+			err = f.take(entry[1])
+		case key == "team" && len(entry) == 4:
+			err = s.addTeam(entry[1], entry[2], entry[3])
+		case key == "operator":
+			err = s.takeOperator(entry[1:])
+		default:
+			return nil, fmt.Errorf("%s: unknown key, or not as many values as it takes", key)
+		}
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", key, err)
+		}
+	}
+	if err := s.generateTeams(); err != nil {
+		return nil, err
+	}
+	return s, s.check()
+}
+
+func (f figure) take(value any) error {
+	v, err := config.Number(value, f.min, f.max)
+	if err != nil {
+		return err
+	}
+	if f.n == nil {
+		*f.v = v
+		return nil
+	}
+	if v != math.Trunc(v) {
+		return fmt.Errorf("%v is not a whole number", v)
+	}
+	*f.n = int(v)
+	return nil
+}
+
+const maxTeamName = 120 // that a job's message holds
+
+func (s *Settings) addTeam(name, guarantee, limit any) error {
+	t := Team{}
+	t.Name, _ = name.(string) // another kind is an empty name
+	if t.Name == "" || len(t.Name) > maxTeamName {
+		return fmt.Errorf("%.40q: a name of 1 to %d bytes is needed", t.Name, maxTeamName)
+	}
+	for i, v := range []any{guarantee, limit} {
+		n, err := config.Number(v, 0, 1e6)
+		if err != nil {
+			return fmt.Errorf("%q: %s: %w", t.Name, [...]string{"guarantee", "limit"}[i], err)
+		}
+		*[...]*float64{&t.Guarantee, &t.Limit}[i] = n
+	}
+	s.Teams = append(s.Teams, t)
+	return s.checkTeam(len(s.Teams) - 1)
+}
+
+// checkTeam checks a team against itself and those before it.
+func (s *Settings) checkTeam(i int) error {
+	t := s.Teams[i]
+	for _, o := range s.Teams[:i] {
+		if o.Name == t.Name {
+			return fmt.Errorf("%q: given twice", t.Name)
+		}
+	}
+	if t.Limit <= 0 || t.Guarantee > t.Limit {
+		return fmt.Errorf("%q: a guarantee of %v is above the limit of %v", t.Name, t.Guarantee, t.Limit)
+	}
+	return nil
+}
+
+func (s *Settings) takeOperator(entries []any) error {
+	data, err := edn.Marshal(append([]any{edn.Symbol("wallrack")}, entries...))
+	if err != nil {
+		return err
+	}
+	// A list is marshalled as a vector, which the reader takes as well.
+	base, err := config.LoadOperator("")
+	if err == nil {
+		_, err = config.ParseOperator(data, base)
+	}
+	s.Operator = data
+	return err
+}
+
+// tightEvery is how often a generated team has a sixth of the others' spare CPUs, so
+// that it stands at its limit when a job of it comes.
+const tightEvery = 10
+
+func (s *Settings) generateTeams() error {
+	named := len(s.Teams)
+	for i := range s.teamCount {
+		base, spare := float64(s.replicas(named+i, named+s.teamCount))*s.TaskCPUs, s.TeamSpare
+		if i%tightEvery == 0 {
+			spare /= 6
+		}
+		s.Teams = append(s.Teams, Team{fmt.Sprintf("team-%03d", i), base, base + max(spare, s.TaskCPUs)})
+		if err := s.checkTeam(len(s.Teams) - 1); err != nil {
+			return fmt.Errorf("team: %w", err)
+		}
+	}
+	return nil
+}
+
+// services is how many tasks run all the time: what short tasks at the steady rate
+// don't give.
+func (s *Settings) services() int { return max(0, s.Running-int(s.SteadyStarts*s.RunS)) }
+
+// replicas is team i's part of the services; all teams are there or counted.
+func (s *Settings) replicas(i, teams int) int {
+	n := s.services() / teams
+	if i < s.services()%teams {
+		n++
+	}
+	return n
+}
+
+// check says which figures can't be played together.
+func (s *Settings) check() error {
+	perZone := s.Workers / s.Zones
+	capacity := float64(s.Workers) * math.Floor(s.WorkerCPUs/s.TaskCPUs+1e-9)
+	peak := float64(s.services()) + s.PeakStarts*s.RunS
+	guaranteed := 0.0
+	for i, t := range s.Teams {
+		guaranteed += t.Guarantee
+		if need := float64(s.replicas(i, len(s.Teams))) * s.TaskCPUs; need > t.Limit {
+			return fmt.Errorf("running: team %q would hold %v CPUs, above its limit of %v", t.Name, need, t.Limit)
+		}
+	}
+	planGB := (float64(s.Controllers)*s.ControllerMB + float64(s.Workers)*workerMB + baseMB) / 1024
+	switch {
+	case len(s.Teams) == 0:
+		return errors.New("teams: at least one is needed")
+	case s.Workers%s.Zones != 0 || s.Zones%s.Regions != 0:
+		return fmt.Errorf("zones: %d workers in %d zones in %d regions don't share evenly", s.Workers, s.Zones, s.Regions)
+	case s.RackWorkers > perZone:
+		return fmt.Errorf("rack-workers: %d are more than the %d of a zone", s.RackWorkers, perZone)
+	case s.PeakStarts < s.SteadyStarts:
+		return fmt.Errorf("peak-starts: %v is below steady-starts, %v", s.PeakStarts, s.SteadyStarts)
+	case s.UrgentStarts >= s.SteadyStarts:
+		return fmt.Errorf("urgent-starts: %v is not below steady-starts, %v", s.UrgentStarts, s.SteadyStarts)
+	case s.ReportS*2 > s.LeaseS:
+		return fmt.Errorf("report-s: %v leaves no second report within lease-s, %v", s.ReportS, s.LeaseS)
+	case capacity < 1 || peak > capacity:
+		return fmt.Errorf("running: %.0f tasks at the peak don't fit %d workers of %v CPUs", peak, s.Workers, s.WorkerCPUs)
+	case guaranteed > float64(s.Workers)*s.WorkerCPUs:
+		return fmt.Errorf("team: guarantees of %v CPUs are more than the site has", guaranteed)
+	case planGB > s.MemoryGB:
+		return fmt.Errorf("memory-gb: the run may take %.1f, above %v", planGB, s.MemoryGB)
+	}
+	return nil
+}
+
+const (
+	workerMB = 0.4 // of a hollow worker with its connections and tasks
+	baseMB   = 512 // of the services and users
+)
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -111,21 +112,38 @@
 	return wire.MachineType{}, false
 }
 
+var (
+	errMalformed  = errors.New("unknown type or zone, or hire or number out of range")
+	errNoCapacity = errors.New("no capacity")
+	errTrouble    = errors.New("trouble")
+)
+
 func (c *Cloud) hire(w http.ResponseWriter, r *http.Request) {
 	var req wire.HireRequest
 	if !read(w, r, &req) {
 		return
 	}
-	t, ok := c.typeOf(&req)
+	switch names, err := c.Hire(&req); {
+	case errors.Is(err, errMalformed):
+		httpjson.Write(w, http.StatusBadRequest, wire.Problem{Error: err.Error()})
+	case err != nil:
+		httpjson.Write(w, http.StatusServiceUnavailable, wire.Problem{Error: err.Error()})
+	default:
+		httpjson.Write(w, http.StatusOK, wire.MachineNames{Machines: names})
+	}
+}
+
+// Hire rents machines, up to the number asked for. A name that was used gets its
+// earlier answer.
+func (c *Cloud) Hire(req *wire.HireRequest) ([]string, error) {
+	t, ok := c.typeOf(req)
 	if !ok || req.Name == "" || len(req.Name) > 200 || req.Number < 1 || req.Number > maxHire {
-		httpjson.Write(w, http.StatusBadRequest, wire.Problem{Error: "unknown type or zone, or hire or number out of range"})
-		return
+		return nil, errMalformed
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if names, had := c.hires[req.Name]; had {
-		httpjson.Write(w, http.StatusOK, wire.MachineNames{Machines: names})
-		return
+		return names, nil
 	}
 	up, inZone := 0, 0
 	for _, m := range c.machines {
@@ -141,8 +159,7 @@
 		n = min(n, c.PerZone-inZone)
 	}
 	if n <= 0 || req.Spot {
-		httpjson.Write(w, http.StatusServiceUnavailable, wire.Problem{Error: "no capacity"})
-		return
+		return nil, errNoCapacity
 	}
 	var made []*wire.ListedMachine
 	names := make([]string, 0, n)
@@ -161,8 +178,7 @@
 		}
 		return tx.Bucket(metaBucket).Put(nextMachineKey, digits(c.next+uint64(n)))
 	}); err != nil {
-		httpjson.Write(w, http.StatusServiceUnavailable, wire.Problem{Error: "trouble"})
-		return
+		return nil, errTrouble
 	}
 	c.next += uint64(n)
 	c.hires[req.Name] = names
@@ -170,7 +186,7 @@
 		c.machines[m.Name], c.since[m.Name] = m, time.Now()
 		go c.boot(*m, t)
 	}
-	httpjson.Write(w, http.StatusOK, wire.MachineNames{Machines: names})
+	return names, nil
 }
 
 func put(tx *bbolt.Tx, bucket []byte, key string, v any) error {
