--- a/internal/scale/settings.go
+++ b/internal/scale/settings.go
@@ -63,7 +63,7 @@
 		"zones": {min: 1, max: 100, n: &s.Zones}, "regions": {min: 1, max: 100, n: &s.Regions},
 		"rack-workers": {min: 1, max: 1000, n: &s.RackWorkers}, "worker-cpus": {min: 0.1, max: 1024, v: &s.WorkerCPUs},
 		"worker-memory-gb": {min: 0.1, max: 1e5, v: &s.WorkerMemoryGB}, "report-s": {min: 0.1, max: 60, v: &s.ReportS},
-		"lease-s": {min: 1, max: 600, v: &s.LeaseS}, "cancel-s": {min: 1, max: 600, v: &s.CancelS}, "boot-s": {min: 0, max: 600, v: &s.BootS},
+		"lease-s": {min: 0.5, max: 600, v: &s.LeaseS}, "cancel-s": {min: 1, max: 600, v: &s.CancelS}, "boot-s": {min: 0, max: 600, v: &s.BootS},
 		"teams": {min: 0, max: 4096, n: &s.teamCount}, "team-spare-cpus": {min: 1, max: 1e6, v: &s.TeamSpare},
 		"running": {min: 0, max: 200000, n: &s.Running}, "task-cpus": {min: 0.01, max: 1024, v: &s.TaskCPUs},
 		"run-s": {min: 0.1, max: 3600, v: &s.RunS}, "fetch-s": {min: 0, max: 600, v: &s.FetchS}, "tasks-per-job": {min: 1, max: 10000, n: &s.TasksPerJob},
