--- a/internal/scale/result.go
+++ b/internal/scale/result.go
@@ -52,6 +52,8 @@
 	UrgentP50S  float64 `json:"urgent_p50_s"`
 	UrgentP99S  float64 `json:"urgent_p99_s"`
 	AcceptP99S  float64 `json:"accepted_p99_s"`
+	Writes      float64 `json:"state_writes_per_start"`
+	BusiestCPU  float64 `json:"busiest_controller_cpu"` // mean share of a core
 	Stopped     int     `json:"attempts_stopped"`
 	Refused     int     `json:"jobs_refused"`
 	Unanswered  int     `json:"jobs_unanswered"`
@@ -163,12 +165,34 @@
 	out := PhaseResult{Name: p.name, Seconds: length, StartsAsked: p.asked, StartsHeld: float64(p.starts) / length, StartsLow10: lowest10(p.secondly, int(length)),
 		GapS: p.gap.Seconds(), Urgent: p.urgent, UrgentP50S: quantile(p.wait, 50), UrgentP99S: quantile(p.wait, 99),
 		AcceptP99S: quantile(p.accept, 99), Stopped: p.stopped, Refused: p.refused, Unanswered: p.unanswered}
+	if p.starts > 0 {
+		out.Writes = float64(p.writes) / float64(p.starts)
+	}
+	out.BusiestCPU = r.busiest(p.name)
 	if p.urgent > 0 {
 		out.UrgentShare = 1 - float64(p.late)/float64(p.urgent)
 	}
 	return out
 }
 
+// busiest is the mean share of a core of the controller that took most in a phase.
+func (r *Run) busiest(phase string) (share float64) {
+	sums, n := make([]float64, len(r.controllers)), 0.0
+	for _, s := range r.samples {
+		if s.Phase != phase || s.Controllers == nil {
+			continue
+		}
+		n++
+		for i, c := range s.Controllers {
+			sums[i] += c
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return slices.Max(sums) / n
+}
+
 // lowest10 is the lowest rate over ten seconds in a row.
 func lowest10(secondly []int, length int) float64 {
 	const window = 10
@@ -205,10 +229,10 @@
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(t, "%d workers, %d controllers, %d teams, %d tasks running; load of the host %.1f before, %.1f after, %d CPUs\n\n", r.Size.Workers, r.Size.Controllers,
 		r.Size.Teams, r.Size.Running, r.Host.LoadBefore, r.Host.LoadAfter, r.Host.CPUs)
-	fmt.Fprintln(t, "PHASE\tS\tSTARTS/S ASKED\tHELD\tLOWEST 10 S\tNO START S\tURGENT\tIN TIME\tP50 S\tP99 S\tACCEPTED P99 S\tSTOPPED\tREFUSED\tUNANSWERED")
+	fmt.Fprintln(t, "PHASE\tS\tSTARTS/S ASKED\tHELD\tLOWEST 10 S\tNO START S\tURGENT\tIN TIME\tP50 S\tP99 S\tACCEPTED P99 S\tWRITES/START\tBUSIEST CPU\tSTOPPED\tREFUSED\tUNANSWERED")
 	for _, p := range r.Phases {
-		fmt.Fprintf(t, "%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%d\t%.3f\t%.2f\t%.2f\t%.2f\t%d\t%d\t%d\n", p.Name, p.Seconds, p.StartsAsked, p.StartsHeld, p.StartsLow10, p.GapS,
-			p.Urgent, p.UrgentShare, p.UrgentP50S, p.UrgentP99S, p.AcceptP99S, p.Stopped, p.Refused, p.Unanswered)
+		fmt.Fprintf(t, "%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%d\t%.3f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%d\t%d\t%d\n", p.Name, p.Seconds, p.StartsAsked, p.StartsHeld, p.StartsLow10, p.GapS,
+			p.Urgent, p.UrgentShare, p.UrgentP50S, p.UrgentP99S, p.AcceptP99S, p.Writes, p.BusiestCPU, p.Stopped, p.Refused, p.Unanswered)
 	}
 	fmt.Fprintln(t, "\nEVENT\tWORKERS\tTASKS\tRESTORED\tP50 S\tP99 S\tMAX S")
 	for _, e := range r.Recoveries {
@@ -221,6 +245,7 @@
 	}
 	least := slices.MinFunc(r.Teams, func(a, b TeamResult) int { return a.Served*max(1, b.Asked) - b.Served*max(1, a.Asked) })
 	fmt.Fprintf(t, "\narrays' tasks: %d of %d completed, %d left\tteam served least: %s, %d of %d\n", r.Tasks.Completed, r.Tasks.Asked, r.Tasks.Left, least.Name, least.Served, least.Asked)
+	fmt.Fprintf(t, "hollow workers, services and users together: %.0f s of processor, %.0f MB\n", r.Host.CPUSeconds, r.Host.MemoryMB)
 	fmt.Fprintf(t, "rules: ran twice %d, starts above a limit %d, called over too early %d, accepted jobs unknown %d\n", r.Rules.RanTwice, r.Rules.OverLimit, r.Rules.NotDone, r.Rules.Unknown)
 	return t.Flush()
 }
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -53,6 +53,7 @@
 	cloud       *standin.Cloud
 	controllers []*controller
 	phases      []*phase
+	writes      int64 // to the state service up to the last phase's end
 	samples     []Sample
 	random      *rand.Rand
 }
@@ -139,7 +140,7 @@
 	}
 	r.workers = &workers{settings: s, track: r.track, all: map[string]*hollow{}, bytes: map[string]*atomic.Int64{}, log: r.Log}
 	r.cloud, err = standin.OpenCloud(nil, []wire.MachineType{{Name: machineType, CPUs: s.WorkerCPUs, MemoryGB: s.WorkerMemoryGB, CacheGB: cacheGB,
-		FetchGBPerS: fetchGBPerS, Price: 1, BootS: s.BootS, Zones: zones}}, s.Workers, r.workers)
+		FetchGBPerS: fetchGBPerS, Price: 1, SpotPrice: 1, BootS: s.BootS, Zones: zones}}, s.Workers, r.workers)
 	if err != nil {
 		return nil, err
 	}
@@ -289,7 +290,7 @@
 	if length <= 0 || ctx.Err() != nil {
 		return
 	}
-	r.phases = append(r.phases, r.track.next(name, starts))
+	r.next(name, starts)
 	var events sync.WaitGroup
 	if meanwhile != nil {
 		events.Add(1)
@@ -299,16 +300,27 @@
 	events.Wait()
 }
 
+// next begins a phase, with so many starts a second asked for.
+func (r *Run) next(name string, asked float64) {
+	ended := r.track.next(name, asked)
+	r.phases = append(r.phases, ended)
+	writes := int64(0)
+	for _, c := range r.controllers {
+		writes += c.counts.Writes.Load()
+	}
+	ended.writes, r.writes = writes-r.writes, writes
+}
+
 // drain waits, without new jobs, until all tasks of arrays are completed.
 func (r *Run) drain(ctx context.Context) {
-	r.phases = append(r.phases, r.track.next("drain", 0))
+	r.next("drain", 0)
 	end := time.Now().Add(seconds(r.Settings.DrainS))
 	for time.Now().Before(end) && wait(ctx, 100*time.Millisecond) {
 		if _, unfinished := r.track.running(); unfinished == 0 {
 			break
 		}
 	}
-	r.phases = append(r.phases, r.track.next("end", 0))
+	r.next("end", 0)
 }
 
 // zoneWorkers picks workers of the last zones, the oldest first.
--- a/internal/scale/settings.go
+++ b/internal/scale/settings.go
@@ -82,6 +82,9 @@
 	}
 }
 
+// keepFleet is for controllers that return no machine, so that the site keeps its size.
+const keepFleet = "(wallrack (idle-s 3600) (headroom-percent 500) (dear-headroom-percent 500))"
+
 // planned is the planned size.
 func planned() *Settings {
 	return &Settings{Workers: 2600, Controllers: 6, Zones: 10, Regions: 5, RackWorkers: 40, WorkerCPUs: 6, WorkerMemoryGB: 64,
@@ -89,7 +92,7 @@
 		Running: 11000, TaskCPUs: 1, RunS: 3, FetchS: 0.2, TasksPerJob: 40, SteadyStarts: 90, PeakStarts: 890, UrgentStarts: 5, UrgentWithinS: 1.7,
 		FillWithinS: 180, SteadyS: 60, PeakS: 60, FailuresS: 180, RackS: 180, ZoneS: 180, RegionS: 180, SettleS: 30, RestartEveryS: 20, DrainS: 60,
 		Pace: 60, FailADay: 23, RestartADay: 330, StateRPS: 600, StateWriteRPS: 240, StateLatencyMs: 5, StateTxns: 48, CloudRPS: 6, CloudLatencyMs: 150, CloudLagS: 4,
-		ControllerCPU: 1, ControllerMB: 512, ControllerSockets: 4096, MemoryGB: 11, Operator: []byte("(wallrack (idle-s 3600))")}
+		ControllerCPU: 1, ControllerMB: 512, ControllerSockets: 4096, MemoryGB: 11, Operator: []byte(keepFleet)}
 }
 
 // LoadSettings reads `(scale (key number) ... (team "name" guarantee limit) ...
--- a/internal/scale/tracker.go
+++ b/internal/scale/tracker.go
@@ -51,6 +51,7 @@
 	gap                 time.Duration // longest time without a start
 	refused, unanswered int
 	secondly            []int // starts in each second
+	writes              int64 // to the state service
 }
 
 type lostTask struct {
