scale: a failed run still tells what it measured; memory as the runtime has it

Cause: the peak of the resident set that a child reports is at least its parent's at its start: controllers restarted by the run showed 301 MB, and hold 43.

--- a/cmd/wallrack/scale.go
+++ b/cmd/wallrack/scale.go
@@ -53,10 +53,10 @@
 				run.Start = children(exe, filepath.Join(run.Dir, "logs"))
 			}
 			result, err := run.Do(cmd.Context())
-			if err != nil {
+			if result == nil {
 				return err
 			}
-			return writeResult(cmd.OutOrStdout(), result, out)
+			return errors.Join(err, writeResult(cmd.OutOrStdout(), result, out))
 		},
 	}
 	f := c.Flags()
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -53,7 +53,9 @@
 		u.peakCPU = max(u.peakCPU, share)
 	}
 	u.cpuS += used
-	u.memoryMB = max(u.memoryMB, r.PeakMB)
+	// Not the peak of the resident set: a child's counter starts at that of the process
+	// that started it.
+	u.memoryMB = max(u.memoryMB, r.RuntimeMB)
 	u.inbound = max(u.inbound, r.Queues["connections"])
 	u.last, u.at = r, now
 	return share
--- a/internal/scale/result.go
+++ b/internal/scale/result.go
@@ -105,7 +105,7 @@
 	Name         string  `json:"name"`
 	CPUMean      float64 `json:"cpu_mean"` // shares of a core
 	CPUPeak      float64 `json:"cpu_peak_5s"`
-	MemoryMB     float64 `json:"memory_peak_mb"`
+	MemoryMB     float64 `json:"runtime_memory_peak_mb"` // seen every 5 s
 	Connections  int     `json:"inbound_connections_peak"`
 	StateReads   float64 `json:"state_reads_per_s"`
 	StateWatches float64 `json:"state_watches_per_s"`
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -67,7 +67,8 @@
 	usage   usageTotals
 }
 
-// Do plays the run and returns what was measured; its children have ended then.
+// Do plays the run and returns what was measured, up to the error if there is one;
+// its children have ended then. Without a result nothing was played.
 func (r *Run) Do(ctx context.Context) (*Result, error) {
 	s := r.Settings
 	loadBefore := hostLoad()
@@ -80,6 +81,7 @@
 	g, gctx := errgroup.WithContext(ctx)
 	front, err := r.prepare(services, g)
 	if err != nil {
+		r.workers.close()
 		return nil, err
 	}
 	var running sync.WaitGroup
@@ -102,7 +104,6 @@
 			})
 		}()
 	}
-	var playErr error
 	g.Go(func() error {
 		defer func() {
 			stopControllers()
@@ -110,13 +111,11 @@
 			r.workers.close()
 			stopServices()
 		}()
-		playErr = r.play(gctx, front)
-		return playErr
+		defer r.next("end", 0)
+		return r.play(gctx, front)
 	})
-	if err := g.Wait(); err != nil {
-		return nil, err
-	}
-	return r.result(loadBefore), nil
+	err = g.Wait()
+	return r.result(loadBefore), err
 }
 
 // longest bounds the run in time.
@@ -130,6 +129,7 @@
 // settings.
 func (r *Run) prepare(ctx context.Context, g *errgroup.Group) (*local.Front, error) {
 	s := r.Settings
+	r.workers = &workers{settings: s, track: r.track, all: map[string]*hollow{}, bytes: map[string]*atomic.Int64{}, log: r.Log}
 	state, err := standin.OpenState(nil, s.StateTxns, valueKB)
 	if err != nil {
 		return nil, err
@@ -138,7 +138,6 @@
 	for i := range zones {
 		zones[i] = fmt.Sprintf("zone-%02d", i)
 	}
-	r.workers = &workers{settings: s, track: r.track, all: map[string]*hollow{}, bytes: map[string]*atomic.Int64{}, log: r.Log}
 	r.cloud, err = standin.OpenCloud(nil, []wire.MachineType{{Name: machineType, CPUs: s.WorkerCPUs, MemoryGB: s.WorkerMemoryGB, CacheGB: cacheGB,
 		FetchGBPerS: fetchGBPerS, Price: 1, SpotPrice: 1, BootS: s.BootS, Zones: zones}}, s.Workers, r.workers)
 	if err != nil {
@@ -320,7 +319,6 @@
 			break
 		}
 	}
-	r.next("end", 0)
 }
 
 // zoneWorkers picks workers of the last zones, the oldest first.
