--- a/deploy/scale.sexp
+++ b/deploy/scale.sexp
@@ -1,5 +1,5 @@
-; The planned size, for wallrack scale: what is left out here is as in planned() of
-; internal/scale/settings.go, and docs/scale-run.md tells what each key plays.
+; The planned size, for wallrack scale: what is left out here has the value that
+; docs/scale-run.md gives, where each key is explained.
 (scale
   (workers 2600) (controllers 6) (zones 10) (regions 5) (rack-workers 40)
   (teams 410)
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -312,6 +312,9 @@
 
 // drain waits, without new jobs, until all tasks of arrays are completed.
 func (r *Run) drain(ctx context.Context) {
+	if ctx.Err() != nil {
+		return
+	}
 	r.next("drain", 0)
 	end := time.Now().Add(seconds(r.Settings.DrainS))
 	for time.Now().Before(end) && wait(ctx, 100*time.Millisecond) {
--- a/internal/scale/settings.go
+++ b/internal/scale/settings.go
@@ -49,52 +49,67 @@
 	Operator []byte // settings that the controllers get, or nil
 }
 
-// figure is a setting that is a number; one of n and v is where it goes.
+// figure is a setting that is a number, with its bounds, its value at the planned size
+// and where it goes: an *int or a *float64.
 type figure struct {
-	min, max float64
-	n        *int
-	v        *float64
+	min, max, planned float64
+	to                any
 }
 
 func (s *Settings) figures() map[string]figure {
-	const day = 86400
 	return map[string]figure{
-		"workers": {min: 1, max: 20000, n: &s.Workers}, "controllers": {min: 1, max: 16, n: &s.Controllers},
-		"zones": {min: 1, max: 100, n: &s.Zones}, "regions": {min: 1, max: 100, n: &s.Regions},
-		"rack-workers": {min: 1, max: 1000, n: &s.RackWorkers}, "worker-cpus": {min: 0.1, max: 1024, v: &s.WorkerCPUs},
-		"worker-memory-gb": {min: 0.1, max: 1e5, v: &s.WorkerMemoryGB}, "report-s": {min: 0.1, max: 60, v: &s.ReportS},
-		"lease-s": {min: 0.5, max: 600, v: &s.LeaseS}, "cancel-s": {min: 1, max: 600, v: &s.CancelS}, "boot-s": {min: 0, max: 600, v: &s.BootS},
-		"teams": {min: 0, max: 4096, n: &s.teamCount}, "team-spare-cpus": {min: 1, max: 1e6, v: &s.TeamSpare},
-		"running": {min: 0, max: 200000, n: &s.Running}, "task-cpus": {min: 0.01, max: 1024, v: &s.TaskCPUs},
-		"run-s": {min: 0.1, max: 3600, v: &s.RunS}, "fetch-s": {min: 0, max: 600, v: &s.FetchS}, "tasks-per-job": {min: 1, max: 10000, n: &s.TasksPerJob},
-		"steady-starts": {min: 0.1, max: 1e5, v: &s.SteadyStarts}, "peak-starts": {min: 0.1, max: 1e5, v: &s.PeakStarts},
-		"urgent-starts": {min: 0.1, max: 1e4, v: &s.UrgentStarts}, "urgent-within-s": {min: 0.1, max: 600, v: &s.UrgentWithinS},
-		"fill-within-s": {min: 1, max: 1800, v: &s.FillWithinS}, "steady-s": {min: 0, max: 3600, v: &s.SteadyS}, "peak-s": {min: 0, max: 3600, v: &s.PeakS},
-		"failures-s": {min: 0, max: 3600, v: &s.FailuresS}, "rack-cut-s": {min: 0, max: 3600, v: &s.RackS}, "zone-cut-s": {min: 0, max: 3600, v: &s.ZoneS},
-		"region-cut-s": {min: 0, max: 3600, v: &s.RegionS}, "settle-s": {min: 0, max: 600, v: &s.SettleS},
-		"restart-every-s": {min: 0, max: 600, v: &s.RestartEveryS}, "drain-s": {min: 1, max: 600, v: &s.DrainS},
-		"failures-a-day": {min: 0, max: day, v: &s.FailADay}, "restarts-a-day": {min: 0, max: day, v: &s.RestartADay}, "day-pace": {min: 1, max: 1000, v: &s.Pace},
-		"state-rps": {min: 1, max: 1e6, v: &s.StateRPS}, "state-write-rps": {min: 1, max: 1e6, v: &s.StateWriteRPS}, "state-latency-ms": {min: 0, max: 1000, v: &s.StateLatencyMs},
-		"state-txn-ops": {min: 4, max: 1000, n: &s.StateTxns}, "cloud-rps": {min: 0.1, max: 1e4, v: &s.CloudRPS}, "cloud-latency-ms": {min: 0, max: 10000, v: &s.CloudLatencyMs},
-		"cloud-lag-s": {min: 0, max: 60, v: &s.CloudLagS}, "controller-cpu": {min: 0.01, max: 64, v: &s.ControllerCPU},
-		"controller-memory-mb": {min: 24, max: 65536, v: &s.ControllerMB}, "controller-sockets": {min: 96, max: 65536, n: &s.ControllerSockets},
-		"memory-gb": {min: 0.1, max: 1024, v: &s.MemoryGB},
+		"workers":              {1, 20000, 2600, &s.Workers},
+		"controllers":          {1, 16, 6, &s.Controllers},
+		"zones":                {1, 100, 10, &s.Zones},
+		"regions":              {1, 100, 5, &s.Regions},
+		"rack-workers":         {1, 1000, 40, &s.RackWorkers},
+		"worker-cpus":          {0.1, 1024, 6, &s.WorkerCPUs},
+		"worker-memory-gb":     {0.1, 1e5, 64, &s.WorkerMemoryGB},
+		"report-s":             {0.1, 60, 4, &s.ReportS},
+		"lease-s":              {0.5, 600, 22, &s.LeaseS},
+		"cancel-s":             {1, 600, 52, &s.CancelS},
+		"boot-s":               {0, 600, 2, &s.BootS},
+		"teams":                {0, 4096, 410, &s.teamCount},
+		"team-spare-cpus":      {1, 1e6, 60, &s.TeamSpare},
+		"running":              {0, 200000, 11000, &s.Running},
+		"task-cpus":            {0.01, 1024, 1, &s.TaskCPUs},
+		"run-s":                {0.1, 3600, 3, &s.RunS},
+		"fetch-s":              {0, 600, 0.2, &s.FetchS},
+		"tasks-per-job":        {1, 10000, 40, &s.TasksPerJob},
+		"steady-starts":        {0.1, 1e5, 90, &s.SteadyStarts},
+		"peak-starts":          {0.1, 1e5, 890, &s.PeakStarts},
+		"urgent-starts":        {0.1, 1e4, 5, &s.UrgentStarts},
+		"urgent-within-s":      {0.1, 600, 1.7, &s.UrgentWithinS},
+		"fill-within-s":        {1, 1800, 180, &s.FillWithinS},
+		"steady-s":             {0, 3600, 60, &s.SteadyS},
+		"peak-s":               {0, 3600, 60, &s.PeakS},
+		"failures-s":           {0, 3600, 180, &s.FailuresS},
+		"rack-cut-s":           {0, 3600, 180, &s.RackS},
+		"zone-cut-s":           {0, 3600, 180, &s.ZoneS},
+		"region-cut-s":         {0, 3600, 180, &s.RegionS},
+		"settle-s":             {0, 600, 30, &s.SettleS},
+		"restart-every-s":      {0, 600, 20, &s.RestartEveryS},
+		"drain-s":              {1, 600, 60, &s.DrainS},
+		"failures-a-day":       {0, 86400, 23, &s.FailADay},
+		"restarts-a-day":       {0, 86400, 330, &s.RestartADay},
+		"day-pace":             {1, 1000, 60, &s.Pace},
+		"state-rps":            {1, 1e6, 600, &s.StateRPS},
+		"state-write-rps":      {1, 1e6, 240, &s.StateWriteRPS},
+		"state-latency-ms":     {0, 1000, 5, &s.StateLatencyMs},
+		"state-txn-ops":        {4, 1000, 48, &s.StateTxns},
+		"cloud-rps":            {0.1, 1e4, 6, &s.CloudRPS},
+		"cloud-latency-ms":     {0, 10000, 150, &s.CloudLatencyMs},
+		"cloud-lag-s":          {0, 60, 4, &s.CloudLagS},
+		"controller-cpu":       {0.01, 64, 1, &s.ControllerCPU},
+		"controller-memory-mb": {24, 65536, 512, &s.ControllerMB},
+		"controller-sockets":   {96, 65536, 4096, &s.ControllerSockets},
+		"memory-gb":            {0.1, 1024, 11, &s.MemoryGB},
 	}
 }
 
 // keepFleet is for controllers that return no machine, so that the site keeps its size.
 const keepFleet = "(wallrack (idle-s 3600) (headroom-percent 500) (dear-headroom-percent 500))"
 
-// planned is the planned size.
-func planned() *Settings {
-	return &Settings{Workers: 2600, Controllers: 6, Zones: 10, Regions: 5, RackWorkers: 40, WorkerCPUs: 6, WorkerMemoryGB: 64,
-		ReportS: 4, LeaseS: 22, CancelS: 52, BootS: 2, teamCount: 410, TeamSpare: 60,
-		Running: 11000, TaskCPUs: 1, RunS: 3, FetchS: 0.2, TasksPerJob: 40, SteadyStarts: 90, PeakStarts: 890, UrgentStarts: 5, UrgentWithinS: 1.7,
-		FillWithinS: 180, SteadyS: 60, PeakS: 60, FailuresS: 180, RackS: 180, ZoneS: 180, RegionS: 180, SettleS: 30, RestartEveryS: 20, DrainS: 60,
-		Pace: 60, FailADay: 23, RestartADay: 330, StateRPS: 600, StateWriteRPS: 240, StateLatencyMs: 5, StateTxns: 48, CloudRPS: 6, CloudLatencyMs: 150, CloudLagS: 4,
-		ControllerCPU: 1, ControllerMB: 512, ControllerSockets: 4096, MemoryGB: 11, Operator: []byte(keepFleet)}
-}
-
 // LoadSettings reads `(scale (key number) ... (team "name" guarantee limit) ...
 // (operator (key value) ...))` over the planned size.
 func LoadSettings(path string) (*Settings, error) { return config.Load(path, ParseSettings) }
@@ -105,8 +120,11 @@
 	if err != nil {
 		return nil, err
 	}
-	s := planned()
+	s := &Settings{Operator: []byte(keepFleet)}
 	figures, seen := s.figures(), map[string]bool{}
+	for _, f := range figures {
+		f.set(f.planned)
+	}
 	for i, e := range entries {
 		entry, ok := e.([]any)
 		if !ok || len(entry) < 2 {
@@ -140,18 +158,22 @@
 
 func (f figure) take(value any) error {
 	v, err := config.Number(value, f.min, f.max)
-	if err != nil {
-		return err
+	if _, whole := f.to.(*int); err == nil && whole && v != math.Trunc(v) {
+		err = fmt.Errorf("%v is not a whole number", v)
 	}
-	if f.n == nil {
-		*f.v = v
-		return nil
+	if err == nil {
+		f.set(v)
 	}
-	if v != math.Trunc(v) {
-		return fmt.Errorf("%v is not a whole number", v)
+	return err
+}
+
+func (f figure) set(v float64) {
+	switch to := f.to.(type) {
+	case *int:
+		*to = int(v)
+	case *float64:
+		*to = v
 	}
-	*f.n = int(v)
-	return nil
 }
 
 const maxTeamName = 120 // that a job's message holds
--- /dev/null
+++ b/internal/standin/meter_test.go
@@ -0,0 +1,75 @@
+package standin_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/wallrack/wallrack/internal/standin"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+type noMachines struct{}
+
+func (noMachines) Launch(wire.ListedMachine, wire.MachineType) (string, error) {
+	return "127.0.0.1:1", nil
+}
+func (noMachines) End(string) {}
+
+// Two clients of a service in memory share its budget, and each is counted alone.
+func TestMeteredClientsShareTheBudget(t *testing.T) {
+	state, err := standin.OpenState(nil, 8, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	budget := standin.NewBudget(6, 3) // bursts of a second's worth; the test is over sooner than one is back
+	var counts [2]standin.Counts
+	clients := [2]http.Handler{standin.Metered(state.Handler(), 0, budget, &counts[0]), standin.Metered(state.Handler(), 0, budget, &counts[1])}
+	ask := func(client int, method, path, body string, want int) {
+		t.Helper()
+		w := httptest.NewRecorder()
+		clients[client].ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+		if w.Code != want {
+			t.Errorf("%s %s %s: status %d, want %d", method, path, body, w.Code, want)
+		}
+	}
+	write := func(keys ...string) string {
+		var ops []string
+		for _, k := range keys {
+			ops = append(ops, fmt.Sprintf(`{"set":%q,"data":1}`, k))
+		}
+		return `{"guards":[],"apply":[` + strings.Join(ops, ",") + `]}`
+	}
+	ask(0, "POST", "/txn", write("a", "b"), http.StatusOK)
+	ask(1, "POST", "/txn", write("c", "d"), http.StatusTooManyRequests) // one more write than there is
+	ask(1, "POST", "/txn", write("c"), http.StatusOK)
+	ask(1, "GET", "/store/a", "", http.StatusOK)
+	ask(0, "GET", "/store/d", "", http.StatusNotFound)
+	ask(0, "GET", "/follow?after=9", "", http.StatusOK)
+	ask(0, "GET", "/store/a", "", http.StatusTooManyRequests) // the seventh request
+	for i, want := range []string{"1 1 2 1 1", "1 0 1 1 1"} {
+		c := &counts[i]
+		if got := fmt.Sprint(c.Reads.Load(), c.Watches.Load(), c.Writes.Load(), c.Transactions.Load(), c.Refused.Load()); got != want {
+			t.Errorf("client %d: reads, watches, writes, transactions, refused: %s, want %s", i, got, want)
+		}
+	}
+}
+
+func TestCloudInMemoryBoundsMachinesOfAZone(t *testing.T) {
+	cloud, err := standin.OpenCloud(nil, []wire.MachineType{{Name: "m", Zones: []string{"a", "b"}}}, 7, noMachines{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cloud.PerZone = 4
+	for i, c := range []struct {
+		zone string
+		want int
+	}{{"a", 3}, {"a", 1}, {"a", 0}, {"b", 3}, {"b", 0}} {
+		names, err := cloud.Hire(&wire.HireRequest{Name: fmt.Sprint("r-", i), Type: "m", Zone: c.zone, Number: 3})
+		if len(names) != c.want || (err == nil) != (c.want > 0) {
+			t.Errorf("hire %d in %s: %d machines, want %d, %v", i, c.zone, len(names), c.want, err)
+		}
+	}
+}
