--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -53,6 +54,8 @@
 	cloud       *standin.Cloud
 	controllers []*controller
 	phases      []*phase
+	zones       []string
+	hires       int
 	writes      int64 // to the state service up to the last phase's end
 	samples     []Sample
 	random      *rand.Rand
@@ -134,12 +137,11 @@
 	if err != nil {
 		return nil, err
 	}
-	zones := make([]string, s.Zones)
-	for i := range zones {
-		zones[i] = fmt.Sprintf("zone-%02d", i)
+	for i := range s.Zones {
+		r.zones = append(r.zones, fmt.Sprintf("zone-%02d", i))
 	}
 	r.cloud, err = standin.OpenCloud(nil, []wire.MachineType{{Name: machineType, CPUs: s.WorkerCPUs, MemoryGB: s.WorkerMemoryGB, CacheGB: cacheGB,
-		FetchGBPerS: fetchGBPerS, Price: 1, SpotPrice: 1, BootS: s.BootS, Zones: zones}}, s.Workers, r.workers)
+		FetchGBPerS: fetchGBPerS, Price: 1, SpotPrice: 1, BootS: s.BootS, Zones: r.zones}}, s.Workers, r.workers)
 	if err != nil {
 		return nil, err
 	}
@@ -173,13 +175,13 @@
 			return nil, err
 		}
 	}
-	params := config.Params{Zones: zones, Workers: config.Workers{ReportS: s.ReportS, LeaseS: s.LeaseS, CancelS: s.CancelS},
+	params := config.Params{Zones: r.zones, Workers: config.Workers{ReportS: s.ReportS, LeaseS: s.LeaseS, CancelS: s.CancelS},
 		State: config.State{RPS: s.StateRPS, WriteRPS: s.StateWriteRPS, ValueKB: valueKB, TxnOps: s.StateTxns},
 		Cloud: config.Cloud{RPS: s.CloudRPS, ListLagS: s.CloudLagS}, Limits: config.Limits{CPU: s.ControllerCPU, RAMMB: s.ControllerMB, Sockets: s.ControllerSockets}}
 	for _, t := range s.Teams {
 		params.Teams = append(params.Teams, config.Team{Name: t.Name, CPUs: t.Guarantee, CPUsMax: t.Limit})
 	}
-	files, err := local.Controllers(filepath.Join(r.Dir, "controllers"), "scale", s.Controllers, params, zones, func(i int) config.Endpoints {
+	files, err := local.Controllers(filepath.Join(r.Dir, "controllers"), "scale", s.Controllers, params, r.zones, func(i int) config.Endpoints {
 		return config.Endpoints{Cloud: cloudAddr, State: stateAddrs[i]}
 	})
 	if err != nil {
@@ -197,21 +199,27 @@
 	}
 	g.Go(func() error { front.Watch(ctx); return nil })
 	r.users = &users{settings: s, track: r.track, client: client.New("http://" + addr)}
-	return front, r.hire(zones)
+	if n := r.hire(); n != s.Workers {
+		return nil, fmt.Errorf("%d workers of %d were rented", n, s.Workers)
+	}
+	return front, nil
 }
 
-// hire rents the site's workers, as an earlier day of the site would have left them.
-func (r *Run) hire(zones []string) error {
-	for _, z := range zones {
-		for left := r.cloud.PerZone; left > 0; left -= hireAtOnce {
-			name := fmt.Sprintf("before-%s-%d", z, left)
-			names, err := r.cloud.Hire(&wire.HireRequest{Name: name, Type: machineType, Zone: z, Number: min(left, hireAtOnce)})
-			if err != nil || len(names) < min(left, hireAtOnce) {
-				return fmt.Errorf("workers in %s: %d rented: %w", z, len(names), err)
+// hire rents workers until the site has its size: those of an earlier day, and in the
+// place of those that are gone. It returns how many came.
+func (r *Run) hire() int {
+	total := 0
+	for _, z := range r.zones {
+		for {
+			r.hires++
+			names, err := r.cloud.Hire(&wire.HireRequest{Name: fmt.Sprintf("scale-run-%d", r.hires), Type: machineType, Zone: z, Number: hireAtOnce})
+			total += len(names)
+			if err != nil { // the zone is full
+				break
 			}
 		}
 	}
-	return nil
+	return total
 }
 
 // play goes through the phases.
@@ -242,24 +250,26 @@
 	}
 	r.phase(ctx, "failures", s.SteadyStarts, seconds(s.FailuresS), r.failures)
 	for _, c := range []struct {
-		name string
-		s    float64
-		pick func() map[string]bool
+		name  string
+		s     float64
+		zones []string
+		most  int
 	}{
-		{"rack cut", s.RackS, func() map[string]bool { return r.zoneWorkers(1, s.RackWorkers) }},
-		{"zone cut", s.ZoneS, func() map[string]bool { return r.zoneWorkers(1, s.Workers) }},
-		{"region cut", s.RegionS, func() map[string]bool { return r.zoneWorkers(s.Zones/s.Regions, s.Workers) }},
+		{"rack cut", s.RackS, r.zones[:1], s.RackWorkers},
+		{"zone cut", s.ZoneS, r.zones[:1], s.Workers},
+		{"region cut", s.RegionS, r.zones[s.Zones-s.Zones/s.Regions:], s.Workers},
 	} {
 		if c.s == 0 {
 			continue
 		}
-		names := c.pick()
+		names := r.someWorkers(c.zones, c.most)
 		r.phase(ctx, c.name, s.SteadyStarts, seconds(c.s), func(context.Context) {
 			r.track.lose(c.name, names)
 			r.workers.cut(names, true)
 		})
 		r.workers.cut(names, false)
 		r.track.found(names)
+		r.hire()
 		r.phase(ctx, "after the "+c.name, s.SteadyStarts, seconds(s.SettleS), nil)
 	}
 	r.phase(ctx, "rolling restart", s.SteadyStarts, seconds(s.RestartEveryS*float64(s.Controllers)), r.restarts)
@@ -324,14 +334,10 @@
 	}
 }
 
-// zoneWorkers picks workers of the last zones, the oldest first.
-func (r *Run) zoneWorkers(zones, most int) map[string]bool {
-	all := r.workers.pick(func(h *hollow) bool { return h.zone >= fmt.Sprintf("zone-%02d", r.Settings.Zones-zones) })
-	names := make([]string, 0, len(all))
-	for n := range all {
-		names = append(names, n)
-	}
-	slices.Sort(names)
+// someWorkers picks the oldest workers of zones.
+func (r *Run) someWorkers(zones []string, most int) map[string]bool {
+	all := r.workers.pick(func(h *hollow) bool { return slices.Contains(zones, h.zone) })
+	names := slices.Sorted(maps.Keys(all))
 	for _, n := range names[min(most, len(names)):] {
 		delete(all, n)
 	}
@@ -339,7 +345,8 @@
 }
 
 // failures plays an ordinary day's at its pace: some machines die, and are listed as
-// running for a while, others are restarted or replaced, which the cloud shows.
+// running for a while; others are restarted or replaced, which the cloud shows, and
+// come back as new ones.
 func (r *Run) failures(ctx context.Context) {
 	s := r.Settings
 	perS := (s.FailADay + s.RestartADay) * s.Pace / (24 * 3600)
@@ -364,17 +371,13 @@
 			time.AfterFunc(failedShownIn, func() { r.cloud.Failed(name) })
 		} else {
 			r.cloud.Failed(name)
+			r.hire()
 		}
 	}
 }
 
 func (r *Run) anyWorker() string {
-	all := r.workers.pick(func(*hollow) bool { return true })
-	names := make([]string, 0, len(all))
-	for n := range all {
-		names = append(names, n)
-	}
-	slices.Sort(names)
+	names := slices.Sorted(maps.Keys(r.someWorkers(r.zones, r.Settings.Workers)))
 	if len(names) == 0 {
 		return ""
 	}
