--- a/internal/scale/hollow_test.go
+++ b/internal/scale/hollow_test.go
@@ -163,6 +163,35 @@
 	}
 }
 
+// A cut shorter than the lease: what stood is as before, and an order that was on its
+// way is executed late; one on a connection that came during the cut never is.
+func TestShortCutDeliversHeldOrdersLate(t *testing.T) {
+	s := newSite(t)
+	stood := &http.Client{Transport: &http.Transport{}, Timeout: 100 * time.Millisecond}
+	if s.order(stood, 5, 1, "j-long") != http.StatusOK {
+		t.Fatal("not started")
+	}
+	cut := map[string]bool{"n-1": true}
+	s.track.lose("cut", cut)
+	s.workers.cut(cut, true)
+	during := &http.Client{Transport: &http.Transport{}, Timeout: 100 * time.Millisecond}
+	if a, b := s.order(stood, 5, 1, "j-late"), s.order(during, 5, 1, "j-third"); a != 0 || b != 0 || s.on() != 1 {
+		t.Errorf("statuses %d and %d, %d tasks on during the cut", a, b, s.on())
+	}
+	s.workers.cut(cut, false)
+	s.track.found(cut)
+	s.until("the late order", func() bool { return s.on() >= 2 })
+	time.Sleep(50 * time.Millisecond)
+	for _, task := range s.show().Tasks {
+		if task.Task == "j-third/0" {
+			t.Error("a connection that was given up delivered an order")
+		}
+	}
+	if r := s.track.events[0]; r.Tasks != 1 || r.restored != 1 || s.show().Session != 1 {
+		t.Errorf("recovery: %+v", r)
+	}
+}
+
 // The workers' count of what the rules forbid is what a run is judged by.
 func TestTrackerCountsTasksTwiceAndTeamsAboveTheirLimit(t *testing.T) {
 	track := newTracker([]Team{{"a", 1, 2}}, time.Second)
