--- /dev/null
+++ b/internal/cancels/capacity_test.go
@@ -0,0 +1,42 @@
+package cancels
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/capacity"
+)
+
+// confirmed is a register that confirmed so many cancels, of which its peer has not
+// acknowledged any.
+func confirmed(tb testing.TB, cancels int) *Register {
+	r := New([]string{"b"}, time.Minute, func() time.Duration { return time.Minute })
+	r.armed = true
+	for i := range cancels {
+		if err := r.Confirm(fmt.Sprintf("j-%06d", i)); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	return r
+}
+
+var capacitySeries = []capacity.Series{
+	{Name: "cancels.message", Sizes: []int{1, 10, 100, 1000}, FixedSlack: 20, Measure: func(tb testing.TB, cancels int) float64 {
+		r := confirmed(tb, cancels)
+		r.stamp = 1_000_000_000_000 // of a fixed number of digits
+		r.life = 1 << 63
+		data, err := json.Marshal(r.Message("b"))
+		if err != nil {
+			tb.Fatal(err)
+		}
+		return float64(len(data))
+	}},
+	{Name: "cancels.heap", Sizes: []int{400, 800, 1600, 3200}, FixedSlack: 4000, Measure: func(tb testing.TB, cancels int) float64 {
+		return capacity.Heap(func() any { return confirmed(tb, cancels) })
+	}},
+}
+
+func TestCapacity(t *testing.T)      { capacity.Check(t, capacitySeries...) }
+func BenchmarkCapacity(b *testing.B) { capacity.Bench(b, capacitySeries...) }
--- /dev/null
+++ b/internal/capacity/page.go
@@ -0,0 +1,96 @@
+package capacity
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+)
+
+// Page is where the slopes stand, below the repository's root.
+const Page = "docs/CAPACITY.md"
+
+// Row is a row of the page's table of slopes.
+type Row struct {
+	Name  string
+	Fixed float64
+	Slope float64
+	Exact bool // the same at every run, so that a test may hold it
+}
+
+// The table's columns: name, unit and number, sizes, fixed part, slope, fit error, kind.
+const (
+	columns     = 7
+	fixedColumn = 3
+	slopeColumn = 4
+	kindColumn  = 6
+)
+
+// ParsePage reads the rows whose first cell is a series' name between backquotes, such as
+// `wire.report`.
+func ParsePage(text string) (map[string]Row, error) {
+	rows := map[string]Row{}
+	for number, line := range strings.Split(text, "\n") {
+		cells := strings.Split(strings.Trim(strings.TrimSpace(line), "|"), "|")
+		name := strings.TrimSpace(cells[0])
+		if !strings.HasPrefix(line, "|") || len(cells) != columns || !strings.HasPrefix(name, "`") {
+			continue
+		}
+		fail := func(format string, args ...any) error {
+			return fmt.Errorf("line %d: %s: %s", number+1, name, fmt.Sprintf(format, args...))
+		}
+		row := Row{Name: strings.Trim(name, "`")}
+		var err error
+		if row.Fixed, err = figure(cells[fixedColumn]); err != nil {
+			return nil, fail("fixed part: %v", err)
+		}
+		if row.Slope, err = figure(cells[slopeColumn]); err != nil {
+			return nil, fail("slope: %v", err)
+		}
+		switch kind := strings.TrimSpace(cells[kindColumn]); kind {
+		case "exact":
+			row.Exact = true
+		case "scatters":
+		default:
+			return nil, fail("neither exact nor scatters: %q", kind)
+		}
+		if _, twice := rows[row.Name]; twice {
+			return nil, fail("twice")
+		}
+		rows[row.Name] = row
+	}
+	return rows, nil
+}
+
+// figure reads a number that may have commas between thousands.
+func figure(cell string) (float64, error) {
+	return strconv.ParseFloat(strings.ReplaceAll(strings.TrimSpace(cell), ",", ""), 64)
+}
+
+// ReadPage reads the page of the repository that the working directory is in.
+func ReadPage() (map[string]Row, error) {
+	dir, err := os.Getwd()
+	if err != nil {
+		return nil, err
+	}
+	for {
+		if _, err := os.Stat(filepath.Join(dir, "go.mod")); err == nil {
+			break
+		}
+		parent := filepath.Dir(dir)
+		if parent == dir {
+			return nil, fmt.Errorf("no go.mod above the working directory")
+		}
+		dir = parent
+	}
+	text, err := os.ReadFile(filepath.Join(dir, Page))
+	if err != nil {
+		return nil, err
+	}
+	rows, err := ParsePage(string(text))
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", Page, err)
+	}
+	return rows, nil
+}
--- /dev/null
+++ b/internal/intake/capacity_test.go
@@ -0,0 +1,95 @@
+package intake_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/wallrack/wallrack/internal/capacity"
+	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/intake"
+	"github.com/wallrack/wallrack/internal/testkit"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// door is the users' interface of a site with so many teams, the last of which submits.
+func door(tb testing.TB, teams int) *http.ServeMux {
+	s := &stub{View: &testkit.View{Store: testkit.NewStore()}, up: true, types: []wire.MachineType{{Name: "m", CPUs: 4, MemoryGB: 8, Zones: []string{"z"}}}}
+	cfg := &config.Platform{Node: "a"}
+	for i := range teams - 1 {
+		cfg.Params.Teams = append(cfg.Params.Teams, config.Team{Name: fmt.Sprintf("team-%03d", i), CPUsMax: 8})
+	}
+	cfg.Params.Teams = append(cfg.Params.Teams, config.Team{Name: "t", CPUsMax: 8})
+	op, err := config.LoadOperator("")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	intake.New(cfg, op, s, s, s, s, slog.New(slog.NewTextHandler(io.Discard, nil))).Register(mux)
+	return mux
+}
+
+// submit submits a job; a repeat of one that is known takes the same way up to the state
+// service.
+func submit(tb testing.TB, mux *http.ServeMux, number int) {
+	w := httptest.NewRecorder()
+	mux.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/api/jobs", strings.NewReader(strings.Replace(job, "j-7", fmt.Sprintf("j-%06d", number), 1))))
+	if w.Code/100 != 2 {
+		tb.Fatalf("submission: %d", w.Code)
+	}
+}
+
+// heldOpen is the memory, heap and stacks, of so many users' connections that have asked
+// something once, both ends.
+func heldOpen(tb testing.TB, connections int) float64 {
+	srv := httptest.NewServer(door(tb, 1))
+	defer srv.Close()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var open []net.Conn
+	for range connections {
+		conn, err := net.Dial("tcp", srv.Listener.Addr().String())
+		if err != nil {
+			tb.Fatal(err)
+		}
+		open = append(open, conn)
+		if _, err := io.WriteString(conn, "GET /up HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+			tb.Fatal(err)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			tb.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body) // a memory reader that has all
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	for _, conn := range open {
+		_ = conn.Close()
+	}
+	return float64(after.HeapAlloc+after.StackInuse) - float64(before.HeapAlloc+before.StackInuse)
+}
+
+var capacitySeries = []capacity.Series{
+	{Name: "intake.allocsOfSubmission", Sizes: []int{50, 100, 200, 400}, FixedSlack: 3, Measure: func(tb testing.TB, teams int) float64 {
+		mux := door(tb, teams)
+		submit(tb, mux, 1)
+		return testing.AllocsPerRun(100, func() { submit(tb, mux, 1) })
+	}},
+	{Name: "intake.submission", Scatters: true, Sizes: []int{50, 100, 200, 400}, Measure: func(tb testing.TB, teams int) float64 {
+		mux, number := door(tb, teams), 0
+		return capacity.ProcessorTime(tb, func() { number++; submit(tb, mux, number) })
+	}},
+	{Name: "intake.connections", Scatters: true, Sizes: []int{100, 200, 400, 800}, Measure: heldOpen},
+}
+
+func TestCapacity(t *testing.T)      { capacity.Check(t, capacitySeries...) }
+func BenchmarkCapacity(b *testing.B) { capacity.Bench(b, capacitySeries...) }
--- /dev/null
+++ b/internal/links/capacity_test.go
@@ -0,0 +1,71 @@
+package links_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/capacity"
+	"github.com/wallrack/wallrack/internal/links"
+)
+
+// row is what a controller says of its links to a message's receiver.
+func row(heard int, lacks ...string) links.Row {
+	r := links.Row{Node: "racker-1", Born: 1_764_652_567_000, Seq: 100_000, State: true, Held: true, Owns: true, Chief: "racker-1", Cloud: true,
+		Reports: 1000, Expected: 1000.5, Lacks: lacks}
+	if heard > 0 {
+		var names []string
+		for i := range heard {
+			names = append(names, fmt.Sprintf("n-%06d", i))
+		}
+		r.Heard = links.NewNames(names, 8<<10)
+	}
+	return r
+}
+
+func jsonBytes(tb testing.TB, message any) float64 {
+	data, err := json.Marshal(message)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return float64(len(data))
+}
+
+// passedOn is a table in which nobody else hears the last peer, so that its row is passed
+// on to all others.
+func passedOn(controllers int) (*links.Table, []string) {
+	now := time.Now()
+	var peers []string
+	for i := 1; i < controllers; i++ {
+		peers = append(peers, fmt.Sprintf("racker-%d", i+1))
+	}
+	last := peers[len(peers)-1]
+	t := links.NewTable("racker-1", peers)
+	for _, p := range peers {
+		r := row(0, last)
+		if p == last {
+			r = row(0, peers[:len(peers)-1]...)
+		}
+		r.Node = p
+		t.Take(r, links.Direct, 0, now)
+	}
+	return t, peers
+}
+
+var capacitySeries = []capacity.Series{
+	{Name: "links.row", Sizes: []int{400, 800, 1600, 3200}, Measure: func(tb testing.TB, heard int) float64 {
+		return jsonBytes(tb, row(heard))
+	}},
+	{Name: "links.passed", Sizes: []int{3, 4, 6, 12}, FixedSlack: 20, Measure: func(tb testing.TB, controllers int) float64 {
+		t, peers := passedOn(controllers)
+		total := 0.0
+		for _, p := range peers {
+			total += jsonBytes(tb, t.Passed(p, time.Now()))
+		}
+		return total
+	}},
+}
+
+func TestCapacity(t *testing.T)      { capacity.Check(t, capacitySeries...) }
+func BenchmarkCapacity(b *testing.B) { capacity.Bench(b, capacitySeries...) }
--- /dev/null
+++ b/internal/machine/capacity_test.go
@@ -0,0 +1,96 @@
+package machine_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-json"
+
+	"github.com/wallrack/wallrack/internal/capacity"
+	"github.com/wallrack/wallrack/internal/machine"
+	"github.com/wallrack/wallrack/internal/placement"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// heldMachines is a holder of machines that run so many tasks each.
+type heldMachines struct {
+	holder  *machine.Holder
+	reports []*wire.Report
+}
+
+func (h *heldMachines) report(tb testing.TB, i int) {
+	h.reports[i].Seq++
+	if status, _ := h.holder.Report(context.Background(), h.reports[i]); status != 200 {
+		tb.Fatalf("report answered with %d", status)
+	}
+}
+
+// discard is a stub that keeps no views.
+type discard struct{ *stub }
+
+func (discard) Observe(machine.View) {}
+
+func holdMachines(tb testing.TB, machines, tasks int) *heldMachines {
+	s := discard{&stub{term: 7}}
+	h := &heldMachines{holder: machine.New(context.Background(), "a", 44*time.Second, s, s, s, s, s, slog.New(slog.NewTextHandler(io.Discard, nil)))}
+	for i := range machines {
+		r := &wire.Report{Machine: fmt.Sprintf("n-%06d", i), Endpoint: fmt.Sprintf("10.1.%03d.%03d:9000", i/250, i%250), Type: "m", Zone: "z", Session: 1, Token: 7}
+		var d machine.Direction
+		for t := range tasks {
+			task := wire.TaskName(fmt.Sprintf("j-%06d", i), t)
+			r.Tasks = append(r.Tasks, wire.Task{Task: task, Attempt: 20, State: wire.TaskRunning})
+			d.Assign = append(d.Assign, machine.Entry{Ref: machine.Ref{Machine: r.Machine, Task: task, Attempt: 20}, Owner: "a",
+				Shape: placement.Shape{CPUs: 0.1, MemoryGB: 0.1}, Run: 30, Listed: true})
+		}
+		h.reports = append(h.reports, r)
+		h.report(tb, i)
+		h.holder.Direct(d)
+		h.report(tb, i)
+	}
+	return h
+}
+
+// published is the size of all machines' views as a peer gets them.
+func published(tb testing.TB, h *heldMachines) float64 {
+	data, err := json.Marshal(h.holder.Views())
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return float64(len(data))
+}
+
+const tasksEach = 4 // 11,000 tasks on 2,600 machines
+
+var capacitySeries = []capacity.Series{
+	{Name: "machine.heap", Sizes: []int{400, 800, 1600, 3200}, Measure: func(tb testing.TB, machines int) float64 {
+		return capacity.Heap(func() any { return holdMachines(tb, machines, tasksEach).holder })
+	}},
+	{Name: "machine.heapOfTask", Sizes: []int{2, 4, 8, 16}, FixedSlack: 100, Measure: func(tb testing.TB, tasks int) float64 {
+		return capacity.Heap(func() any { return holdMachines(tb, 500, tasks).holder }) / 500
+	}},
+	{Name: "machine.views", Sizes: []int{100, 400, 800, 1600}, FixedSlack: 20, Measure: func(tb testing.TB, machines int) float64 {
+		return published(tb, holdMachines(tb, machines, tasksEach))
+	}},
+	{Name: "machine.viewOfTasks", Sizes: []int{1, 2, 4, 8}, Measure: func(tb testing.TB, tasks int) float64 {
+		return published(tb, holdMachines(tb, 100, tasks)) / 100
+	}},
+	{Name: "machine.allocsOfReport", Sizes: []int{1, 2, 4, 8}, FixedSlack: 1, Measure: func(tb testing.TB, tasks int) float64 {
+		h := holdMachines(tb, 1, tasks)
+		return testing.AllocsPerRun(200, func() { h.report(tb, 0) })
+	}},
+	{Name: "machine.report", Scatters: true, Sizes: []int{400, 800, 1600, 3200}, Measure: func(tb testing.TB, machines int) float64 {
+		h, i := holdMachines(tb, machines, tasksEach), 0
+		return capacity.ProcessorTime(tb, func() { h.report(tb, i%machines); i++ })
+	}},
+	{Name: "machine.makeViews", Scatters: true, Sizes: []int{400, 800, 1600, 3200}, Measure: func(tb testing.TB, machines int) float64 {
+		h := holdMachines(tb, machines, tasksEach)
+		return capacity.ProcessorTime(tb, func() { published(tb, h) })
+	}},
+}
+
+func TestCapacity(t *testing.T)      { capacity.Check(t, capacitySeries...) }
+func BenchmarkCapacity(b *testing.B) { capacity.Bench(b, capacitySeries...) }
--- /dev/null
+++ b/internal/membership/capacity_test.go
@@ -0,0 +1,103 @@
+package membership_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/capacity"
+	"github.com/wallrack/wallrack/internal/membership"
+	"github.com/wallrack/wallrack/internal/testkit"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// counted counts what controllers ask of the state service.
+type counted struct {
+	*testkit.View
+	requests, writes, events *atomic.Int64
+}
+
+func (c counted) Get(ctx context.Context, key string) (wire.Item, error) {
+	c.requests.Add(1)
+	return c.View.Get(ctx, key)
+}
+
+func (c counted) Txn(ctx context.Context, guards []wire.Guard, ops ...wire.Op) (uint64, error) {
+	c.requests.Add(1)
+	c.writes.Add(int64(len(ops)))
+	return c.View.Txn(ctx, guards, ops...)
+}
+
+func (c counted) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	c.requests.Add(1)
+	return c.View.Grant(ctx, ttl)
+}
+
+func (c counted) Touch(ctx context.Context, lease uint64) error {
+	c.requests.Add(1)
+	return c.View.Touch(ctx, lease)
+}
+
+func (c counted) Watch(ctx context.Context, prefix string, hold time.Duration, reset func([]wire.Item), change func([]wire.Event)) {
+	c.View.Watch(ctx, prefix, hold, reset, func(events []wire.Event) {
+		c.requests.Add(1) // the watch is opened anew
+		c.events.Add(int64(len(events)))
+		change(events)
+	})
+}
+
+// asked is what a minute costs.
+type asked struct{ requests, writes, events float64 }
+
+// minutes is what so many controllers ask of the state service in their first minute, in
+// which they start one a second, and in one after it.
+func minutes(controllers int) (first, later asked) {
+	var requests, writes, events atomic.Int64
+	store := testkit.NewStore()
+	ctx, cancel := context.WithCancel(context.Background())
+	var done []<-chan struct{}
+	for i := range controllers {
+		view := counted{&testkit.View{Store: store}, &requests, &writes, &events}
+		done = append(done, run(ctx, membership.New(view, fmt.Sprintf("racker-%d", i+1), 5*time.Second, 1, 1, slog.New(slog.NewTextHandler(io.Discard, nil)))))
+		time.Sleep(time.Second)
+	}
+	read := func() asked { return asked{float64(requests.Load()), float64(writes.Load()), float64(events.Load())} }
+	time.Sleep(time.Minute - time.Duration(controllers)*time.Second)
+	first = read()
+	time.Sleep(time.Minute)
+	later = read()
+	cancel()
+	for _, d := range done {
+		<-d
+	}
+	return first, asked{later.requests - first.requests, later.writes - first.writes, later.events - first.events}
+}
+
+// minute measures minutes in simulated time.
+func minute(tb testing.TB, controllers int, of func(first, later asked) float64) (value float64) {
+	synctest.Test(&testing.T{}, func(*testing.T) { value = of(minutes(controllers)) })
+	return value
+}
+
+var capacitySeries = []capacity.Series{
+	{Name: "membership.requests", Sizes: []int{1, 3, 6, 12}, FixedSlack: 5, Measure: func(tb testing.TB, controllers int) float64 {
+		return minute(tb, controllers, func(_, later asked) float64 { return later.requests })
+	}},
+	{Name: "membership.writes", Sizes: []int{1, 3, 6, 12}, FixedSlack: 1, Measure: func(tb testing.TB, controllers int) float64 {
+		return minute(tb, controllers, func(_, later asked) float64 { return later.writes })
+	}},
+	{Name: "membership.writesOfStarting", Sizes: []int{1, 3, 6, 12}, FixedSlack: 5, Measure: func(tb testing.TB, controllers int) float64 {
+		return minute(tb, controllers, func(first, _ asked) float64 { return first.writes })
+	}},
+	{Name: "membership.eventsOfStarting", Sizes: []int{1, 3, 6, 12}, FixedSlack: 20, Measure: func(tb testing.TB, controllers int) float64 {
+		return minute(tb, controllers, func(first, _ asked) float64 { return first.events })
+	}},
+}
+
+func TestCapacity(t *testing.T)      { capacity.Check(t, capacitySeries...) }
+func BenchmarkCapacity(b *testing.B) { capacity.Bench(b, capacitySeries...) }
--- a/internal/testkit/load_test.go
+++ b/internal/testkit/load_test.go
@@ -28,7 +28,7 @@
 }
 
 // report sends the worker's report and executes the answer.
-func (s *station) report(b *testing.B) {
+func (s *station) report(b testing.TB) {
 	sent := time.Now()
 	rep := s.worker.Report()
 	rep.Endpoint = s.worker.Name
@@ -69,65 +69,91 @@
 	}{{246, 24, 40}, {1700, 10, 130}} {
 		b.Run(fmt.Sprintf("machines=%d", c.machines), func(b *testing.B) {
 			defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // as a controller has it
-			w := newCluster(b, 1)
-			w.size, w.workers, w.byName = c.cpus, nil, map[string]*testkit.Worker{}
-			w.start("a")
-			n := w.nodes["a"]
-			lis, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				b.Fatal(err)
-			}
-			mux := http.NewServeMux()
-			mux.HandleFunc("POST /v1/report", n.holder.ServeReport)
-			srv := &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 15 * time.Second, WriteTimeout: 15 * time.Second}
-			var serving sync.WaitGroup
-			serving.Go(func() { _ = srv.Serve(lis) })
-			var stations []*station
-			for i := range c.machines {
-				k := testkit.NewWorker(fmt.Sprintf("n-%06d", i), workerLease, func(task string) time.Duration {
-					return time.Duration(400+len(task)*20) * time.Millisecond
-				})
-				conn, err := net.Dial("tcp", lis.Addr().String())
-				if err != nil {
-					b.Fatal(err)
-				}
-				w.workers, w.byName[k.Name] = append(w.workers, k), k
-				stations = append(stations, &station{k, conn, bufio.NewReader(conn)})
-			}
-			submitted := 0
-			keep := func() {
-				for living := len(w.store.Keys("live/")); living < c.jobs; living++ {
-					submitted++
-					w.submitLoad(submitted)
-				}
-			}
-			keep()
-			for i := range 20 * len(stations) { // warm up
-				stations[i%len(stations)].report(b)
-			}
-			before := n.owner.Counters()
+			l := newLoad(b, c.machines, c.cpus, c.jobs)
+			before := l.node.owner.Counters()
 			b.ResetTimer()
 			i := 0
 			for ; b.Loop(); i++ {
-				stations[i%len(stations)].report(b)
-				if i%100 == 0 {
-					keep()
-				}
+				l.report(b, i)
 			}
 			b.StopTimer()
-			after := n.owner.Counters()
+			after := l.node.owner.Counters()
 			b.ReportMetric(float64(after.Granted-before.Granted)/float64(i), "grants/op")
 			b.ReportMetric(float64(after.Done-before.Done)/float64(i), "ends/op")
-			for _, s := range stations {
-				_ = s.conn.Close()
-			}
-			_ = srv.Close()
-			serving.Wait()
-			w.crash("a")
+			l.end()
 		})
 	}
 }
 
+// load is a controller under load; see BenchmarkLoad.
+type load struct {
+	cluster   *cluster
+	node      *node
+	server    *http.Server
+	serving   sync.WaitGroup
+	stations  []*station
+	jobs      int // kept alive
+	submitted int
+}
+
+// newLoad starts a controller with so many machines, each of which has reported several
+// times.
+func newLoad(tb testing.TB, machines int, cpus types, jobs int) *load {
+	w := newCluster(tb, 1)
+	w.size, w.workers, w.byName = cpus, nil, map[string]*testkit.Worker{}
+	w.start("a")
+	l := &load{cluster: w, node: w.nodes["a"], jobs: jobs}
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/report", l.node.holder.ServeReport)
+	l.server = &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 15 * time.Second, WriteTimeout: 15 * time.Second}
+	l.serving.Go(func() { _ = l.server.Serve(lis) })
+	for i := range machines {
+		k := testkit.NewWorker(fmt.Sprintf("n-%06d", i), workerLease, func(task string) time.Duration {
+			return time.Duration(400+len(task)*20) * time.Millisecond
+		})
+		conn, err := net.Dial("tcp", lis.Addr().String())
+		if err != nil {
+			tb.Fatal(err)
+		}
+		w.workers, w.byName[k.Name] = append(w.workers, k), k
+		l.stations = append(l.stations, &station{k, conn, bufio.NewReader(conn)})
+	}
+	l.keep()
+	for i := range 20 * len(l.stations) { // warm up
+		l.stations[i%len(l.stations)].report(tb)
+	}
+	return l
+}
+
+// keep submits jobs until enough are alive.
+func (l *load) keep() {
+	for living := len(l.cluster.store.Keys("live/")); living < l.jobs; living++ {
+		l.submitted++
+		l.cluster.submitLoad(l.submitted)
+	}
+}
+
+// report is the i-th report since the start.
+func (l *load) report(tb testing.TB, i int) {
+	l.stations[i%len(l.stations)].report(tb)
+	if i%100 == 0 {
+		l.keep()
+	}
+}
+
+func (l *load) end() {
+	for _, s := range l.stations {
+		_ = s.conn.Close()
+	}
+	_ = l.server.Close()
+	l.serving.Wait()
+	l.cluster.crash("a")
+}
+
 func (w *cluster) submitLoad(n int) {
 	due := 100.0
 	job := &wire.Job{UID: fmt.Sprintf("j-%06d", n), Class: fmt.Sprintf("c%d", n%3), Team: "t", Kind: wire.KindArray, Priority: []string{"low", "normal"}[n%2],
