BenchmarkLoad starts tasks again: its controller knew no cancels and refused every report

Cause: since a controller without knowledge of cancels answers no worker, the benchmark's controller answered each report with 421, and the benchmark measured refusals: 0 grants and 0 ends an operation. Now the controller's knowledge is kept fresh as in cmd/wallrack, transactions and orders are not lost by chance, and a refused report or a run without a start fails the benchmark.

--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -69,6 +69,7 @@
 	back     int                              // machines returned
 	whole    bool                             // no report and no answer is lost by chance
 	reliable bool                             // no transaction is lost or late by chance
+	orderly  bool                             // no direct order is lost or late by chance
 	keepCuts bool                             // whether links stay cut when it is calm
 	slow     func() time.Duration             // how long the state service's answers take; nil: no time
 	lateBy   func() time.Duration             // how much later a transaction is carried out; nil: at once
@@ -177,11 +178,12 @@
 		n.w.holdBack(worker, o)
 		return nil, false, errCut
 	}
-	switch n.w.rnd.IntN(12) {
-	case 0:
+	switch luck := n.w.rnd.IntN(12); {
+	case n.w.orderly:
+	case luck == 0:
 		n.w.holdBack(worker, o)
 		return nil, false, errCut
-	case 1:
+	case luck == 1:
 		worker.Orders(o)
 		return nil, false, errCut
 	}
--- a/internal/testkit/load_test.go
+++ b/internal/testkit/load_test.go
@@ -28,32 +28,33 @@
 }
 
 // report sends the worker's report and executes the answer.
-func (s *station) report(b testing.TB) {
+func (s *station) report(tb testing.TB) {
 	sent := time.Now()
 	rep := s.worker.Report()
 	rep.Endpoint = s.worker.Name
 	body, err := json.Marshal(rep)
 	if err != nil {
-		b.Fatal(err)
+		tb.Fatal(err)
 	}
 	var out bytes.Buffer
 	fmt.Fprintf(&out, "POST /v1/report HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n", len(body))
 	out.Write(body)
 	if _, err := s.conn.Write(out.Bytes()); err != nil {
-		b.Fatal(err)
+		tb.Fatal(err)
 	}
 	resp, err := http.ReadResponse(s.in, nil)
 	if err != nil {
-		b.Fatal(err)
+		tb.Fatal(err)
 	}
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		b.Fatal(err)
+		tb.Fatal(err)
 	}
 	var a wire.ReportAnswer
-	if resp.StatusCode == http.StatusOK && json.Unmarshal(data, &a) == nil {
-		s.worker.Answer(sent, rep.Session, a)
+	if resp.StatusCode != http.StatusOK || json.Unmarshal(data, &a) != nil {
+		tb.Fatalf("a report was answered with %d: %.100s", resp.StatusCode, data)
 	}
+	s.worker.Answer(sent, rep.Session, a)
 }
 
 // BenchmarkLoad is one controller, from sockets to the state service's
@@ -78,6 +79,9 @@
 			}
 			b.StopTimer()
 			after := l.node.owner.Counters()
+			if after.Granted == 0 {
+				b.Fatal("nothing was started")
+			}
 			b.ReportMetric(float64(after.Granted-before.Granted)/float64(i), "grants/op")
 			b.ReportMetric(float64(after.Done-before.Done)/float64(i), "ends/op")
 			l.end()
@@ -101,6 +105,10 @@
 func newLoad(tb testing.TB, machines int, cpus types, jobs int) *load {
 	w := newCluster(tb, 1)
 	w.size, w.workers, w.byName = cpus, nil, map[string]*testkit.Worker{}
+	w.names, w.reliable, w.orderly = []string{"a"}, true, true
+	w.beside = func(n *node) []func(context.Context) error {
+		return []func(context.Context) error{func(ctx context.Context) error { return w.knowCancels(ctx, n) }}
+	}
 	w.start("a")
 	l := &load{cluster: w, node: w.nodes["a"], jobs: jobs}
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
@@ -122,6 +130,7 @@
 		w.workers, w.byName[k.Name] = append(w.workers, k), k
 		l.stations = append(l.stations, &station{k, conn, bufio.NewReader(conn)})
 	}
+	l.await(tb)
 	l.keep()
 	for i := range 20 * len(l.stations) { // warm up
 		l.stations[i%len(l.stations)].report(tb)
@@ -129,6 +138,31 @@
 	return l
 }
 
+// knowCancels keeps a controller's knowledge of cancels fresh, without which it answers no
+// worker.
+func (w *cluster) knowCancels(ctx context.Context, n *node) error {
+	tick := time.NewTicker(250 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		w.watchCancels([]*node{n})
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+}
+
+// await waits until the controller answers workers: before that a report is refused, which
+// costs next to nothing.
+func (l *load) await(tb testing.TB) {
+	for began := time.Now(); len(l.node.member.Own()) == 0 || !l.node.Entitled(); time.Sleep(10 * time.Millisecond) {
+		if time.Since(began) > 20*time.Second {
+			tb.Fatal("the controller does not answer workers")
+		}
+	}
+}
+
 // keep submits jobs until enough are alive.
 func (l *load) keep() {
 	for living := len(l.cluster.store.Keys("live/")); living < l.jobs; living++ {
