--- a/internal/machine/capacity_test.go
+++ b/internal/machine/capacity_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -63,6 +65,34 @@
 	return float64(len(data))
 }
 
+// orderOf is the processor time of a direct order to one of so many workers in turn, each
+// with an address of its own; the workers' end is in it.
+func orderOf(tb testing.TB, workers int) float64 {
+	answer, err := json.Marshal(report(9, 7))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	var endpoints []string
+	for range workers {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = w.Write(answer)
+		}))
+		defer srv.Close()
+		endpoints = append(endpoints, srv.Listener.Addr().String())
+	}
+	orderer, i := machine.NewHTTPOrderer(largeSiteSockets), 0
+	order := wire.Orders{Token: 7, Session: 1, Commands: []wire.Command{{Verb: wire.VerbStart, Task: "j-000400/10", Attempt: 20}}}
+	return capacity.ProcessorTime(tb, func() {
+		if _, _, err := orderer.Order(context.Background(), endpoints[i%workers], order); err != nil {
+			tb.Fatal(err)
+		}
+		i++
+	})
+}
+
+const largeSiteSockets = 2157 // of a controller of today's larger fleet
+
 const tasksEach = 4 // 11,000 tasks on 2,600 machines
 
 var capacitySeries = []capacity.Series{
@@ -86,6 +116,7 @@
 		h, i := holdMachines(tb, machines, tasksEach), 0
 		return capacity.ProcessorTime(tb, func() { h.report(tb, i%machines); i++ })
 	}},
+	{Name: "machine.order", Scatters: true, Sizes: []int{50, 100, 200, 400}, Measure: orderOf},
 	{Name: "machine.makeViews", Scatters: true, Sizes: []int{400, 800, 1600, 3200}, Measure: func(tb testing.TB, machines int) float64 {
 		h := holdMachines(tb, machines, tasksEach)
 		return capacity.ProcessorTime(tb, func() { published(tb, h) })
