--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -59,3 +59,12 @@
 	sorted := slices.Sorted(slices.Values(values))
 	return sorted[len(sorted)/2]
 }
+
+// Median is the middle one of some measurements of a value that varies a little.
+func Median(measure func() float64) float64 {
+	values := make([]float64, rounds)
+	for i := range values {
+		values[i] = measure()
+	}
+	return median(values)
+}
--- a/internal/capacity/series.go
+++ b/internal/capacity/series.go
@@ -24,7 +24,7 @@
 	// not held by a test.
 	Scatters bool
 	// FixedSlack is the difference of the fixed part that is never a fault: the fit takes
-	// small fixed parts from values that are far larger. 0: none.
+	// small fixed parts from values that are far larger. Up to 2 % of those; 0: none.
 	FixedSlack float64
 	Measure    func(tb testing.TB, size int) float64
 }
@@ -145,16 +145,14 @@
 // does matters little.
 func ProcessorTime(tb testing.TB, call func()) float64 {
 	call()
-	times := make([]float64, rounds)
-	for i := range times {
+	return Median(func() float64 {
 		calls, start, used := 0, time.Now(), Used(tb)
 		for time.Since(start) < roundTime || calls == 0 {
 			call()
 			calls++
 		}
-		times[i] = float64(Used(tb)-used) / float64(calls)
-	}
-	return median(times)
+		return float64(Used(tb)-used) / float64(calls)
+	})
 }
 
 // Used is the processor time of this process, user and system.
@@ -168,13 +166,11 @@
 
 // ProcessorTimeOf is ProcessorTime of a call that has to be prepared anew each time.
 func ProcessorTimeOf(tb testing.TB, prepare func() func()) float64 {
-	times := make([]float64, rounds)
-	for i := range times {
+	return Median(func() float64 {
 		call := prepare()
 		runtime.GC() // the preparation's garbage is not the call's
 		used := Used(tb)
 		call()
-		times[i] = float64(Used(tb) - used)
-	}
-	return median(times)
+		return float64(Used(tb) - used)
+	})
 }
