--- a/internal/statestore/capacity_test.go
+++ b/internal/statestore/capacity_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/wallrack/wallrack/internal/capacity"
 	"github.com/wallrack/wallrack/internal/statestore"
@@ -38,11 +41,36 @@
 	return bytes, time
 }
 
+// followed counts the requests of a watch that so many changes reach one by one.
+func followed(tb testing.TB, changes int) float64 {
+	var opened atomic.Int64
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/follow" {
+			_, _ = io.WriteString(w, `{"rows":[],"ledger":1}`)
+			return
+		}
+		n := opened.Add(1)
+		if n > int64(changes) {
+			cancel()
+			<-r.Context().Done()
+			return
+		}
+		_, _ = fmt.Fprintf(w, `{"ledger":%d,"log":[{"set":"live/j-1","data":{},"stamp":%d}]}`, n+1, n+1)
+	}))
+	defer srv.Close()
+	client := statestore.New(strings.TrimPrefix(srv.URL, "http://"), 1e6, 1e6, 48)
+	client.Watch(ctx, "live/", time.Second, func([]wire.Item) {}, func([]wire.Event) {})
+	return float64(opened.Load())
+}
+
 var capacitySeries = []capacity.Series{
 	{Name: "statestore.bytesOfChanges", Sizes: []int{1, 4, 12, 48}, Measure: func(tb testing.TB, changes int) float64 {
 		bytes, _ := transaction(tb, changes, func(call func()) float64 { call(); return 0 })
 		return bytes
 	}},
+	{Name: "statestore.requestsOfWatch", Sizes: []int{5, 10, 20, 40}, Measure: followed},
 	{Name: "statestore.changes", Scatters: true, Sizes: []int{1, 4, 12, 48}, Measure: func(tb testing.TB, changes int) float64 {
 		_, time := transaction(tb, changes, func(call func()) float64 { return capacity.ProcessorTime(tb, call) })
 		return time
