--- a/internal/testkit/checks_test.go
+++ b/internal/testkit/checks_test.go
@@ -60,6 +60,16 @@
 // sent notes who sent the commands that a worker executes next. The cluster is locked.
 func (c *checks) sent(by *node, at time.Time) { c.sender = startSender{by, at} }
 
+// keepSender has what a worker carries out later count as sent by whom it is from now. The
+// cluster is locked, then too.
+func (c *checks) keepSender(carryOut func()) func() {
+	sender := c.sender
+	return func() {
+		c.sender = sender
+		carryOut()
+	}
+}
+
 // checkStart counts a start after its job's cancel was confirmed. The only one that can't
 // be avoided is a command that was under way: its sender had not heard of the cancel when
 // it sent it, which takes what a message between controllers takes, or, for one that is
--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -68,9 +68,9 @@
 	heard    map[string]hearing               // of each worker, by any controller
 	back     int                              // machines returned
 	unlisted bool                             // the cloud's list tells no owner whom to ask
-	sure     bool                             // no order is lost or held back by chance
 	whole    bool                             // no report and no answer is lost by chance
 	reliable bool                             // no transaction is lost or late by chance
+	orderly  bool                             // no direct order is lost or late by chance
 	keepCuts bool                             // whether links stay cut when it is calm
 	slow     func() time.Duration             // how long the state service's answers take; nil: no time
 	lateBy   func() time.Duration             // how much later a transaction is carried out; nil: at once
@@ -174,45 +174,47 @@
 		report   *wire.Report
 		executed bool
 	}
+	sent := time.Now() // a slow link has it arrive later
 	a, err := overLink(ctx, n.w, func() (a outcome, err error) {
-		a.report, a.executed, err = n.order(endpoint, o)
+		a.report, a.executed, err = n.order(endpoint, o, sent)
 		return a, err
 	})
 	return a.report, a.executed, err
 }
 
-func (n *node) order(endpoint string, o wire.Orders) (*wire.Report, bool, error) {
+func (n *node) order(endpoint string, o wire.Orders, sent time.Time) (*wire.Report, bool, error) {
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
 	worker := n.w.byName[endpoint]
 	if worker == nil || !n.w.works(n.name, endpoint) {
 		if worker != nil && n.w.rnd.IntN(2) == 0 {
-			n.w.holdBack(n, worker, o)
+			n.w.holdBack(n, worker, o, sent)
 		}
 		return nil, false, errCut
 	}
 	if worker.Hangs() {
+		n.w.checks.sent(n, sent)
 		worker.Orders(o) // carried out when it continues
 		return nil, false, errCut
 	}
 	if held := n.w.holding; held != nil && held() {
-		n.w.holdBack(n, worker, o)
+		n.w.holdBack(n, worker, o, sent)
 		return nil, false, errCut
 	}
 	draw := n.w.rnd.IntN(12)
-	if n.w.sure {
+	if n.w.orderly {
 		draw = -1
 	}
 	switch draw {
 	case 0:
-		n.w.holdBack(n, worker, o)
+		n.w.holdBack(n, worker, o, sent)
 		return nil, false, errCut
 	case 1:
-		n.w.checks.sent(n, time.Now())
+		n.w.checks.sent(n, sent)
 		worker.Orders(o)
 		return nil, false, errCut
 	}
-	n.w.checks.sent(n, time.Now())
+	n.w.checks.sent(n, sent)
 	executed := worker.Orders(o)
 	r := worker.Report()
 	r.Endpoint = endpoint
@@ -220,8 +222,7 @@
 }
 
 // holdBack keeps an order that is delivered when it may.
-func (w *cluster) holdBack(from *node, to *testkit.Worker, o wire.Orders) {
-	sent := time.Now()
+func (w *cluster) holdBack(from *node, to *testkit.Worker, o wire.Orders, sent time.Time) {
 	w.late = append(w.late, func() { w.checks.sent(from, sent); to.Orders(o) })
 }
 
@@ -393,6 +394,7 @@
 	}
 	w.travel()
 	status, body := n.holder.Report(context.Background(), rep)
+	answered := time.Now()
 	w.travel()
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -411,7 +413,7 @@
 	}
 	switch a := body.(type) {
 	case wire.ReportAnswer:
-		w.checks.sent(n, time.Now())
+		w.checks.sent(n, answered)
 		k.Answer(sent, rep.Session, a)
 	case wire.Redirect:
 		w.at[k]++
@@ -559,6 +561,7 @@
 
 // join adds a worker that reports to the i-th controller first.
 func (w *cluster) join(k *testkit.Worker, i int) {
+	k.Held = w.checks.keepSender
 	k.Started = func(task string, attempt uint64) {
 		w.started, w.starts = time.Now(), w.starts+1
 		uid, _, _ := strings.Cut(task, "/")
--- a/internal/testkit/load_test.go
+++ b/internal/testkit/load_test.go
@@ -28,32 +28,33 @@
 }
 
 // report sends the worker's report and executes the answer.
-func (s *station) report(b *testing.B) {
+func (s *station) report(tb testing.TB) {
 	sent := time.Now()
 	rep := s.worker.Report()
 	rep.Endpoint = s.worker.Name
 	body, err := json.Marshal(rep)
 	if err != nil {
-		b.Fatal(err)
+		tb.Fatal(err)
 	}
 	var out bytes.Buffer
 	fmt.Fprintf(&out, "POST /v1/report HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n", len(body))
 	out.Write(body)
 	if _, err := s.conn.Write(out.Bytes()); err != nil {
-		b.Fatal(err)
+		tb.Fatal(err)
 	}
 	resp, err := http.ReadResponse(s.in, nil)
 	if err != nil {
-		b.Fatal(err)
+		tb.Fatal(err)
 	}
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		b.Fatal(err)
+		tb.Fatal(err)
 	}
 	var a wire.ReportAnswer
-	if resp.StatusCode == http.StatusOK && json.Unmarshal(data, &a) == nil {
-		s.worker.Answer(sent, rep.Session, a)
+	if resp.StatusCode != http.StatusOK || json.Unmarshal(data, &a) != nil {
+		tb.Fatalf("a report was answered with %d: %.100s", resp.StatusCode, data)
 	}
+	s.worker.Answer(sent, rep.Session, a)
 }
 
 // BenchmarkLoad is one controller, from sockets to the state service's
@@ -69,63 +70,122 @@
 	}{{246, 24, 40}, {1700, 10, 130}} {
 		b.Run(fmt.Sprintf("machines=%d", c.machines), func(b *testing.B) {
 			defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // as a controller has it
-			w := newCluster(b, 1)
-			w.size, w.workers, w.byName = c.cpus, nil, map[string]*testkit.Worker{}
-			w.start("a")
-			n := w.nodes["a"]
-			lis, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				b.Fatal(err)
-			}
-			mux := http.NewServeMux()
-			mux.HandleFunc("POST /v1/report", n.holder.ServeReport)
-			srv := &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 15 * time.Second, WriteTimeout: 15 * time.Second}
-			var serving sync.WaitGroup
-			serving.Go(func() { _ = srv.Serve(lis) })
-			var stations []*station
-			for i := range c.machines {
-				k := testkit.NewWorker(fmt.Sprintf("n-%06d", i), workerLease, func(task string) time.Duration {
-					return time.Duration(400+len(task)*20) * time.Millisecond
-				})
-				conn, err := net.Dial("tcp", lis.Addr().String())
-				if err != nil {
-					b.Fatal(err)
-				}
-				w.workers, w.byName[k.Name] = append(w.workers, k), k
-				stations = append(stations, &station{k, conn, bufio.NewReader(conn)})
-			}
-			submitted := 0
-			keep := func() {
-				for living := len(w.store.Keys("live/")); living < c.jobs; living++ {
-					submitted++
-					w.submitLoad(submitted)
-				}
-			}
-			keep()
-			for i := range 20 * len(stations) { // warm up
-				stations[i%len(stations)].report(b)
-			}
-			before := n.owner.Counters()
+			l := newLoad(b, c.machines, c.cpus, c.jobs)
+			before := l.node.owner.Counters()
 			b.ResetTimer()
 			i := 0
 			for ; b.Loop(); i++ {
-				stations[i%len(stations)].report(b)
-				if i%100 == 0 {
-					keep()
-				}
+				l.report(b, i)
 			}
 			b.StopTimer()
-			after := n.owner.Counters()
+			after := l.node.owner.Counters()
+			if after.Granted == 0 {
+				b.Fatal("nothing was started")
+			}
 			b.ReportMetric(float64(after.Granted-before.Granted)/float64(i), "grants/op")
 			b.ReportMetric(float64(after.Done-before.Done)/float64(i), "ends/op")
-			for _, s := range stations {
-				_ = s.conn.Close()
-			}
-			_ = srv.Close()
-			serving.Wait()
-			w.crash("a")
+			l.end()
+		})
+	}
+}
+
+// load is a controller under load; see BenchmarkLoad.
+type load struct {
+	cluster   *cluster
+	node      *node
+	server    *http.Server
+	serving   sync.WaitGroup
+	stations  []*station
+	jobs      int // kept alive
+	submitted int
+}
+
+// newLoad starts a controller with so many machines, each of which has reported several
+// times.
+func newLoad(tb testing.TB, machines int, cpus types, jobs int) *load {
+	w := newCluster(tb, 1)
+	w.size, w.workers, w.byName = cpus, nil, map[string]*testkit.Worker{}
+	w.names, w.reliable, w.orderly = []string{"a"}, true, true
+	w.beside = func(n *node) []func(context.Context) error {
+		return []func(context.Context) error{func(ctx context.Context) error { return w.knowCancels(ctx, n) }}
+	}
+	w.start("a")
+	l := &load{cluster: w, node: w.nodes["a"], jobs: jobs}
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/report", l.node.holder.ServeReport)
+	l.server = &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 15 * time.Second, WriteTimeout: 15 * time.Second}
+	l.serving.Go(func() { _ = l.server.Serve(lis) })
+	for i := range machines {
+		k := testkit.NewWorker(fmt.Sprintf("n-%06d", i), workerLease, func(task string) time.Duration {
+			return time.Duration(400+len(task)*20) * time.Millisecond
 		})
+		conn, err := net.Dial("tcp", lis.Addr().String())
+		if err != nil {
+			tb.Fatal(err)
+		}
+		w.workers, w.byName[k.Name] = append(w.workers, k), k
+		l.stations = append(l.stations, &station{k, conn, bufio.NewReader(conn)})
+	}
+	l.await(tb)
+	l.keep()
+	for i := range 20 * len(l.stations) { // warm up
+		l.stations[i%len(l.stations)].report(tb)
+	}
+	return l
+}
+
+// knowCancels keeps a controller's knowledge of cancels fresh, without which it answers no
+// worker.
+func (w *cluster) knowCancels(ctx context.Context, n *node) error {
+	tick := time.NewTicker(250 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		w.watchCancels([]*node{n})
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+}
+
+// await waits until the controller answers workers: before that a report is refused, which
+// costs next to nothing.
+func (l *load) await(tb testing.TB) {
+	for began := time.Now(); len(l.node.member.Own()) == 0 || !l.node.Entitled(); time.Sleep(10 * time.Millisecond) {
+		if time.Since(began) > 20*time.Second {
+			tb.Fatal("the controller does not answer workers")
+		}
+	}
+}
+
+// keep submits jobs until enough are alive.
+func (l *load) keep() {
+	for living := len(l.cluster.store.Keys("live/")); living < l.jobs; living++ {
+		l.submitted++
+		l.cluster.submitLoad(l.submitted)
+	}
+}
+
+// report is the i-th report since the start.
+func (l *load) report(tb testing.TB, i int) {
+	l.stations[i%len(l.stations)].report(tb)
+	if i%100 == 0 {
+		l.keep()
+	}
+}
+
+func (l *load) end() {
+	for _, s := range l.stations {
+		_ = s.conn.Close()
 	}
+	_ = l.server.Close()
+	l.serving.Wait()
+	l.cluster.crash("a")
 }
 
 func (w *cluster) submitLoad(n int) {
--- a/internal/testkit/unrenewed_lease_test.go
+++ b/internal/testkit/unrenewed_lease_test.go
@@ -187,7 +187,7 @@
 				w := newCluster(t, uint64(700+i))
 				w.bigger(3, 24)
 				w.size = 8 // so that there is room elsewhere
-				w.sure, w.keepCuts, w.unlisted = true, true, !c.ends
+				w.orderly, w.keepCuts, w.unlisted = true, true, !c.ends
 				l := w.follow(func(task string) time.Duration {
 					switch uid, _, _ := strings.Cut(task, "/"); uid {
 					case short:
--- a/internal/testkit/worker.go
+++ b/internal/testkit/worker.go
@@ -15,6 +15,7 @@
 	Started func(task string, attempt uint64)
 	Exit    func(task string) int                // exit code of a task that ends by itself; nil: 0
 	Forgot  func(task string, attempt uint64)    // a task that was done is cleared
+	Held    func(carryOut func()) func()         // wraps what is carried out when a hang ends; nil: as it is
 	Save    func(task string) time.Duration      // how long a task takes to save when it is stopped; nil, or negative: it can't
 	Ended   func(t wire.Task, ran time.Duration) // a task ends, with what it was exited; killed by the lease: with no cause
 
@@ -90,6 +91,14 @@
 // Hangs reports whether the machine hangs.
 func (w *Worker) Hangs() bool { return !w.hungAt.IsZero() }
 
+// hold keeps what came for a machine that hangs.
+func (w *Worker) hold(carryOut func()) {
+	if w.Held != nil {
+		carryOut = w.Held(carryOut)
+	}
+	w.heldUp = append(w.heldUp, carryOut)
+}
+
 // Continue ends a hang. The lease is judged first; then what came in the meantime is
 // carried out, if it still may be. Tasks end as much later as the machine hung.
 func (w *Worker) Continue() {
@@ -180,7 +189,7 @@
 // Answer takes the answer to a report sent at the given time, unless it is late.
 func (w *Worker) Answer(sent time.Time, session uint64, a wire.ReportAnswer) {
 	if w.Hangs() {
-		w.heldUp = append(w.heldUp, func() { w.Answer(sent, session, a) })
+		w.hold(func() { w.Answer(sent, session, a) })
 		return
 	}
 	w.advance()
@@ -199,7 +208,7 @@
 // executed now. A machine that hangs takes it when it continues.
 func (w *Worker) Orders(o wire.Orders) bool {
 	if w.Hangs() {
-		w.heldUp = append(w.heldUp, func() { w.Orders(o) })
+		w.hold(func() { w.Orders(o) })
 		return false
 	}
 	w.advance()
