--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -82,6 +82,7 @@
 	wake   chan struct{}
 
 	raising chan struct{} // holds a token while a change of the term is under way: one at a time
+	refused time.Time     // when the state service last refused one; guarded by raising
 
 	mu       sync.Mutex
 	lease    uint64
@@ -271,9 +272,20 @@
 	if t := m.Term(); t > above {
 		return t, nil
 	}
-	return m.raiseLocked(ctx, func(r termRecord) termRecord { return r.above(above) }, nil)
+	if time.Since(m.refused) < raiseAgain {
+		return 0, fmt.Errorf("raise term: refused just now: %w", statestore.ErrUnavailable)
+	}
+	t, err := m.raiseLocked(ctx, func(r termRecord) termRecord { return r.above(above) }, nil)
+	if errors.Is(err, statestore.ErrUnavailable) {
+		m.refused = time.Now()
+	}
+	return t, err
 }
 
+// raiseAgain is the time from a refused change of the term to the next. In an outage
+// every report with a higher token asks for one: hundreds a second, where a leader has ended.
+const raiseAgain = 250 * time.Millisecond
+
 // Fresh takes a term that no token given out before is equal to or above, reserved ones
 // included.
 func (m *Member) Fresh(ctx context.Context) (uint64, error) {
@@ -334,6 +346,12 @@
 			statestore.Backoff(ctx, n, 20*time.Millisecond, 200*time.Millisecond)
 			continue
 		}
+		if errors.Is(err, statestore.ErrUnknown) && ctx.Err() == nil {
+			// The number may be taken, now or later: the next one is read anew. A
+			// take-over that gave up here began again from its start.
+			statestore.Backoff(ctx, n, 20*time.Millisecond, 200*time.Millisecond)
+			continue
+		}
 		if err != nil {
 			return rec, fmt.Errorf("raise term: %w", err)
 		}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -14,6 +16,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/wallrack/wallrack/internal/membership"
+	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/testkit"
 )
 
@@ -47,6 +50,70 @@
 	})
 }
 
+// A fresh term whose first transactions' answers are lost is tried for again with the next
+// number: a new owner that gave up began its take-over anew. A number that may be taken is
+// never used.
+func TestFreshTermWithLostAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var losing atomic.Int32
+		store := testkit.NewStore()
+		view := &testkit.View{Store: store, Lose: func() bool { return losing.Add(-1) >= 0 }}
+		m := member(view, "a")
+		ctx, cancel := context.WithCancel(context.Background())
+		done := run(ctx, m)
+		time.Sleep(3 * time.Second)
+		var given struct{ N uint64 } // the highest term given out, reserved ones included
+		if err := json.Unmarshal([]byte(store.Text("c/term")), &given); err != nil {
+			t.Fatal(err)
+		}
+		was := given.N
+		losing.Store(2)
+		at := time.Now()
+		term, err := m.Fresh(ctx)
+		if err != nil || term != was+3 || losing.Load() >= 0 {
+			t.Errorf("term %d after %d, %v; %d answers left to lose", term, was, err, losing.Load())
+		}
+		if took := time.Since(at); took > time.Second {
+			t.Errorf("took %v", took)
+		}
+		cancel()
+		<-done
+	})
+}
+
+// In an outage of the state service every worker that has seen a higher token asks for a
+// change of the term with each of its reports: few of them reach the state service, and
+// the first after the outage does.
+func TestRefusedTermIsNotAskedForAgainAndAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var asked atomic.Int32
+		var down atomic.Bool
+		view := &testkit.View{Store: testkit.NewStore(), Down: func() bool { asked.Add(1); return down.Load() }}
+		m := member(view, "a")
+		ctx, cancel := context.WithCancel(context.Background())
+		done := run(ctx, m)
+		time.Sleep(3 * time.Second)
+		was, before := m.Term(), asked.Load()
+		down.Store(true)
+		for range 500 {
+			if _, err := m.Raise(ctx, was+1); !errors.Is(err, statestore.ErrUnavailable) {
+				t.Fatalf("in an outage: %v", err)
+			}
+			time.Sleep(2 * time.Millisecond)
+		}
+		if n := asked.Load() - before; n > 60 { // the lease and the watch ask too
+			t.Errorf("%d requests in a second of an outage", n)
+		}
+		down.Store(false)
+		time.Sleep(300 * time.Millisecond)
+		if term, err := m.Raise(ctx, was+1); err != nil || term <= was+1 {
+			t.Errorf("after the outage: %d, %v", term, err)
+		}
+		cancel()
+		<-done
+	})
+}
+
 // The lease counts as held from the send of the last good touch: an owner that
 // loses the state service stops before another can begin.
 func TestOneOwnerAtATime(t *testing.T) {
--- a/internal/owner/grant.go
+++ b/internal/owner/grant.go
@@ -55,7 +55,7 @@
 		return no
 	case m.gone || m.view.Draining || !o.allowed(j, m):
 		return no
-	case !m.deaf.IsZero() && p.state != placeGranted:
+	case (!m.deaf.IsZero() || !o.fitsLease(j, m)) && p.state != placeGranted:
 		return no
 	case j.asked != nil && !o.termsAllow(j, n):
 		return no
@@ -67,10 +67,10 @@
 		return no
 	}
 	if p.state != placeGranted { // else the start is repeated
-		p.state, p.grantedAt = placeGranted, time.Now()
+		p.state, p.grantedAt, p.least = placeGranted, time.Now(), r.Token
 		o.stats.Granted++
 	}
-	p.token, p.session = max(p.token, r.Token), max(p.session, r.Session)
+	p.least, p.token, p.session = min(p.least, r.Token), max(p.token, r.Token), max(p.session, r.Session)
 	m.tokens = max(m.tokens, r.Token)
 	o.count(p, 1)
 	for _, x := range append([]*place(nil), j.places[n]...) {
--- /dev/null
+++ b/internal/owner/lease_test.go
@@ -0,0 +1,103 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// What is stopped before an unrenewed lease ends is what loses less by it.
+func TestStopBeforeExpiry(t *testing.T) {
+	cannot := -1.0
+	for _, c := range []struct {
+		name string
+		task attempt
+		left float64
+		want bool
+	}{
+		{"it saves, and there is time", attempt{elapsed: 5, rest: 60, save: 4}, 20, false},
+		{"it saves, and there is just time", attempt{elapsed: 90, rest: 60, save: 4}, 4 + haltTakes, true},
+		{"it saves, and the lease has ended", attempt{elapsed: 90, rest: 60, save: 4}, 0, false},
+		{"it will be done in time", attempt{elapsed: 1, rest: 10, save: cannot}, 25, false},
+		{"it may be done in time", attempt{elapsed: 1, rest: 30, save: cannot}, 25, false},
+		{"it has run for less than the rest of the lease", attempt{elapsed: 20, rest: 60, save: cannot}, 25, true},
+		{"it has run for longer than the rest of the lease", attempt{elapsed: 30, rest: 60, save: cannot}, 25, false},
+		{"it has not begun to run", attempt{rest: 60, save: cannot}, 25, true},
+		{"its start would count no more", attempt{elapsed: 20, rest: 60, save: cannot, counted: true}, 25, false},
+		{"it saves, and its start would count no more", attempt{elapsed: 20, rest: 60, save: 4, counted: true}, 5, false},
+	} {
+		if got := stopBeforeExpiry(c.task, c.left); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
+
+// A worker whose reports are overdue is asked as often as it would report, and around the
+// end of its lease; one that answers no request is left alone. Seconds are since its last
+// report was answered.
+func TestOverdueWorkersAreAsked(t *testing.T) {
+	o := &Owner{cfg: &config.Platform{Params: config.Params{Workers: config.Workers{ReportS: 8, LeaseS: 44}}}}
+	began := time.Now()
+	at := func(s float64) time.Time { return began.Add(seconds(s)) }
+	for _, c := range []struct {
+		name              string
+		now, heard, asked float64
+		unanswered        int
+		stopping          bool
+		due               bool
+	}{
+		{"its report is not overdue", 10, 0, 0, 0, false, false},
+		{"its report is overdue", 11.5, 0, 0, 0, false, true},
+		{"it was asked a moment ago", 14, 11.5, 11.5, 0, false, false},
+		{"more often while it is not clear", 16, 11.5, 11.5, 0, false, true},
+		{"as often as it would report", 26, 19, 19, 0, false, false},
+		{"as often as it would report, again", 27.5, 19, 19, 0, false, true},
+		{"a task is being stopped", 20.5, 19, 19, 0, true, true},
+		{"shortly before its lease ends", 42.2, 40, 40, 0, false, true},
+		{"after that", 43, 42.2, 42.2, 0, false, false},
+		{"shortly after its lease ended", 45.2, 42.2, 42.2, 0, false, true},
+		{"long after its lease ended", 60, 45.2, 45.2, 0, false, false},
+		{"it answers no request", 30, 0, 20, unansweredAsks, false, false},
+		{"it did not answer once", 30, 0, 20, 1, false, true},
+	} {
+		m := &mach{renewed: began, heard: at(c.heard), askedAt: at(c.asked), unanswered: c.unanswered, places: map[*place]struct{}{}}
+		if c.stopping {
+			m.places[&place{state: placeSeen, halted: at(19)}] = struct{}{}
+		}
+		if due := o.expiring(m, at(c.now)) && o.askDue(m, at(c.now)); due != c.due {
+			t.Errorf("%s: %v", c.name, due)
+		}
+	}
+}
+
+// Each session of a worker has a lease of its own, and what is started in the rest of it
+// must be done before it ends.
+func TestWhatFitsAnUnrenewedLease(t *testing.T) {
+	o := &Owner{cfg: &config.Platform{Params: config.Params{Workers: config.Workers{ReportS: 8, LeaseS: 44}}}}
+	ago := func(s float64) time.Time { return time.Now().Add(-seconds(s)) }
+	for _, c := range []struct {
+		name              string
+		renewed, known    float64 // seconds ago
+		session, lastHere uint64  // now, and when it was renewed
+		run               float64
+		kind              string
+		want              bool
+	}{
+		{"its reports are answered", 5, 100, 1, 1, 600, wire.KindArray, true},
+		{"a short task in the rest of the lease", 20, 100, 1, 1, 10, wire.KindArray, true},
+		{"a long task in the rest of the lease", 20, 100, 1, 1, 20, wire.KindArray, false},
+		{"the same in the next session's lease", 46, 100, 2, 1, 20, wire.KindArray, true},
+		{"the lease has ended, and the session is not known to have", 46, 100, 1, 1, 1, wire.KindArray, false},
+		{"a service", 20, 100, 1, 1, 1, wire.KindService, false},
+		{"a predecessor renewed it last", 40, 20, 1, 1, 1, wire.KindArray, false},
+	} {
+		m := &mach{renewed: ago(c.renewed), since: ago(c.known), heard: time.Now(), renewedIn: c.lastHere}
+		m.view.Session = c.session
+		j := &job{spec: &wire.Job{Kind: c.kind, Estimate: c.run}, class: &class{ratio: 1}}
+		if got := o.fitsLease(j, m); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -42,6 +43,10 @@
 	db       *bbolt.DB
 	types    []wire.MachineType
 	capacity int // machines of all types together
+
+	// PerZone bounds the machines of a zone; 0 is no bound. Set it before the first
+	// request.
+	PerZone  int
 	launcher Launcher
 
 	mu       sync.Mutex
@@ -52,10 +57,10 @@
 }
 
 // OpenCloud reads what db holds. Machines of an earlier run are listed as
-// failed: nothing runs there any more.
+// failed: nothing runs there any more. Without a db the records are in memory alone.
 func OpenCloud(db *bbolt.DB, types []wire.MachineType, capacity int, l Launcher) (*Cloud, error) {
 	c := &Cloud{db: db, types: types, capacity: capacity, launcher: l, machines: map[string]*wire.ListedMachine{}, since: map[string]time.Time{}, hires: map[string][]string{}}
-	err := db.Update(func(tx *bbolt.Tx) error {
+	err := update(db, func(tx *bbolt.Tx) error {
 		for _, b := range [][]byte{hiresBucket, machinesBucket, metaBucket} {
 			if _, err := tx.CreateBucketIfNotExists(b); err != nil {
 				return err
@@ -107,32 +112,54 @@
 	return wire.MachineType{}, false
 }
 
+var (
+	errMalformed  = errors.New("unknown type or zone, or hire or number out of range")
+	errNoCapacity = errors.New("no capacity")
+	errTrouble    = errors.New("trouble")
+)
+
 func (c *Cloud) hire(w http.ResponseWriter, r *http.Request) {
 	var req wire.HireRequest
 	if !read(w, r, &req) {
 		return
 	}
-	t, ok := c.typeOf(&req)
+	switch names, err := c.Hire(&req); {
+	case errors.Is(err, errMalformed):
+		httpjson.Write(w, http.StatusBadRequest, wire.Problem{Error: err.Error()})
+	case err != nil:
+		httpjson.Write(w, http.StatusServiceUnavailable, wire.Problem{Error: err.Error()})
+	default:
+		httpjson.Write(w, http.StatusOK, wire.MachineNames{Machines: names})
+	}
+}
+
+// Hire rents machines, up to the number asked for. A name that was used gets its
+// earlier answer.
+func (c *Cloud) Hire(req *wire.HireRequest) ([]string, error) {
+	t, ok := c.typeOf(req)
 	if !ok || req.Name == "" || len(req.Name) > 200 || req.Number < 1 || req.Number > maxHire {
-		httpjson.Write(w, http.StatusBadRequest, wire.Problem{Error: "unknown type or zone, or hire or number out of range"})
-		return
+		return nil, errMalformed
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if names, had := c.hires[req.Name]; had {
-		httpjson.Write(w, http.StatusOK, wire.MachineNames{Machines: names})
-		return
+		return names, nil
 	}
-	up := 0
+	up, inZone := 0, 0
 	for _, m := range c.machines {
 		if m.Stage != wire.MachineFailed {
 			up++
+			if m.Zone == req.Zone {
+				inZone++
+			}
 		}
 	}
 	n := min(req.Number, c.capacity-up)
+	if c.PerZone > 0 {
+		n = min(n, c.PerZone-inZone)
+	}
 	if n <= 0 || req.Spot {
-		httpjson.Write(w, http.StatusServiceUnavailable, wire.Problem{Error: "no capacity"})
-		return
+		return nil, errNoCapacity
 	}
 	var made []*wire.ListedMachine
 	names := make([]string, 0, n)
@@ -140,7 +167,7 @@
 		m := &wire.ListedMachine{Name: fmt.Sprintf("n-%06d", c.next+uint64(i)+1), Type: t.Name, Zone: req.Zone, Stage: wire.MachineBooting}
 		made, names = append(made, m), append(names, m.Name)
 	}
-	if err := c.db.Update(func(tx *bbolt.Tx) error {
+	if err := update(c.db, func(tx *bbolt.Tx) error {
 		for _, m := range made {
 			if err := put(tx, machinesBucket, m.Name, m); err != nil {
 				return err
@@ -151,8 +178,7 @@
 		}
 		return tx.Bucket(metaBucket).Put(nextMachineKey, digits(c.next+uint64(n)))
 	}); err != nil {
-		httpjson.Write(w, http.StatusServiceUnavailable, wire.Problem{Error: "trouble"})
-		return
+		return nil, errTrouble
 	}
 	c.next += uint64(n)
 	c.hires[req.Name] = names
@@ -160,7 +186,7 @@
 		c.machines[m.Name], c.since[m.Name] = m, time.Now()
 		go c.boot(*m, t)
 	}
-	httpjson.Write(w, http.StatusOK, wire.MachineNames{Machines: names})
+	return names, nil
 }
 
 func put(tx *bbolt.Tx, bucket []byte, key string, v any) error {
@@ -230,7 +256,7 @@
 		go func() { defer ended.Done(); c.launcher.End(n) }()
 	}
 	ended.Wait()
-	if err := c.db.Update(func(tx *bbolt.Tx) error {
+	if err := update(c.db, func(tx *bbolt.Tx) error {
 		for _, n := range known {
 			if err := tx.Bucket(machinesBucket).Delete([]byte(n)); err != nil {
 				return err
--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -67,9 +67,10 @@
 	starts   int                              // tasks started so far
 	heard    map[string]hearing               // of each worker, by any controller
 	back     int                              // machines returned
+	unlisted bool                             // the cloud's list tells no owner whom to ask
+	sure     bool                             // no order is lost or held back by chance
 	whole    bool                             // no report and no answer is lost by chance
 	reliable bool                             // no transaction is lost or late by chance
-	orderly  bool                             // no direct order is lost or late by chance
 	keepCuts bool                             // whether links stay cut when it is calm
 	slow     func() time.Duration             // how long the state service's answers take; nil: no time
 	lateBy   func() time.Duration             // how much later a transaction is carried out; nil: at once
@@ -86,7 +87,7 @@
 	cancels map[string]time.Time // jobs, by when their user first heard that they are cancelled
 
 	accounts bool                                 // whether accounting rows are written
-	directed func(d machine.Direction)            // sees what owners tell holders; nil: nobody
+	directed func(d machine.Direction)            // sees what owners tell holders, before it is on its way; nil: nobody
 	ordering func(endpoint string, o wire.Orders) // sees a direct order before it is on its way; nil: nobody
 
 	beside     func(n *node) []func(context.Context) error            // what else a controller runs; nil: nothing
@@ -96,6 +97,13 @@
 	behind     func(n *node, prefix string) time.Duration             // how far a controller's watch is behind; nil: not at all
 
 	onStart func(k *testkit.Worker, task string, attempt uint64) // a task starts; nil: nobody looks
+
+	specs     map[string]*wire.Job     // jobs that were submitted
+	startsOf  map[string]int           // tasks started so far, by job
+	linkDelay func() time.Duration     // how long a message to a worker or a peer takes; nil: no time
+	reporting map[*testkit.Worker]bool // workers with a report under way over a slow link
+
+	checks checks // see checks_test.go
 }
 
 type node struct {
@@ -111,6 +119,7 @@
 	reach    reach
 	reg      *cancels.Register
 	entitled bool // when last looked at
+	knows    knownCancels
 	intake   *intake.Intake
 	mux      *http.ServeMux // the users' interface
 }
@@ -129,64 +138,81 @@
 
 func (n *node) Observe(v machine.View)                              { n.owner.Observe(v) }
 func (n *node) GrantHere(r machine.GrantRequest) machine.GrantReply { return n.owner.GrantHere(r) }
-func (n *node) GrantThere(_ context.Context, at string, r machine.GrantRequest) (machine.GrantReply, error) {
-	n.w.travel()
-	defer n.w.travel()
-	n.w.mu.Lock()
-	to := n.w.nodes[at]
-	ok := n.w.reach(n, to)
-	n.w.mu.Unlock()
-	if !ok {
-		return machine.GrantReply{}, errCut
-	}
-	return to.owner.GrantHere(r), nil
+func (n *node) GrantThere(ctx context.Context, at string, r machine.GrantRequest) (machine.GrantReply, error) {
+	return overPeerLink(ctx, n.w, func() (machine.GrantReply, error) {
+		to, err := n.peer(at)
+		if err != nil {
+			return machine.GrantReply{}, err
+		}
+		return to.owner.GrantHere(r), nil
+	})
 }
 
-func (n *node) Direct(_ context.Context, holder string, d machine.Direction) (machine.Unlaunched, error) {
-	if holder != n.name {
-		n.w.travel()
-	}
-	n.w.mu.Lock()
-	to := n.w.nodes[holder]
-	ok := to == n || n.w.reach(n, to)
-	n.w.mu.Unlock()
-	if !ok {
-		return machine.Unlaunched{}, errCut
-	}
+func (n *node) Direct(ctx context.Context, holder string, d machine.Direction) (machine.Unlaunched, error) {
 	if n.w.directed != nil {
 		n.w.directed(d)
 	}
-	return to.holder.Direct(d), nil
+	if holder == n.name {
+		return n.holder.Direct(d), nil
+	}
+	return overPeerLink(ctx, n.w, func() (machine.Unlaunched, error) {
+		to, err := n.peer(holder)
+		if err != nil {
+			return machine.Unlaunched{}, err
+		}
+		return to.holder.Direct(d), nil
+	})
 }
 
 // Order sends a direct order; some arrive, but the answer is lost, and some
 // arrive minutes late.
-func (n *node) Order(_ context.Context, endpoint string, o wire.Orders) (*wire.Report, bool, error) {
+func (n *node) Order(ctx context.Context, endpoint string, o wire.Orders) (*wire.Report, bool, error) {
 	if n.w.ordering != nil {
 		n.w.ordering(endpoint, o)
 	}
+	type outcome struct {
+		report   *wire.Report
+		executed bool
+	}
+	a, err := overLink(ctx, n.w, func() (a outcome, err error) {
+		a.report, a.executed, err = n.order(endpoint, o)
+		return a, err
+	})
+	return a.report, a.executed, err
+}
+
+func (n *node) order(endpoint string, o wire.Orders) (*wire.Report, bool, error) {
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
 	worker := n.w.byName[endpoint]
 	if worker == nil || !n.w.works(n.name, endpoint) {
 		if worker != nil && n.w.rnd.IntN(2) == 0 {
-			n.w.holdBack(worker, o)
+			n.w.holdBack(n, worker, o)
 		}
 		return nil, false, errCut
 	}
+	if worker.Hangs() {
+		worker.Orders(o) // carried out when it continues
+		return nil, false, errCut
+	}
 	if held := n.w.holding; held != nil && held() {
-		n.w.holdBack(worker, o)
+		n.w.holdBack(n, worker, o)
 		return nil, false, errCut
 	}
-	switch luck := n.w.rnd.IntN(12); {
-	case n.w.orderly:
-	case luck == 0:
-		n.w.holdBack(worker, o)
+	draw := n.w.rnd.IntN(12)
+	if n.w.sure {
+		draw = -1
+	}
+	switch draw {
+	case 0:
+		n.w.holdBack(n, worker, o)
 		return nil, false, errCut
-	case luck == 1:
+	case 1:
+		n.w.checks.sent(n, time.Now())
 		worker.Orders(o)
 		return nil, false, errCut
 	}
+	n.w.checks.sent(n, time.Now())
 	executed := worker.Orders(o)
 	r := worker.Report()
 	r.Endpoint = endpoint
@@ -194,8 +220,9 @@
 }
 
 // holdBack keeps an order that is delivered when it may.
-func (w *cluster) holdBack(to *testkit.Worker, o wire.Orders) {
-	w.late = append(w.late, func() { to.Orders(o) })
+func (w *cluster) holdBack(from *node, to *testkit.Worker, o wire.Orders) {
+	sent := time.Now()
+	w.late = append(w.late, func() { w.checks.sent(from, sent); to.Orders(o) })
 }
 
 // release delivers the orders that were held back, and returns how many.
@@ -214,16 +241,18 @@
 }
 
 // Show asks a worker for its report.
-func (n *node) Show(_ context.Context, endpoint string) (*wire.Report, error) {
-	n.w.mu.Lock()
-	defer n.w.mu.Unlock()
-	worker := n.w.byName[endpoint]
-	if worker == nil || !n.w.works(n.name, endpoint) {
-		return nil, errCut
-	}
-	r := worker.Report()
-	r.Endpoint = endpoint
-	return r, nil
+func (n *node) Show(ctx context.Context, endpoint string) (*wire.Report, error) {
+	return overLink(ctx, n.w, func() (*wire.Report, error) {
+		n.w.mu.Lock()
+		defer n.w.mu.Unlock()
+		worker := n.w.byName[endpoint]
+		if worker == nil || worker.Hangs() || !n.w.works(n.name, endpoint) {
+			return nil, errCut
+		}
+		r := worker.Report()
+		r.Endpoint = endpoint
+		return r, nil
+	})
 }
 
 // Facts reads how a job that the owner does not know ended.
@@ -268,7 +297,7 @@
 	n.owner.Accounts, n.owner.Others = w.accounts, n
 	n.holder = machine.New(ctx, name, workerLease, n, n.member, w.size, n, n, log)
 	n.reg = cancels.New(n.reach.peers(), config.Seconds(cfg.Params.Workers.CancelS), n.member.Held)
-	n.reg.Fresh = func([]string) { go n.holder.Recall() }
+	n.reg.Fresh = func(uids []string) { n.knows.learn(uids); go n.holder.Recall() }
 	n.owner.Cancels, n.holder.Cancels = n.reg, n.reg
 	n.intake = intake.New(&cfg, op, n.view, n.owner, w.size, n, log)
 	n.intake.Cancels = n.reg
@@ -303,7 +332,7 @@
 
 // travel lets the time pass that a message takes one way.
 func (w *cluster) travel() {
-	if d := w.drawn(&w.transit); d > 0 {
+	if d := w.drawn(&w.transit) + w.drawn(&w.linkDelay); d > 0 {
 		time.Sleep(d)
 	}
 }
@@ -346,6 +375,10 @@
 // machine at a time.
 func (w *cluster) report(k *testkit.Worker) {
 	w.mu.Lock()
+	if k.Hangs() {
+		w.mu.Unlock()
+		return
+	}
 	rep := k.Report()
 	rep.Endpoint = k.Name
 	n := w.nodes[w.names[w.at[k]%len(w.names)]]
@@ -378,6 +411,7 @@
 	}
 	switch a := body.(type) {
 	case wire.ReportAnswer:
+		w.checks.sent(n, time.Now())
 		k.Answer(sent, rep.Session, a)
 	case wire.Redirect:
 		w.at[k]++
@@ -397,9 +431,13 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	on := map[string]string{}
+	use := teamUse{}
 	for _, k := range w.workers {
 		for _, task := range k.On() {
 			uid, _, _ := strings.Cut(task, "/")
+			if job := w.specs[uid]; job != nil {
+				use[job.Team] += job.CPUs
+			}
 			if at, cancelled := w.cancels[uid]; cancelled && time.Since(at).Seconds() > w.cfg.Params.Workers.CancelS {
 				w.fail("%s is on %s %v after its user heard that it is cancelled", task, k.Name, time.Since(at))
 			}
@@ -409,6 +447,7 @@
 			on[task] = k.Name
 		}
 	}
+	w.checkLimits(use)
 }
 
 // keptCopies is how many reports may be delivered late: those of a minute or so.
@@ -449,9 +488,7 @@
 			ok := to != n && w.reach(n, to)
 			w.mu.Unlock()
 			if ok {
-				for _, v := range n.holder.Views() {
-					to.owner.Observe(v)
-				}
+				w.afterLink(func() { to.observe(n.holder.Views()) })
 			}
 		}
 	}
@@ -461,33 +498,26 @@
 	}
 	for _, n := range nodes {
 		if len(n.member.Own()) > 0 {
-			n.holder.Probe(context.Background(), unheard, 3*reportEvery)
+			if !w.unlisted {
+				n.holder.Probe(context.Background(), unheard, 3*reportEvery)
+			}
+			w.askExpiring(n)
 		}
 	}
 	if len(nodes) < len(w.names) {
 		return
 	}
 	for _, n := range nodes {
-		_, silent := n.owner.Silent(workerLease)
-		for i := range silent {
-			name, vouched := silent[i].Name, true
-			for _, peer := range nodes {
-				w.mu.Lock()
-				ok := peer == n || w.reach(n, peer)
-				w.mu.Unlock()
-				vouched = vouched && ok && peer.holder.Unanswered(name) > workerLease+500*time.Millisecond
-			}
-			if vouched {
-				n.owner.Vouched(name, time.Now())
-			}
-		}
+		w.afterLink(func() { n.attest() })
 	}
 }
 
 func newCluster(t testing.TB, seed uint64) *cluster {
 	w := &cluster{t: t, fail: t.Errorf, size: 4, rnd: rand.New(rand.NewPCG(seed, 7)), plan: rand.New(rand.NewPCG(seed, 11)), store: testkit.NewStore(), nodes: map[string]*node{},
 		at: map[*testkit.Worker]int{}, byName: map[string]*testkit.Worker{},
-		names: []string{"a", "b", "c"}, off: map[[2]string]bool{}, heard: map[string]hearing{}, cancels: map[string]time.Time{}, over: map[string]bool{}, cleared: map[string]string{}}
+		names: []string{"a", "b", "c"}, off: map[[2]string]bool{}, heard: map[string]hearing{}, cancels: map[string]time.Time{}, over: map[string]bool{}, cleared: map[string]string{},
+		specs: map[string]*wire.Job{}, startsOf: map[string]int{}, reporting: map[*testkit.Worker]bool{}}
+	w.checks.init()
 	w.cfg = &config.Platform{Params: config.Params{
 		Teams:   []config.Team{{Name: "t"}},
 		Workers: config.Workers{ReportS: 1, LeaseS: workerLease.Seconds(), CancelS: 40},
@@ -531,14 +561,18 @@
 func (w *cluster) join(k *testkit.Worker, i int) {
 	k.Started = func(task string, attempt uint64) {
 		w.started, w.starts = time.Now(), w.starts+1
+		uid, _, _ := strings.Cut(task, "/")
+		w.startsOf[uid]++
 		if w.onStart != nil {
 			w.onStart(k, task, attempt)
 		}
+		w.checkStart(task)
 		if at := w.cleared[task]; at != "" {
 			w.fail("%s is started again, as attempt %d on %s, when it was done and cleared on %s", task, attempt, k.Name, at)
 		}
 	}
 	k.Forgot = func(task string, attempt uint64) { w.cleared[task] = fmt.Sprintf("%s as attempt %d", k.Name, attempt) }
+	k.Ended = func(t wire.Task, _ time.Duration) { w.checkEnd(t) }
 	w.workers = append(w.workers, k)
 	w.byName[k.Name] = k
 	w.at[k] = i
@@ -553,8 +587,15 @@
 }
 
 func (w *cluster) submitWith(uid string, tasks int, t *terms.Terms) {
-	job := arrayJob(uid, tasks)
-	guards, ops := owner.AcceptTxn(job, t, owner.ShardOf(job, nil, 4), time.Now().UnixMilli())
+	w.submitJob(arrayJob(uid, tasks), t)
+}
+
+// submitJob records an accepted job.
+func (w *cluster) submitJob(job *wire.Job, t *terms.Terms) {
+	w.mu.Lock()
+	w.specs[job.UID] = job
+	w.mu.Unlock()
+	guards, ops := owner.AcceptTxn(job, t, owner.ShardOf(job, w.cfg.Params.Teams, 4), time.Now().UnixMilli())
 	clean := &testkit.View{Store: w.store}
 	if _, err := clean.Txn(context.Background(), guards, ops...); err != nil {
 		w.t.Fatal(err)
@@ -607,6 +648,10 @@
 // reportAll lets every worker report.
 func (w *cluster) reportAll() {
 	for _, k := range w.workers {
+		if w.linksAreSlow() {
+			w.reportSlowly(k)
+			continue
+		}
 		w.report(k)
 		w.check()
 	}
@@ -618,6 +663,7 @@
 	w.check()
 	w.exchange()
 	w.publish()
+	w.checkWaits()
 	if time.Now().Before(calm) {
 		if w.draw(4) == 0 {
 			w.trouble()
--- a/internal/testkit/fault_kinds_test.go
+++ b/internal/testkit/fault_kinds_test.go
@@ -61,6 +61,7 @@
 func (m *faultRun) machinesBack() {
 	for _, k := range m.away {
 		m.meet(k.Name, m.names...)
+		m.resume(k)
 	}
 	m.away = nil
 }
@@ -140,7 +141,9 @@
 
 // repeat submits a job again that was accepted: no controller may refuse it for good.
 func (m *faultRun) repeat(at, uid string) {
-	job := arrayJob(uid, m.sizes[uid])
+	m.mu.Lock()
+	job := m.specs[uid]
+	m.mu.Unlock()
 	m.users.Add(1)
 	go func() {
 		defer m.users.Done()
@@ -176,6 +179,9 @@
 	{"machines hear nothing", 3, 18, func(m *faultRun) {
 		m.machinesAway(func(k *testkit.Worker) { m.unheard(k, m.names...) })
 	}, nil, (*faultRun).machinesBack},
+	{"machines hang and go on", 2, 14, func(m *faultRun) {
+		m.machinesAway(func(k *testkit.Worker) { m.hang(k) })
+	}, nil, (*faultRun).machinesBack},
 	{"the state service is slow", 8, 30, func(m *faultRun) {
 		did := m.did
 		m.cluster.slow = func() time.Duration { *did++; return m.ms(300, 4000) }
@@ -222,12 +228,12 @@
 		m.cutAll(m.leader, append(m.others(m.leader), stateService)...)
 		*m.did++
 	}, nil, func(m *faultRun) { m.meet(m.leader, append(m.others(m.leader), stateService)...) }},
-	{"the leader ends", 2, 15, func(m *faultRun) {
-		if l := m.cluster.leader(); l != "" {
+	{"the leader ends", 2, 15, nil, func(m *faultRun, _ int) {
+		if l := m.cluster.leader(); l != "" && *m.did == 0 { // at once, or as soon as there is one
 			m.crash(l)
 			*m.did++
 		}
-	}, nil, func(m *faultRun) { m.startAll() }},
+	}, func(m *faultRun) { m.startAll() }},
 	{"controllers are back within a second", 4, 15, nil, func(m *faultRun, second int) {
 		if second%3 == 1 {
 			if m.restart(m.names[m.draw(len(m.names))], time.Duration(m.draw(1000))*time.Millisecond) {
--- /dev/null
+++ b/internal/testkit/links_test.go
@@ -0,0 +1,141 @@
+package testkit_test
+
+import (
+	"context"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/machine"
+	"github.com/wallrack/wallrack/internal/testkit"
+)
+
+// peer is another controller, if a message comes through to it now.
+func (n *node) peer(name string) (*node, error) {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	to := n.w.nodes[name]
+	if !n.w.reach(n, to) {
+		return nil, errCut
+	}
+	return to, nil
+}
+
+// overLink carries a request to a worker.
+func overLink[T any](ctx context.Context, w *cluster, carryOut func() (T, error)) (T, error) {
+	return carry(ctx, w.drawn(&w.linkDelay), w.drawn(&w.linkDelay), carryOut)
+}
+
+// overPeerLink carries a request to a peer.
+func overPeerLink[T any](ctx context.Context, w *cluster, carryOut func() (T, error)) (T, error) {
+	oneWay := func() time.Duration { return w.drawn(&w.linkDelay) + w.drawn(&w.transit) }
+	return carry(ctx, oneWay(), oneWay(), carryOut)
+}
+
+// carry has a request arrive after a time, and its answer come back after another. A
+// request that takes time is carried out even if nobody waits for it any more, and its
+// answer may come too late.
+func carry[T any](ctx context.Context, there, back time.Duration, carryOut func() (T, error)) (T, error) {
+	if there+back == 0 {
+		return carryOut()
+	}
+	type answer struct {
+		value T
+		err   error
+	}
+	got := make(chan answer, 1)
+	go func() {
+		time.Sleep(there)
+		value, err := carryOut()
+		time.Sleep(back)
+		got <- answer{value, err}
+	}()
+	select {
+	case a := <-got:
+		return a.value, a.err
+	case <-ctx.Done():
+		var none T
+		return none, ctx.Err()
+	}
+}
+
+// delayLinks sets how long messages to workers and peers take; nil: no time.
+func (w *cluster) delayLinks(delay func() time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.linkDelay = delay
+}
+
+// linksAreSlow reports whether messages to workers and peers take time.
+func (w *cluster) linksAreSlow() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.linkDelay != nil
+}
+
+// reportSlowly lets a worker report over a slow link: it has one report under way at a
+// time, and the others do not wait for it.
+func (w *cluster) reportSlowly(k *testkit.Worker) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.reporting[k] {
+		return
+	}
+	w.reporting[k] = true
+	go func() {
+		w.report(k)
+		w.check()
+		w.mu.Lock()
+		delete(w.reporting, k)
+		w.mu.Unlock()
+	}()
+}
+
+// afterLink does something now, or beside the rest while links are slow.
+func (w *cluster) afterLink(do func()) {
+	if !w.linksAreSlow() {
+		do()
+		return
+	}
+	go func() {
+		time.Sleep(w.drawn(&w.linkDelay))
+		do()
+	}()
+}
+
+// observe takes a peer's views of machines.
+func (n *node) observe(views []machine.View) {
+	for _, v := range views {
+		n.owner.Observe(v)
+	}
+}
+
+// attestLease is how long all controllers must have left a worker unanswered.
+const attestLease = workerLease + 500*time.Millisecond
+
+// attest settles silent machines as cmd/wallrack does: one after the other the peers say
+// for how long they left a machine unanswered.
+func (n *node) attest() {
+	w := n.w
+	_, silent := n.owner.Silent(workerLease)
+	for i := range silent {
+		name, all := silent[i].Name, true
+		a := machine.NewAttestation(time.Now(), []float64{n.holder.Unanswered(name).Seconds()})
+		for _, peer := range w.names {
+			if peer == n.name {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			unanswered, err := overLink(ctx, w, func() (time.Duration, error) {
+				to, err := n.peer(peer)
+				if err != nil {
+					return 0, err
+				}
+				return to.holder.Unanswered(name), nil
+			})
+			cancel()
+			all = all && err == nil && a.Add([]float64{unanswered.Seconds()})
+		}
+		if all && a.LeaseOver(0, time.Now(), attestLease.Seconds()) {
+			n.owner.Vouched(name, a.Asked())
+		}
+	}
+}
--- a/internal/testkit/load_test.go
+++ b/internal/testkit/load_test.go
@@ -105,7 +105,7 @@
 func newLoad(tb testing.TB, machines int, cpus types, jobs int) *load {
 	w := newCluster(tb, 1)
 	w.size, w.workers, w.byName = cpus, nil, map[string]*testkit.Worker{}
-	w.names, w.reliable, w.orderly = []string{"a"}, true, true
+	w.names, w.reliable, w.sure = []string{"a"}, true, true
 	w.beside = func(n *node) []func(context.Context) error {
 		return []func(context.Context) error{func(ctx context.Context) error { return w.knowCancels(ctx, n) }}
 	}
