Trial: closing machines take tasks that end before what occupies them

Cause: a machine that is to be returned takes no work, though a task that isn't stopped occupies it for long, and what else runs there meanwhile costs nothing. Change: while such tasks occupy it for 15 s or more, it takes tasks that end within 0.8 of that time. Room there is not held for later tasks, and nothing is stopped there for others.

--- /dev/null
+++ b/internal/owner/closing.go
@@ -0,0 +1,40 @@
+package owner
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// closingQueueWait is how long a task may wait on a closing machine for its grant.
+	closingQueueWait = 3 * time.Second
+	// minOccupied is the least number of seconds for which a closing machine must stay
+	// occupied to take short tasks meanwhile.
+	minOccupied = 15
+	// shortTaskShare is the share of that time that such a task may take, its image's
+	// transfer included.
+	shortTaskShare = 0.8
+)
+
+// staysOccupied reports whether tasks that evacuate doesn't stop occupy a closing machine
+// for at least minOccupied seconds, which are paid for in any case, and notes for how long.
+func (o *Owner) staysOccupied(m *mach) bool {
+	m.occupiedFor = 0
+	for p := range m.places {
+		if p.exited || !p.halted.IsZero() || p.running.IsZero() {
+			continue
+		}
+		if _, stoppable := o.evacuable(p); stoppable {
+			continue
+		}
+		left := p.job.runEstimate() - o.now.Sub(p.running).Seconds()
+		m.occupiedFor = math.Max(m.occupiedFor, left)
+	}
+	return m.occupiedFor >= minOccupied
+}
+
+// endsWhileOccupied reports whether a task that takes so many seconds, fetch included, ends
+// on a closing machine early enough not to delay the machine's return.
+func (m *mach) endsWhileOccupied(seconds float64) bool {
+	return seconds <= shortTaskShare*m.occupiedFor
+}
--- a/internal/owner/evacuate.go
+++ b/internal/owner/evacuate.go
@@ -44,7 +44,7 @@
 	})
 	for _, m := range closing {
 		for p := range m.places {
-			if !p.on() && !p.exited {
+			if !p.on() && !p.exited && o.now.Sub(p.made) > closingQueueWait {
 				o.unqueue(p) // never granted: it can simply look elsewhere
 			}
 		}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -214,6 +214,9 @@
 	heededAt time.Time
 	gone     bool
 	closing  bool // the fleet wants it empty
+	// occupiedFor is for how many seconds a closing machine stays occupied by tasks that
+	// are not stopped, as of the pass in progress. See staysOccupied.
+	occupiedFor float64
 	// recorded is the last takeover whose records had tasks on it.
 	recorded int
 	kind     wire.MachineType
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -30,7 +30,7 @@
 	var open []*mach
 	fresh := seconds(3*o.cfg.Params.Workers.ReportS + 1)
 	for _, m := range o.byIndex {
-		if m != nil && !m.gone && !m.closing && m.deaf.IsZero() && !m.view.Draining && m.notice.IsZero() && len(m.matrix) > 0 && o.now.Sub(m.heard) < fresh {
+		if m != nil && !m.gone && (!m.closing || o.staysOccupied(m)) && m.deaf.IsZero() && !m.view.Draining && m.notice.IsZero() && len(m.matrix) > 0 && o.now.Sub(m.heard) < fresh {
 			open = append(open, m)
 		}
 	}
@@ -197,7 +197,7 @@
 			soonest := math.Inf(1)
 			run := j.runEstimate()
 			for _, m := range open {
-				if !o.allowed(j, m) || !o.fitsLease(j, m) {
+				if m.closing || !o.allowed(j, m) || !o.fitsLease(j, m) {
 					continue
 				}
 				if w := m.matrix.WaitWithin(j.shape, run, min(soonest, holdWithin)); w < soonest && w <= holdWithin {
@@ -296,6 +296,9 @@
 		delete(j.avoid, m.index)
 	}
 	run, fetch := j.runEstimate(), o.fetchTime(j, m)
+	if m.closing && !m.endsWhileOccupied(fetch+run) {
+		return estimate{}, false
+	}
 	w := o.wait(m, j.shape, fetch+run)
 	if math.IsInf(w, 1) {
 		return estimate{}, false
--- a/internal/owner/preempt.go
+++ b/internal/owner/preempt.go
@@ -96,7 +96,7 @@
 // makeRoom stops tasks on a machine and queues the job's tasks there in their
 // stead; it returns how many it stopped.
 func (o *Owner) makeRoom(j *job, m *mach, most int) int {
-	if !o.allowed(j, m) || !o.within(j, m) || !o.underLimit(j) || !o.fitsLease(j, m) {
+	if m.closing || !o.allowed(j, m) || !o.within(j, m) || !o.underLimit(j) || !o.fitsLease(j, m) {
 		return 0
 	}
 	if fetch := o.fetchTime(j, m); fetch > 0 && o.startLate(j, fetch) && !o.startLate(j, 0) {
