--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -53,8 +53,7 @@
 		}
 	}
 	if len(o.loaded) == 0 {
-		clear(o.arriving) // load counts anew what arrived lately
-		o.loose = nil     // a successor may have written what they tell of
+		o.loose = nil // a successor may have written what they tell of
 	}
 	o.log.Info("shard lost", "shard", shard)
 }
@@ -236,8 +235,16 @@
 	if j.done > 0 {
 		j.begin(time.Now()) // earlier, under a predecessor: nobody knows when
 	}
-	if !spec.Service() && (j.asked == nil || o.waits(j, time.Now()) == "") {
-		o.countArrival(j, fence > 0)
+	if fence == 0 && !spec.Service() && (j.asked == nil || o.waits(j, time.Now()) == "") {
+		work := float64(spec.Tasks) * spec.CPUs * j.runEstimate()
+		o.admitted += work
+		a := o.arriving[spec.Class]
+		if a == nil {
+			a = &arriving{}
+			o.arriving[spec.Class] = a
+		}
+		a.admitted += work
+		a.rank = spec.Rank()
 	}
 	o.jobs[spec.UID] = j
 	o.order = append(o.order, j)
--- a/internal/owner/triage.go
+++ b/internal/owner/triage.go
@@ -26,26 +26,6 @@
 	rank     int     // of its last job
 }
 
-// countArrival counts a job's work as arriving: when it is accepted, or at a takeover if a
-// predecessor accepted it within the last arriveOver seconds. A new owner that took nothing
-// to arrive at higher priorities would promise lower ones the whole fleet.
-func (o *Owner) countArrival(j *job, takenOver bool) {
-	work := float64(j.spec.Tasks) * j.spec.CPUs * j.runEstimate() // CPU-seconds
-	a := o.arriving[j.spec.Class]
-	if a == nil {
-		a = &arriving{}
-		o.arriving[j.spec.Class] = a
-	}
-	a.rank = j.spec.Rank()
-	switch {
-	case !takenOver:
-		o.admitted += work
-		a.admitted += work
-	case time.Since(j.accepted).Seconds() < arriveOver:
-		a.rate += work / arriveOver
-	}
-}
-
 // triage sorts out which jobs can still be done in time: see package triage. The fleet's
 // capacity goes to priorities from the highest on; what a lower one gets is what the
 // work above it, and its arrival, leave.
