scale: a machine that the cloud took executes no orders that were on their way

When the cloud took a worker that was cut off, its link was mended before its state was closed, and a held order began a task there that nobody ended; the same task, started elsewhere, then counted as on two workers.

--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -106,6 +106,9 @@
 	server     *http.Server
 	stop       context.CancelFunc
 	done       chan struct{}
+
+	serving sync.RWMutex // held while a request is served
+	gone    bool         // the cloud took the machine: what is on its way does nothing
 }
 
 // runner is what a worker's tasks need; the state of the protocol is worker.Machine's.
@@ -216,7 +219,11 @@
 	serve := agent.Handler()
 	h.server = &http.Server{ReadHeaderTimeout: 10 * time.Second, Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		<-h.link.mended()
-		serve.ServeHTTP(rw, r)
+		h.serving.RLock()
+		defer h.serving.RUnlock()
+		if !h.gone {
+			serve.ServeHTTP(rw, r)
+		}
 	})}
 	ctx, stop := context.WithCancel(context.Background())
 	h.stop = stop
@@ -243,6 +250,9 @@
 
 func (h *hollow) end() {
 	h.stop()
+	h.serving.Lock()
+	h.gone = true
+	h.serving.Unlock()
 	_ = h.server.Close() // what it was answering is lost
 	h.link.set(false)
 	<-h.done
--- a/internal/scale/hollow_test.go
+++ b/internal/scale/hollow_test.go
@@ -221,3 +221,26 @@
 		t.Errorf("lowest ten seconds: %v", low)
 	}
 }
+
+// A machine that the cloud took runs nothing any more, not what was on its way to it
+// either: a task that began there would count as on two workers when it is started
+// elsewhere.
+func TestHeldOrdersOfAMachineThatIsGoneStartNothing(t *testing.T) {
+	for range 20 {
+		s := newSite(t, time.Minute)
+		stood := &http.Client{Transport: &http.Transport{}, Timeout: 30 * time.Millisecond}
+		if s.order(stood, 5, 1, "j-short") != http.StatusOK {
+			continue // too busy to answer in time
+		}
+		s.until("the short task's end", func() bool { return s.track.job("j-short") != nil && s.on() == 0 })
+		s.workers.cut(map[string]bool{"n-1": true}, true)
+		if status := s.order(stood, 5, 1, "j-long"); status != 0 {
+			t.Errorf("status %d from a worker that is cut off", status)
+		}
+		s.workers.End("n-1")
+		time.Sleep(10 * time.Millisecond)
+		if s.on() != 0 {
+			t.Fatal("a held order was executed on a machine that is gone")
+		}
+	}
+}
