A new owner keeps machines that fell silent before it took over while a controller is cut off

The owner that had kept the machines of a cut-off zone handed its jobs over 24 s later; the new one counted their silence from its own beginning and returned them, though the zone's controller went on answering them. Change: of a machine that was never heard since the take-over only the least silence is known; while a controller that went silent earlier than that may answer it, it is kept. A worker whose report came counts as reporting, before the answer to it shows (slow links).

--- a/cmd/wallrack/links.go
+++ b/cmd/wallrack/links.go
@@ -24,7 +24,6 @@
 
 const (
 	pingEvery = time.Second
-	claimTime = 2 * time.Second        // in which an ended owner's jobs are claimed and their records read
 	storeLost = 3 * time.Second        // the state service unheard for so long counts as lost
 	viewFor   = 100 * time.Millisecond // how long a view is used before it is made anew
 	namesPart = 0.5                    // of a value's limit in the state service, for the names of machines
@@ -95,7 +94,7 @@
 	}
 	s.node, s.table, s.born = n, links.NewTable(n.cfg.Node, peers), time.Now().UnixMilli()
 	s.told = map[string]toldLink{}
-	s.silence = links.Silence{Base: config.Seconds(n.op.SilentS), Lease: config.Seconds(w.LeaseS), Report: config.Seconds(w.ReportS), Grace: n.grace(), Takeover: config.Seconds(n.op.LeaseS) + claimTime}
+	s.silence = links.Silence{Base: config.Seconds(n.op.SilentS), Lease: config.Seconds(w.LeaseS), Report: config.Seconds(w.ReportS), Grace: n.grace()}
 }
 
 // grace is how long after the last time up to which it knows of all cancels this
--- a/internal/links/silence.go
+++ b/internal/links/silence.go
@@ -53,10 +53,6 @@
 	Report time.Duration // between a worker's reports
 	Grace  time.Duration // for which a controller goes on answering workers when it is cut off from all others
 
-	// Takeover is how long after the last word of an owner that is cut off another one has
-	// taken over, at most.
-	Takeover time.Duration
-
 	asked    map[string]ask
 	returned map[string]time.Time
 	refused  int64
@@ -219,12 +215,13 @@
 }
 
 // together reports whether a machine fell silent when a controller did that was last heard
-// so long ago. A new owner that judged by its own time alone gave up the machines of a
-// whole zone that was cut off together with the owner before it.
+// so long ago. How long a machine was silent before this owner took over is not known: a new
+// owner that judged by its own time alone gave up the machines of a whole zone, which was cut
+// off together with a controller long before, and which the owner before it had kept.
 func (s *Silence) together(m *Machine, age time.Duration) bool {
 	apart := 2*s.Report + Lost
 	if m.Unheard {
-		apart += s.Takeover
+		return m.Silent < age+apart
 	}
 	return (m.Silent - age).Abs() < apart
 }
--- a/internal/owner/lease.go
+++ b/internal/owner/lease.go
@@ -30,11 +30,16 @@
 // owner knows: by any controller, or before it knew of the machine.
 func (m *mach) renewedAt() time.Time { return later(m.renewed, m.since) }
 
-// overdue reports whether a machine that was heard by request had not had a report
-// answered for so many report intervals then. An owner that stood still itself finds
-// none overdue: it has heard nobody since.
+// reportedAt is when a report of the machine's worker last came, or was last answered. One
+// that came is mostly answered a moment later, which the next view tells: over slow links a
+// worker whose reports all arrive looked overdue at each of them by the answer alone.
+func (m *mach) reportedAt() time.Time { return later(m.renewedAt(), m.reported) }
+
+// overdue reports whether a machine that was heard by request had not reported for so
+// many report intervals then. An owner that stood still itself finds none overdue: it has
+// heard nobody since.
 func (o *Owner) overdue(m *mach, intervals float64) bool {
-	return m.heard.Sub(m.renewedAt()) > seconds(intervals*o.cfg.Params.Workers.ReportS)+overdueSlack
+	return m.heard.Sub(m.reportedAt()) > seconds(intervals*o.cfg.Params.Workers.ReportS)+overdueSlack
 }
 
 // leaseEnd is when the lease of the machine's worker ends if it is not renewed: each
@@ -132,7 +137,7 @@
 // long.
 func (o *Owner) expiring(m *mach, now time.Time) bool {
 	w := &o.cfg.Params.Workers
-	return now.Sub(m.renewedAt()) > seconds(reportOverdue*w.ReportS)+overdueSlack && now.Before(o.leaseEnd(m).Add(seconds(w.ReportS)+settleTakes))
+	return now.Sub(m.reportedAt()) > seconds(reportOverdue*w.ReportS)+overdueSlack && now.Before(o.leaseEnd(m).Add(seconds(w.ReportS)+settleTakes))
 }
 
 // askDue reports whether an unrenewed worker is to be asked for its report: as often as
--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -57,6 +57,9 @@
 	// What a holder heard some time ago says nothing of the time since: places
 	// were made on machines that were long gone.
 	m.heard = now.Add(-seconds(v.AgeS))
+	if !v.Asked {
+		m.reported = m.heard
+	}
 	m.notice = time.Time{}
 	if v.NoticeS != nil {
 		m.notice = now.Add(time.Duration(*v.NoticeS * float64(time.Second)))
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -196,7 +196,8 @@
 	// when it was last asked for one for want of that, unanswered how often in vain.
 	renewed, askedAt time.Time
 	unanswered       int
-	renewedIn        uint64 // the session in which it was
+	renewedIn        uint64    // the session in which it was
+	reported         time.Time // when its worker last reported by itself
 	matrix           placement.Matrix
 	held             bool // the matrix holds room for this pass only
 	places           map[*place]struct{}
