--- a/internal/owner/direct.go
+++ b/internal/owner/direct.go
@@ -1,9 +1,11 @@
 package owner
 
 import (
+	"context"
 	"time"
 
 	"github.com/wallrack/wallrack/internal/machine"
+	"github.com/wallrack/wallrack/internal/wire"
 )
 
 // direction returns what is to be told to a holder next.
@@ -63,3 +65,62 @@
 	}
 	o.detach(p)
 }
+
+// neverSent reports whether no start command for a halted place can be under way, when
+// the holder with that token says that it sent none: the start was granted for this token
+// alone. One that was granted for another may still be held up, sent by another holder or
+// before this one restarted: taken off its team's use it would run beside what the limit
+// then lets start.
+func (p *place) neverSent(token uint64) bool {
+	return p.state == placeGranted && !p.haltAt.IsZero() && p.least == token && p.token == token
+}
+
+// direct sends what was gathered for the holders.
+func (o *Owner) direct(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-o.out:
+		}
+		o.mu.Lock()
+		pend := o.pend
+		o.pend = map[string]*machine.Direction{}
+		o.mu.Unlock()
+		for holder, d := range pend {
+			if holder == "" {
+				continue
+			}
+			if holder == o.member.Name() {
+				o.sendDirection(ctx, holder, d)
+				continue
+			}
+			go o.sendDirection(ctx, holder, d) // bounded by its time limit
+		}
+	}
+}
+
+func (o *Owner) sendDirection(ctx context.Context, holder string, d *machine.Direction) {
+	dctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	un, err := o.holders.Direct(dctx, holder, *d)
+	if err != nil {
+		// Sweeps and later views repeat whatever still matters.
+		o.log.Debug("holder did not take directions", "holder", holder, "err", err)
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, ref := range un.Refs {
+		uid, n, err := wire.ParseTask(ref.Task)
+		j := o.jobs[uid]
+		if err != nil || j == nil {
+			continue
+		}
+		for _, p := range append([]*place(nil), j.places[n]...) {
+			if p.attempt == ref.Attempt && p.mach.name == ref.Machine && p.neverSent(un.Token) {
+				o.detach(p)
+			}
+		}
+	}
+}
