internal/owner: build a transaction in named steps

Cause: Owner.build had 160 lines and eight variables that its parts shared.

Change: the variables are the fields of txnBuilder; the parts are startPage, addLogs (takeQueue, addLog, saveOldest), addEnds (endChanges, addEnd), addGarbage and addPage, called in the order in which they stood. What is written, in which order and under which conditions is unchanged; the sizes assumed for a job's end, 200 and 80 bytes, got names.

--- a/internal/owner/build.go
+++ b/internal/owner/build.go
@@ -9,174 +9,260 @@
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
+// Bytes, at most, of what a job's end writes besides its accounting row.
+const (
+	endBytes       = 200
+	endChangeBytes = 80 // for each changed key
+)
+
+// txnBuilder gathers what is to be written into one transaction.
+type txnBuilder struct {
+	*batch
+	owner   *Owner
+	maxOps  int          // changes that the transaction may have, the accounting page's apart
+	value   int          // bytes that a value may have
+	size    int          // bytes so far
+	room    int          // bytes that are left on the accounting page
+	more    bool         // something is left for the next transaction
+	short   bool         // rows are left that must come before their jobs' own
+	guarded map[int]bool // shards whose ownership is a condition
+}
+
 // build gathers what is to be written into a transaction; nil if there is
 // nothing.
 func (o *Owner) build() (b *batch, more bool, err error) {
-	b = &batch{}
-	maxOps := o.cfg.Params.State.TxnOps
-	value := o.valueBytes()
-	size, room := 0, 0
-	short := false // rows are left that must come before their jobs' own
+	t := &txnBuilder{batch: &batch{}, owner: o, maxOps: o.cfg.Params.State.TxnOps, value: o.valueBytes(), guarded: map[int]bool{}}
 	if o.book != nil {
-		// One change is the accounting page's.
-		maxOps--
-		room = o.book.Room()
-		size += value
-		for b.loose < len(o.loose) && room >= o.loose[b.loose].Bytes() {
-			room -= o.loose[b.loose].Bytes()
-			b.loose++
-		}
-		b.rows = append(b.rows, o.loose[:b.loose]...)
-		more = b.loose < len(o.loose)
-		short = more
-	}
-	shards := map[int]bool{}
-	guardShard := func(s int) {
-		if !shards[s] {
-			shards[s] = true
-			b.guards = append(b.guards, wire.Guard{Key: o.member.ShardKey(s), Version: o.loaded[s]})
-		}
-	}
-	put := func(key string, version uint64, v any) error {
-		data, err := json.Marshal(v)
-		size += len(data)
-		b.guards = append(b.guards, wire.Guard{Key: key, Version: version})
-		b.ops = append(b.ops, wire.Op{Put: key, Value: json.RawMessage(data)})
-		return err
+		t.startPage()
+	}
+	if err := t.addLogs(); err != nil {
+		return nil, false, err
+	}
+	t.addEnds()
+	if len(t.ops) == 0 && len(t.rows) == 0 {
+		t.addGarbage()
+	}
+	if len(t.rows) > 0 {
+		t.addPage()
+	}
+	if len(t.ops) == 0 {
+		return nil, t.more, nil
+	}
+	return t.batch, t.more, nil
+}
+
+// startPage keeps a change for the accounting page, and takes the rows that belong to
+// no change.
+func (t *txnBuilder) startPage() {
+	loose := t.owner.loose
+	t.maxOps--
+	t.room = t.owner.book.Room()
+	t.size += t.value
+	for t.loose < len(loose) && t.room >= loose[t.loose].Bytes() {
+		t.room -= loose[t.loose].Bytes()
+		t.loose++
+	}
+	t.rows = append(t.rows, loose[:t.loose]...)
+	t.more = t.loose < len(loose)
+	t.short = t.more
+}
+
+// guardShard makes this owner's claim of the shard a condition.
+func (t *txnBuilder) guardShard(shard int) {
+	if !t.guarded[shard] {
+		t.guarded[shard] = true
+		t.guards = append(t.guards, wire.Guard{Key: t.owner.member.ShardKey(shard), Version: t.owner.loaded[shard]})
+	}
+}
+
+// guardAll makes this owner's claims of all its shards conditions.
+func (t *txnBuilder) guardAll() {
+	for s := range t.owner.loaded {
+		t.guardShard(s)
 	}
-	for s, l := range o.logs {
-		if _, mine := o.loaded[s]; !mine || len(l.queue) == 0 {
+}
+
+// put writes a record whose key has the version.
+func (t *txnBuilder) put(key string, version uint64, v any) error {
+	data, err := json.Marshal(v)
+	t.size += len(data)
+	t.guards = append(t.guards, wire.Guard{Key: key, Version: version})
+	t.ops = append(t.ops, wire.Op{Put: key, Value: json.RawMessage(data)})
+	return err
+}
+
+// addLogs adds a log record for each shard that has something to record.
+func (t *txnBuilder) addLogs() error {
+	for s, l := range t.owner.logs {
+		if _, mine := t.owner.loaded[s]; !mine || len(l.queue) == 0 {
 			continue
 		}
-		if len(b.ops) >= maxOps || size+value > txnBytes {
-			more = true
+		if len(t.ops) >= t.maxOps || t.size+t.value > txnBytes {
+			t.more = true
 			break
 		}
-		lb := newLogBuilder(l.seq + 1)
-		taken := 0
-		for _, c := range l.queue {
-			if lb.size >= value || c.row != nil && room < c.row.Bytes() {
-				break
-			}
-			if c.row != nil {
-				room -= c.row.Bytes()
-				b.rows = append(b.rows, *c.row)
-				lb.rows = append(lb.rows, c)
-			}
-			taken++
-			if o.matters(c) {
-				lb.add(c)
-			}
-		}
-		l.queue = append([]change(nil), l.queue[taken:]...)
-		more = more || len(l.queue) > 0
-		short = short || o.book != nil && len(l.queue) > 0
+		lb := t.takeQueue(l)
 		if len(lb.changes) == 0 {
-			b.unlogged = append(b.unlogged, lb.rows...)
+			t.unlogged = append(t.unlogged, lb.rows...)
 			continue
 		}
-		lb.keepRows()
-		l.seq++
-		guardShard(s)
-		w := logWrite{shard: s, log: l, seq: l.seq, changes: lb.changes, chunks: lb.chunks}
-		if len(l.slots) >= o.KeepSlots && !l.slots[0].free() {
-			// Save what the oldest record is still needed for.
-			for c := range l.slots[0].chunks {
-				if c.job.ended != "" {
-					// It needs none: its end frees the slot. That end, maybe in this very
-					// transaction, would not delete the chunk's record, and it would stay.
-					continue
-				}
-				if len(b.ops) >= maxOps/2 || size+2*value > txnBytes {
-					break
-				}
-				for _, p := range c.places {
-					p.logged = true
-				}
-				if err := put(chunkKey(c.job.spec.UID, c.n), c.version, c.record(l.seq)); err != nil {
-					return nil, false, err
-				}
-				b.saves = append(b.saves, chunkSave{c, l.seq})
-			}
+		if err := t.addLog(s, l, lb); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// takeQueue takes queued changes of a shard that fit a log record, and their rows.
+func (t *txnBuilder) takeQueue(l *shardLog) *logBuilder {
+	lb := newLogBuilder(l.seq + 1)
+	taken := 0
+	for _, c := range l.queue {
+		if lb.size >= t.value || c.row != nil && t.room < c.row.Bytes() {
+			break
 		}
-		if len(l.slots) > 0 && l.slots[0].free() {
-			w.slot = l.slots[0]
-		} else {
-			w.slot, w.fresh = &slot{n: l.next}, true
+		if c.row != nil {
+			t.room -= c.row.Bytes()
+			t.rows = append(t.rows, *c.row)
+			lb.rows = append(lb.rows, c)
 		}
-		if err := put(slotKey(s, w.slot.n), w.slot.version, lb.rec); err != nil {
-			return nil, false, err
+		taken++
+		if t.owner.matters(c) {
+			lb.add(c)
 		}
-		b.logs = append(b.logs, w)
 	}
-	for _, j := range o.order {
+	l.queue = append([]change(nil), l.queue[taken:]...)
+	t.more = t.more || len(l.queue) > 0
+	t.short = t.short || t.owner.book != nil && len(l.queue) > 0
+	return lb
+}
+
+// addLog adds a shard's log record, over the oldest one if that is not needed any more.
+func (t *txnBuilder) addLog(shard int, l *shardLog, lb *logBuilder) error {
+	lb.keepRows()
+	l.seq++
+	t.guardShard(shard)
+	w := logWrite{shard: shard, log: l, seq: l.seq, changes: lb.changes, chunks: lb.chunks}
+	if len(l.slots) >= t.owner.KeepSlots && !l.slots[0].free() {
+		if err := t.saveOldest(l); err != nil {
+			return err
+		}
+	}
+	if len(l.slots) > 0 && l.slots[0].free() {
+		w.slot = l.slots[0]
+	} else {
+		w.slot, w.fresh = &slot{n: l.next}, true
+	}
+	if err := t.put(slotKey(shard, w.slot.n), w.slot.version, lb.rec); err != nil {
+		return err
+	}
+	t.logs = append(t.logs, w)
+	return nil
+}
+
+// saveOldest saves chunks that a shard's oldest log record is still needed for, as many
+// as fit.
+func (t *txnBuilder) saveOldest(l *shardLog) error {
+	for c := range l.slots[0].chunks {
+		if c.job.ended != "" {
+			// It needs none: its end frees the slot. That end, maybe in this very
+			// transaction, would not delete the chunk's record, and it would stay.
+			continue
+		}
+		if len(t.ops) >= t.maxOps/2 || t.size+2*t.value > txnBytes {
+			break
+		}
+		for _, p := range c.places {
+			p.logged = true
+		}
+		if err := t.put(chunkKey(c.job.spec.UID, c.n), c.version, c.record(l.seq)); err != nil {
+			return err
+		}
+		t.saves = append(t.saves, chunkSave{c, l.seq})
+	}
+	return nil
+}
+
+// addEnds adds the ends of jobs that are over.
+func (t *txnBuilder) addEnds() {
+	for _, j := range t.owner.order {
 		if j.ended == "" {
 			continue
 		}
 		var row accounting.Row
-		if o.book != nil {
-			row = o.jobRow(j)
-			if short || room < row.Bytes() {
-				more = true // its attempts' rows come first
+		if t.owner.book != nil {
+			row = t.owner.jobRow(j)
+			if t.short || t.room < row.Bytes() {
+				t.more = true // its attempts' rows come first
 				continue
 			}
 		}
-		need := 2
-		for _, c := range j.chunks {
-			if c.version != 0 && need < maxOps {
-				need++
-			}
-		}
-		if len(b.ops)+need > maxOps || size+200+80*need > txnBytes {
-			more = true
+		changes := t.endChanges(j)
+		bytes := endBytes + endChangeBytes*changes
+		if len(t.ops)+changes > t.maxOps || t.size+bytes > txnBytes {
+			t.more = true
 			continue
 		}
-		size += 200 + 80*need
-		guardShard(j.shard)
-		uid := j.spec.UID
-		b.guards = append(b.guards, wire.Guard{Key: liveKey + uid, Version: j.version})
-		b.ops = append(b.ops, wire.Op{Put: finalKey + uid, Value: finalRecord{Stage: j.ended, Done: j.done, Ending: o.ending(j)}}, wire.Op{Delete: liveKey + uid})
-		if o.book != nil {
-			room -= row.Bytes()
-			b.rows = append(b.rows, row)
-		}
-		need -= 2
-		for _, c := range j.chunks {
-			if c.version != 0 && need > 0 {
-				need--
-				b.ops = append(b.ops, wire.Op{Delete: chunkKey(uid, c.n)})
-			}
+		t.size += bytes
+		t.addEnd(j, changes)
+		if t.owner.book != nil {
+			t.room -= row.Bytes()
+			t.rows = append(t.rows, row)
 		}
-		j.ending = true
-		b.ended = append(b.ended, j)
-	}
-	if len(b.ops) == 0 && len(b.rows) == 0 {
-		for b.trash < len(o.garbage) && len(b.ops) < maxOps {
-			b.ops = append(b.ops, wire.Op{Delete: o.garbage[b.trash]})
-			b.trash++
-		}
-		for s := range o.loaded {
-			guardShard(s)
-		}
-	}
-	if len(b.rows) > 0 {
-		if b.page, err = o.book.Add(b.rows, time.Now()); err != nil {
-			// Not for want of a bookkeeper shall work stand still.
-			o.log.Error("accounting rows are lost", "rows", len(b.rows), "err", err)
-			err = nil
-		} else {
-			b.book = o.book
-			if len(b.guards) == 0 {
-				for s := range o.loaded {
-					guardShard(s)
-				}
-			}
-			b.guards = append(b.guards, wire.Guard{Key: b.page.Key, Version: b.page.Version})
-			b.ops = append(b.ops, wire.Op{Put: b.page.Key, Value: b.page.Value})
+	}
+}
+
+// endChanges is how many keys a job's end changes in its transaction.
+func (t *txnBuilder) endChanges(j *job) int {
+	n := 2 // the living record and the final one
+	for _, c := range j.chunks {
+		if c.version != 0 && n < t.maxOps {
+			n++
+		}
+	}
+	return n
+}
+
+// addEnd adds a job's end, with so many changes. Chunk records beyond them are deleted
+// later.
+func (t *txnBuilder) addEnd(j *job, changes int) {
+	t.guardShard(j.shard)
+	uid := j.spec.UID
+	t.guards = append(t.guards, wire.Guard{Key: liveKey + uid, Version: j.version})
+	t.ops = append(t.ops, wire.Op{Put: finalKey + uid, Value: finalRecord{Stage: j.ended, Done: j.done, Ending: t.owner.ending(j)}}, wire.Op{Delete: liveKey + uid})
+	left := changes - 2
+	for _, c := range j.chunks {
+		if c.version != 0 && left > 0 {
+			left--
+			t.ops = append(t.ops, wire.Op{Delete: chunkKey(uid, c.n)})
 		}
 	}
-	if len(b.ops) == 0 {
-		return nil, more, nil
+	j.ending = true
+	t.ended = append(t.ended, j)
+}
+
+// addGarbage deletes chunk records of ended jobs.
+func (t *txnBuilder) addGarbage() {
+	for t.trash < len(t.owner.garbage) && len(t.ops) < t.maxOps {
+		t.ops = append(t.ops, wire.Op{Delete: t.owner.garbage[t.trash]})
+		t.trash++
+	}
+	t.guardAll()
+}
+
+// addPage adds the accounting page with the rows. Rows that can't be written are lost:
+// work does not stand still for them.
+func (t *txnBuilder) addPage() {
+	book := t.owner.book
+	var err error
+	if t.page, err = book.Add(t.rows, time.Now()); err != nil {
+		t.owner.log.Error("accounting rows are lost", "rows", len(t.rows), "err", err)
+		return
+	}
+	t.book = book
+	if len(t.guards) == 0 {
+		t.guardAll()
 	}
-	return b, more, nil
+	t.guards = append(t.guards, wire.Guard{Key: t.page.Key, Version: t.page.Version})
+	t.ops = append(t.ops, wire.Op{Put: t.page.Key, Value: t.page.Value})
 }
