--- a/internal/owner/build.go
+++ b/internal/owner/build.go
@@ -266,3 +266,6 @@
 	t.guards = append(t.guards, wire.Guard{Key: t.page.Key, Version: t.page.Version})
 	t.ops = append(t.ops, wire.Op{Put: t.page.Key, Value: t.page.Value})
 }
+
+// valueBytes is how long a value that this owner writes may be.
+func (o *Owner) valueBytes() int { return int(o.cfg.Params.State.ValueKB*1024*0.9) - 64 }
