cmd/wallrack: links.go by job

Cause: links.go (536 lines) held messages between controllers, the view of the links, tries of silent machines, what follows from the view, and what operators are shown.

Checks: build, vet, gofmt, staticcheck and the package's tests pass.

--- /dev/null
+++ b/cmd/wallrack/link_report.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/httpjson"
+	"github.com/wallrack/wallrack/internal/links"
+)
+
+// toldLink is how a link was when it last changed, and when.
+type toldLink struct {
+	how   string
+	since time.Time
+}
+
+// Names of links, beside those of the peers.
+const (
+	linkStore   = "state service"
+	linkWorkers = "workers"
+)
+
+// tellLinks logs each change of a link.
+func (n *node) tellLinks(v *links.View) {
+	s := &n.links
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tell := func(link, how string) {
+		old, known := s.told[link]
+		if known && old.how == how {
+			return
+		}
+		if known {
+			n.log.Info("link", "to", link, "is", how, "was", old.how, "for_s", time.Since(old.since).Seconds())
+		}
+		s.told[link] = toldLink{how, time.Now()}
+	}
+	for i := range v.Peers {
+		tell(v.Peers[i].Name, v.Peers[i].How())
+	}
+	tell(linkStore, v.StateBy(n.store.Relayed()))
+	workers := "heard"
+	if v.Self.Deaf() {
+		workers = "not heard"
+	}
+	tell(linkWorkers, workers)
+}
+
+// serveLinks shows operators this controller's view of the links.
+func (n *node) serveLinks(w http.ResponseWriter, _ *http.Request) {
+	shown := n.links.now().Show(n.store.Relayed())
+	shown.Cancelled, shown.Answers = n.cancels.Jobs(), n.Entitled()
+	if known := n.cancels.Known(); !known.IsZero() {
+		shown.CancelsAgeS = time.Since(known).Seconds()
+	}
+	s := &n.links
+	s.mu.Lock()
+	shown.Kept = s.kept
+	for link, t := range s.told {
+		shown.Links = append(shown.Links, links.ShownLink{To: link, Is: t.how, SinceS: time.Since(t.since).Seconds()})
+	}
+	s.mu.Unlock()
+	slices.SortFunc(shown.Links, func(a, b links.ShownLink) int { return strings.Compare(a.To, b.To) })
+	httpjson.Write(w, http.StatusOK, shown)
+}
--- /dev/null
+++ b/cmd/wallrack/roles.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/mesh"
+	"github.com/wallrack/wallrack/internal/recovery"
+	"github.com/wallrack/wallrack/internal/statestore"
+)
+
+// chief is the owner of most shards, as far as this controller knows.
+func (n *node) chief() string {
+	if owners := n.member.Owners(); len(owners) > 0 {
+		return owners[0]
+	}
+	return ""
+}
+
+// Foreman names the controller that should hold workers.
+func (n *node) Foreman() string { return n.links.now().Foreman() }
+
+// Entitled reports whether this controller may answer workers: it knows of all
+// cancels that were confirmed up to a moment ago, by whomever.
+func (n *node) Entitled() bool {
+	return n.member.Term() != 0 && time.Since(n.cancels.Known()) < n.grace()
+}
+
+// Alone reports whether this controller can start nothing and knows of nobody who can.
+func (n *node) Alone() bool { return n.links.now().Alone() && len(n.member.Own()) == 0 }
+
+// Owners names the other controllers that own shards.
+func (n *node) Owners() []string {
+	var out []string
+	add := func(name string) {
+		if name != "" && name != n.cfg.Node && !slices.Contains(out, name) {
+			out = append(out, name)
+		}
+	}
+	if n.member.Held() > 0 {
+		for _, o := range n.member.Owners() {
+			add(o)
+		}
+		return out
+	}
+	v := n.links.now()
+	for i := range v.Peers {
+		if p := &v.Peers[i]; p.Fresh() && p.Row.Held {
+			add(p.Row.Chief)
+		}
+	}
+	return out
+}
+
+// Served names the other controllers that reach the state service.
+func (n *node) Served() []string { return n.links.now().Served() }
+
+// Up fails only when this controller can't serve and a peer can.
+func (n *node) Up() bool {
+	up := n.member.Term() != 0 && n.links.now().Up()
+	if up {
+		n.times.Mark(recovery.Up)
+	}
+	return up
+}
+
+// Ready reports whether a peer can pass requests to the state service on.
+func (n *node) Ready() bool { return len(n.links.now().Served()) > 0 }
+
+// Pass has a peer pass a request to the state service on.
+func (n *node) Pass(ctx context.Context, req statestore.Passed) (*statestore.Answered, error) {
+	by := n.links.now().Served()
+	if len(by) == 0 {
+		return nil, fmt.Errorf("%w: no peer reaches it", statestore.ErrUnavailable)
+	}
+	rep, err := mesh.Call[statestore.Passed, statestore.Answered](ctx, n.mesh, by[0], methodStore, &req)
+	n.called(by[0], err, false)
+	return rep, err // a connection that breaks after the request was sent looks like a refused one
+}
