--- a/internal/testkit/apart_leader_test.go
+++ b/internal/testkit/apart_leader_test.go
@@ -62,7 +62,7 @@
 					}
 				}
 				w.lag = func() time.Duration { return 3 * time.Second } // it hears late that it lost its shards
-				w.meet(former, append(w.others(former), stateService)...)
+				w.healLinks(former, append(w.others(former), stateService)...)
 				asks := func() {
 					for i := range jobs {
 						u.look(fmt.Sprintf("j-%d", 100+i), 1+i%2)
--- a/internal/testkit/cancel_hand_over_test.go
+++ b/internal/testkit/cancel_hand_over_test.go
@@ -220,7 +220,7 @@
 			}
 			h.live(6)
 			h.until(stepLoaded)
-			h.meet(h.third, h.giver, h.taker)
+			h.healLinks(h.third, h.giver, h.taker)
 		}, 1, 0},
 		{"the taker has read no record", func(h *handOver) {
 			h.recordUnheard("j-80")
@@ -302,12 +302,12 @@
 			}
 			h.holding = nil
 			h.live(11)
-			h.meet(h.giver, append(h.workerNames(), h.taker, h.third, stateService)...)
+			h.healLinks(h.giver, append(h.workerNames(), h.taker, h.third, stateService)...)
 		}, 2, 0},
 	}
 	for i, s := range scenes {
 		t.Run(s.name, func(t *testing.T) {
-			meeting(t, 3720+uint64(i), 3, 6, func(w *cluster) {
+			onCluster(t, 3720+uint64(i), 3, 6, func(w *cluster) {
 				h := &handOver{cluster: w, giver: w.leader(), jobs: []string{"j-80", "j-81", "j-82"}}
 				others := w.others(h.giver)
 				h.taker, h.third, h.whole = others[0], others[1], true
--- a/internal/testkit/close_questions_test.go
+++ b/internal/testkit/close_questions_test.go
@@ -249,7 +249,7 @@
 		}
 		u.handled++
 	case second == length && u.refused != "":
-		u.meet(u.refused, append(u.others(u.refused), stateService)...)
+		u.healLinks(u.refused, append(u.others(u.refused), stateService)...)
 	}
 }
 
--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -103,7 +103,7 @@
 	linkDelay func() time.Duration     // how long a message to a worker or a peer takes; nil: no time
 	reporting map[*testkit.Worker]bool // workers with a report under way over a slow link
 
-	checks checks // see checks_test.go
+	checks checks // see late_starts_test.go
 }
 
 type node struct {
--- a/internal/testkit/meetings_test.go
+++ b/internal/testkit/combined_faults_test.go
@@ -4,88 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
-	"slices"
-	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/owner"
 	"github.com/wallrack/wallrack/internal/testkit"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
-// meeting plays a meeting of troubles on a new cluster, in which the tasks of jobs from 80
-// on run for long. Nothing is drawn but lost messages.
-func meeting(t *testing.T, seed uint64, controllers, workers int, play func(w *cluster)) {
-	meetingOf(t, seed, []config.Team{{Name: "t"}}, controllers, workers, play)
-}
-
-// meetingOf is meeting with these teams.
-func meetingOf(t *testing.T, seed uint64, teams []config.Team, controllers, workers int, play func(w *cluster)) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newCluster(t, seed)
-		w.cfg.Params.Teams = teams
-		defer func() {
-			w.stopAll()
-			time.Sleep(15 * time.Second) // what is still on its way in the store
-		}()
-		w.bigger(controllers, workers)
-		w.long()
-		for _, n := range w.names {
-			w.start(n)
-			time.Sleep(100 * time.Millisecond)
-		}
-		w.keepCuts = true
-		w.live(5)
-		play(w)
-	})
-}
-
-// leader is the controller that owns the jobs, or "".
-func (w *cluster) leader() string {
-	for _, n := range w.names {
-		if x := w.nodes[n]; !x.down && len(x.member.Own()) > 0 {
-			return n
-		}
-	}
-	return ""
-}
-
-// within lives until something holds, for at most so many seconds.
-func (w *cluster) within(seconds int, holds func() bool) bool {
-	for range seconds {
-		if holds() {
-			return true
-		}
-		w.live(1)
-	}
-	return holds()
-}
-
-// ended reports whether jobs ended.
-func (w *cluster) ended(uids ...string) func() bool {
-	return func() bool {
-		keys := w.store.Keys("final/")
-		return !slices.ContainsFunc(uids, func(uid string) bool { return !slices.Contains(keys, "final/"+uid) })
-	}
-}
-
-// onMachines counts the tasks of a job that are on.
-func (w *cluster) onMachines(uid string) (n int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, k := range w.workers {
-		for _, task := range k.On() {
-			if strings.HasPrefix(task, uid+"/") {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 // A leader ends while machines with long tasks can't be reached, or hear no answer. Its
 // successor can't settle those tasks: it starts none of them again, and all else goes
 // on at once. The machines come back one by one, within their lease or after it.
@@ -93,7 +19,7 @@
 	for _, deaf := range []bool{false, true} {
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprintf("deaf %v, %d", deaf, seed), func(t *testing.T) {
-				meeting(t, 900+seed, 3, 10, func(w *cluster) {
+				onCluster(t, 900+seed, 3, 10, func(w *cluster) {
 					w.submit("j-80", 12)
 					w.live(12)
 					if n := w.onMachines("j-80"); n < 12 {
@@ -122,7 +48,7 @@
 						t.Errorf("no start for %v, first after the leader's end: %v", longest, w.started.After(at))
 					}
 					for i, k := range away {
-						w.meet(k.Name, w.names...)
+						w.healLinks(k.Name, w.names...)
 						if i == 2 {
 							w.start(first)
 						}
@@ -149,7 +75,7 @@
 func TestTasksEndFarApartAcrossLeaders(t *testing.T) {
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			meeting(t, 920+seed, 3, 6, func(w *cluster) {
+			onCluster(t, 920+seed, 3, 6, func(w *cluster) {
 				over := map[string]time.Time{}
 				var last time.Time
 				for _, k := range w.workers {
@@ -183,7 +109,7 @@
 					case 20:
 						w.unheard(away, w.names...)
 					case 27:
-						w.meet(away.Name, w.names...)
+						w.healLinks(away.Name, w.names...)
 					}
 					w.live(1)
 					for _, uid := range []string{"j-1", "j-2"} {
@@ -223,7 +149,7 @@
 func TestSlowAndLateStateService(t *testing.T) {
 	for seed := range uint64(8) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			meeting(t, 940+seed, 3, 8, func(w *cluster) {
+			onCluster(t, 940+seed, 3, 8, func(w *cluster) {
 				late, slow := 0, true
 				trouble := func(n *node) {
 					n.view.Slow = func() time.Duration {
@@ -301,7 +227,7 @@
 func TestOldReportsMeetNewLeaders(t *testing.T) {
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			meeting(t, 960+seed, 3, 8, func(w *cluster) {
+			onCluster(t, 960+seed, 3, 8, func(w *cluster) {
 				w.submit("j-80", 6)
 				w.submit("j-1", 40)
 				w.live(12)
@@ -315,7 +241,7 @@
 					k := w.workers[w.draw(len(w.workers))]
 					w.cutAll(k.Name, w.names...)
 					w.live(13)
-					w.meet(k.Name, w.names...)
+					w.healLinks(k.Name, w.names...)
 					w.crash(first)
 					for _, n := range w.names {
 						w.deliverCopies(w.nodes[n])
@@ -346,7 +272,7 @@
 func TestHeldUpCommands(t *testing.T) {
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			meeting(t, 980+seed, 3, 8, func(w *cluster) {
+			onCluster(t, 980+seed, 3, 8, func(w *cluster) {
 				w.submit("j-80", 6)
 				w.submit("j-1", 120)
 				w.live(8)
@@ -366,7 +292,7 @@
 						w.user(w.names[w.draw(3)], http.MethodPost, "j-80")
 					}
 					w.live(w.draw(5))
-					w.meet(k.Name, w.names...)
+					w.healLinks(k.Name, w.names...)
 					late += w.release()
 					w.live(3)
 				}
@@ -388,7 +314,7 @@
 	for _, late := range []string{"the cancel", "the end"} {
 		for seed := range uint64(4) {
 			t.Run(fmt.Sprintf("%s, %d", late, seed), func(t *testing.T) {
-				meeting(t, 1100+seed, 3, 6, func(w *cluster) {
+				onCluster(t, 1100+seed, 3, 6, func(w *cluster) {
 					for _, k := range w.workers {
 						k.Run = func(string) time.Duration { return 6 * time.Second }
 					}
--- a/internal/testkit/fault_kinds_test.go
+++ b/internal/testkit/fault_kinds_test.go
@@ -60,7 +60,7 @@
 
 func (m *faultRun) machinesBack() {
 	for _, k := range m.away {
-		m.meet(k.Name, m.names...)
+		m.healLinks(k.Name, m.names...)
 		m.resume(k)
 	}
 	m.away = nil
@@ -227,7 +227,7 @@
 	{"the leader is cut from state and peers", 5, 70, func(m *faultRun) {
 		m.cutAll(m.leader, append(m.others(m.leader), stateService)...)
 		*m.did++
-	}, nil, func(m *faultRun) { m.meet(m.leader, append(m.others(m.leader), stateService)...) }},
+	}, nil, func(m *faultRun) { m.healLinks(m.leader, append(m.others(m.leader), stateService)...) }},
 	{"the leader ends", 2, 15, nil, func(m *faultRun, _ int) {
 		if l := m.cluster.leader(); l != "" && *m.did == 0 { // at once, or as soon as there is one
 			m.crash(l)
@@ -251,7 +251,7 @@
 		*m.did++
 	}, nil, func(m *faultRun) {
 		for _, n := range m.names {
-			m.meet(n, stateService)
+			m.healLinks(n, stateService)
 		}
 	}},
 	{"leases end at machines that are back", 12, 16, func(m *faultRun) {
--- a/internal/testkit/job_stream_test.go
+++ b/internal/testkit/job_stream_test.go
@@ -220,7 +220,7 @@
 // no job waits or is forgotten, and what is kept of jobs that are over is bounded.
 func TestStreamOfShortJobsWithCancels(t *testing.T) {
 	const jobs, perSecond = 720, 4
-	meeting(t, 3750, 3, 12, func(w *cluster) {
+	onCluster(t, 3750, 3, 12, func(w *cluster) {
 		s := &jobStream{cluster: w, byUID: map[string]*streamed{}, writes: map[string]int{}, perSecond: map[int64]int{}}
 		w.whole = true
 		hook := func() {
--- a/internal/testkit/late_watch_test.go
+++ b/internal/testkit/late_watch_test.go
@@ -33,7 +33,7 @@
 	const lag = 15 * time.Second
 	for _, how := range []string{"hand-over", "end"} {
 		t.Run(how, func(t *testing.T) {
-			meeting(t, 3710, 2, 6, func(w *cluster) {
+			onCluster(t, 3710, 2, 6, func(w *cluster) {
 				first := w.leader()
 				second := w.others(first)[0]
 				for _, n := range w.nodes {
--- a/internal/testkit/lost_answer_cases_test.go
+++ b/internal/testkit/lost_answer_cases_test.go
@@ -269,7 +269,7 @@
 	l.arm("", 1)
 	w.user(w.leader(), http.MethodPost, "j-81")
 	w.live(5)
-	w.meet(away.Name, w.names...)
+	w.healLinks(away.Name, w.names...)
 	w.live(15)
 	if _, attempts, _ := w.rows(); len(attempts) < 162 || len(w.store.Keys("final/j-81")) == 0 { // of 156 tasks that are done, 6 that were stopped
 		t.Errorf("%d accounting rows of attempts, of the cancelled job: %v", len(attempts), w.store.Keys("final/j-81"))
--- a/internal/testkit/lost_answers_test.go
+++ b/internal/testkit/lost_answers_test.go
@@ -251,7 +251,7 @@
 }
 
 // playCase plays a case on a cluster with work: three jobs that end, and a long one.
-func playCase(t *testing.T, seed uint64, c *lostAnswerCase, begin func(w *cluster, l *answerLoss), met func(l *answerLoss)) {
+func playCase(t *testing.T, seed uint64, c *lostAnswerCase, begin func(w *cluster, l *answerLoss), happened func(l *answerLoss)) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newCluster(t, seed)
 		w.bigger(3, 8)
@@ -277,7 +277,7 @@
 		}
 		w.live(6)
 		l.busy.Wait()
-		met(l)
+		happened(l)
 		w.asBefore(t, c, jobs)
 		w.stopAll()
 		time.Sleep(15 * time.Second)
--- a/internal/testkit/new_machines_test.go
+++ b/internal/testkit/new_machines_test.go
@@ -62,13 +62,13 @@
 				for i, uid := range jobs {
 					c.order(uid, 8+6*i)
 				}
-				met := c.run(40*time.Second, func() bool {
+				ready := c.run(40*time.Second, func() bool {
 					unanswered := c.unanswered()
 					c.mu.Lock()
 					defer c.mu.Unlock()
 					return slices.ContainsFunc(due, time.Now().Before) && c.starts > 0 && unanswered > 0
 				})
-				if !met {
+				if !ready {
 					t.Errorf("%d tasks started, %d machines up whose hires are unanswered", c.starts, c.unanswered())
 				}
 				c.crash(first.name)
--- a/internal/testkit/odd_requests_test.go
+++ b/internal/testkit/odd_requests_test.go
@@ -101,7 +101,7 @@
 // Odd requests get the answer of the protocol, the same at every controller and in every
 // state of it: one that can't decide says 503. Nothing is accepted that can't run.
 func TestOddRequestsAreAnsweredAlikeEverywhere(t *testing.T) {
-	meeting(t, 3700, 3, 8, func(w *cluster) {
+	onCluster(t, 3700, 3, 8, func(w *cluster) {
 		w.cfg.Params.Teams = []config.Team{{Name: "t"}, {Name: "small", CPUsMax: 2}}
 		for _, name := range w.names {
 			w.restart(name, 0) // with these teams
--- a/internal/testkit/old_reports_test.go
+++ b/internal/testkit/old_reports_test.go
@@ -211,7 +211,7 @@
 	for _, s := range stages {
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprintf("%s, %d", s.name, seed), func(t *testing.T) {
-				meeting(t, 1200+seed, 3, 6, func(w *cluster) { playOldReports(t, w, &s) })
+				onCluster(t, 1200+seed, 3, 6, func(w *cluster) { playOldReports(t, w, &s) })
 			})
 		}
 	}
@@ -238,7 +238,7 @@
 	live(4)
 	w.restart(w.leader(), 200*time.Millisecond)
 	live(9)
-	w.meet(away.Name, w.names...)
+	w.healLinks(away.Name, w.names...)
 	live(6)
 	if !w.within(20, func() bool { return w.onMachines("j-80") == 6 && w.leader() != "" }) {
 		t.Fatalf("%d of 6 long tasks run before the take-over", w.onMachines("j-80"))
@@ -324,7 +324,7 @@
 	w.live(1)
 	w.deliver(old, w.names...)
 	for _, k := range silent {
-		w.meet(k.Name, w.names...)
+		w.healLinks(k.Name, w.names...)
 	}
 	if !w.within(200, w.ended("j-1")) {
 		t.Error("the short job did not end")
--- /dev/null
+++ b/internal/testkit/on_cluster_test.go
@@ -0,0 +1,81 @@
+package testkit_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/config"
+)
+
+// onCluster plays a test on a new cluster, in which the tasks of jobs from 80
+// on run for long. Nothing is drawn but lost messages.
+func onCluster(t *testing.T, seed uint64, controllers, workers int, play func(w *cluster)) {
+	onClusterWith(t, seed, []config.Team{{Name: "t"}}, controllers, workers, play)
+}
+
+// onClusterWith is onCluster with these teams.
+func onClusterWith(t *testing.T, seed uint64, teams []config.Team, controllers, workers int, play func(w *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newCluster(t, seed)
+		w.cfg.Params.Teams = teams
+		defer func() {
+			w.stopAll()
+			time.Sleep(15 * time.Second) // what is still on its way in the store
+		}()
+		w.bigger(controllers, workers)
+		w.long()
+		for _, n := range w.names {
+			w.start(n)
+			time.Sleep(100 * time.Millisecond)
+		}
+		w.keepCuts = true
+		w.live(5)
+		play(w)
+	})
+}
+
+// leader is the controller that owns the jobs, or "".
+func (w *cluster) leader() string {
+	for _, n := range w.names {
+		if x := w.nodes[n]; !x.down && len(x.member.Own()) > 0 {
+			return n
+		}
+	}
+	return ""
+}
+
+// within lives until something holds, for at most so many seconds.
+func (w *cluster) within(seconds int, holds func() bool) bool {
+	for range seconds {
+		if holds() {
+			return true
+		}
+		w.live(1)
+	}
+	return holds()
+}
+
+// ended reports whether jobs ended.
+func (w *cluster) ended(uids ...string) func() bool {
+	return func() bool {
+		keys := w.store.Keys("final/")
+		return !slices.ContainsFunc(uids, func(uid string) bool { return !slices.Contains(keys, "final/"+uid) })
+	}
+}
+
+// onMachines counts the tasks of a job that are on.
+func (w *cluster) onMachines(uid string) (n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, k := range w.workers {
+		for _, task := range k.On() {
+			if strings.HasPrefix(task, uid+"/") {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/testkit/slow_links_test.go
+++ b/internal/testkit/slow_links_test.go
@@ -21,7 +21,7 @@
 	)
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			meetingOf(t, 4000+seed, limitedTeams, 3, 6, func(w *cluster) {
+			onClusterWith(t, 4000+seed, limitedTeams, 3, 6, func(w *cluster) {
 				begun := map[string]time.Time{}
 				for _, k := range w.workers {
 					noteStarts(w, k, begun)
--- a/internal/testkit/state_outage_test.go
+++ b/internal/testkit/state_outage_test.go
@@ -151,8 +151,8 @@
 	}
 }
 
-// meet heals the links between one controller and others.
-func (w *cluster) meet(one string, others ...string) {
+// healLinks heals the links between one controller and others.
+func (w *cluster) healLinks(one string, others ...string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, o := range others {
@@ -190,7 +190,7 @@
 func (w *cluster) workersHear(names ...string) {
 	for _, n := range w.names {
 		if slices.Contains(names, n) {
-			w.meet(n, w.workerNames()...)
+			w.healLinks(n, w.workerNames()...)
 		} else {
 			w.cutAll(n, w.workerNames()...)
 		}
@@ -222,7 +222,7 @@
 	return n
 }
 
-// TestCancelDuringStateOutage is the meeting of which the operators wrote: the state service refuses
+// In TestCancelDuringStateOutage the state service refuses
 // the leader alone, another controller confirms cancels, and then the state service is
 // out for all for longer than a cancelled task may go on, while workers go on
 // reporting to the old leader. The tasks must be gone in time all the same, and
@@ -231,8 +231,8 @@
 	type scene struct {
 		name string
 		play func(g *gap) // up to the end of the outage
-		// least is how many cancels must have been confirmed, so that the meeting
-		// took place.
+		// least is how many cancels must have been confirmed, so that cancels and
+		// the outage coincided.
 		least int
 		// lapses is whether a controller may have to stop answering workers for not
 		// knowing of all cancels; ends whether leases may end. They may where workers
@@ -267,7 +267,7 @@
 			alone(g)
 			g.cancelAll(g.others[0], g.jobs, 12)
 			out(g)
-			g.meet(g.leader, g.others...)
+			g.healLinks(g.leader, g.others...)
 			g.live(outage)
 		}, 3, false, true},
 		{"a new leader confirms, and never talks to the old one", func(g *gap) {
@@ -285,7 +285,7 @@
 			for _, n := range g.others {
 				g.crash(n)
 			}
-			g.meet(g.leader, g.others...)
+			g.healLinks(g.leader, g.others...)
 			g.live(outage)
 		}, 1, true, true},
 		{"the confirmer is back within a second, and has forgotten", func(g *gap) {
@@ -299,7 +299,7 @@
 				time.Sleep(300 * time.Millisecond)
 				g.start(n)
 			}
-			g.meet(g.leader, g.others...)
+			g.healLinks(g.leader, g.others...)
 			g.live(outage)
 		}, 1, true, true},
 		{"the old leader is back within a second, in the outage", func(g *gap) {
@@ -332,7 +332,7 @@
 			out(g)
 			g.live(5)
 			for _, k := range g.workers[:6] {
-				g.meet(k.Name, g.names...)
+				g.healLinks(k.Name, g.names...)
 			}
 			g.live(outage)
 		}, 3, false, true},
@@ -393,7 +393,7 @@
 					heard := len(w.cancels)
 					w.mu.Unlock()
 					if heard < s.least {
-						t.Errorf("%d cancels were confirmed: the meeting did not take place", heard)
+						t.Errorf("%d cancels were confirmed: too few to test cancels during the outage", heard)
 					}
 					for _, k := range w.workers {
 						sessions -= int(k.Report().Session)
@@ -481,7 +481,7 @@
 				case 5:
 					w.restart(name, time.Duration(100+400*a.Other)*time.Millisecond)
 				case 6:
-					w.meet(leader, w.others(leader)...)
+					w.healLinks(leader, w.others(leader)...)
 				case 7:
 					if name != other {
 						w.cutAll(name, other)
--- a/internal/testkit/team_limits_test.go
+++ b/internal/testkit/team_limits_test.go
@@ -35,7 +35,7 @@
 // teamsAtLimits plays on a new cluster whose limited teams stand at their limits with jobs
 // j-80 to j-83 of long tasks, and have more work. Nothing is drawn but lost messages.
 func teamsAtLimits(t *testing.T, seed uint64, play func(c *teamCluster)) {
-	meetingOf(t, seed, limitedTeams, 3, 8, func(w *cluster) {
+	onClusterWith(t, seed, limitedTeams, 3, 8, func(w *cluster) {
 		w.job("j-80", "capped", "normal", 3, 1)
 		w.job("j-81", "capped", "low", 2, 2)
 		w.job("j-82", "assured", "normal", 3, 1)
@@ -172,13 +172,13 @@
 							c.live(4)
 						}
 						for _, k := range cut[:1+when] {
-							c.meet(k.Name, c.names...)
+							c.healLinks(k.Name, c.names...)
 						}
 						c.release()
 						c.startAll()
 						c.live(12) // the others' leases end
 						for _, k := range cut {
-							c.meet(k.Name, c.names...)
+							c.healLinks(k.Name, c.names...)
 						}
 						c.release()
 						c.finishes("j-1", "j-2", "j-3", "j-4", "j-5", "j-80", "j-82")
@@ -196,7 +196,7 @@
 }
 
 // drawnTroubles are the troubles of a drawn case, of which each second some begin and
-// others end. It counts what met.
+// others end. It counts what coincided.
 type drawnTroubles struct {
 	*teamCluster
 	away     map[*testkit.Worker]int // machines cut off, by the seconds left
@@ -321,7 +321,7 @@
 func (d *drawnTroubles) second() {
 	for k := range d.away {
 		if d.away[k]--; d.away[k] <= 0 {
-			d.meet(k.Name, d.names...)
+			d.healLinks(k.Name, d.names...)
 			delete(d.away, k)
 		}
 	}
@@ -341,7 +341,7 @@
 	}
 	for _, n := range d.names {
 		if d.draw(8) == 0 {
-			d.meet(n, append(d.others(n), stateService)...)
+			d.healLinks(n, append(d.others(n), stateService)...)
 		}
 	}
 	d.live(1)
@@ -354,7 +354,7 @@
 func TestTeamsAtTheirLimitsMeetDrawnTroubles(t *testing.T) {
 	t.Parallel()
 	const perRound = 4
-	var met drawnTroubles
+	var seen drawnTroubles
 	for seed := range uint64(perRound * *rounds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			teamsAtLimits(t, 3000+seed, func(c *teamCluster) {
@@ -399,19 +399,19 @@
 					}
 				}
 				c.finishes(append(short, long...)...)
-				met.changes += min(d.changes, 1)
-				met.confirms += min(d.confirms, 1)
-				met.wentOn += min(d.wentOn, 1)
-				met.late += min(d.late, 1)
+				seen.changes += min(d.changes, 1)
+				seen.confirms += min(d.confirms, 1)
+				seen.wentOn += min(d.wentOn, 1)
+				seen.late += min(d.late, 1)
 			})
 		})
 	}
 	t.Logf("of %d cases: the leader changed at a limit with machines away in %d, a cancel of their tasks was confirmed in %d, "+
-		"cancelled tasks went on after a hang in %d, commands came late in %d", perRound**rounds, met.changes, met.confirms, met.wentOn, met.late)
+		"cancelled tasks went on after a hang in %d, commands came late in %d", perRound**rounds, seen.changes, seen.confirms, seen.wentOn, seen.late)
 	const seldom = 8 // one in so many cases must have had each
-	for _, n := range []int{met.changes, met.confirms, met.wentOn, met.late} {
+	for _, n := range []int{seen.changes, seen.confirms, seen.wentOn, seen.late} {
 		if n*seldom < perRound**rounds {
-			t.Errorf("the troubles met too rarely")
+			t.Errorf("the troubles coincided too rarely")
 		}
 	}
 }
