internal/testkit: one check of waits beside room

Cause: two checks had the rule that no job waits for 90 s while a machine has room. checkWaits ran in every test while nothing was in trouble, looked every 5 s and asked for one machine with room at each look. waitCheck ran where a test called it, whatever the links did, looked every second and asked for room that some machine had had for 5 s.

Change: waitCheck in wait_check_test.go judges both kinds of room, steady and recurring, at the times of the former checks. It runs at every step without trouble, and always once a test insists; the tests that called the second check do. A machine with an unknown job's task has no room, as in the first check; in tests that insist all jobs are known.

--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -103,7 +103,8 @@
 	linkDelay func() time.Duration     // how long a message to a worker or a peer takes; nil: no time
 	reporting map[*testkit.Worker]bool // workers with a report under way over a slow link
 
-	checks checks // see late_starts_test.go
+	checks startChecks
+	waits  waitCheck
 }
 
 type node struct {
@@ -516,8 +517,7 @@
 	w := &cluster{t: t, fail: t.Errorf, size: 4, rnd: rand.New(rand.NewPCG(seed, 7)), plan: rand.New(rand.NewPCG(seed, 11)), store: testkit.NewStore(), nodes: map[string]*node{},
 		at: map[*testkit.Worker]int{}, byName: map[string]*testkit.Worker{},
 		names: []string{"a", "b", "c"}, off: map[[2]string]bool{}, heard: map[string]hearing{}, cancels: map[string]time.Time{}, over: map[string]bool{}, cleared: map[string]string{},
-		specs: map[string]*wire.Job{}, startsOf: map[string]int{}, reporting: map[*testkit.Worker]bool{}}
-	w.checks.init()
+		specs: map[string]*wire.Job{}, startsOf: map[string]int{}, reporting: map[*testkit.Worker]bool{}, waits: newWaitCheck()}
 	w.cfg = &config.Platform{Params: config.Params{
 		Teams:   []config.Team{{Name: "t"}},
 		Workers: config.Workers{ReportS: 1, LeaseS: workerLease.Seconds(), CancelS: 40},
@@ -572,7 +572,6 @@
 		}
 	}
 	k.Forgot = func(task string, attempt uint64) { w.cleared[task] = fmt.Sprintf("%s as attempt %d", k.Name, attempt) }
-	k.Ended = func(t wire.Task, _ time.Duration) { w.checkEnd(t) }
 	w.workers = append(w.workers, k)
 	w.byName[k.Name] = k
 	w.at[k] = i
--- a/internal/testkit/slow_links_test.go
+++ b/internal/testkit/slow_links_test.go
@@ -75,7 +75,7 @@
 					t.Errorf("%d of %d questions were answered", known, len(at)*len(w.names))
 				}
 				w.delayLinks(nil)
-				checks := newWaitCheck(w)
+				w.waits.insist()
 				var all []string
 				for uid := range at {
 					all = append(all, uid)
@@ -84,7 +84,7 @@
 					if i == 400 {
 						t.Fatalf("%d of %d jobs ended", len(w.store.Keys("final/")), len(all))
 					}
-					checks.liveChecked(1)
+					w.live(1)
 				}
 				slowest, latest := time.Duration(0), time.Duration(0)
 				for uid, since := range at {
@@ -101,7 +101,7 @@
 					t.Errorf("a job began after %v", latest)
 				}
 				t.Logf("full in %d of %d seconds; urgent jobs began within %v, all within %v; longest wait beside room %v",
-					full, seconds, slowest, latest, checks.longest)
+					full, seconds, slowest, latest, w.waits.longest)
 			})
 		})
 	}
--- a/internal/testkit/team_limits_test.go
+++ b/internal/testkit/team_limits_test.go
@@ -22,7 +22,6 @@
 // teamCluster is a cluster in which both limited teams are at their limits.
 type teamCluster struct {
 	*cluster
-	checks *waitCheck
 }
 
 // job submits an array job. Tasks of jobs from 80 on run for long.
@@ -47,7 +46,7 @@
 		w.job("j-4", "assured", "production", 4, 2)
 		w.job("j-5", "t", "low", 20, 1)
 		w.live(6)
-		c := &teamCluster{w, newWaitCheck(w)}
+		c := &teamCluster{w}
 		c.mustBeAtLimits()
 		play(c)
 	})
@@ -95,12 +94,13 @@
 // finishes lives until all that was not cancelled has ended, or runs for long.
 func (c *teamCluster) finishes(short ...string) {
 	c.t.Helper()
-	c.checks.liveChecked(30)
+	c.waits.insist()
+	c.live(30)
 	for i := 0; !c.ended(short...)(); i++ {
 		if i == 300 {
 			c.t.Fatalf("only %v ended; in use: %v", c.store.Keys("final/"), c.standing().use)
 		}
-		c.checks.liveChecked(1)
+		c.live(1)
 	}
 }
 
@@ -187,7 +187,7 @@
 								t.Errorf("%d of %d long tasks of %s are on", c.onMachines(uid), n, uid)
 							}
 						}
-						t.Logf("longest wait beside room: %v", c.checks.longest)
+						t.Logf("longest wait beside room: %v", c.waits.longest)
 					})
 				})
 			}
--- a/internal/testkit/unrenewed_lease_test.go
+++ b/internal/testkit/unrenewed_lease_test.go
@@ -71,8 +71,7 @@
 			started(task, attempt)
 			l.starts(w, k, task)
 		}
-		ended := k.Ended
-		k.Ended = func(t wire.Task, ran time.Duration) { ended(t, ran); l.ends(w, k, t, ran) }
+		k.Ended = func(t wire.Task, ran time.Duration) { l.ends(w, k, t, ran) }
 	}
 	return l
 }
