--- a/internal/machine/view.go
+++ b/internal/machine/view.go
@@ -31,7 +31,7 @@
 			if l.state == wire.TaskFetching {
 				left += math.Max(0.5, l.entry.Fetch-elapsed)
 			} else {
-				left = math.Max(left-elapsed, 1+0.15*elapsed)
+				left = placement.RestOfRun(left, elapsed)
 			}
 			uses = append(uses, placement.Use{Shape: l.entry.Shape, Left: left})
 		}
--- a/internal/owner/evacuate.go
+++ b/internal/owner/evacuate.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"sort"
+
+	"github.com/wallrack/wallrack/internal/placement"
 )
 
 const (
@@ -84,7 +86,7 @@
 		e := evacuee{p: p, left: p.job.runEstimate()}
 		if !p.running.IsZero() {
 			elapsed := o.now.Sub(p.running).Seconds()
-			e.left = math.Max(e.left-elapsed, 1+0.15*elapsed)
+			e.left = placement.RestOfRun(e.left, elapsed)
 		}
 		e.loss, e.ok = o.evacuable(p)
 		all = append(all, e)
--- a/internal/owner/lease.go
+++ b/internal/owner/lease.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/wallrack/wallrack/internal/placement"
 )
 
 // A worker that reaches no controller loses its lease and all its tasks, although
@@ -181,7 +183,7 @@
 			a.rest += o.fetchTime(j, m)
 		} else {
 			a.elapsed = now.Sub(p.running).Seconds()
-			a.rest = max(a.rest-a.elapsed, 1+0.15*a.elapsed)
+			a.rest = placement.RestOfRun(a.rest, a.elapsed)
 			a.counted = len(j.class.starts) > 0 && a.elapsed < countedStart
 		}
 		if j.spec.MarkS > 0 {
