Sessions of test workers are read under the cluster's lock

The same sum stood three times.

Change: one locked sessions(), Worker.Session, and locks around three more looks at tasks (a machine of a job, a former session, a cancel of what hangs).

Conclusion: what the tests assert is as before.

--- a/internal/testkit/leader_changes_test.go
+++ b/internal/testkit/leader_changes_test.go
@@ -61,16 +61,9 @@
 	return c
 }
 
-func (c *changes) leases() (sum int) {
-	for _, k := range c.workers {
-		sum += int(k.Report().Session)
-	}
-	return sum
-}
-
 // measure plays something and then lets time pass until so many seconds are over.
 func (c *changes) measure(kind string, seconds int, play func()) changeCost {
-	cost := changeCost{kind: kind, leases: -c.leases(), again: -c.again, requests: -c.requests, returned: -c.back}
+	cost := changeCost{kind: kind, leases: -c.sessions(), again: -c.again, requests: -c.requests, returned: -c.back}
 	begin := time.Now()
 	last := begin
 	look := func() {
@@ -85,7 +78,7 @@
 		look()
 	}
 	cost.gap = max(cost.gap, time.Since(last))
-	cost.leases += c.leases()
+	cost.leases += c.sessions()
 	cost.again += c.again
 	cost.requests += c.requests
 	cost.returned += c.back
--- a/internal/testkit/lost_answer_cases_test.go
+++ b/internal/testkit/lost_answer_cases_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -12,7 +10,6 @@
 
 	"github.com/wallrack/wallrack/internal/accounting"
 	"github.com/wallrack/wallrack/internal/terms"
-	"github.com/wallrack/wallrack/internal/testkit"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -261,9 +258,7 @@
 	w.submit("j-81", 6)
 	w.live(8)
 	// One of its machines is away: the rows of the others go with no other record.
-	away := w.workers[slices.IndexFunc(w.workers, func(k *testkit.Worker) bool {
-		return slices.ContainsFunc(k.On(), func(task string) bool { return strings.HasPrefix(task, "j-81/") })
-	})]
+	away := w.machinesOf("j-81")[0]
 	w.cutAll(away.Name, w.names...)
 	l.then, l.alone = w.look, true
 	l.arm("", 1)
--- a/internal/testkit/old_reports_test.go
+++ b/internal/testkit/old_reports_test.go
@@ -297,8 +297,9 @@
 		t.Fatal("the stage was not reached")
 	}
 	sessions, tasks := 0, 0
+	newest := w.session(away)
 	for _, rep := range old {
-		if rep.Machine == away.Name && rep.Session < away.Report().Session {
+		if rep.Machine == away.Name && rep.Session < newest {
 			sessions++
 			tasks += len(rep.Tasks)
 		}
--- a/internal/testkit/on_cluster_test.go
+++ b/internal/testkit/on_cluster_test.go
@@ -66,6 +66,16 @@
 	}
 }
 
+// sessions sums the sessions of all workers: it grows by one with each lease that ends.
+func (w *cluster) sessions() (sum int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, k := range w.workers {
+		sum += int(k.Session())
+	}
+	return sum
+}
+
 // onMachines counts the tasks of a job that are on.
 func (w *cluster) onMachines(uid string) (n int) {
 	w.mu.Lock()
--- a/internal/testkit/state_outage_test.go
+++ b/internal/testkit/state_outage_test.go
@@ -381,10 +381,7 @@
 						w.stopAll()
 						t.Fatalf("%d long tasks run before the trouble", n)
 					}
-					sessions := 0
-					for _, k := range w.workers {
-						sessions += int(k.Report().Session)
-					}
+					sessions := w.sessions()
 					// A worker that a lost report sends to a controller with another token
 					// can't go back in an outage: not what is counted here.
 					w.whole = !s.ends
@@ -395,9 +392,7 @@
 					if heard < s.least {
 						t.Errorf("%d cancels were confirmed: too few to test cancels during the outage", heard)
 					}
-					for _, k := range w.workers {
-						sessions -= int(k.Report().Session)
-					}
+					sessions -= w.sessions()
 					if sessions != 0 && !s.ends || w.lapses > 0 && !s.lapses {
 						t.Errorf("%d leases ended, controllers stopped answering %d times", -sessions, w.lapses)
 					}
--- a/internal/testkit/team_limits_test.go
+++ b/internal/testkit/team_limits_test.go
@@ -239,12 +239,8 @@
 		d.changeLeader()
 	case 6, 9:
 		uid := jobs[d.draw(len(jobs))]
-		for k := range d.hung { // rather one that goes on in a moment
-			for _, task := range k.On() {
-				if on, _, _ := strings.Cut(task, "/"); slices.Contains(jobs, on) && d.cancels[on].IsZero() {
-					uid = on
-				}
-			}
+		if hung := d.livingOnHung(jobs); hung != "" { // rather one that goes on in a moment
+			uid = hung
 		}
 		d.cancel(uid)
 	case 7:
@@ -256,6 +252,21 @@
 	}
 }
 
+// livingOnHung names one of the jobs that is not cancelled and has a task on a machine that
+// hangs; "" if there is none.
+func (d *drawnTroubles) livingOnHung(jobs []string) (uid string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for k := range d.hung {
+		for _, task := range k.On() {
+			if on, _, _ := strings.Cut(task, "/"); slices.Contains(jobs, on) && d.cancels[on].IsZero() {
+				uid = on
+			}
+		}
+	}
+	return uid
+}
+
 // cancelWhileHung has a machine with tasks of a job that was not cancelled hang, out of
 // reach too, so that nothing that is sent to it comes before it goes on, and the job's
 // user cancel it. It returns the job, or "" if none has tasks on machines.
--- a/internal/testkit/unrenewed_lease_test.go
+++ b/internal/testkit/unrenewed_lease_test.go
@@ -154,7 +154,7 @@
 func (w *cluster) session(k *testkit.Worker) uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return k.Report().Session
+	return k.Session()
 }
 
 // accept records a job as accepted.
--- a/internal/testkit/worker.go
+++ b/internal/testkit/worker.go
@@ -175,6 +175,12 @@
 	return false
 }
 
+// Session returns the session that the worker is in now.
+func (w *Worker) Session() uint64 {
+	w.advance()
+	return w.session
+}
+
 // Report makes the worker's next report.
 func (w *Worker) Report() *wire.Report {
 	w.advance()
--- a/internal/testkit/zones_test.go
+++ b/internal/testkit/zones_test.go
@@ -164,13 +164,6 @@
 	return ks
 }
 
-func (z *zonedCluster) sessions() (sum int) {
-	for _, k := range z.workers {
-		sum += int(k.Report().Session)
-	}
-	return sum
-}
-
 // cutZone cuts zone y, with its workers and a controller, off from the rest and from the
 // state service for longer than the workers' leases could last.
 func (z *zonedCluster) cutZone(inside string) {
