Tests of the cluster hold its locks for all that controllers write

Change: draw has a lock of its own; lastStart, isDown, soFar read under the cluster's; what used to be set on a running controller's view is set on the cluster before it starts.

Conclusion: what the tests assert is as before.

--- a/internal/testkit/alike_test.go
+++ b/internal/testkit/alike_test.go
@@ -58,9 +58,9 @@
 	var mu = &w.mu
 	w.workers[0].Run = func(string) time.Duration { return 4 * time.Second }
 	w.workers[0].Started = func(task string, _ uint64) { starts = append(starts, task) }
+	w.reliable = true
 	w.start("a")
 	n := w.nodes["a"]
-	n.view.Lose, n.view.Late = nil, nil
 	for _, x := range []string{"b", "c"} {
 		w.nodes[x] = &node{w: w, name: x, down: true}
 	}
--- a/internal/testkit/cancel_test.go
+++ b/internal/testkit/cancel_test.go
@@ -14,9 +14,9 @@
 func TestCancelIsTheOwners(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newCluster(t, 1)
+		w.reliable = true
 		for _, n := range []string{"a", "b", "c"} {
 			w.start(n)
-			w.nodes[n].view.Lose, w.nodes[n].view.Late = nil, nil
 		}
 		time.Sleep(2 * time.Second)
 		w.submit("j-1", 3)
--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -51,6 +51,7 @@
 	t        testing.TB
 	size     types
 	rnd      *rand.Rand // fates of messages, which are asked from many goroutines
+	planMu   sync.Mutex
 	plan     *rand.Rand // what the test itself draws, in the order of its own steps: the same for the same seed
 	cfg      *config.Platform
 	store    *testkit.Store
@@ -604,10 +605,15 @@
 	}
 }
 
-// draw draws a number for the test's own course. Only the goroutine that plays the test may
-// ask: then the faults and requests of a seed come at the same times in every run, whatever
-// the order in which the controllers' goroutines send their messages.
-func (w *cluster) draw(n int) int { return w.plan.IntN(n) }
+// draw draws a number for the test's own course. As long as only the goroutine that plays the
+// test asks, the faults and requests of a seed come at the same times in every run, whatever
+// the order in which the controllers' goroutines send their messages. Tests with several users
+// ask from a goroutine of each.
+func (w *cluster) draw(n int) int {
+	w.planMu.Lock()
+	defer w.planMu.Unlock()
+	return w.plan.IntN(n)
+}
 
 // chance draws a number for the fate of a message, from any goroutine.
 func (w *cluster) chance(n int) int {
--- a/internal/testkit/combined_faults_test.go
+++ b/internal/testkit/combined_faults_test.go
@@ -40,12 +40,12 @@
 					longest := time.Duration(0)
 					for range 14 {
 						w.live(1)
-						if w.started.After(at) {
-							longest = max(longest, time.Since(w.started))
+						if w.lastStart().After(at) {
+							longest = max(longest, time.Since(w.lastStart()))
 						}
 					}
-					if w.started.Before(at) || longest > 8*time.Second {
-						t.Errorf("no start for %v, first after the leader's end: %v", longest, w.started.After(at))
+					if w.lastStart().Before(at) || longest > 8*time.Second {
+						t.Errorf("no start for %v, first after the leader's end: %v", longest, w.lastStart().After(at))
 					}
 					for i, k := range away {
 						w.healLinks(k.Name, w.names...)
--- a/internal/testkit/cuts_test.go
+++ b/internal/testkit/cuts_test.go
@@ -340,10 +340,10 @@
 					c.make(w, owner, others)
 					at := time.Now()
 					longest := time.Duration(0)
-					for last := w.started; time.Since(at) < 60*time.Second; {
+					for last := w.lastStart(); time.Since(at) < 60*time.Second; {
 						live(1)
 						longest = max(longest, time.Since(last))
-						last = w.started
+						last = w.lastStart()
 					}
 					if longest > c.bound {
 						t.Errorf("%v without a start, not %v", longest, c.bound)
@@ -360,8 +360,8 @@
 					}
 					w.healed()
 					live(30)
-					if time.Since(w.started) > 3*time.Second || w.back > 0 {
-						t.Errorf("after the healing: last start %v ago, %d machines returned", time.Since(w.started), w.back)
+					if time.Since(w.lastStart()) > 3*time.Second || w.back > 0 {
+						t.Errorf("after the healing: last start %v ago, %d machines returned", time.Since(w.lastStart()), w.back)
 					}
 					w.stopAll()
 				})
--- a/internal/testkit/fault_kinds_test.go
+++ b/internal/testkit/fault_kinds_test.go
@@ -160,7 +160,7 @@
 	like := m.workers[0]
 	fresh := testkit.NewWorker(fmt.Sprintf("q-%d", len(m.workers)), workerLease, like.Run)
 	fresh.Exit = like.Exit
-	m.join(fresh, m.plan.IntN(len(m.names)))
+	m.join(fresh, m.draw(len(m.names)))
 }
 
 // faultKinds are the kinds which may overlap, each with any.
--- a/internal/testkit/job_stream_test.go
+++ b/internal/testkit/job_stream_test.go
@@ -62,7 +62,7 @@
 // any draws a controller that is up.
 func (s *jobStream) any() string {
 	for {
-		if name := s.names[s.draw(len(s.names))]; !s.nodes[name].down {
+		if name := s.names[s.draw(len(s.names))]; !s.isDown(name) {
 			return name
 		}
 	}
--- a/internal/testkit/leader_changes_test.go
+++ b/internal/testkit/leader_changes_test.go
@@ -61,14 +61,23 @@
 	return c
 }
 
+// soFar sums what all changes have cost so far.
+func (c *changes) soFar() changeCost {
+	ended := c.sessions()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return changeCost{leases: ended, again: c.again, requests: c.requests, returned: c.back}
+}
+
 // measure plays something and then lets time pass until so many seconds are over.
 func (c *changes) measure(kind string, seconds int, play func()) changeCost {
-	cost := changeCost{kind: kind, leases: -c.sessions(), again: -c.again, requests: -c.requests, returned: -c.back}
+	before := c.soFar()
+	cost := changeCost{kind: kind}
 	begin := time.Now()
 	last := begin
 	look := func() {
-		if c.started.After(last) {
-			cost.gap, last = max(cost.gap, c.started.Sub(last)), c.started
+		if started := c.lastStart(); started.After(last) {
+			cost.gap, last = max(cost.gap, started.Sub(last)), started
 		}
 	}
 	play()
@@ -78,10 +87,11 @@
 		look()
 	}
 	cost.gap = max(cost.gap, time.Since(last))
-	cost.leases += c.sessions()
-	cost.again += c.again
-	cost.requests += c.requests
-	cost.returned += c.back
+	after := c.soFar()
+	cost.leases = after.leases - before.leases
+	cost.again = after.again - before.again
+	cost.requests = after.requests - before.requests
+	cost.returned = after.returned - before.returned
 	for _, prefix := range []string{"c/"} {
 		cost.keys += len(c.store.Keys(prefix))
 	}
--- a/internal/testkit/on_cluster_test.go
+++ b/internal/testkit/on_cluster_test.go
@@ -76,6 +76,20 @@
 	return sum
 }
 
+// lastStart is when a task last started.
+func (w *cluster) lastStart() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.started
+}
+
+// isDown reports whether a controller has crashed.
+func (w *cluster) isDown(name string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.nodes[name].down
+}
+
 // onMachines counts the tasks of a job that are on.
 func (w *cluster) onMachines(uid string) (n int) {
 	w.mu.Lock()
--- a/internal/testkit/state_outage_test.go
+++ b/internal/testkit/state_outage_test.go
@@ -407,8 +407,8 @@
 						}
 					}
 					// Where all leases ended, tasks start and end in waves.
-					if time.Since(w.started) > 10*time.Second {
-						t.Errorf("after the healing no start for %v", time.Since(w.started))
+					if time.Since(w.lastStart()) > 10*time.Second {
+						t.Errorf("after the healing no start for %v", time.Since(w.lastStart()))
 					}
 					w.stopAll()
 				})
--- a/internal/testkit/terms_test.go
+++ b/internal/testkit/terms_test.go
@@ -199,9 +199,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newCluster(t, 3)
 		w.accounts = true
-		w.start("a")
-		n := w.nodes["a"]
-		n.view.Late = nil
+		w.reliable = true
 		odd := false
 		pages := func() (sum uint64) {
 			items, _, _ := (&testkit.View{Store: w.store}).List(context.Background(), accounting.Key)
@@ -211,7 +209,7 @@
 			return sum
 		}
 		last := uint64(0)
-		n.view.Lose = func() bool {
+		w.losing = func() bool {
 			now := pages()
 			lost := now != last && !odd
 			if now != last {
@@ -220,6 +218,7 @@
 			last = now
 			return lost
 		}
+		w.start("a")
 		for _, x := range []string{"b", "c"} {
 			w.nodes[x] = &node{w: w, name: x, down: true}
 		}
--- a/internal/testkit/unreachable_test.go
+++ b/internal/testkit/unreachable_test.go
@@ -32,7 +32,7 @@
 			others = append(others, n)
 		}
 	}
-	if owner == "" || time.Since(w.started) > 3*time.Second {
+	if owner == "" || time.Since(w.lastStart()) > 3*time.Second {
 		t.Fatalf("no start before the trouble; owner %q", owner)
 	}
 	return w, owner, others, live
@@ -97,7 +97,7 @@
 				longest := time.Duration(0)
 				for range 60 {
 					live(1)
-					longest = max(longest, time.Since(w.started))
+					longest = max(longest, time.Since(w.lastStart()))
 				}
 				granted := 0
 				for _, n := range w.nodes {
@@ -116,8 +116,8 @@
 				}
 				w.healed()
 				live(30)
-				if time.Since(w.started) > 3*time.Second {
-					t.Errorf("after the healing no start for %v", time.Since(w.started))
+				if time.Since(w.lastStart()) > 3*time.Second {
+					t.Errorf("after the healing no start for %v", time.Since(w.lastStart()))
 				}
 				w.stopAll()
 			})
@@ -144,7 +144,7 @@
 					longest := time.Duration(0)
 					for range long {
 						live(1)
-						longest = max(longest, time.Since(w.started))
+						longest = max(longest, time.Since(w.lastStart()))
 					}
 					held := 0
 					for _, k := range w.workers {
@@ -163,8 +163,8 @@
 					}
 					w.healed()
 					live(20)
-					if time.Since(w.started) > 3*time.Second {
-						t.Errorf("after the healing no start for %v", time.Since(w.started))
+					if time.Since(w.lastStart()) > 3*time.Second {
+						t.Errorf("after the healing no start for %v", time.Since(w.lastStart()))
 					}
 					w.stopAll()
 				})
