Fleet: machines that boot when the leader changes are not rented again

Cause: the record of a hire was deleted at the cloud's answer, while the cloud's list lags by up to twice its lag. A leader that began in between saw neither the record nor the machines and rented again. Beside it, a new leader planned before its first machine list was there, so that machines that were listed already and still booted were rented again too.

Change: the answer, with the machines' names, goes into the record, and the record is kept until two list lags and a second after the answer. A leader that begins counts on the machines that records name; unanswered ones are repeated under their names as before. Answers and deletions of all hires go into one transaction a second at most, under the guard of the shard, and are tried again until they are written; refused hires lose their records with them, which took a transaction each before. A new leader rents nothing before the first list that it asked for, or for 10 s.

A machine that its leader returned within two list lags of its rental is counted on by a successor until it is missing from the list for 30 s.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -94,29 +94,33 @@
 	holder  Holder
 	log     *slog.Logger
 
-	mu      sync.Mutex
-	boxes   map[string]*box
-	hires   map[string]*hire
-	seq     int
-	refused map[offer]refusal
-	leading bool
-	loaded  bool
-	busy    float64 // running average of CPUs in use
-	rate    float64 // running average of CPUs that new work keeps busy
-	work    float64 // work accepted when the rate was last taken
-	workAt  time.Time
-	listAt  time.Time
-	pages   int // of the last list
-	toldAt  time.Time
-	ledAt   time.Time
-	backAt  time.Time
-	sending map[string]bool // being returned
+	mu    sync.Mutex
+	boxes map[string]*box
+	hires map[string]*hire
+	// answered are hires whose records are still to be changed, by name.
+	answered  map[string]*answeredHire
+	recording bool // a transaction for them is under way
+	seq       int
+	refused   map[offer]refusal
+	leading   bool
+	loaded    bool
+	busy      float64 // running average of CPUs in use
+	rate      float64 // running average of CPUs that new work keeps busy
+	work      float64 // work accepted when the rate was last taken
+	workAt    time.Time
+	listAt    time.Time // when a list was last asked for
+	listedAt  time.Time // when the newest list that came was asked for
+	pages     int       // of the last list
+	toldAt    time.Time
+	ledAt     time.Time
+	backAt    time.Time
+	sending   map[string]bool // being returned
 }
 
 // New returns a fleet that knows no machines yet.
 func New(cfg *config.Platform, op *config.Operator, cloud *Cloud, catalog *Catalog, store Store, member Membership, o Owner, h Holder, log *slog.Logger) *Fleet {
 	return &Fleet{cfg: cfg, op: op, cloud: cloud, catalog: catalog, store: store, member: member, owner: o, holder: h, log: log,
-		boxes: map[string]*box{}, hires: map[string]*hire{}, refused: map[offer]refusal{}, sending: map[string]bool{}}
+		boxes: map[string]*box{}, hires: map[string]*hire{}, answered: map[string]*answeredHire{}, refused: map[offer]refusal{}, sending: map[string]bool{}}
 }
 
 // Run leads the fleet whenever it is this controller's to lead.
@@ -143,8 +147,8 @@
 		if !f.leading {
 			f.leading = true
 			f.mu.Lock()
-			f.boxes, f.hires = map[string]*box{}, map[string]*hire{}
-			f.ledAt = time.Now()
+			f.boxes, f.hires, f.answered = map[string]*box{}, map[string]*hire{}, map[string]*answeredHire{}
+			f.ledAt, f.listAt = time.Now(), time.Time{}
 			f.mu.Unlock()
 		}
 		if !f.loaded {
@@ -156,8 +160,6 @@
 			f.loaded = true
 			if len(old) > 0 {
 				f.log.Info("hires are too old to be repeated", "hires", old)
-				wg.Add(1)
-				go func() { defer wg.Done(); f.forget(ctx, old) }()
 			}
 		}
 		if time.Since(f.listAt) > seconds(max(3, listShare*float64(max(1, f.pages))/f.cfg.Params.Cloud.RPS)) {
@@ -210,6 +212,11 @@
 		}
 	}
 	free := f.inFlight() - len(f.hires)
+	if !f.mayRent(now) {
+		free = 0
+	}
+	record := len(f.answered) > 0 && !f.recording
+	f.recording = f.recording || record
 	giveBack := len(back) > 0 && now.Sub(f.backAt) > seconds(2/f.cfg.Params.Cloud.RPS)
 	if giveBack {
 		f.backAt = now
@@ -220,6 +227,16 @@
 		wg.Add(1)
 		go func() { defer wg.Done(); f.giveBack(ctx, back) }()
 	}
+	if record {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f.recordAnswers(ctx)
+			f.mu.Lock()
+			f.recording = false
+			f.mu.Unlock()
+		}()
+	}
 	for _, h := range send {
 		wg.Add(1)
 		go func() { defer wg.Done(); f.rent(ctx, h) }()
--- a/internal/fleet/hire.go
+++ b/internal/fleet/hire.go
@@ -33,10 +33,16 @@
 // hireRecord is a hire as the state service has it. Without a time, it is old.
 type hireRecord struct {
 	wire.HireRequest
-	PlannedMs int64 `json:"planned,omitempty"` // time of day
+	PlannedMs  int64    `json:"planned,omitempty"`  // time of day
+	AnsweredMs int64    `json:"answered,omitempty"` // time of day; 0: perhaps not answered yet
+	Machines   []string `json:"machines,omitempty"` // that the cloud answered
 }
 
-func (h *hire) record() hireRecord { return hireRecord{h.req, h.made.UnixMilli()} }
+func (h *hire) record() hireRecord {
+	return hireRecord{HireRequest: h.req, PlannedMs: h.made.UnixMilli()}
+}
+
+func (r *hireRecord) offer() offer { return offer{r.Type, r.Zone, r.Spot} }
 
 // expired reports whether the cloud must not be asked for a hire any more, unless it
 // was asked before.
@@ -46,8 +52,9 @@
 // cloud's budget, and the plan would count on machines that nobody asked for.
 func (f *Fleet) inFlight() int { return max(2, int(2*f.cfg.Params.Cloud.RPS)) }
 
-// load finds hires that were recorded but perhaps not answered: they are repeated under
-// their names. It returns the keys of those that are too old for that.
+// load finds hires that were recorded: those perhaps not answered are repeated under their
+// names, and the machines of the others are counted on. It returns the names of those that
+// are too old for either.
 func (f *Fleet) load(ctx context.Context) (old []string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
@@ -64,30 +71,21 @@
 			f.log.Error("unreadable hire", "key", it.Key, "err", err)
 			continue
 		}
-		planned := time.UnixMilli(r.PlannedMs)
-		if expired(planned, now) {
-			old = append(old, it.Key)
-			continue
+		planned, answered := time.UnixMilli(r.PlannedMs), time.UnixMilli(r.AnsweredMs)
+		switch {
+		case r.AnsweredMs > 0 && now.Sub(answered) < f.unlisted():
+			f.rentedLocked(r, now)
+			f.answered[r.Name].marked = true
+		case r.AnsweredMs > 0 || expired(planned, now):
+			old = append(old, r.Name)
+			f.dropLocked(r.Name)
+		default:
+			f.hires[r.Name] = &hire{req: r.HireRequest, made: planned, recorded: true}
 		}
-		f.hires[r.Name] = &hire{req: r.HireRequest, made: planned, recorded: true}
 	}
 	return old, nil
 }
 
-// forget deletes records of hires, of which nothing comes any more. Those beyond one
-// transaction, and those whose deletion fails, are left to the next leader.
-func (f *Fleet) forget(ctx context.Context, keys []string) {
-	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-	defer cancel()
-	var ops []wire.Op
-	for _, key := range keys[:min(len(keys), max(1, f.cfg.Params.State.TxnOps))] {
-		ops = append(ops, wire.Op{Delete: key})
-	}
-	if _, err := f.store.Txn(ctx, nil, ops...); err != nil {
-		f.log.Debug("hires stay recorded", "hires", keys, "err", err)
-	}
-}
-
 // write records a hire, so that whoever leads next repeats it under its name. It is
 // repeated itself until its outcome is known.
 func (f *Fleet) write(ctx context.Context, h *hire) error {
@@ -138,7 +136,6 @@
 // rent asks for machines under a recorded name, and repeats that name until
 // the cloud has answered.
 func (f *Fleet) rent(ctx context.Context, h *hire) {
-	key := hireKey + h.req.Name
 	drop := true
 	defer func() {
 		f.mu.Lock()
@@ -159,11 +156,9 @@
 	case err == nil:
 		f.log.Info("rented", "hire", h.req.Name, "type", o.Type, "zone", o.Zone, "spot", o.Spot, "machines", len(names), "asked", h.req.Number)
 		f.mu.Lock()
-		for _, n := range names {
-			if f.boxes[n] == nil && !f.sending[n] {
-				f.boxes[n] = &box{name: n, offer: o, hired: h.made, known: now, listed: now, stage: wire.MachineBooting}
-			}
-		}
+		r := h.record()
+		r.AnsweredMs, r.Machines = now.UnixMilli(), names
+		f.rentedLocked(r, now)
 		if len(names) < h.req.Number {
 			f.refuse(o)
 		} else {
@@ -174,11 +169,13 @@
 		f.log.Info("no capacity", "type", o.Type, "zone", o.Zone, "spot", o.Spot)
 		f.mu.Lock()
 		f.refuse(o)
+		f.dropLocked(h.req.Name)
 		f.mu.Unlock()
 	case errors.Is(err, errMalformed):
 		f.log.Error("hire refused", "hire", h.req.Name, "err", err)
 		f.mu.Lock()
 		f.refuse(o)
+		f.dropLocked(h.req.Name)
 		f.mu.Unlock()
 	default:
 		f.log.Info("hire unanswered", "hire", h.req.Name, "err", err)
@@ -187,9 +184,7 @@
 		case <-ctx.Done():
 		case <-time.After(time.Second):
 		}
-		return
 	}
-	f.forget(ctx, []string{key})
 }
 
 // giveBack returns machines; when the cloud has answered, they are gone.
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -21,6 +21,7 @@
 	}
 	f.mu.Lock()
 	f.pages = 1 + len(list)/listPage
+	f.listedAt = later(f.listedAt, asked)
 	failed := map[string]string{}
 	for _, l := range list {
 		if f.sending[l.Name] {
