Direct orders are checked when their connection is there

Cause: a direct order waits for a slot, for the one connection to its worker, or for a dial, up to 1.5 s. A cancel that was confirmed in the meantime was not looked at again, so that the order started a task after it; so did one whose sender's term had been raised or that might not answer workers any more.

Change: Orderer.Order takes a check, which the HTTP client asks at the first read of the request's body, that is with the connection there and no byte of the body sent. An order that starts a task of a job known to be cancelled, bears another term than the holder's now, or whose sender may not answer workers is not sent (ErrNotSent), and what remains of it is made anew at once.

A refused order costs its connection, which is dialled again. Answers to reports aren't checked again: they wait for nothing.

--- a/internal/machine/capacity_test.go
+++ b/internal/machine/capacity_test.go
@@ -84,7 +84,7 @@
 	orderer, i := machine.NewHTTPOrderer(largeSiteSockets), 0
 	order := wire.Orders{Token: 7, Session: 1, Commands: []wire.Command{{Verb: wire.VerbStart, Task: "j-000400/10", Attempt: 20}}}
 	return capacity.ProcessorTime(tb, func() {
-		if _, _, err := orderer.Order(context.Background(), endpoints[i%workers], order); err != nil {
+		if _, _, err := orderer.Order(context.Background(), endpoints[i%workers], order, func() error { return nil }); err != nil {
 			tb.Fatal(err)
 		}
 		i++
--- a/internal/machine/commands.go
+++ b/internal/machine/commands.go
@@ -139,3 +139,18 @@
 	}
 	return nil
 }
+
+// outdated returns an error if a direct order must not leave any more. It may have waited
+// for its connection while a job was cancelled, or the term raised, or this controller lost
+// the right to answer workers: sent then, it would start a task after a confirmed cancel.
+func (h *Holder) outdated(o wire.Orders) error {
+	if !h.routing.Entitled() || h.tokens.Term() != o.Token {
+		return errOutdated
+	}
+	for _, c := range o.Commands {
+		if c.Verb == wire.VerbStart && h.cancelled(c.Task) {
+			return errOutdated
+		}
+	}
+	return nil
+}
--- a/internal/machine/holder_test.go
+++ b/internal/machine/holder_test.go
@@ -25,6 +25,9 @@
 	sent   []wire.Orders
 	views  []machine.View
 	alone  bool
+	barred bool // may not answer workers
+
+	connect func() // is waited for before an order leaves; nil: nothing
 
 	foreman string
 }
@@ -55,9 +58,15 @@
 	}
 	return "a"
 }
-func (s *stub) Entitled() bool { return true }
+func (s *stub) Entitled() bool { return !s.barred }
 func (s *stub) Alone() bool    { return s.alone }
-func (s *stub) Order(_ context.Context, _ string, o wire.Orders) (*wire.Report, bool, error) {
+func (s *stub) Order(_ context.Context, _ string, o wire.Orders, valid func() error) (*wire.Report, bool, error) {
+	if s.connect != nil {
+		s.connect()
+	}
+	if err := valid(); err != nil {
+		return nil, false, err
+	}
 	s.sent = append(s.sent, o)
 	return s.order(o)
 }
--- a/internal/machine/orders.go
+++ b/internal/machine/orders.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/goccy/go-json"
@@ -18,10 +19,15 @@
 // ErrNotSent means that an order surely never left this process.
 var ErrNotSent = errors.New("order not sent")
 
+// errOutdated means that an order was not sent since it may not be carried out any more.
+var errOutdated = fmt.Errorf("%w: outdated while it waited for a connection", ErrNotSent)
+
 // Orderer sends direct orders to workers. It returns the worker's report and
 // whether the worker executed the order.
 type Orderer interface {
-	Order(ctx context.Context, endpoint string, o wire.Orders) (*wire.Report, bool, error)
+	// Order asks valid right before the order leaves, when the connection is there, and
+	// returns its error, as one that is ErrNotSent, if there is one.
+	Order(ctx context.Context, endpoint string, o wire.Orders, valid func() error) (*wire.Report, bool, error)
 	// Show asks a worker for its report.
 	Show(ctx context.Context, endpoint string) (*wire.Report, error)
 }
@@ -78,7 +84,7 @@
 }
 
 // Order implements Orderer.
-func (h *HTTPOrderer) Order(ctx context.Context, endpoint string, o wire.Orders) (*wire.Report, bool, error) {
+func (h *HTTPOrderer) Order(ctx context.Context, endpoint string, o wire.Orders, valid func() error) (*wire.Report, bool, error) {
 	if err := h.slot(ctx); err != nil {
 		return nil, false, err
 	}
@@ -87,12 +93,20 @@
 	if err != nil {
 		return nil, false, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+endpoint+"/orders", bytes.NewReader(data))
+	body := &checkedBody{data: bytes.NewReader(data), valid: valid}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+endpoint+"/orders", body)
 	if err != nil {
 		return nil, false, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	req.ContentLength = int64(len(data))
 	req.GetBody = nil // never repeated by the transport on its own
 	resp, err := h.client.Do(req)
+	if refused := body.err(); refused != nil {
+		if err == nil {
+			_ = resp.Body.Close() // whatever was answered to a request without its body
+		}
+		return nil, false, refused
+	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return nil, false, fmt.Errorf("%w: %w", ErrNotSent, err)
@@ -101,13 +115,48 @@
 		return nil, false, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, 8<<20))
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, 8<<20))
 	if err != nil {
 		return nil, false, err
 	}
 	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusConflict {
 		return nil, false, fmt.Errorf("worker answered %s", resp.Status)
 	}
-	rep, err := wire.ParseReport(body)
+	rep, err := wire.ParseReport(answer)
 	return rep, resp.StatusCode == http.StatusOK, err
 }
+
+// checkedBody is the body of a request that may have waited for its connection: of one that
+// isn't valid any more when its first byte is asked for, none is sent.
+type checkedBody struct {
+	data  *bytes.Reader
+	valid func() error
+
+	mu      sync.Mutex
+	checked bool
+	refused error
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(p []byte) (int, error) {
+	if err := b.check(); err != nil {
+		return 0, err
+	}
+	return b.data.Read(p)
+}
+
+func (b *checkedBody) check() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.checked {
+		b.checked, b.refused = true, b.valid()
+	}
+	return b.refused
+}
+
+// err is why the body was not sent; nil if it was, or nobody asked for it.
+func (b *checkedBody) err() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.refused
+}
--- a/internal/machine/push.go
+++ b/internal/machine/push.go
@@ -51,7 +51,7 @@
 
 func (h *Holder) order(name, endpoint string, o wire.Orders) {
 	ctx, cancel := context.WithTimeout(h.ctx, orderTimeout)
-	rep, executed, err := h.orders.Order(ctx, endpoint, o)
+	rep, executed, err := h.orders.Order(ctx, endpoint, o, func() error { return h.outdated(o) })
 	cancel()
 	h.mu.Lock()
 	s := h.machines[name]
@@ -69,6 +69,8 @@
 		s.fate = max(s.fate, o.Token)
 		h.raiseLocked(s.fate)
 		again = false
+	case errors.Is(err, errOutdated):
+		again = true // what it had besides is still to be said
 	case err != nil:
 		again = false
 	case !executed:
@@ -79,6 +81,9 @@
 	h.mu.Unlock()
 	if err != nil {
 		h.log.Debug("direct order failed", "machine", name, "err", err)
+		if again {
+			h.Push(name)
+		}
 		return
 	}
 	if rep.Machine != name {
--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -48,38 +48,40 @@
 // cluster is three controllers, their store and some workers, with troubles
 // drawn from a fixed seed.
 type cluster struct {
-	t        testing.TB
-	size     types
-	rnd      *rand.Rand // fates of messages, which are asked from many goroutines
-	plan     *rand.Rand // what the test itself draws, in the order of its own steps: the same for the same seed
-	cfg      *config.Platform
-	store    *testkit.Store
-	mu       sync.Mutex
-	nodes    map[string]*node
-	workers  []*testkit.Worker
-	at       map[*testkit.Worker]int // controller that a worker reports to
-	byName   map[string]*testkit.Worker
-	late     []func()
-	copies   []*wire.Report                   // of reports, that may be delivered late
-	names    []string                         // of the controllers, in their order
-	off      map[[2]string]bool               // links that do not work, from and to: see cuts_test.go
-	started  time.Time                        // when a task last started
-	starts   int                              // tasks started so far
-	heard    map[string]hearing               // of each worker, by any controller
-	back     int                              // machines returned
-	unlisted bool                             // the cloud's list tells no owner whom to ask
-	whole    bool                             // no report and no answer is lost by chance
-	reliable bool                             // no transaction is lost or late by chance
-	orderly  bool                             // no direct order is lost or late by chance
-	keepCuts bool                             // whether links stay cut when it is calm
-	slow     func() time.Duration             // how long the state service's answers take; nil: no time
-	lateBy   func() time.Duration             // how much later a transaction is carried out; nil: at once
-	losing   func() bool                      // whether a transaction that is carried out gets no answer; nil: few
-	holding  func() bool                      // whether an order is held back; nil: some are
-	lag      func() time.Duration             // how much later a watch tells of a change; nil: at once
-	transit  func() time.Duration             // how long a message takes one way, orders and views aside; nil: no time
-	fail     func(format string, args ...any) // a rule is broken
-	wrong    string                           // the first broken rule of a drawn case
+	t          testing.TB
+	size       types
+	rnd        *rand.Rand // fates of messages, which are asked from many goroutines
+	plan       *rand.Rand // what the test itself draws, in the order of its own steps: the same for the same seed
+	cfg        *config.Platform
+	store      *testkit.Store
+	mu         sync.Mutex
+	nodes      map[string]*node
+	workers    []*testkit.Worker
+	at         map[*testkit.Worker]int // controller that a worker reports to
+	byName     map[string]*testkit.Worker
+	late       []func()
+	copies     []*wire.Report                   // of reports, that may be delivered late
+	names      []string                         // of the controllers, in their order
+	off        map[[2]string]bool               // links that do not work, from and to: see cuts_test.go
+	started    time.Time                        // when a task last started
+	starts     int                              // tasks started so far
+	heard      map[string]hearing               // of each worker, by any controller
+	back       int                              // machines returned
+	unlisted   bool                             // the cloud's list tells no owner whom to ask
+	whole      bool                             // no report and no answer is lost by chance
+	reliable   bool                             // no transaction is lost or late by chance
+	orderly    bool                             // no direct order is lost or late by chance
+	keepCuts   bool                             // whether links stay cut when it is calm
+	slow       func() time.Duration             // how long the state service's answers take; nil: no time
+	lateBy     func() time.Duration             // how much later a transaction is carried out; nil: at once
+	losing     func() bool                      // whether a transaction that is carried out gets no answer; nil: few
+	holding    func() bool                      // whether an order is held back; nil: some are
+	lag        func() time.Duration             // how much later a watch tells of a change; nil: at once
+	transit    func() time.Duration             // how long a message takes one way, orders and views aside; nil: no time
+	connecting func() time.Duration             // how long a direct order waits for its connection; nil: no time
+	outdated   int                              // direct orders that were not valid any more when their connection was there
+	fail       func(format string, args ...any) // a rule is broken
+	wrong      string                           // the first broken rule of a drawn case
 
 	lapses  int                  // controllers that stopped answering workers, although they have a term
 	cleared map[string]string    // tasks that were done and cleared, where
@@ -167,7 +169,16 @@
 
 // Order sends a direct order; some arrive, but the answer is lost, and some
 // arrive minutes late.
-func (n *node) Order(ctx context.Context, endpoint string, o wire.Orders) (*wire.Report, bool, error) {
+func (n *node) Order(ctx context.Context, endpoint string, o wire.Orders, valid func() error) (*wire.Report, bool, error) {
+	if d := n.w.drawn(&n.w.connecting); d > 0 {
+		time.Sleep(d)
+	}
+	if err := valid(); err != nil {
+		n.w.mu.Lock()
+		n.w.outdated++
+		n.w.mu.Unlock()
+		return nil, false, err
+	}
 	if n.w.ordering != nil {
 		n.w.ordering(endpoint, o)
 	}
--- a/internal/testkit/late_starts_test.go
+++ b/internal/testkit/late_starts_test.go
@@ -1,6 +1,7 @@
 package testkit_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -113,3 +114,48 @@
 		t.Error("no start came after a confirmed cancel")
 	}
 }
+
+// Orders wait for their connections while users cancel the jobs that they would start. None
+// of them leaves once its sender knows: no command was under way, and nothing starts later
+// than a message between controllers takes.
+func TestOrdersThatWaitForConnectionsStartNothingAfterCancel(t *testing.T) {
+	const wait, jobs = time.Second, 3
+	outdated := 0
+	for seed := uint64(1); seed <= 4; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			w := newCluster(t, 860+seed)
+			w.bigger(3, 12)
+			w.orderly, w.reliable = true, true
+			for _, n := range w.names {
+				w.start(n)
+			}
+			w.live(3)
+			w.mu.Lock()
+			w.connecting = func() time.Duration { return wait }
+			w.mu.Unlock()
+			var all []string
+			for i := range jobs {
+				uid := fmt.Sprintf("j-%d", i)
+				all = append(all, uid)
+				w.submit(uid, 30)
+			}
+			time.Sleep(wait / 4)
+			for range 3 {
+				time.Sleep(wait / 2)
+				w.cancelAll(w.others(w.leader())[0], all, 1)
+				w.reportAll()
+			}
+			w.live(60)
+			outdated += w.outdated
+			for _, k := range w.workers {
+				if on := k.On(); len(on) > 0 {
+					t.Errorf("%v on %s", on, k.Name)
+				}
+			}
+			w.stopAll()
+		})
+	}
+	if outdated == 0 {
+		t.Error("no order became outdated while it waited for its connection")
+	}
+}
