A cancel that surely failed leaves its job known

Cause: an owner marked a job unsure when it sent the write of a cancel, and only a recorded cancel took the mark away. A write that the state service refused (503, no budget, the shard's key changed) left it for the rest of the job's life, and so did one that got lost with no user asking again: every question about the job at its owner was asked of the state service, answered 'queued' while it ran, and 503 in an outage.

Change: the mark is a count of cancels with an open outcome, by the version of the job's record that they guard. One that surely failed is taken out, alone: a second that is refused says nothing of a first without an answer. All that guard an older version are taken out when the record is seen at a newer one, not cancelled: a version never comes back. If after 5 s nothing has told, the owner writes the record anew as it is, under the guards of the shard and the version; after that the cancel was applied, and is found, or can't be any more. That is one write and one read for a lost cancel whose user asked no more.

Tests: TestOnlyAnOpenCancelMakesTheJobUnsure (eight orders of outcomes), TestAppliedCancelIsFound; in the cluster TestRefusedCancelLeavesTheJobRunning, also in an outage, and a case of TestWriteAppliedLateIsRefused in which the cancel is carried out 20 s late, after the record was written anew, and is refused.

What stays: in the 5 s in which the outcome is open, questions at the owner are asked of the state service, as before.

--- a/internal/owner/accept.go
+++ b/internal/owner/accept.go
@@ -75,11 +75,7 @@
 		return
 	}
 	if version > j.version {
-		j.version = version
-		o.retermed(j, r)
-		if r.Cancelled {
-			o.cancelLocked(j)
-		}
+		o.takeRecord(j, r, version)
 	}
 }
 
--- a/internal/owner/amend.go
+++ b/internal/owner/amend.go
@@ -100,8 +100,7 @@
 		if mine {
 			o.mu.Lock()
 			if j := o.jobs[uid]; j != nil && rev > j.version {
-				j.version = rev
-				o.retermed(j, &r)
+				o.takeRecord(j, &r, rev)
 			}
 			o.mu.Unlock()
 		}
--- a/internal/owner/answers_test.go
+++ b/internal/owner/answers_test.go
@@ -7,7 +7,10 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/owner"
@@ -119,3 +122,85 @@
 		t.Errorf("answered %+v, %v", st, err)
 	}
 }
+
+// A cancel that surely failed leaves the job known as it was; one without an answer does not,
+// until the job's record is seen to be another.
+func TestOnlyAnOpenCancelMakesTheJobUnsure(t *testing.T) {
+	shardTaken := &statestore.Conflict{Keys: []string{"c/shard/000"}}
+	for _, c := range []struct {
+		name     string
+		outcomes []error // of the cancels, one after the other
+		renewed  error   // what comes of writing the record anew
+		sure     bool    // whether the job is known after the cancels
+		settled  bool    // and after that
+	}{
+		{name: "refused", outcomes: []error{statestore.ErrUnavailable}, sure: true, settled: true},
+		{name: "no budget", outcomes: []error{statestore.ErrBusy}, sure: true, settled: true},
+		{name: "shard taken", outcomes: []error{shardTaken}, sure: true, settled: true},
+		{name: "no answer", outcomes: []error{statestore.ErrUnknown}, settled: true},
+		{name: "no answer, then refused", outcomes: []error{statestore.ErrUnknown, statestore.ErrUnavailable}, settled: true},
+		{name: "refused, then no answer", outcomes: []error{statestore.ErrUnavailable, statestore.ErrUnknown}, settled: true},
+		{name: "no answer, record not renewed", outcomes: []error{statestore.ErrUnknown}, renewed: statestore.ErrUnavailable},
+		{name: "no answer, record perhaps renewed", outcomes: []error{statestore.ErrUnknown}, renewed: statestore.ErrUnknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o, s := scripted(t)
+				if err := o.Load(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				job, record := live(t, 11)
+				o.Accepted(job, nil, 0, 0, 11)
+				s.get = func(string) (wire.Item, error) { return record, nil }
+				for _, outcome := range c.outcomes {
+					s.txn = func() (uint64, error) { return 0, outcome }
+					if st, err := o.Cancel(t.Context(), "j-1"); err == nil {
+						t.Fatalf("the cancel is answered %+v", st)
+					}
+				}
+				if st, ok := o.Known("j-1"); ok != c.sure || ok && st.Stage != wire.StageQueued {
+					t.Errorf("after the cancels: %+v, %v", st, ok)
+				}
+				writes := 0
+				s.txn = func() (uint64, error) { writes++; return 12, c.renewed }
+				o.ResolveCancels(t.Context())
+				if writes > 0 {
+					t.Error("written anew before the user could ask again")
+				}
+				time.Sleep(10 * time.Second)
+				o.ResolveCancels(t.Context())
+				if st, ok := o.Known("j-1"); ok != c.settled || ok && st.Stage != wire.StageQueued {
+					t.Errorf("settled: %+v, %v", st, ok)
+				}
+				o.ResolveCancels(t.Context())
+				if again := !c.settled; (writes > 0) == c.sure || (writes > 1) != again {
+					t.Errorf("written anew %d times", writes)
+				}
+			})
+		})
+	}
+}
+
+// A cancel without an answer was applied: that its record is cancelled is found when it
+// would be written anew.
+func TestAppliedCancelIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, s := scripted(t)
+		if err := o.Load(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		job, record := live(t, 11)
+		o.Accepted(job, nil, 0, 0, 11)
+		s.get = func(string) (wire.Item, error) { return record, nil }
+		if st, err := o.Cancel(t.Context(), "j-1"); err == nil {
+			t.Fatalf("the cancel is answered %+v", st)
+		}
+		record.Version = 12
+		record.Value = json.RawMessage(strings.Replace(string(record.Value), `"at":0`, `"at":0,"cancelled":true`, 1))
+		time.Sleep(10 * time.Second)
+		o.ResolveCancels(t.Context())
+		if st, ok := o.Known("j-1"); !ok || st.Stage != wire.StageCancelled {
+			t.Errorf("%+v, %v", st, ok)
+		}
+	})
+}
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -186,9 +186,16 @@
 		o.log.Error("unreadable job record", "key", it.Key, "err", err)
 		return
 	}
-	j.version = max(j.version, it.Version)
-	o.retermed(j, &r)
+	o.takeRecord(j, &r, it.Version)
+}
+
+// takeRecord takes a newer living record of a job.
+func (o *Owner) takeRecord(j *job, r *liveRecord, version uint64) {
+	j.version = max(j.version, version)
+	o.retermed(j, r)
 	if r.Cancelled {
 		o.cancelLocked(j)
+	} else {
+		j.cancels.passed(version)
 	}
 }
--- a/internal/owner/dependencies.go
+++ b/internal/owner/dependencies.go
@@ -40,6 +40,7 @@
 		if o.member.Held() <= 0 {
 			continue
 		}
+		o.resolveCancels(ctx)
 		ask, end := o.settleTerms(time.Now())
 		for _, q := range ask {
 			if err := o.askOthers(ctx, q); err != nil {
--- a/internal/owner/export_test.go
+++ b/internal/owner/export_test.go
@@ -126,3 +126,6 @@
 	defer o.mu.Unlock()
 	o.teams[team].CPUsMax = cpus
 }
+
+// ResolveCancels settles cancels whose outcome has been open for a while.
+func (o *Owner) ResolveCancels(ctx context.Context) { o.resolveCancels(ctx) }
--- /dev/null
+++ b/internal/owner/opencancels.go
@@ -0,0 +1,110 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/goccy/go-json"
+
+	"github.com/wallrack/wallrack/internal/statestore"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// resolveAfter is how long a cancel's outcome may be open before its job's record is written
+// anew. Most users ask again before that, which settles it too.
+const resolveAfter = 5 * time.Second
+
+// openCancels are the cancels of a job that were sent and may have been applied, or may be
+// yet. While there are any, only the state service can tell what the job is.
+type openCancels struct {
+	writes map[uint64]int // by the version of the job's record that they guard
+	since  time.Time      // when the last one was sent
+}
+
+// sent notes that a cancel which guards a version of the job's record is under way.
+func (c *openCancels) sent(version uint64, now time.Time) {
+	if c.writes == nil {
+		c.writes = map[uint64]int{}
+	}
+	c.writes[version]++
+	c.since = now
+}
+
+// failed notes that one that was sent was surely not applied and never will be.
+func (c *openCancels) failed(version uint64) {
+	if c.writes[version]--; c.writes[version] <= 0 {
+		delete(c.writes, version)
+	}
+}
+
+// passed notes that the job's record has a version, and is not cancelled: a version never
+// comes back, so that all cancels which guard earlier ones have failed for ever.
+func (c *openCancels) passed(version uint64) {
+	for guarded := range c.writes {
+		if guarded < version {
+			delete(c.writes, guarded)
+		}
+	}
+}
+
+func (c *openCancels) any() bool { return len(c.writes) > 0 }
+
+// surelyFailed reports whether a transaction with this outcome was not applied and never
+// will be.
+func surelyFailed(err error) bool {
+	var conflict *statestore.Conflict
+	return errors.As(err, &conflict) || errors.Is(err, statestore.ErrUnavailable)
+}
+
+// resolveCancels settles cancels whose outcome has been open for a while: the jobs' records
+// are written anew as they are, after which such a cancel was either applied or can't be any
+// more. Without it, a job whose cancel got lost, and whose user asked no more, was looked up
+// in the state service with every question, and called queued while it ran.
+func (o *Owner) resolveCancels(ctx context.Context) {
+	var uids []string
+	now := time.Now()
+	o.mu.Lock()
+	for _, j := range o.order {
+		if j.cancels.any() && now.Sub(j.cancels.since) > resolveAfter {
+			uids = append(uids, j.spec.UID)
+		}
+	}
+	o.mu.Unlock()
+	for _, uid := range uids {
+		rctx, cancel := context.WithTimeout(ctx, txnTimeout)
+		err := o.renew(rctx, uid)
+		cancel()
+		if err != nil {
+			o.log.Debug("the outcome of a cancel stays open", "job", uid, "err", err)
+		}
+	}
+}
+
+// renew writes a living job's record anew, unless it is cancelled.
+func (o *Owner) renew(ctx context.Context, uid string) error {
+	it, err := o.store.Get(ctx, liveKey+uid)
+	if err != nil {
+		return err
+	}
+	var r liveRecord
+	if err := json.Unmarshal(it.Value, &r); err != nil {
+		return fmt.Errorf("read job: %w", err)
+	}
+	version, mine := o.member.Owns(r.Shard)
+	if !mine {
+		return nil // the shard's version has changed: the cancel failed, or is its owner's
+	}
+	rev := it.Version
+	if !r.Cancelled {
+		guards := []wire.Guard{{Key: o.member.ShardKey(r.Shard), Version: version}, {Key: liveKey + uid, Version: it.Version}}
+		if rev, err = o.store.Txn(ctx, guards, wire.Op{Put: liveKey + uid, Value: r}); err != nil {
+			return err
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.take(&r, rev)
+	return nil
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -134,7 +134,7 @@
 	accepted  time.Time
 	atMs      int64
 	cancelled bool
-	unsure    bool   // a cancel was sent, and may have been applied
+	cancels   openCancels
 	ended     string // stage to finish with
 	ending    bool   // the write of its end is out
 	chunks    []*chunk
--- a/internal/owner/users.go
+++ b/internal/owner/users.go
@@ -44,7 +44,7 @@
 	// others may tell its user already, so only the store is sure. Before that
 	// write the job is alive to everybody: in a storm of tiny jobs, polls for
 	// hundreds whose ends still waited to be written all went to the store.
-	if j.ending || j.unsure {
+	if j.ending || j.cancels.any() {
 		return false
 	}
 	// Its user may have heard of a cancel that was not recorded here.
@@ -134,8 +134,9 @@
 			// write, had told its user that it is cancelled.
 			o.take(&r, it.Version)
 		}
-		if j := o.jobs[uid]; j != nil {
-			j.unsure = true
+		j := o.jobs[uid]
+		if j != nil {
+			j.cancels.sent(it.Version, time.Now())
 		}
 		o.mu.Unlock()
 		r.Cancelled = true
@@ -146,6 +147,11 @@
 		}
 		guards := []wire.Guard{{Key: o.member.ShardKey(r.Shard), Version: version}, {Key: liveKey + uid, Version: it.Version}}
 		rev, err := o.store.Txn(ctx, guards, wire.Op{Put: liveKey + uid, Value: r})
+		if j != nil && surelyFailed(err) {
+			o.mu.Lock()
+			j.cancels.failed(it.Version)
+			o.mu.Unlock()
+		}
 		var conflict *statestore.Conflict
 		if errors.As(err, &conflict) && !conflict.Has(guards[0].Key) {
 			continue
@@ -167,7 +173,7 @@
 	if j.cancelled {
 		return
 	}
-	j.cancelled, j.unsure = true, false
+	j.cancelled, j.cancels = true, openCancels{}
 	if o.Cancels != nil {
 		o.Cancels.Learn(j.spec.UID)
 	}
--- a/internal/testkit/cancel_test.go
+++ b/internal/testkit/cancel_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,3 +45,55 @@
 		}
 	})
 }
+
+// The state service refuses the write of a cancel, and then everything: the job goes on, and
+// its user, who was told nothing, hears so at every controller.
+func TestRefusedCancelLeavesTheJobRunning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newCluster(t, 2)
+		w.bigger(3, 8)
+		w.long()
+		w.whole, w.reliable, w.keepCuts = true, true, true
+		for _, n := range w.names {
+			w.start(n)
+		}
+		w.live(3)
+		w.submit("j-80", 4)
+		if !w.within(10, func() bool { return w.onMachines("j-80") == 4 }) {
+			t.Fatal("the job does not run")
+		}
+		w.live(2)
+		owner := w.leader()
+		refused := 0
+		w.nodes[owner].view.Refuse.Set(func(txn wire.Txn) bool {
+			ours := txn.Then[0].Put == "live/j-80"
+			if ours {
+				refused++
+			}
+			return ours
+		})
+		if stage, heard := w.user(owner, http.MethodPost, "j-80"); heard || refused == 0 {
+			t.Errorf("the cancel is answered %q, refused %d times", stage, refused)
+		}
+		w.nodes[owner].view.Refuse.Set(nil)
+		for _, outage := range []bool{false, true} {
+			if outage {
+				w.refuse(w.names...)
+			}
+			for range 3 { // less than a lease, after which no owner answers from memory in an outage
+				for _, name := range w.names {
+					if stage, heard := w.user(name, http.MethodGet, "j-80"); !heard || stage != wire.StageRunning {
+						t.Errorf("outage %v: %s calls the job %q, %v", outage, name, stage, heard)
+					}
+				}
+				w.live(1)
+			}
+		}
+		w.healed()
+		w.live(8)
+		if on := w.onMachines("j-80"); on != 4 {
+			t.Errorf("%d of 4 tasks are on", on)
+		}
+		w.stopAll()
+	})
+}
--- a/internal/testkit/late_writes_test.go
+++ b/internal/testkit/late_writes_test.go
@@ -73,6 +73,29 @@
 			t.Errorf("%+v without an answer", s)
 		}
 	}},
+	{name: "cancel, after the job's record was written anew", prefix: "live/j-80", play: func(t *testing.T, w *cluster, l *answerLoss) {
+		l.by = 20 * time.Second
+		at := w.leader()
+		l.arm(at, 1)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		before := w.version("live/j-80")
+		if s, err := w.nodes[at].owner.Cancel(ctx, "j-80"); err == nil {
+			t.Errorf("%+v without an answer", s)
+		}
+		if stage, ok := w.user(at, http.MethodGet, "j-80"); ok && stage == wire.StageRunning {
+			t.Errorf("the owner calls the job %s at once", stage)
+		}
+		w.live(10)
+		if stage, ok := w.user(at, http.MethodGet, "j-80"); !ok || stage != wire.StageRunning || w.version("live/j-80") == before {
+			t.Errorf("the owner calls the job %q, its record has version %d, %d before", stage, w.version("live/j-80"), before)
+		}
+		version := w.version("live/j-80")
+		w.live(12)
+		if w.version("live/j-80") != version {
+			t.Error("the record was written again")
+		}
+	}},
 	{name: "end, after its repetition", prefix: "final/j-1", plain: true, play: func(_ *testing.T, w *cluster, l *answerLoss) {
 		l.arm("", 1)
 	}},
--- a/internal/testkit/store.go
+++ b/internal/testkit/store.go
@@ -171,6 +171,9 @@
 	// the prefix before keys are read. They may wait; nil: nothing waits.
 	Sending Hook[func(t wire.Txn)]
 	Listing Hook[func(prefix string)]
+	// Refuse, if it returns true, has the service refuse a transaction: it is surely not
+	// carried out.
+	Refuse Hook[func(t wire.Txn) bool]
 	// Behind is how long the watch of a prefix is behind; nil: not at all.
 	Behind func(prefix string) time.Duration
 	// LoseAnswer makes the answer of a transaction that was applied at a version get
@@ -347,6 +350,9 @@
 	if sending := v.Sending.Get(); sending != nil {
 		sending(t)
 	}
+	if refuse := v.Refuse.Get(); refuse != nil && refuse(t) {
+		return 0, statestore.ErrUnavailable
+	}
 	if ask(v.Late) {
 		v.lateMu.Lock()
 		v.late = append(v.late, t)
