Connections for direct orders are kept as far as sockets go

Cause: the client for direct orders kept sockets/20 idle connections (107 of 2,157) whatever else was open. With more workers than that each order dialled.

Change: a connection pool with one transport a worker, so that single idle connections can be closed, the longest idle first. Its bound follows the free sockets: internal/sockets divides the limit between accepted connections, orders and the rest. The listener trims the pool at each connection that it admits, so that no user or worker is refused for an idle connection. A connection in use is never closed (the order's outcome would be unknown). Between two bounds, 1/16 and 1/32 of all sockets left free, nothing is closed, so users that come and go don't have connections closed and dialled again and again. Before, idle and dialled connections together could reach twice their share; now they are counted as one. /ops/stats shows order_connections.

A larger fixed share would have taken sockets from users; CloseIdleConnections of a shared transport closes all at once.

--- a/cmd/wallrack/daemon.go
+++ b/cmd/wallrack/daemon.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"log/slog"
 	"maps"
-	"math"
 	"net/http"
 	"runtime"
 	"runtime/debug"
@@ -29,6 +28,7 @@
 	"github.com/wallrack/wallrack/internal/recovery"
 	"github.com/wallrack/wallrack/internal/rollout"
 	"github.com/wallrack/wallrack/internal/slurmapi"
+	"github.com/wallrack/wallrack/internal/sockets"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/usage"
 )
@@ -79,7 +79,11 @@
 	n.cancels = cancels.New(slices.Collect(maps.Keys(addrs)), config.Seconds(p.Params.Workers.CancelS), member.Held)
 	n.cancels.Fresh, n.cancels.News, n.tellCancels = n.recall, n.cancelNews, make(chan struct{}, 1)
 	n.owner = owner.New(p, op, store, member, n, catalog, log)
-	n.holder = machine.New(ctx, p.Node, config.Seconds(p.Params.Workers.LeaseS), n, member, catalog, n, machine.NewHTTPOrderer(p.Params.Limits.Sockets), log)
+	inbound := &door{}
+	budget := sockets.Budget{Limit: p.Params.Limits.Sockets, Peers: len(p.Peers), Accepted: inbound.count}
+	orders := machine.NewHTTPOrderer(budget)
+	inbound.share(budget, orders)
+	n.holder = machine.New(ctx, p.Node, config.Seconds(p.Params.Workers.LeaseS), n, member, catalog, n, orders, log)
 	n.intake = intake.New(p, op, store, n.owner, catalog, n, log)
 	n.owner.Cancels, n.holder.Cancels, n.intake.Cancels = n.cancels, n.cancels, n.cancels
 	boxes := fleet.New(p, op, cloud, catalog, store, member, &allOwners{n: n, ctx: ctx}, n.holder, log)
@@ -88,14 +92,11 @@
 	if err != nil {
 		return fmt.Errorf("serve_on: %w", err)
 	}
-	inbound := &door{Listener: lis, most: math.MaxInt64}
-	if limit := p.Params.Limits.Sockets; limit > 0 {
-		inbound.most = int64(limit - ownSockets(limit, len(p.Peers)))
-	}
+	inbound.Listener = lis
 	meter := usage.New(int64(p.Params.Limits.RAMMB*crowdedShare*(1<<20)), func() map[string]int {
 		q := n.owner.Queues()
 		q["machines"], q["queued"], q["orders"] = n.holder.Depths()
-		q["connections"] = inbound.count()
+		q["connections"], q["order_connections"] = inbound.count(), orders.Connections()
 		return q
 	}, log)
 	n.links.ears = func() links.Ears {
--- a/cmd/wallrack/listen.go
+++ b/cmd/wallrack/listen.go
@@ -6,14 +6,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/machine"
+	"github.com/wallrack/wallrack/internal/sockets"
 	"github.com/wallrack/wallrack/internal/usage"
 )
 
-// ownSockets is how many of the sockets this process keeps for its own
-// connections: to the state service and the cloud, to and from each peer, and
-// for direct orders. Without them it could not even keep its lease.
-func ownSockets(limit, peers int) int { return 40 + 2*peers + max(8, limit/20) }
-
 // busy is the answer to a connection that finds no socket left.
 const busy = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 2\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
@@ -21,8 +18,15 @@
 // of letting the process run out of sockets.
 type door struct {
 	net.Listener
-	most int64
-	open atomic.Int64
+	most     int64
+	open     atomic.Int64
+	admitted func() // called after each connection within the limit, if set
+}
+
+// share bounds the connections by the budget, and closes idle ones for orders when those
+// that are accepted need their sockets.
+func (d *door) share(budget sockets.Budget, orders *machine.HTTPOrderer) {
+	d.most, d.admitted = int64(budget.MaxAccepted()), orders.Trim
 }
 
 // Accept returns the next connection within the limit.
@@ -33,6 +37,9 @@
 			return nil, err
 		}
 		if d.open.Add(1) <= d.most {
+			if d.admitted != nil {
+				d.admitted()
+			}
 			return &visitor{Conn: c, door: d}, nil
 		}
 		d.open.Add(-1)
--- a/cmd/wallrack/listen_test.go
+++ b/cmd/wallrack/listen_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
+
+	"github.com/wallrack/wallrack/internal/machine"
+	"github.com/wallrack/wallrack/internal/sockets"
+	"github.com/wallrack/wallrack/internal/wire"
 )
 
 // Users, or connections that never say anything, must not take the sockets
@@ -69,3 +75,48 @@
 	}
 	_ = silent[1].Close()
 }
+
+// Idle connections for orders must never cost a user or worker a connection: all that the
+// limit allows are admitted, and the process keeps within its limit meanwhile.
+func TestOrderConnectionsGiveWay(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	d := &door{Listener: lis}
+	budget := sockets.Budget{Limit: 200, Peers: 2, Accepted: d.count}
+	orders := machine.NewHTTPOrderer(budget)
+	d.share(budget, orders)
+	own := budget.Limit - budget.MaxAccepted() - budget.OrdersAtOnce()
+
+	for range 3 * budget.OrdersAtOnce() {
+		worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusConflict) }))
+		defer worker.Close()
+		_, _, _ = orders.Order(context.Background(), worker.Listener.Addr().String(), wire.Orders{Token: 1}) // its answer is of no weight
+	}
+	if n := orders.Connections(); n != 3*budget.OrdersAtOnce() {
+		t.Fatalf("%d connections for orders before anybody came", n)
+	}
+	for user := range budget.MaxAccepted() {
+		c, err := net.Dial("tcp", lis.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		admitted, err := d.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer admitted.Close()
+		if d.count() != user+1 {
+			t.Fatalf("user %d was not admitted", user)
+		}
+		if total := d.count() + orders.Connections() + own; total > budget.Limit {
+			t.Fatalf("%d sockets of %d with %d users", total, budget.Limit, d.count())
+		}
+	}
+	if n := orders.Connections(); n != budget.OrdersAtOnce() {
+		t.Errorf("%d connections left for %d orders at once", n, budget.OrdersAtOnce())
+	}
+}
--- a/internal/machine/capacity_test.go
+++ b/internal/machine/capacity_test.go
@@ -1,12 +1,15 @@
 package machine_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
+	"net"
 	"net/http"
-	"net/http/httptest"
+	"runtime"
 	"testing"
 	"time"
 
@@ -15,6 +18,7 @@
 	"github.com/wallrack/wallrack/internal/capacity"
 	"github.com/wallrack/wallrack/internal/machine"
 	"github.com/wallrack/wallrack/internal/placement"
+	"github.com/wallrack/wallrack/internal/sockets"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -65,33 +69,87 @@
 	return float64(len(data))
 }
 
-// orderOf is the processor time of a direct order to one of so many workers in turn, each
-// with an address of its own; the workers' end is in it.
-func orderOf(tb testing.TB, workers int) float64 {
+// largeSite is the sockets of a controller of today's larger fleet as one of six, with so
+// many workers that report there.
+func largeSite(workers int) sockets.Budget {
+	return sockets.Budget{Limit: 2157, Peers: 5, Accepted: func() int { return workers }}
+}
+
+// orderOf is the processor time of a direct order to one of so many workers, each with an
+// address of its own, which next picks; the workers' end is in it.
+func orderOf(tb testing.TB, workers int, next func() int) float64 {
+	orders, w := machine.NewHTTPOrderer(largeSite(workers)), newOrderedWorkers(tb, workers)
+	order := wire.Orders{Token: 7, Session: 1, Commands: []wire.Command{{Verb: wire.VerbStart, Task: "j-000400/10", Attempt: 20}}}
+	for worker := range workers {
+		w.order(tb, orders, worker) // first ones are always dialled
+	}
+	return capacity.ProcessorTime(tb, func() {
+		if _, _, err := orders.Order(context.Background(), w.endpoints[next()], order); err != nil {
+			tb.Fatal(err)
+		}
+	})
+}
+
+func orderInTurn(tb testing.TB, workers int) float64 {
+	i := 0
+	return orderOf(tb, workers, func() int { i++; return i % workers })
+}
+
+func orderAtRandom(tb testing.TB, workers int) float64 {
+	random := rand.New(rand.NewPCG(1, 2))
+	return orderOf(tb, workers, func() int { return random.IntN(workers) })
+}
+
+// keptConnections is the memory, heap and stacks, of so many idle connections for orders.
+// Of the workers' end, only the sockets' own memory is in it.
+func keptConnections(tb testing.TB, connections int) float64 {
 	answer, err := json.Marshal(report(9, 7))
 	if err != nil {
 		tb.Fatal(err)
 	}
-	var endpoints []string
-	for range workers {
-		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			_, _ = io.Copy(io.Discard, r.Body)
-			_, _ = w.Write(answer)
-		}))
-		defer srv.Close()
-		endpoints = append(endpoints, srv.Listener.Addr().String())
-	}
-	orderer, i := machine.NewHTTPOrderer(largeSiteSockets), 0
-	order := wire.Orders{Token: 7, Session: 1, Commands: []wire.Command{{Verb: wire.VerbStart, Task: "j-000400/10", Attempt: 20}}}
-	return capacity.ProcessorTime(tb, func() {
-		if _, _, err := orderer.Order(context.Background(), endpoints[i%workers], order); err != nil {
+	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer), answer)
+	orders := machine.NewHTTPOrderer(largeSite(connections))
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.GC() // what other series left is gone after the second
+	runtime.ReadMemStats(&before)
+	for range connections {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
 			tb.Fatal(err)
 		}
-		i++
-	})
+		answered := make(chan net.Conn, 1)
+		go func() { answered <- answerOnce(tb, lis, response) }()
+		if _, _, err := orders.Order(context.Background(), lis.Addr().String(), wire.Orders{Token: 7, Session: 1}); err != nil {
+			tb.Fatal(err)
+		}
+		worker := <-answered
+		_ = lis.Close() // nobody else connects
+		defer worker.Close()
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if n := orders.Connections(); n != connections {
+		tb.Fatalf("%d of %d connections kept", n, connections)
+	}
+	return float64(after.HeapAlloc+after.StackInuse) - float64(before.HeapAlloc+before.StackInuse)
 }
 
-const largeSiteSockets = 2157 // of a controller of today's larger fleet
+// answerOnce answers one order without a server, and returns the open connection.
+func answerOnce(tb testing.TB, lis net.Listener, response string) net.Conn {
+	conn, err := lis.Accept()
+	if err != nil {
+		tb.Error(err)
+		return nil
+	}
+	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+		tb.Error(err)
+	}
+	if _, err := io.WriteString(conn, response); err != nil {
+		tb.Error(err)
+	}
+	return conn
+}
 
 const tasksEach = 4 // 11,000 tasks on 2,600 machines
 
@@ -116,7 +174,9 @@
 		h, i := holdMachines(tb, machines, tasksEach), 0
 		return capacity.ProcessorTime(tb, func() { h.report(tb, i%machines); i++ })
 	}},
-	{Name: "machine.order", Scatters: true, Sizes: []int{50, 100, 200, 400}, Measure: orderOf},
+	{Name: "machine.order", Scatters: true, Sizes: []int{50, 100, 200, 400, 800}, Measure: orderInTurn},
+	{Name: "machine.orderBeyond", Scatters: true, Sizes: []int{1000, 1200, 1400, 1600}, Measure: orderAtRandom},
+	{Name: "machine.keptConnections", Scatters: true, Sizes: []int{200, 400, 600, 900}, Measure: keptConnections},
 	{Name: "machine.makeViews", Scatters: true, Sizes: []int{400, 800, 1600, 3200}, Measure: func(tb testing.TB, machines int) float64 {
 		h := holdMachines(tb, machines, tasksEach)
 		return capacity.ProcessorTime(tb, func() { published(tb, h) })
--- a/internal/machine/orders.go
+++ b/internal/machine/orders.go
@@ -8,10 +8,10 @@
 	"io"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/goccy/go-json"
 
+	"github.com/wallrack/wallrack/internal/sockets"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -26,23 +26,26 @@
 	Show(ctx context.Context, endpoint string) (*wire.Report, error)
 }
 
-// HTTPOrderer sends orders over HTTP.
+// HTTPOrderer sends orders over HTTP. It keeps one connection a worker, while there are
+// sockets to spare.
 type HTTPOrderer struct {
-	client *http.Client
-	slots  chan struct{}
+	connections *connectionPool
+	slots       chan struct{}
 }
 
-// NewHTTPOrderer returns an orderer that takes at most a tenth of the sockets,
-// one connection a worker: most are for the workers' own connections.
-func NewHTTPOrderer(sockets int) *HTTPOrderer {
-	n := max(8, sockets/20)
-	return &HTTPOrderer{&http.Client{Transport: &http.Transport{
-		MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, MaxIdleConns: n, IdleConnTimeout: time.Minute,
-		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
-	}}, make(chan struct{}, n)}
+// NewHTTPOrderer returns an orderer that keeps within the process's sockets.
+func NewHTTPOrderer(budget sockets.Budget) *HTTPOrderer {
+	return &HTTPOrderer{newConnectionPool(budget.Orders), make(chan struct{}, budget.OrdersAtOnce())}
 }
 
-// slot waits for one of the connections.
+// Trim closes idle connections, the longest idle first, if there are fewer sockets to
+// spare than before.
+func (h *HTTPOrderer) Trim() { h.connections.trim() }
+
+// Connections returns how many connections to workers are open, at most.
+func (h *HTTPOrderer) Connections() int { return h.connections.count() }
+
+// slot waits until one more order may be under way.
 func (h *HTTPOrderer) slot(ctx context.Context) error {
 	select {
 	case h.slots <- struct{}{}:
@@ -62,7 +65,9 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := h.client.Do(req)
+	worker := h.connections.acquire(endpoint)
+	defer h.connections.release(worker)
+	resp, err := worker.client.Do(req)
 	if err != nil {
 		return nil, err
 	}
@@ -92,7 +97,9 @@
 		return nil, false, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	req.GetBody = nil // never repeated by the transport on its own
-	resp, err := h.client.Do(req)
+	worker := h.connections.acquire(endpoint)
+	defer h.connections.release(worker)
+	resp, err := worker.client.Do(req)
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return nil, false, fmt.Errorf("%w: %w", ErrNotSent, err)
--- /dev/null
+++ b/internal/sockets/budget.go
@@ -0,0 +1,61 @@
+// Package sockets divides the sockets that a process may use between the connections
+// that it accepts, those on which it sends direct orders to workers, and the rest.
+package sockets
+
+import "math"
+
+const (
+	baseSockets    = 40 // to the state service and the cloud, listeners, files
+	socketsPerPeer = 2  // one to the peer and one from it
+	minOrders      = 8
+	ordersShare    = 20 // one socket in so many is always left to direct orders
+	maxOrdersShare = 2  // and one in so many at most: a worker that gets orders has a connection of its own here
+	reserveShare   = 16 // one in so many is kept free for users and workers that are about to connect
+)
+
+// Budget is the sockets of a process.
+type Budget struct {
+	Limit    int        // of the whole process; 0 if there is none
+	Peers    int        // other controllers
+	Accepted func() int // connections from users and workers that are open now
+}
+
+// OrderLimits bounds the connections to workers, used and idle ones together. Between the
+// two bounds nothing is closed for others: connections from users that come and go must
+// not have idle ones closed and dialled again each time.
+type OrderLimits struct {
+	Open int // from so many on, a new connection takes the place of an idle one
+	Keep int // idle connections beyond so many are closed at once
+}
+
+// OrdersAtOnce is how many direct orders may be under way: so many sockets are left to them
+// whatever else is open.
+func (b Budget) OrdersAtOnce() int { return max(minOrders, b.Limit/ordersShare) }
+
+// own is how many sockets this process keeps for its own connections, direct orders aside.
+// Without them it could not even keep its lease.
+func (b Budget) own() int { return baseSockets + socketsPerPeer*b.Peers }
+
+// MaxAccepted is how many connections from users and workers may be open. Idle connections
+// for orders don't lower it: they are closed when it needs their sockets.
+func (b Budget) MaxAccepted() int {
+	if b.Limit == 0 {
+		return math.MaxInt
+	}
+	return b.Limit - b.own() - b.OrdersAtOnce()
+}
+
+// Orders returns how many connections to workers may be open now.
+func (b Budget) Orders() OrderLimits {
+	least := b.OrdersAtOnce()
+	if b.Limit == 0 {
+		return OrderLimits{Open: least, Keep: least}
+	}
+	most := max(least, b.Limit/maxOrdersShare)
+	free := b.Limit - b.own() - b.Accepted()
+	reserve := b.Limit / reserveShare
+	return OrderLimits{
+		Open: min(most, max(least, free-reserve)),
+		Keep: min(most, max(least, free-reserve/2)),
+	}
+}
--- /dev/null
+++ b/internal/sockets/budget_test.go
@@ -0,0 +1,39 @@
+package sockets_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/wallrack/wallrack/internal/sockets"
+)
+
+// Whatever is open, the connections that are accepted, those of orders and the process's
+// own stay within the limit, and orders that are under way always have a socket.
+func TestBudgetStaysWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		accepted := 0
+		b := sockets.Budget{
+			Limit: rapid.IntRange(96, 10_000).Draw(t, "limit"), Peers: rapid.IntRange(0, 11).Draw(t, "peers"),
+			Accepted: func() int { return accepted },
+		}
+		most := b.MaxAccepted()
+		accepted = rapid.IntRange(0, most).Draw(t, "accepted")
+		before := b.Orders()
+		own := b.Limit - most - b.OrdersAtOnce()
+		if own < 40+2*b.Peers {
+			t.Errorf("%d sockets are left for state service, cloud and peers", own)
+		}
+		if total := accepted + before.Keep + own; total > b.Limit {
+			t.Errorf("%d accepted and %d for orders: %d of %d sockets", accepted, before.Keep, total, b.Limit)
+		}
+		if before.Open < b.OrdersAtOnce() || before.Keep < before.Open {
+			t.Errorf("%+v with %d orders at once", before, b.OrdersAtOnce())
+		}
+		// Users that come and go, up to half of the reserve, close nothing.
+		accepted = min(most, accepted+b.Limit/32)
+		if after := b.Orders(); after.Keep < before.Open {
+			t.Errorf("%+v, and %+v with %d more accepted", before, after, b.Limit/32)
+		}
+	})
+}
