--- a/internal/machine/orders_test.go
+++ b/internal/machine/orders_test.go
@@ -14,6 +14,7 @@
 	"github.com/goccy/go-json"
 
 	"github.com/wallrack/wallrack/internal/machine"
+	"github.com/wallrack/wallrack/internal/sockets"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -55,7 +56,7 @@
 func TestOrderIsCheckedWhenItsConnectionIsThere(t *testing.T) {
 	for _, valid := range []bool{true, false} {
 		b := newBusyWorker(t)
-		orderer, endpoint := machine.NewHTTPOrderer(100), b.Listener.Addr().String()
+		orderer, endpoint := machine.NewHTTPOrderer(sockets.Budget{Limit: 100, Accepted: func() int { return 0 }}), b.Listener.Addr().String()
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		shown := make(chan error, 1)
 		go func() {
