Holder: no goroutine starts once it has ended

Cause: the race detector over the cluster's tests: a peer's direction that came while the process ended added to the wait group of which Wait had begun to wait. Beside it, the stub of the holder's tests read the term without a lock (known and left before).

Change: startLocked alone starts the holder's goroutines, none after Wait was called at its end; the stub's term has a lock.

--- a/internal/machine/commands.go
+++ b/internal/machine/commands.go
@@ -104,9 +104,7 @@
 // askElsewhere asks an owner on another controller for the grant.
 func (h *Holder) askElsewhere(q *queued, req GrantRequest) {
 	q.asking = true
-	h.workers.Add(1)
-	go func() {
-		defer h.workers.Done()
+	h.startLocked(func() {
 		ctx, cancel := context.WithTimeout(h.ctx, time.Second)
 		rep, err := h.owners.GrantThere(ctx, q.Owner, req)
 		cancel()
@@ -127,7 +125,7 @@
 		if rep.OK {
 			h.Push(req.Machine)
 		}
-	}()
+	})
 }
 
 func (h *Holder) removeLocked(s *held, ref Ref) (was *queued) {
--- a/internal/machine/holder.go
+++ b/internal/machine/holder.go
@@ -104,6 +104,7 @@
 	dirty    map[string]bool
 	nextSeq  uint64
 	raising  bool
+	ended    bool            // Wait was called after the context had ended
 	uses     []placement.Use // see occupied
 	arrivals arrivals
 }
@@ -117,8 +118,22 @@
 	}
 }
 
-// Wait waits for the goroutines that the holder started.
-func (h *Holder) Wait() { h.workers.Wait() }
+// Wait waits for the goroutines that the holder started. Once its context has ended, none
+// starts any more.
+func (h *Holder) Wait() {
+	h.mu.Lock()
+	h.ended = h.ctx.Err() != nil
+	h.mu.Unlock()
+	h.workers.Wait()
+}
+
+// startLocked runs a goroutine that Wait waits for. A peer's message may come while the
+// process ends: counted then, the goroutine could be missed by Wait.
+func (h *Holder) startLocked(run func()) {
+	if !h.ended {
+		h.workers.Go(run)
+	}
+}
 
 // bodies are buffers for reports: each would otherwise grow one anew.
 var bodies = sync.Pool{New: func() any { return new(bytes.Buffer) }}
--- a/internal/machine/holder_test.go
+++ b/internal/machine/holder_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,6 +20,7 @@
 
 // stub is everything around a holder.
 type stub struct {
+	termMu sync.Mutex // the holder raises the term in the background
 	term   uint64
 	raises bool
 	order  func(wire.Orders) (*wire.Report, bool, error)
@@ -39,13 +41,20 @@
 func (s *stub) GrantThere(context.Context, string, machine.GrantRequest) (machine.GrantReply, error) {
 	return machine.GrantReply{}, errors.New("no peer")
 }
-func (s *stub) Term() uint64        { return s.term }
 func (s *stub) Spare(uint64) uint64 { return 0 }
 
+func (s *stub) Term() uint64 {
+	s.termMu.Lock()
+	defer s.termMu.Unlock()
+	return s.term
+}
+
 func (s *stub) Raise(_ context.Context, above uint64) (uint64, error) {
 	if !s.raises {
 		return 0, errors.New("state service out")
 	}
+	s.termMu.Lock()
+	defer s.termMu.Unlock()
 	s.term = max(s.term, above+1)
 	return s.term, nil
 }
@@ -72,13 +81,31 @@
 }
 
 func (s *stub) Show(context.Context, string) (*wire.Report, error) {
-	return report(9, s.term), nil
+	return report(9, s.Term()), nil
 }
 
 func holder(ctx context.Context, s *stub) *machine.Holder {
 	return machine.New(ctx, "a", 10*time.Second, s, s, s, s, s, slog.New(slog.NewTextHandler(io.Discard, nil)))
 }
 
+// A peer's direction comes when the holder's process ends: nothing is sent that nobody waits
+// for.
+func TestNothingIsSentOnceTheHolderHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &stub{term: 5, order: func(wire.Orders) (*wire.Report, bool, error) { return nil, false, machine.ErrNotSent }}
+		ctx, end := context.WithCancel(t.Context())
+		h := holder(ctx, s)
+		h.Report(ctx, report(1, 5))
+		end()
+		h.Wait()
+		h.Direct(machine.Direction{From: "a", Assign: []machine.Entry{entry(1)}})
+		synctest.Wait()
+		if len(s.sent) > 0 {
+			t.Errorf("sent %+v", s.sent)
+		}
+	})
+}
+
 func report(seq, token uint64, tasks ...wire.Task) *wire.Report {
 	return &wire.Report{Machine: "n-1", Endpoint: "e", Type: "m", Zone: "z", Session: 1, Seq: seq, Token: token, Tasks: tasks}
 }
@@ -121,7 +148,7 @@
 		} else if body.(wire.ReportAnswer).Token <= 5 {
 			t.Error("the token was not raised")
 		}
-		if _, body := h.Report(ctx, report(4, s.term, exited)); verbs(body, wire.VerbForget) != 1 {
+		if _, body := h.Report(ctx, report(4, s.Term(), exited)); verbs(body, wire.VerbForget) != 1 {
 			t.Error("not cleared although the order is fenced off")
 		}
 		cancel()
@@ -144,11 +171,11 @@
 			t.Error("cleared while the other's order may still start it")
 		}
 		synctest.Wait()
-		if s.term <= 9 {
-			t.Fatalf("the term was not raised: %d", s.term)
+		if term := s.Term(); term <= 9 {
+			t.Fatalf("the term was not raised: %d", term)
 		}
 		h.Report(ctx, report(3, 5, exited)) // hears the new token
-		if _, body := h.Report(ctx, report(4, s.term, exited)); verbs(body, wire.VerbForget) != 1 {
+		if _, body := h.Report(ctx, report(4, s.Term(), exited)); verbs(body, wire.VerbForget) != 1 {
 			t.Error("not cleared although all older orders are fenced off")
 		}
 		cancel()
--- a/internal/machine/push.go
+++ b/internal/machine/push.go
@@ -42,11 +42,9 @@
 	}
 	s.busy, s.again = true, false
 	endpoint, session := s.report.Endpoint, s.report.Session
-	h.workers.Add(1)
-	go func() {
-		defer h.workers.Done()
+	h.startLocked(func() {
 		h.order(name, endpoint, wire.Orders{Token: term, Session: session, Commands: cmds})
-	}()
+	})
 }
 
 func (h *Holder) order(name, endpoint string, o wire.Orders) {
@@ -157,9 +155,7 @@
 		return
 	}
 	h.raising = true
-	h.workers.Add(1)
-	go func() {
-		defer h.workers.Done()
+	h.startLocked(func() {
 		ctx, cancel := context.WithTimeout(h.ctx, 5*time.Second)
 		_, err := h.tokens.Raise(ctx, above)
 		cancel()
@@ -169,5 +165,5 @@
 		if err != nil {
 			h.log.Info("raising the term failed", "err", err)
 		}
-	}()
+	})
 }
