A zone cut off with a controller that the new owner never heard keeps its machines

Cause: silent machines are kept while a controller that fell silent with them may still answer them. A process that began after the cut had never heard that controller, took it for one that has never been there, and returned the whole zone when it came to own the jobs.

Change: of a controller that was never heard it is known that it fell silent before this process began, at the latest. For as long after that as it could answer workers and their leases last (grace and a lease), an owner keeps machines that it hasn't heard itself since its take-over either. So that controllers which ended long ago don't cost that time at each restart, a process is told in its first 10 s, by each other, of those that are silent, with the age of their last row; that age then counts.

Weighed: to count the machines that the last row says are heard there: rows say so only while links are cut, and the row before the cut doesn't. A bound as for mass silence: a zone need not be most of the machines.

Cost: after a restart of all controllers at once, machines that died meanwhile are returned after grace and a lease instead of the silence of a dead machine, if one controller stays away.

--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/wallrack/wallrack/internal/links"
@@ -87,6 +88,9 @@
 		{"a peer went dark long before the take-over", fine, []links.Peer{dark(50 * time.Second)}, 1000, unheard(silences(70, 15*time.Second)), links.Ears{}, false, 0},
 		{"a peer went dark so long before the take-over that it answers nobody", fine, []links.Peer{dark(62 * time.Second)}, 1000, unheard(silences(70, 15*time.Second)), links.Ears{}, false, 70},
 		{"a peer went dark long after the take-over", fine, []links.Peer{dark(3 * time.Second)}, 1000, unheard(silences(70, 40*time.Second)), links.Ears{}, false, 70},
+		{"a peer was never heard, nor were they", fine, []links.Peer{{Name: "b", Age: 59 * time.Second, Heard: time.Hour}}, 1000, unheard(silences(70, 15*time.Second)), links.Ears{}, false, 0},
+		{"a peer was never heard for longer than it may answer", fine, []links.Peer{{Name: "b", Age: 62 * time.Second, Heard: time.Hour}}, 1000, unheard(silences(70, 15*time.Second)), links.Ears{}, false, 70},
+		{"a peer was never heard, and they were", fine, []links.Peer{{Name: "b", Age: 15 * time.Second, Heard: time.Hour}}, 1000, silences(70, 15*time.Second), links.Ears{}, false, 70},
 		{"a peer went dark long before", fine, []links.Peer{dark(50 * time.Second)}, 1000, silences(70, 15*time.Second), links.Ears{}, false, 70},
 		{"a peer has been dark for longer than it may answer", fine, []links.Peer{dark(62 * time.Second)}, 1000, silences(70, 62*time.Second), links.Ears{}, false, 70},
 	} {
@@ -429,3 +433,53 @@
 		t.Errorf("%d peers", n)
 	}
 }
+
+// A controller begins anew while another is cut off, or has ended: a third tells it when that
+// one was last heard, and it weighs the silence of machines by that. Without a third it has
+// to take the other for cut off since its own beginning. It is told so only at its beginning.
+func TestNewProcessIsToldOfDarkPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		third := links.NewTable("c", []string{"a", "b"})
+		row := func(node string, born int64, lacks ...string) links.Row {
+			return links.Row{Node: node, Born: born, Seq: 1, Lacks: lacks}
+		}
+		third.Take(row("a", 1), links.Direct, 0, time.Now())
+		third.Take(row("b", 1), links.Direct, 0, time.Now())
+		for _, dark := range []time.Duration{20 * time.Second, 50 * time.Second} { // since the row of b, after which it may answer for 61 s
+			time.Sleep(dark)
+			if passed := third.Passed("a", time.Now()); len(passed) > 0 {
+				t.Errorf("an old process is told %+v", passed)
+			}
+			life := int64(dark)
+			third.Take(row("a", life, "b"), links.Direct, 0, time.Now())
+			for _, told := range []bool{true, false} {
+				fresh := links.NewTable("a", []string{"b", "c"})
+				if told {
+					passed := third.Passed("a", time.Now())
+					if len(passed) != 1 || passed[0].Row.Node != "b" {
+						t.Fatalf("a new process is told %+v", passed)
+					}
+					fresh.TakePassed(passed, time.Now())
+				}
+				fresh.Take(row("c", 1), links.Direct, 0, time.Now())
+				time.Sleep(time.Second)
+				v := fresh.View(links.Row{Node: "a", Reports: 380, Expected: 400}, time.Now())
+				s, back := judge(), 0
+				for i := range 2 {
+					got := s.Judge(time.Now().Add(time.Duration(i)*time.Second), &v, links.Ears{}, 1000, unheard(silences(70, 15*time.Second)))
+					for name := range got.Ask {
+						s.Asked(name, false, time.Now().Add(time.Duration(i)*time.Second))
+					}
+					back = len(got.Back)
+				}
+				if late := told && dark > 44*time.Second; (back > 0) != late {
+					t.Errorf("told %v, dark for %v: %d machines are returned", told, dark, back)
+				}
+			}
+			time.Sleep(10 * time.Second)
+			if passed := third.Passed("a", time.Now()); len(passed) > 0 {
+				t.Errorf("told for ever: %+v", passed)
+			}
+		}
+	})
+}
--- a/internal/links/silence.go
+++ b/internal/links/silence.go
@@ -199,15 +199,18 @@
 	for i := range v.Peers {
 		p := &v.Peers[i]
 		switch {
-		case !p.Known, p.tells(v):
-			// It has never been there, or would have told, or said so when asked.
+		case p.tells(v):
+			// It would have told, or said so when asked.
+		case !p.Known && !m.Unheard:
+			// It has never been there, and the machine was heard without it.
 		case p.Fresh():
 			if p.Row.Heard.Has(m.Name) {
 				return p.Name + " hears it, and can't say so directly"
 			}
 		case p.Age < s.Grace+s.Lease && s.together(m, p.Age):
 			// Both may be cut off together: then the controller goes on
-			// answering the machine for so long.
+			// answering the machine for so long. Of one that was never heard it is
+			// known that it fell silent before this process began.
 			return "it fell silent together with " + p.Name
 		}
 	}
--- a/internal/links/table.go
+++ b/internal/links/table.go
@@ -24,7 +24,8 @@
 // known is the newest row of a controller.
 type known struct {
 	row    Row
-	at     time.Time // when it was made, as near as can be told
+	at     time.Time // when it was made, as near as can be told; without a row, when this process began
+	began  time.Time // when the first row of the peer's present process came
 	path   Path
 	direct time.Time // when a message last came from it, or an answer
 	mute   time.Time // until when what this controller hears is not brought there
@@ -43,8 +44,9 @@
 // NewTable returns a table of peers that nobody has heard yet.
 func NewTable(self string, peers []string) *Table {
 	t := &Table{self: self, peers: peers, rows: map[string]*known{}}
+	now := time.Now()
 	for _, p := range peers {
-		t.rows[p] = &known{}
+		t.rows[p] = &known{at: now}
 	}
 	return t
 }
@@ -63,6 +65,9 @@
 		k.direct = now
 	}
 	if at := now.Add(-age); r.newer(&k.row) {
+		if r.Born != k.row.Born {
+			k.began = now
+		}
 		k.row, k.at, k.path = r, at, path
 	} else if r.Born == k.row.Born && r.Seq == k.row.Seq && path < k.path {
 		k.path = path
@@ -100,7 +105,7 @@
 	Row   Row
 	Known bool          // a row of it ever came
 	Path  Path          // by which the row came
-	Age   time.Duration // of the row
+	Age   time.Duration // of the row; without one, of this process
 	Heard time.Duration // since it was last heard directly
 	Out   bool          // calls to it work, as far as is known
 }
@@ -190,6 +195,11 @@
 	AgeS float64 `json:"age"` // s, when it was passed on
 }
 
+// introduced is how long after a peer's process began it is told of controllers that have
+// fallen silent: it may never have heard them, and their age says whether they may still
+// answer machines that it doesn't hear either.
+const introduced = 10 * time.Second
+
 // Passed returns the rows to be passed on to a peer: none while everybody
 // exchanges rows with everybody, else those that came directly and that the peer
 // or their author says it lacks. A row is passed on once.
@@ -199,7 +209,10 @@
 	var out []Relayed
 	for _, name := range t.peers {
 		k := t.rows[name]
-		if name == to || k.row.Node == "" || k.path != Direct || now.Sub(k.at) >= Lost {
+		if name == to || k.row.Node == "" || k.path != Direct {
+			continue
+		}
+		if now.Sub(k.at) >= Lost && now.Sub(t.rows[to].began) >= introduced {
 			continue
 		}
 		if slices.Contains(k.row.Lacks, to) || slices.Contains(t.rows[to].row.Lacks, name) {
--- a/internal/testkit/zones_test.go
+++ b/internal/testkit/zones_test.go
@@ -134,6 +134,20 @@
 		}},
 		{"the zone is cut off with another controller", func(z *zonedCluster) { z.cutZone(z.others(z.leader())[0]) }},
 		{"the zone is cut off with the leader", func(z *zonedCluster) { z.cutZone(z.leader()) }},
+		{"the zone is cut off with a controller that the next leader never heard", func(z *zonedCluster) {
+			z.cutZoneUnheard(func(leader, other string) {
+				z.restart(other, 300*time.Millisecond)
+				z.live(4)
+				z.restart(leader, 300*time.Millisecond)
+			})
+		}},
+		{"the zone is cut off with a controller that no other has heard", func(z *zonedCluster) {
+			z.cutZoneUnheard(func(leader, other string) {
+				z.crash(leader)
+				z.restart(other, 300*time.Millisecond)
+				z.start(leader)
+			})
+		}},
 		{"all controllers are away", func(z *zonedCluster) {
 			z.stopAll()
 			sessions := z.sessions()
@@ -174,6 +188,50 @@
 // cutZone cuts zone y, with its workers and a controller, off from the rest and from the
 // state service for longer than the workers' leases could last.
 func (z *zonedCluster) cutZone(inside string) {
+	z.divide(inside)
+	before := z.starts["z"]
+	z.live(int((testGrace + 2*workerLease).Seconds()))
+	if z.starts["z"] == before {
+		z.fail("nothing started in the other zone")
+	}
+	z.healed()
+}
+
+// cutZoneUnheard cuts zone y off with a controller that doesn't lead, and has the others end
+// while it is: whoever then leads has never heard that controller. None of the zone's
+// machines is returned while that one may answer them.
+func (z *zonedCluster) cutZoneUnheard(end func(leader, other string)) {
+	leader := z.leader()
+	inside, other := z.others(leader)[0], z.others(leader)[1]
+	z.divide(inside)
+	cut, returned := time.Now(), z.back
+	z.live(4)
+	end(leader, other)
+	for z.leader() == "" && time.Since(cut) < testGrace {
+		z.live(1)
+	}
+	took := time.Since(cut)
+	for time.Since(cut) < testGrace+workerLease-2*time.Second {
+		z.live(1)
+	}
+	next := z.leader()
+	if next == "" || next == inside || took > testGrace-workerLease/2 {
+		z.fail("%q leads, after %v", next, took)
+	}
+	for _, p := range z.nodes[next].linksSeen().Peers {
+		if p.Name == inside && p.Heard < time.Hour {
+			z.fail("%s has heard %s", next, inside)
+		}
+	}
+	if z.back > returned {
+		z.fail("%d machines of the zone are returned", z.back-returned)
+	}
+	z.live(int(workerLease.Seconds()))
+	z.healed()
+}
+
+// divide cuts zone y, with a controller, off from the rest and from the state service.
+func (z *zonedCluster) divide(inside string) {
 	z.cutAll(inside, append(z.others(inside), stateService)...)
 	for _, k := range z.workers {
 		if k.Zone == "y" {
@@ -182,12 +240,6 @@
 			z.cutAll(k.Name, inside)
 		}
 	}
-	before := z.starts["z"]
-	z.live(int((testGrace + 2*workerLease).Seconds()))
-	if z.starts["z"] == before {
-		z.fail("nothing started in the other zone")
-	}
-	z.healed()
 }
 
 func playZones(t *testing.T, seed uint64, play func(z *zonedCluster)) {
