Tests of roll-outs, recovery and hand-overs share nothing without a lock

Cause: the race detector over all packages but the cluster's tests: fakes were changed by the test while the code under test read them, and two generators were asked from several goroutines.

Conclusion: what the tests assert is as before.

--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -387,21 +388,27 @@
 		seed := rapid.Uint64().Draw(rt, "seed")
 		wrong := ""
 		synctest.Test(t, func(*testing.T) {
+			var drawing sync.Mutex // all members ask
 			rnd := rand.New(rand.NewPCG(seed, 1))
+			draw := func(n int) int {
+				drawing.Lock()
+				defer drawing.Unlock()
+				return rnd.IntN(n)
+			}
 			store := testkit.NewStore()
 			var members [3]*membership.Member
 			var stops [3]func()
 			var dones [3]<-chan struct{}
 			var down [3]*atomic.Bool
 			var views [3]*testkit.View
-			calm := false
+			var calm atomic.Bool
 			start := func(i int) {
 				down[i] = &atomic.Bool{}
 				views[i] = &testkit.View{Store: store, Down: down[i].Load,
-					Lose: func() bool { return !calm && rnd.IntN(6) == 0 }, Late: func() bool { return !calm && rnd.IntN(6) == 0 }}
-				if !calm {
+					Lose: func() bool { return !calm.Load() && draw(6) == 0 }, Late: func() bool { return !calm.Load() && draw(6) == 0 }}
+				if !calm.Load() {
 					// Else both controllers would hear of a change at the same instant.
-					lag := time.Duration(rnd.IntN(120)) * time.Millisecond
+					lag := time.Duration(draw(120)) * time.Millisecond
 					views[i].Lag = func() time.Duration { return lag }
 				}
 				ctx, cancel := context.WithCancel(context.Background())
@@ -432,7 +439,8 @@
 			for _, st := range steps {
 				switch st.Act {
 				case 0, 1, 2:
-					go func() { _ = members[st.Who].HandOver(context.Background(), names[st.To]) }()
+					giver := members[st.Who]
+					go func() { _ = giver.HandOver(context.Background(), names[st.To]) }() // may fail
 				case 3:
 					down[st.Who].Store(!down[st.Who].Load())
 				case 4:
@@ -444,7 +452,7 @@
 				}
 				watch(time.Duration(st.Wait) * time.Millisecond)
 			}
-			calm = true
+			calm.Store(true)
 			for i := range names {
 				down[i].Store(false)
 				views[i].Deliver()
--- a/internal/recovery/recovery_test.go
+++ b/internal/recovery/recovery_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,9 +13,17 @@
 	"github.com/wallrack/wallrack/internal/recovery"
 )
 
-type books struct{ takeovers, machines, silent int }
+// books are an owner's counts, which the timeline reads while the test changes them.
+type books struct {
+	mu                          sync.Mutex
+	takeovers, machines, silent int
+}
 
-func (b *books) Recovered() (int, int, int) { return b.takeovers, b.machines, b.silent }
+func (b *books) Recovered() (int, int, int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.takeovers, b.machines, b.silent
+}
 
 // A recovery is timed from the start, closed when the last machine was heard,
 // and a later takeover is timed anew; in between no timer runs.
@@ -29,6 +38,8 @@
 		step := func(d time.Duration, f func()) {
 			time.Sleep(d)
 			synctest.Wait()
+			b.mu.Lock()
+			defer b.mu.Unlock()
 			f()
 		}
 		step(time.Second, func() { tl.Mark(recovery.Joined); tl.Mark(recovery.Up) })
--- a/internal/rollout/manager_test.go
+++ b/internal/rollout/manager_test.go
@@ -24,8 +24,9 @@
 
 // core is a scheduler that runs whatever is accepted after some seconds.
 type core struct {
-	t     testing.TB
-	store *testkit.Store
+	outUntil time.Time // of the state service
+	t        testing.TB
+	store    *testkit.Store
 
 	mu      sync.Mutex
 	leader  string
@@ -107,7 +108,32 @@
 	return out
 }
 
-func (c *core) Unfinished(class string) bool { return c.classes[class] }
+func (c *core) Unfinished(class string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.classes[class]
+}
+
+// stateIsOut reports whether the managers can't reach the state service.
+func (c *core) stateIsOut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.outUntil)
+}
+
+// setUnfinished says whether jobs of a class are unfinished from now on.
+func (c *core) setUnfinished(class string, unfinished bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.classes[class] = unfinished
+}
+
+// setHealth has replicas answer checks otherwise from now on.
+func (c *core) setHealth(health func(version string, replica int, since time.Duration) rollout.Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.health = health
+}
 
 // Put implements rollout.Descriptions.
 func (c *core) Put(_ context.Context, job string, d *description.Description) error {
@@ -179,7 +205,6 @@
 type site struct {
 	*core
 	managers map[string]*rollout.Manager
-	views    map[string]*testkit.View
 	stops    map[string]context.CancelFunc
 	dones    map[string]chan struct{}
 	settings *rollout.Settings
@@ -194,7 +219,7 @@
 		t.Fatal(err)
 	}
 	c.version = rev
-	s := &site{core: c, managers: map[string]*rollout.Manager{}, views: map[string]*testkit.View{}, stops: map[string]context.CancelFunc{}, dones: map[string]chan struct{}{}, settings: &rollout.Settings{Descriptions: "x"}}
+	s := &site{core: c, managers: map[string]*rollout.Manager{}, stops: map[string]context.CancelFunc{}, dones: map[string]chan struct{}{}, settings: &rollout.Settings{Descriptions: "x"}}
 	s.start("a")
 	s.start("b")
 	return s
@@ -202,11 +227,11 @@
 
 func (s *site) start(name string) {
 	ctx, cancel := context.WithCancel(context.Background())
-	view := &testkit.View{Store: s.store}
+	view := &testkit.View{Store: s.store, Down: s.stateIsOut}
 	m := rollout.NewManager(s.settings, view, controllerView{s.core, name, view}, s.core, s.core, 16<<10, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	done := make(chan struct{})
 	go func() { defer close(done); _ = m.Run(ctx) }()
-	s.managers[name], s.views[name], s.stops[name], s.dones[name] = m, view, cancel, done
+	s.managers[name], s.stops[name], s.dones[name] = m, cancel, done
 }
 
 func (s *site) stop(name string) {
@@ -291,12 +316,12 @@
 func TestUnhealthyVersionIsRolledBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := first(t, 8)
-		s.health = func(v string, replica int, since time.Duration) rollout.Answer {
+		s.setHealth(func(v string, replica int, since time.Duration) rollout.Answer {
 			if v == "v2" && replica == 1 && since > 5*time.Second {
 				return rollout.Unhealthy
 			}
 			return rollout.Healthy
-		}
+		})
 		s.begin("v2", func(x *rollout.Spec) { x.Steps = []string{"1", "50%", "100%"} })
 		held := 0.0 // room for what was retired is kept until the roll-out is over
 		s.until("unhealthy", 5*time.Minute, func(r *rollout.Run) bool {
@@ -331,7 +356,7 @@
 		s := first(t, 4)
 		var hang atomic.Bool
 		hang.Store(true)
-		s.health = func(v string, replica int, since time.Duration) rollout.Answer {
+		s.setHealth(func(v string, replica int, since time.Duration) rollout.Answer {
 			switch {
 			case v == "v2" && replica == 0 && hang.Load():
 				return rollout.Hung
@@ -339,7 +364,7 @@
 				return rollout.Unhealthy
 			}
 			return rollout.Healthy
-		}
+		})
 		s.begin("v2", nil)
 		s.until("paused", time.Minute, func(r *rollout.Run) bool { return r.Phase == rollout.Paused })
 		time.Sleep(10 * time.Minute)
@@ -361,22 +386,22 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := first(t, 4)
 		s.settings.Classes = []string{"tip-split"}
-		s.classes["tip-split"] = true
+		s.setUnfinished("tip-split", true)
 		s.begin("v2", nil)
 		s.until("waiting", time.Minute, func(r *rollout.Run) bool { return r.Phase == rollout.WaitingSlot })
 		time.Sleep(5 * time.Minute)
 		if s.most["v2"] != 0 {
 			t.Error("began in a slot")
 		}
-		s.classes["tip-split"] = false
+		s.setUnfinished("tip-split", false)
 		s.until("placing", time.Minute, func(r *rollout.Run) bool { return r.Phase == rollout.Placing })
-		s.classes["tip-split"] = true
+		s.setUnfinished("tip-split", true)
 		s.until("waiting after its first step", 2*time.Minute, func(r *rollout.Run) bool { return r.Phase == rollout.WaitingSlot && r.Step == 1 })
 		time.Sleep(5 * time.Minute)
 		if s.most["v2"] != 1 {
 			t.Errorf("%d replicas of the new version after a step of 1", s.most["v2"])
 		}
-		s.classes["tip-split"] = false
+		s.setUnfinished("tip-split", false)
 		s.until("done", 10*time.Minute, final(2))
 		s.close()
 	})
@@ -390,12 +415,12 @@
 		for _, trouble := range []string{"killed", "deposed", "state out", "machines lost"} {
 			synctest.Test(t, func(t *testing.T) {
 				s := first(t, 4)
-				s.health = func(v string, _ int, since time.Duration) rollout.Answer {
+				s.setHealth(func(v string, _ int, since time.Duration) rollout.Answer {
 					if bad && v == "v2" && since > 20*time.Second {
 						return rollout.Unhealthy
 					}
 					return rollout.Healthy
-				}
+				})
 				s.begin("v2", func(x *rollout.Spec) { x.Steps = []string{"2", "100%"} })
 				troubled := map[string]bool{}
 				s.until(fmt.Sprintf("over (%s, bad %v)", trouble, bad), 20*time.Minute, func(r *rollout.Run) bool {
@@ -425,10 +450,9 @@
 						time.Sleep(time.Second)
 						s.lead("a")
 					case "state out":
-						out := time.Now().Add(30 * time.Second)
-						for _, v := range s.views {
-							v.Down = func() bool { return time.Now().Before(out) }
-						}
+						s.mu.Lock()
+						s.outUntil = time.Now().Add(30 * time.Second)
+						s.mu.Unlock()
 					case "machines lost":
 						s.mu.Lock()
 						for _, j := range s.jobs {
