--- a/internal/rollout/manager_test.go
+++ b/internal/rollout/manager_test.go
@@ -24,9 +24,8 @@
 
 // core is a scheduler that runs whatever is accepted after some seconds.
 type core struct {
-	outUntil time.Time // of the state service
-	t        testing.TB
-	store    *testkit.Store
+	t     testing.TB
+	store *testkit.Store
 
 	mu      sync.Mutex
 	leader  string
@@ -39,6 +38,8 @@
 	whole   bool
 	want    int
 	classes map[string]bool
+
+	outUntil time.Time // of the state service
 }
 
 type live struct {
