The watch of living jobs pauses while changes come fast

Cause: each answer of a watch was followed by the next request at once, at every controller, so that requests grew with jobs times controllers: worked out for the planned size 25 changes a second x 6 controllers = 150 of 360 requests a second.

Change: statestore.Paced gives watches a pace, a token bucket of answers. After a quiet time four answers are followed by no pause; then one more is earned in 50 ms at an owner, in 200 ms at a controller without jobs. Changes gather meanwhile, and nothing is lost: the next request asks from the same revision. Membership's watch (c/: shards, leases) has no pace and is as quick as before.

Who waits: a job that another controller accepted starts up to 50 ms later, while more than 20 answers a second come. Cancels don't wait: only the owner records them, or anybody while there is none, and the owner takes its own from its write; only one whose answer was lost comes by the watch. Controllers without jobs use the watch for cancels alone, of which the mesh tells them at once. A takeover reads the records itself, and what a late watch brings of ended jobs is known by its revision (Owner.take). 200 ms of changes are far from the kept history of 10,000. The testkit's store keeps to the pace too.

--- a/internal/owner/accept.go
+++ b/internal/owner/accept.go
@@ -12,6 +12,28 @@
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
+// Changes of living jobs come with each job, two at least, and each controller watches
+// them all: without a pace, requests to the state service grow with jobs times controllers.
+// Cancels don't wait for this watch, unless the answer to the write of one was lost: an
+// owner takes them from its own writes, others hear of them by the mesh.
+const (
+	watchBurst = 4 // answers after a quiet time that are followed by no pause
+	// ownerPause is short, since a job that another controller has accepted starts only
+	// once its owner's watch has told of it.
+	ownerPause = 50 * time.Millisecond
+	// otherPause is for a controller without jobs, to which the watch tells cancels only.
+	// What comes late after it has taken jobs over, Owner.take knows from what it has read.
+	otherPause = 200 * time.Millisecond
+)
+
+// watchPause is the longest pause between answers of the watch.
+func (o *Owner) watchPause() time.Duration {
+	if len(o.member.Claimed()) > 0 {
+		return ownerPause
+	}
+	return otherPause
+}
+
 // watch follows accepted jobs, which any controller may record.
 func (o *Owner) watch(ctx context.Context) {
 	take := func(key string, value json.RawMessage, version uint64) {
@@ -22,7 +44,8 @@
 		}
 		o.take(&r, version)
 	}
-	o.store.Watch(statestore.In(ctx, statestore.Urgent), liveKey, 20*time.Second, func(items []wire.Item) {
+	ctx = statestore.Paced(statestore.In(ctx, statestore.Urgent), statestore.Pace{Burst: watchBurst, Pause: o.watchPause})
+	o.store.Watch(ctx, liveKey, 20*time.Second, func(items []wire.Item) {
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		for _, it := range items {
--- a/internal/owner/bench_test.go
+++ b/internal/owner/bench_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,6 +32,8 @@
 	items map[string][]wire.Item // by prefix
 	list  func(prefix string)    // called at every listing, if set
 	sent  func(ops []wire.Op)    // called at every transaction, if set
+	watch func(context.Context)  // called with each watch, if set
+	none  atomic.Bool            // it has no jobs, as far as Claimed says
 
 	unlaunched machine.Unlaunched // how every direction with halts is answered
 }
@@ -42,7 +45,12 @@
 func (f *fleet) Held() time.Duration                  { return f.held }
 func (f *fleet) Own() map[int]uint64                  { return map[int]uint64{0: 1} }
 func (f *fleet) Owns(shard int) (uint64, bool)        { return 1, shard == 0 }
-func (f *fleet) Claimed() map[int]uint64              { return f.Own() }
+func (f *fleet) Claimed() map[int]uint64 {
+	if f.none.Load() {
+		return nil
+	}
+	return f.Own()
+}
 func (f *fleet) Fresh(context.Context) (uint64, error) {
 	return 7, nil
 }
@@ -72,6 +80,9 @@
 	return f.Txn(ctx, g, ops...)
 }
 func (f *fleet) Watch(ctx context.Context, _ string, _ time.Duration, _ func([]wire.Item), _ func([]wire.Event)) {
+	if f.watch != nil {
+		f.watch(ctx)
+	}
 	<-ctx.Done()
 }
 
--- a/internal/statestore/capacity_test.go
+++ b/internal/statestore/capacity_test.go
@@ -6,9 +6,11 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/wallrack/wallrack/internal/capacity"
@@ -65,12 +67,28 @@
 	return float64(opened.Load())
 }
 
+// pacedFor is how long, in simulated time, a paced watch is measured.
+const pacedFor = 10 * time.Second
+
+// followedPaced counts the requests of a paced watch while so many changes come a second.
+func followedPaced(_ testing.TB, changes int) (requests float64) {
+	gap := time.Second / time.Duration(changes)
+	gaps := slices.Repeat([]time.Duration{gap}, int(pacedFor/gap))
+	pace := statestore.Pace{Burst: 4, Pause: func() time.Duration { return 200 * time.Millisecond }}
+	synctest.Test(&testing.T{}, func(*testing.T) {
+		store, _ := watchChanges(pace, gaps)
+		requests = float64(len(store.opened))
+	})
+	return requests
+}
+
 var capacitySeries = []capacity.Series{
 	{Name: "statestore.bytesOfChanges", Sizes: []int{1, 4, 12, 48}, Measure: func(tb testing.TB, changes int) float64 {
 		bytes, _ := transaction(tb, changes, func(call func()) float64 { call(); return 0 })
 		return bytes
 	}},
 	{Name: "statestore.requestsOfWatch", Sizes: []int{5, 10, 20, 40}, Measure: followed},
+	{Name: "statestore.requestsOfPacedWatch", Sizes: []int{10, 25, 50, 100}, Measure: followedPaced},
 	{Name: "statestore.changes", Scatters: true, Sizes: []int{1, 4, 12, 48}, Measure: func(tb testing.TB, changes int) float64 {
 		_, time := transaction(tb, changes, func(call func()) float64 { return capacity.ProcessorTime(tb, call) })
 		return time
--- /dev/null
+++ b/internal/statestore/pace_test.go
@@ -0,0 +1,172 @@
+package statestore_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/wallrack/wallrack/internal/statestore"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// changingStore is a state service in which revision n is the n-th change.
+type changingStore struct {
+	mu      sync.Mutex
+	changed []time.Time // when each change was made
+	news    chan struct{}
+	opened  []time.Time // when each watch was opened
+}
+
+func newChangingStore() *changingStore { return &changingStore{news: make(chan struct{})} }
+
+func (s *changingStore) change() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.changed = append(s.changed, time.Now())
+	close(s.news)
+	s.news = make(chan struct{})
+}
+
+// after returns the answer with the changes after a revision, if there are any.
+func (s *changingStore) after(revision int) (answer string, news chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var log []string
+	for n := revision + 1; n <= len(s.changed); n++ {
+		log = append(log, fmt.Sprintf(`{"set":"live/j-1","data":{},"stamp":%d}`, n))
+	}
+	if len(log) == 0 {
+		return "", s.news
+	}
+	return fmt.Sprintf(`{"ledger":%d,"log":[%s]}`, len(s.changed), strings.Join(log, ",")), nil
+}
+
+// RoundTrip implements http.RoundTripper.
+func (s *changingStore) RoundTrip(r *http.Request) (*http.Response, error) {
+	answer := `{"rows":[],"ledger":0}`
+	if r.URL.Path == "/follow" {
+		revision, err := strconv.Atoi(r.URL.Query().Get("after"))
+		if err != nil {
+			return nil, err
+		}
+		s.mu.Lock()
+		s.opened = append(s.opened, time.Now())
+		s.mu.Unlock()
+		var news chan struct{}
+		for answer, news = s.after(revision); answer == ""; answer, news = s.after(revision) {
+			select {
+			case <-news:
+			case <-r.Context().Done():
+				return nil, r.Context().Err()
+			}
+		}
+	}
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(answer)), Request: r}, nil
+}
+
+// told is when a watch told of each change, in the order of their revisions.
+type told struct {
+	at  []time.Time
+	err error
+}
+
+// watchChanges watches a store, with a pace, while changes come with the gaps before them.
+func watchChanges(pace statestore.Pace, gaps []time.Duration) (*changingStore, *told) {
+	store := newChangingStore()
+	client := statestore.New("state", 1e6, 1e6, 48)
+	client.SetTransport(store)
+	ctx, cancel := context.WithCancel(context.Background())
+	done, seen := make(chan struct{}), &told{}
+	go func() {
+		defer close(done)
+		client.Watch(statestore.Paced(ctx, pace), "live/", time.Hour, func([]wire.Item) {}, func(events []wire.Event) {
+			for _, e := range events {
+				seen.at = append(seen.at, time.Now())
+				if int(e.Version) != len(seen.at) {
+					seen.err = fmt.Errorf("change %d told as the %d.", e.Version, len(seen.at))
+				}
+			}
+		})
+	}()
+	for _, gap := range gaps {
+		time.Sleep(gap)
+		synctest.Wait()
+		store.change()
+	}
+	time.Sleep(pace.Pause())
+	synctest.Wait()
+	cancel()
+	<-done
+	return store, seen
+}
+
+// However changes come, a paced watch tells of each once and in order, late by a pause at
+// most and by nothing after a quiet time (in which the whole burst is earned again), and is opened no oftener than its pace allows.
+func TestPacedWatch(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		pause := time.Duration(rapid.IntRange(1, 100).Draw(rt, "pause")) * time.Millisecond
+		pace := statestore.Pace{Burst: rapid.IntRange(1, 4).Draw(rt, "burst"), Pause: func() time.Duration { return pause }}
+		var gaps []time.Duration
+		for _, ms := range rapid.SliceOfN(rapid.IntRange(0, 600), 1, 60).Draw(rt, "gaps") {
+			gaps = append(gaps, time.Duration(ms)*time.Millisecond)
+		}
+		var store *changingStore
+		var seen *told
+		synctest.Test(t, func(*testing.T) { store, seen = watchChanges(pace, gaps) })
+		if seen.err != nil || len(seen.at) != len(gaps) {
+			rt.Fatalf("%d of %d changes told, %v", len(seen.at), len(gaps), seen.err)
+		}
+		for i, at := range seen.at {
+			late := at.Sub(store.changed[i])
+			if late > pause {
+				rt.Fatalf("change %d told %v late, the pause is %v", i+1, late, pause)
+			}
+			if i <= pace.Burst && late > 0 {
+				rt.Fatalf("change %d told %v late, the burst is %d", i+1, late, pace.Burst)
+			}
+			if quiet := time.Duration(pace.Burst+1) * pause; late > 0 && gaps[i] > quiet {
+				rt.Fatalf("change %d told %v late after %v without any", i+1, late, gaps[i])
+			}
+		}
+		for i := pace.Burst + 1; i < len(store.opened); i++ {
+			if took := store.opened[i].Sub(store.opened[i-pace.Burst-1]); took < pause {
+				rt.Fatalf("the watch was opened %d times within %v, the pause is %v", pace.Burst+2, took, pause)
+			}
+		}
+	})
+}
+
+// A controller that ends does not wait for the end of a pause.
+func TestPacedWatchEndsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, client := newChangingStore(), statestore.New("state", 1e6, 1e6, 48)
+		client.SetTransport(store)
+		ctx, cancel := context.WithCancel(context.Background())
+		pace := statestore.Pace{Burst: 1, Pause: func() time.Duration { return time.Minute }}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			client.Watch(statestore.Paced(ctx, pace), "live/", time.Hour, func([]wire.Item) {}, func([]wire.Event) {})
+		}()
+		for range 2 {
+			synctest.Wait()
+			store.change()
+		}
+		synctest.Wait()
+		start := time.Now()
+		cancel()
+		<-done
+		if took := time.Since(start); took > 0 {
+			t.Errorf("ended after %v", took)
+		}
+	})
+}
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -372,8 +372,10 @@
 }
 
 // Watch lists the prefix, calls reset with the result, and then change with
-// every later change, until ctx ends. It lists again whenever it fell behind.
+// every later change, until ctx ends. It lists again whenever it fell behind. See Paced
+// for how often it asks.
 func (c *Client) Watch(ctx context.Context, prefix string, hold time.Duration, reset func([]wire.Item), change func([]wire.Event)) {
+	pacer := NewPacer(ctx)
 	for n := 0; ctx.Err() == nil; n++ {
 		listCtx, cancel := context.WithTimeout(ctx, 5*time.Second)
 		items, rev, err := c.List(listCtx, prefix)
@@ -401,6 +403,7 @@
 			if len(ev.Events) > 0 {
 				change(ev.Events)
 			}
+			pacer.Wait(ctx)
 		}
 	}
 }
--- a/internal/testkit/store.go
+++ b/internal/testkit/store.go
@@ -435,6 +435,7 @@
 		case <-time.After(50 * time.Millisecond):
 		}
 	}
+	pacer := statestore.NewPacer(ctx)
 	items, rev, err := v.List(ctx, prefix)
 	for err != nil && ctx.Err() == nil {
 		pause()
@@ -468,6 +469,7 @@
 				v.seen(wire.Item{Key: e.Put + e.Delete, Version: e.Version})
 			}
 			change(got)
+			pacer.Wait(ctx)
 		}
 		select {
 		case <-ctx.Done():
