Two controllers may take over in one outage, one after the other; ten ends in an outage are tested

Cause: a controller that takes over in an outage of the state service answers workers with a term that it had reserved. Each had reserved one. If the controller with the highest took over first and ended in its turn, the last one had no term above it, and all leases ended, though that one knew of all cancels.

Change: a controller whose reserved term is below the first one of any other draws a second, so that whoever takes over first, any other has a term above that one's. The counter's record says which the highest first one is; seconds don't count, so that no draw causes others for ever. Cost: one transaction more for each controller but one after a start or a take-over.

Tests: TestTenEndsInOneOutage has controllers end ten times in one outage, each back within seconds (the leader again and again, all by turns, who answers the most workers; after the leases of controllers and before): no rule broken, no machine returned, no long task started twice, cancelled tasks gone although their machines were cut off, no request to the state service in the outage; no lease ends as long as a controller is there that began before the outage and knows of all cancels; seconds after the outage all is as before. TestAnyTwoTakeOverInAnOutage: four controllers, all orders.

Bounds, by design: a process that starts in an outage has no term and has read no cancels, so that when all have ended since its start nobody answers workers, and every lease ends, once; and if the leader ends before its own lease, the others stop answering when they can't know any more what it confirmed.

--- a/internal/membership/join.go
+++ b/internal/membership/join.go
@@ -192,7 +192,7 @@
 
 func (m *Member) lost() {
 	m.mu.Lock()
-	m.lease, m.spare = 0, 0
+	m.lease, m.spares = 0, nil
 	m.own, m.limbo = map[int]uint64{}, map[int]uint64{}
 	m.mu.Unlock()
 	m.notify()
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -54,8 +54,9 @@
 	lease    uint64
 	goodSend time.Time
 	term     uint64
-	spare    uint64 // a term drawn ahead of time; see reserve
-	used     uint64 // the highest term in use, as far as is known here
+	spares   []uint64 // terms drawn ahead of time, the lowest first; see reserve
+	first    uint64   // the highest term that was reserved by a controller without another, as far as is known here
+	used     uint64   // the highest term in use, as far as is known here
 	nodes    map[string]nodeRecord
 	owners   map[int]shardRecord
 	own      map[int]uint64 // shard -> version of its key
--- a/internal/membership/reserve.go
+++ b/internal/membership/reserve.go
@@ -11,6 +11,7 @@
 	reserveEvery   = 5 * time.Second // between terms that a controller reserves
 	reserveTimeout = 2 * time.Second
 	reserveAbove   = 4096 // terms that may be raised before reserved ones are overtaken
+	mostReserved   = 2    // terms that a controller reserves
 )
 
 // termRecord is the counter of terms. Reserved ones are taken from above those that are
@@ -19,6 +20,7 @@
 	N     uint64 `json:"n"`               // the highest that was given to anybody, reserved or not
 	Low   uint64 `json:"low,omitempty"`   // the highest below those reserved; 0: none is reserved
 	Floor uint64 `json:"floor,omitempty"` // the lowest reserved; 0: none is
+	First uint64 `json:"first,omitempty"` // the highest reserved by a controller that had no other
 }
 
 // inUse is the highest term that was not merely reserved.
@@ -32,7 +34,7 @@
 // above gives out a term that is larger than some.
 func (r termRecord) above(above uint64) termRecord {
 	if next := max(r.Low, above) + 1; next < r.Floor {
-		return termRecord{N: r.N, Low: next, Floor: r.Floor}
+		return termRecord{N: r.N, Low: next, Floor: r.Floor, First: r.First}
 	}
 	return r.highest(above)
 }
@@ -43,20 +45,38 @@
 // reserved gives out a term, N, that is larger than all, and leaves room below it.
 func (r termRecord) reserved() termRecord {
 	if r.Floor > 0 {
-		return termRecord{N: r.N + 1, Low: r.Low, Floor: r.Floor}
+		return termRecord{N: r.N + 1, Low: r.Low, Floor: r.Floor, First: r.First}
 	}
 	term := r.N + reserveAbove
 	return termRecord{N: term, Low: r.N, Floor: term}
 }
 
-// reserve draws a term ahead of time, unless the one in hand is higher than every term
-// known to be in use. While the state service is out nobody can draw one: when a holder
+// reservedFirst is reserved for a controller that has no other.
+func (r termRecord) reservedFirst() termRecord {
+	next := r.reserved()
+	next.First = next.N
+	return next
+}
+
+// reserve draws a term ahead of time, unless there is one in hand that is higher than every
+// term known to be in use. While the state service is out nobody can draw one: when a holder
 // ended then, whose token its workers had seen, no other could answer them, and their leases
 // ended. It comes from the one counter, so that it is nobody else's, and lower than any that
 // an owner draws later to settle what ran before.
+//
+// A second one is drawn when another controller's first is above all in hand: when that one
+// took over in an outage and ended in its turn, nobody could answer its workers. So two may
+// take over, one after the other, whoever they are.
 func (m *Member) reserve(ctx context.Context) {
 	m.mu.Lock()
-	due := m.spare <= m.used && time.Since(m.reservedAt) >= reserveEvery
+	for len(m.spares) > 0 && m.spares[0] <= m.used {
+		m.spares = m.spares[1:]
+	}
+	next := termRecord.reserved
+	if len(m.spares) == 0 {
+		next = termRecord.reservedFirst
+	}
+	due := (len(m.spares) == 0 || m.spares[len(m.spares)-1] < m.first) && time.Since(m.reservedAt) >= reserveEvery
 	lease := m.lease
 	if due {
 		m.reservedAt = time.Now()
@@ -70,20 +90,23 @@
 		defer m.reserving.Done()
 		ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 		defer cancel()
-		rec, err := m.draw(ctx, termRecord.reserved, nil)
+		rec, err := m.draw(ctx, next, nil)
 		if err != nil {
 			m.log.Debug("reserving a term failed", "err", err)
 			return
 		}
 		m.mu.Lock()
 		if m.lease == lease {
-			m.spare = rec.N
+			if len(m.spares) == mostReserved {
+				m.spares = m.spares[:mostReserved-1] // the highest is not high enough any more
+			}
+			m.spares = append(m.spares, rec.N)
 		}
 		m.mu.Unlock()
 	}()
 }
 
-// Spare makes the reserved term this controller's term, if it is larger than above, and
+// Spare makes the lowest reserved term that is larger than above this controller's term, and
 // returns it; 0: there is none. It is for answering workers when Raise fails, and there is
 // none while the lease holds: a term used for one lost answer would overtake all that others
 // reserved.
@@ -93,19 +116,24 @@
 	if m.term > above {
 		return m.term
 	}
-	if m.spare <= above || m.heldLocked() > 0 {
+	if m.heldLocked() > 0 {
 		return 0
 	}
-	m.term, m.spare = m.spare, 0
-	m.used = max(m.used, m.term)
-	m.log.Info("took the reserved term", "term", m.term, "above", above)
-	return m.term
+	for i, spare := range m.spares {
+		if spare > above {
+			m.term, m.spares = spare, m.spares[i+1:]
+			m.used = max(m.used, m.term)
+			m.log.Info("took the reserved term", "term", m.term, "above", above)
+			return m.term
+		}
+	}
+	return 0
 }
 
 // sawTermLocked notes which terms are in use.
 func (m *Member) sawTermLocked(value json.RawMessage) {
 	var r termRecord
 	if json.Unmarshal(value, &r) == nil {
-		m.used = max(m.used, r.inUse())
+		m.used, m.first = max(m.used, r.inUse()), r.First
 	}
 }
--- a/internal/membership/reserve_test.go
+++ b/internal/membership/reserve_test.go
@@ -103,3 +103,54 @@
 		t.Errorf("only %d of %d reserved terms were used above all others", beyond, spares)
 	}
 }
+
+// In an outage any controller takes over from a leader, ends, and any other takes over from
+// it: both have reserved terms above those of whoever was there before. Once they have them
+// nobody draws more.
+func TestAnyTwoTakeOverInAnOutage(t *testing.T) {
+	const controllers = 4
+	for leader := range controllers {
+		for first := range controllers {
+			for second := range controllers {
+				if leader == first || first == second || leader == second {
+					continue
+				}
+				synctest.Test(t, func(t *testing.T) {
+					var down atomic.Bool
+					view := &testkit.View{Store: testkit.NewStore(), Down: down.Load}
+					ctx, cancel := context.WithCancel(t.Context())
+					var members []*membership.Member
+					var done []<-chan struct{}
+					for i := range controllers {
+						m := member(view, string(rune('a'+i)))
+						members, done = append(members, m), append(done, run(ctx, m))
+						time.Sleep(700 * time.Millisecond)
+					}
+					time.Sleep(20 * time.Second)
+					before := view.Text("c/term")
+					time.Sleep(time.Minute)
+					if after := view.Text("c/term"); after != before {
+						t.Errorf("terms are drawn for ever: %s, then %s", before, after)
+					}
+					if _, err := members[leader].Raise(context.Background(), members[leader].Term()); err != nil {
+						t.Fatal(err)
+					}
+					down.Store(true)
+					time.Sleep(15 * time.Second) // no lease holds
+					above := members[leader].Term()
+					for _, i := range []int{first, second} {
+						term := members[i].Spare(above)
+						if term <= above {
+							t.Errorf("%d leads, %d and %d take over: %d has no term above %d", leader, first, second, i, above)
+						}
+						above = max(above, term)
+					}
+					cancel()
+					for _, ended := range done {
+						<-ended
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/testkit/leader_changes_test.go
+++ b/internal/testkit/leader_changes_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/wallrack/wallrack/internal/testkit"
+	"github.com/wallrack/wallrack/internal/wire"
 )
 
 // changeCost is what one change of the leader cost.
@@ -219,3 +222,176 @@
 		})
 	}
 }
+
+// endsInOutage is how controllers end, again and again, in one outage.
+type endsInOutage struct {
+	name  string
+	first int                                  // seconds into the outage of the first end
+	next  func(c *changes, last string) string // who ends next
+	// known is how many ends are survived without an ended lease: as long as a controller
+	// is there that has a term and knows of all cancels.
+	known int
+}
+
+// Controllers end ten times in one outage of the state service, each back within seconds,
+// after a cancel was confirmed, in two scenes while its machines could not be told, and while
+// users ask for another. Nothing is started twice or
+// too long, no machine is returned, and no lease ends as long as a controller is there that
+// began before the outage and knows of all cancels. The ends after that cost nothing more, and
+// seconds after the outage all is as before.
+func TestTenEndsInOneOutage(t *testing.T) {
+	const ends, apart = 10, 12
+	same := func(_ *changes, last string) string { return last }
+	turns := func(c *changes, last string) string {
+		return c.names[(slices.Index(c.names, last)+1)%len(c.names)]
+	}
+	for _, scene := range []endsInOutage{
+		{"the leader", 6, same, ends},
+		{"the leader, from before its lease ended", 2, same, 2},
+		{"all by turns, from before the leader's lease ended", 2, turns, 2},
+		{"all by turns", 6, turns, 2},
+		{"who answers the most workers", 6, func(c *changes, _ string) string { return c.holder() }, 2},
+	} {
+		t.Run(scene.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newChanges(t, 1478)
+				c.whole = true
+				leader := c.leader()
+				c.submit("j-81", 6)
+				c.submit("j-82", 6)
+				if !c.within(30, func() bool { return c.onMachines("j-81") > 0 && c.onMachines("j-82") > 0 }) {
+					t.Error("the jobs to be cancelled don't run")
+				}
+				calm := c.measure("calm", apart, func() {})
+				// If the first end comes soon enough for their leases, the machines on which
+				// the job runs can't be told before.
+				var unreached []string
+				if scene.first < 5 {
+					unreached = c.with("j-81")
+				}
+				for _, name := range unreached {
+					c.cutAll(name, c.names...)
+				}
+				if c.cancelAll(c.others(leader)[0], []string{"j-81"}, 3) != 1 {
+					t.Error("no cancel was confirmed")
+				}
+				c.refuse(c.names...)
+				c.measure("outage", scene.first, func() {})
+				last, leases, again := leader, 0, 0
+				for i := range ends {
+					away := []time.Duration{300 * time.Millisecond, 3 * time.Second}[i%2]
+					if i > 0 {
+						last = scene.next(c, last)
+					}
+					cost := c.measure(fmt.Sprintf("%s ends for %v", last, away), apart, func() {
+						if !c.restart(last, away) {
+							t.Errorf("%s is down already", last)
+						}
+						if i == 0 && len(unreached) > 0 && c.onMachines("j-81") == 0 {
+							t.Error("the cancelled tasks are gone before the first end")
+						}
+						for _, name := range unreached {
+							c.healLinks(name, c.names...)
+						}
+						for _, name := range c.names {
+							if stage, heard := c.user(name, http.MethodPost, "j-82"); heard && stage == wire.StageCancelled {
+								t.Errorf("%s confirms a cancel that isn't recorded", name)
+							}
+						}
+					})
+					if n := c.onMachines("j-81"); n > 0 {
+						t.Errorf("%d cancelled tasks are on after end %d", n, i+1)
+					}
+					t.Log(cost, "; answered by", c.holds())
+					leases, again = leases+cost.leases, again+cost.again
+					// Machines that were cut off have little left of their leases.
+					if i < scene.known && leases > len(unreached) || cost.again+cost.returned+cost.requests > 0 || cost.leases > 2*len(c.workers) {
+						t.Errorf("end %d cost %v", i+1, cost)
+					}
+				}
+				if (leases > 0) != (scene.known < ends) {
+					t.Errorf("%d leases ended", leases)
+				}
+				c.healed()
+				after := c.measure("after the outage", 20, func() {})
+				t.Log(after)
+				if after.gap > 6*time.Second || after.leases+after.returned > 0 || (after.again > 0) != (leases > 0) || after.again > 12 {
+					t.Errorf("%v", after)
+				}
+				if !c.within(20, func() bool { return c.onMachines("j-80")+c.behindLong("j-80") == 12 }) {
+					t.Errorf("%d of 12 long tasks are on, %d wait behind such", c.onMachines("j-80"), c.behindLong("j-80"))
+				}
+				behind := c.behindLong("j-80")
+				if c.cancelAll(c.names[0], []string{"j-82"}, 3) != 1 {
+					t.Error("no cancel is confirmed after the outage")
+				}
+				late := c.measure("later", apart, func() {})
+				t.Log(calm, late)
+				if late.requests > 2*calm.requests || late.keys > calm.keys+len(c.names) || late.again > behind || late.leases+late.returned > 0 {
+					t.Errorf("%v, before the outage %v", late, calm)
+				}
+				if n := c.onMachines("j-82"); n > 0 {
+					t.Errorf("%d cancelled tasks are on", n)
+				}
+				c.stopAll()
+			})
+		})
+	}
+}
+
+// behindLong counts a job's tasks that wait at a machine on which nothing but long tasks run.
+// Those are estimated to take seconds, as short ones of their class do, so that the queue
+// looks short.
+func (c *changes) behindLong(uid string) (waiting int) {
+	full := map[string]bool{}
+	for _, k := range c.workers {
+		on := k.On()
+		full[k.Name] = len(on) == int(c.size) && !slices.ContainsFunc(on, func(task string) bool { return !strings.HasPrefix(task, "j-8") })
+	}
+	tasks := map[string]bool{}
+	for _, name := range c.names {
+		for _, v := range c.nodes[name].holder.Views() {
+			for _, q := range v.Queue {
+				if full[v.Name] && strings.HasPrefix(q.Task, uid+"/") {
+					tasks[q.Task] = true
+				}
+			}
+		}
+	}
+	return len(tasks)
+}
+
+// with names the machines that run a job's tasks.
+func (c *changes) with(uid string) (names []string) {
+	for _, k := range c.workers {
+		if slices.ContainsFunc(k.On(), func(task string) bool { return strings.HasPrefix(task, uid+"/") }) {
+			names = append(names, k.Name)
+		}
+	}
+	return names
+}
+
+// holds counts the workers that each controller answered lately.
+func (c *changes) holds() map[string]int {
+	held := map[string]int{}
+	for _, name := range c.names {
+		for _, k := range c.workers {
+			if !c.nodes[name].down && c.nodes[name].holder.Unanswered(k.Name) < 2*reportEvery {
+				held[name]++
+			}
+		}
+	}
+	return held
+}
+
+// holder is the controller that answers the most workers.
+func (c *changes) holder() (most string) {
+	held := c.holds()
+	most = c.names[0]
+	for _, name := range c.names {
+		if held[name] > held[most] {
+			most = name
+		}
+	}
+	return most
+}
