Holders tell owners elsewhere only what changed

Cause: every view went whole over the mesh, the changed ones every half second and all of them every five, 579 bytes a machine with four tasks: 5.9 MB/s at the planned size if six controllers hold and own (docs/CAPACITY.md). A new owner that was still reading its records dropped what it was told, and got it again only with the next republication.

Change: internal/views has both ends of a stream of numbered frames, one at a time, each repeated as it is until it is acknowledged. A stream begins with the whole and names the stream that it replaces, as the owner said, so that no message of an earlier life of either end, however late, changes anything. A frame has of each machine only what changed; ages, waits and times in a state go on by themselves at both ends, so that a report like the last costs its number and its age, and the waits where they came out otherwise. A heartbeat a second says that so many machines up to that frame still hold, with a digest; one that disagrees, a gap, an unknown stream, and an owner that came to have jobs anew have the whole sent. A malformed message is refused and counted, the books stay. A controller that holds no machine sends nothing, as before. An answer to an overtaken report now counts as a change: the owner reckons the machine's lease from it.

The testkit's controllers publish by the same state machines.

Figures (exact series, bytes a machine with four tasks, docs/CAPACITY.md): whole 411 (views as they were: 579), a report like the last 91, a task replaced 159. Each stands for 579 before, every half second if it had reported, and each five seconds if not.

--- a/cmd/wallrack/daemon.go
+++ b/cmd/wallrack/daemon.go
@@ -31,6 +31,7 @@
 	"github.com/wallrack/wallrack/internal/slurmapi"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/usage"
+	"github.com/wallrack/wallrack/internal/views"
 )
 
 // memoryShare is the part of the memory limit that the runtime aims to stay
@@ -80,6 +81,7 @@
 	n.cancels.Fresh, n.cancels.News, n.tellCancels = n.recall, n.cancelNews, make(chan struct{}, 1)
 	n.owner = owner.New(p, op, store, member, n, catalog, log)
 	n.holder = machine.New(ctx, p.Node, config.Seconds(p.Params.Workers.LeaseS), n, member, catalog, n, machine.NewHTTPOrderer(p.Params.Limits.Sockets), log)
+	n.published, n.pictures = views.NewPublisher(p.Node, n.holder), views.NewReceiver(n.owner, slices.Collect(maps.Keys(addrs)))
 	n.intake = intake.New(p, op, store, n.owner, catalog, n, log)
 	n.owner.Cancels, n.holder.Cancels, n.intake.Cancels = n.cancels, n.cancels, n.cancels
 	boxes := fleet.New(p, op, cloud, catalog, store, member, &allOwners{n: n, ctx: ctx}, n.holder, log)
--- a/cmd/wallrack/node.go
+++ b/cmd/wallrack/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,12 +16,11 @@
 	"github.com/wallrack/wallrack/internal/owner"
 	"github.com/wallrack/wallrack/internal/recovery"
 	"github.com/wallrack/wallrack/internal/statestore"
-	"github.com/wallrack/wallrack/internal/usage"
+	"github.com/wallrack/wallrack/internal/views"
 )
 
 const (
 	vouchEvery  = 2 * time.Second
-	republish   = 5 * time.Second
 	cancelSlack = 3.0 // seconds kept between a cut-off holder's last answer and the cancel limit
 )
 
@@ -40,10 +38,6 @@
 	methodCancels = "Cancels"
 )
 
-type publishMessage struct {
-	Views []machine.View `json:"views"`
-}
-
 type vouchMessage struct {
 	Machines []string `json:"machines"`
 }
@@ -69,6 +63,9 @@
 	intake *intake.Intake
 	times  *recovery.Timeline
 
+	published *views.Publisher
+	pictures  *views.Receiver
+
 	cancels     *cancels.Register
 	tellCancels chan struct{} // there is news for the peers
 	badNews     atomic.Int64  // when malformed news was last logged, by time of day, ns
@@ -79,13 +76,7 @@
 func (n *node) handle() {
 	n.handleLinks()
 	n.handleCancels()
-	mesh.Handle(n.mesh, methodPublish, func(_ context.Context, m *publishMessage) (*nothing, error) {
-		defer usage.Count(usage.Peers, time.Now())
-		for _, v := range m.Views {
-			n.owner.Observe(v)
-		}
-		return &nothing{}, nil
-	})
+	n.handleViews()
 	mesh.Handle(n.mesh, methodDirect, func(_ context.Context, d *machine.Direction) (*machine.Unlaunched, error) {
 		un := n.holder.Direct(*d)
 		return &un, nil
@@ -182,68 +173,6 @@
 	return *rep, nil
 }
 
-// publish sends views, with their matrices, to the owners elsewhere: what
-// changed often, and everything now and then or to a new owner.
-func (n *node) publish(ctx context.Context) error {
-	tick := time.NewTicker(config.Seconds(n.op.PublishS))
-	defer tick.Stop()
-	var full time.Time
-	known := map[string]bool{}
-	owned := false
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-		}
-		owners := n.Owners()
-		owns := n.member.Held() > 0 && len(n.member.Own()) > 0
-		if owns && !owned {
-			// New here as an owner: what was heard before counts too.
-			for _, v := range n.holder.Views() {
-				n.owner.Observe(v)
-			}
-			go n.meet(ctx)
-		}
-		owned = owns
-		if len(owners) == 0 {
-			// A view costs a matrix: none is made for nobody.
-			clear(known)
-			continue
-		}
-		start := time.Now()
-		changed := n.holder.Changed()
-		if time.Since(full) > republish {
-			full = time.Now()
-			changed = n.holder.Views()
-			clear(known)
-		}
-		var wg sync.WaitGroup
-		for _, o := range owners {
-			views := changed
-			if !known[o] {
-				views = n.holder.Views()
-			}
-			if len(views) == 0 {
-				continue
-			}
-			known[o] = true
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				pctx, cancel := context.WithTimeout(ctx, time.Second)
-				defer cancel()
-				if _, err := call[publishMessage, nothing](pctx, n, o, methodPublish, &publishMessage{Views: views}); err != nil {
-					n.links.table.Untold(o, time.Now())
-					n.log.Debug("publishing failed", "owner", o, "err", err)
-				}
-			}()
-		}
-		wg.Wait()
-		usage.Count(usage.Peers, start)
-	}
-}
-
 const (
 	meetFor   = 4 * time.Second
 	meetEvery = 250 * time.Millisecond
--- a/internal/machine/holder.go
+++ b/internal/machine/holder.go
@@ -100,8 +100,9 @@
 	mu       sync.Mutex
 	machines map[string]*held
 	answered map[string]time.Time
-	gone     *recent.Set // machines that the cloud deleted
-	dirty    map[string]bool
+	gone     *recent.Set     // machines that the cloud deleted
+	dirty    map[string]bool // changed, or forgotten, since Changed was last called
+	forgotAt time.Time       // when machines were last forgotten
 	nextSeq  uint64
 	raising  bool
 	uses     []placement.Use // see occupied
@@ -202,6 +203,7 @@
 		return false
 	}
 	h.answered[rep.Machine] = time.Now()
+	h.dirty[rep.Machine] = true // its owner counts its lease from then
 	return true
 }
 
@@ -361,6 +363,7 @@
 	defer h.mu.Unlock()
 	delete(h.machines, name)
 	delete(h.answered, name)
+	h.dirty[name] = true
 	h.gone.Add(name)
 }
 
--- a/internal/machine/view.go
+++ b/internal/machine/view.go
@@ -76,29 +76,57 @@
 	return v
 }
 
-// Changed returns views of the machines that changed since the last call.
-func (h *Holder) Changed() []View {
+// Changed returns views of the machines that changed since the last call, and the names
+// of those that this holder knows no more.
+func (h *Holder) Changed() (changed []View, gone []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var out []View
+	if time.Since(h.forgotAt) > time.Minute {
+		h.forget()
+	}
 	for name := range h.dirty {
-		if s := h.machines[name]; s != nil && s.report.Machine != "" {
-			out = append(out, h.view(s))
+		switch s := h.machines[name]; {
+		case s == nil:
+			gone = append(gone, name)
+		case s.report.Machine != "":
+			changed = append(changed, h.view(s))
 		}
 	}
 	clear(h.dirty)
-	return out
+	return changed, gone
+}
+
+// forget forgets the machines that were not heard for long.
+func (h *Holder) forget() {
+	h.forgotAt = time.Now()
+	for name, s := range h.machines {
+		if time.Since(s.at) > forgetAfter && time.Since(s.sentAway) > forgetAfter {
+			delete(h.machines, name)
+			h.dirty[name] = true
+		}
+	}
+}
+
+// Holds reports whether any machine was heard here within a lease.
+func (h *Holder) Holds() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.machines {
+		if s.report.Machine != "" && time.Since(s.at) < h.lease {
+			return true
+		}
+	}
+	return false
 }
 
 // Views returns views of all machines heard within a lease.
 func (h *Holder) Views() []View {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.forget()
 	var out []View
-	for name, s := range h.machines {
-		if age := time.Since(s.at); age > forgetAfter && time.Since(s.sentAway) > forgetAfter {
-			delete(h.machines, name)
-		} else if s.report.Machine != "" && age < h.lease {
+	for _, s := range h.machines {
+		if s.report.Machine != "" && time.Since(s.at) < h.lease {
 			out = append(out, h.view(s))
 		}
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -248,6 +248,7 @@
 	loaded   map[int]uint64 // shard -> version of its key when loaded
 	listed   map[int]uint64 // shard -> revision of the listing of living jobs that it was loaded with
 	loadedAt time.Time
+	tenure   uint64  // counts the times that this owner began to own jobs
 	loading  bool    // shards are being read
 	early    []early // what came in the meantime
 	jobs     map[string]*job
@@ -363,6 +364,17 @@
 	return ctx.Err()
 }
 
+// Tenure is 0 while this owner has no jobs, and so ignores views, and another number each
+// time that it comes to have some: who told it of machines before has to tell it again.
+func (o *Owner) Tenure() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.loaded) == 0 {
+		return 0
+	}
+	return o.tenure
+}
+
 func (o *Owner) machineOf(name string) *mach {
 	m := o.machines[name]
 	if m == nil {
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -125,6 +125,9 @@
 		o.admit(&r, it.Version, own, entries[r.Job.UID], fence)
 		n++
 	}
+	if len(o.loaded) == 0 {
+		o.tenure++
+	}
 	for s, l := range logs {
 		o.logs[s] = l
 		for _, sl := range l.slots {
--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -25,6 +25,7 @@
 	"github.com/wallrack/wallrack/internal/owner"
 	"github.com/wallrack/wallrack/internal/terms"
 	"github.com/wallrack/wallrack/internal/testkit"
+	"github.com/wallrack/wallrack/internal/views"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -96,6 +97,8 @@
 	delay      func(n *node, t wire.Txn) (time.Duration, func(error)) // until a transaction is applied; nil: no time
 	behind     func(n *node, prefix string) time.Duration             // how far a controller's watch is behind; nil: not at all
 
+	loseViews func(from, to *node) bool // whether a message about machines, or its reply, is lost; nil: none
+
 	onStart func(k *testkit.Worker, task string, attempt uint64) // a task starts; nil: nobody looks
 
 	specs     map[string]*wire.Job     // jobs that were submitted
@@ -123,6 +126,12 @@
 	knows    knownCancels
 	intake   *intake.Intake
 	mux      *http.ServeMux // the users' interface
+
+	started   time.Time
+	published *views.Publisher
+	pictures  *views.Receiver
+
+	publishing views.Turns
 }
 
 var errCut = errors.New("cut off")
@@ -298,6 +307,7 @@
 	n.owner.KeepSlots = 4 // so that records are written over, and chunks saved
 	n.owner.Accounts, n.owner.Others = w.accounts, n
 	n.holder = machine.New(ctx, name, workerLease, n, n.member, w.size, n, n, log)
+	n.started, n.published, n.pictures = time.Now(), views.NewPublisher(name, n.holder), views.NewReceiver(n.owner, w.others(name))
 	n.reg = cancels.New(n.reach.peers(), config.Seconds(cfg.Params.Workers.CancelS), n.member.Held)
 	n.reg.Fresh = func(uids []string) { n.knows.learn(uids); go n.holder.Recall() }
 	n.owner.Cancels, n.holder.Cancels = n.reg, n.reg
@@ -486,12 +496,13 @@
 	}
 	w.mu.Unlock()
 	for _, n := range nodes {
+		n.published.Gather(time.Since(n.started).Milliseconds(), w.others(n.name))
 		for _, to := range nodes {
 			w.mu.Lock()
 			ok := to != n && w.reach(n, to)
 			w.mu.Unlock()
 			if ok {
-				w.afterLink(func() { to.observe(n.holder.Views()) })
+				w.besideSlow(func() { n.publishTo(to) })
 			}
 		}
 	}
--- a/internal/testkit/links_test.go
+++ b/internal/testkit/links_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/goccy/go-json"
+
 	"github.com/wallrack/wallrack/internal/machine"
 	"github.com/wallrack/wallrack/internal/testkit"
+	"github.com/wallrack/wallrack/internal/views"
 )
 
 // peer is another controller, if a message comes through to it now.
@@ -89,6 +93,15 @@
 	}()
 }
 
+// besideSlow does something now, or beside the rest while links are slow.
+func (w *cluster) besideSlow(do func()) {
+	if w.linksAreSlow() {
+		go do()
+		return
+	}
+	do()
+}
+
 // afterLink does something now, or beside the rest while links are slow.
 func (w *cluster) afterLink(do func()) {
 	if !w.linksAreSlow() {
@@ -101,11 +114,54 @@
 	}()
 }
 
-// observe takes a peer's views of machines.
-func (n *node) observe(views []machine.View) {
-	for _, v := range views {
-		n.owner.Observe(v)
+// publishWithin is how long a message about machines is waited for.
+const publishWithin = 4 * time.Second
+
+// publishTo tells a peer what changed on the machines held here, as cmd/wallrack does: one
+// message at a time.
+func (n *node) publishTo(to *node) {
+	if !n.publishing.Begin(to.name) {
+		return
+	}
+	defer n.publishing.End(to.name)
+	for more := true; more; {
+		m := n.published.Next(time.Since(n.started).Milliseconds(), to.name)
+		if m == nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), publishWithin)
+		reply, err := overLink(ctx, n.w, func() (views.Reply, error) { return n.w.carryViews(n, to, m) })
+		cancel()
+		if err != nil {
+			return
+		}
+		more = n.published.Took(time.Since(n.started).Milliseconds(), to.name, reply)
+	}
+}
+
+// carryViews takes a message to a peer, and its reply back, as they travel.
+func (w *cluster) carryViews(from, to *node, m *views.Message) (views.Reply, error) {
+	if w.loseViews != nil && w.loseViews(from, to) {
+		return views.Reply{}, errCut
+	}
+	data, err := json.Marshal(m)
+	if err != nil {
+		w.fail("%s's views can't be encoded: %v", from.name, err)
+		return views.Reply{}, err
+	}
+	var arrived views.Message
+	if err := json.Unmarshal(data, &arrived); err != nil {
+		w.fail("%s's views can't be decoded: %v", from.name, err)
+		return views.Reply{}, err
+	}
+	reply, err := to.pictures.Take(&arrived)
+	if errors.Is(err, views.ErrMalformed) {
+		w.fail("%s refused %s's views: %v", to.name, from.name, err)
+	}
+	if w.loseViews != nil && w.loseViews(to, from) {
+		return views.Reply{}, errCut
 	}
+	return reply, nil
 }
 
 // attestLease is how long all controllers must have left a worker unanswered.
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -48,13 +48,14 @@
 	RefusedConnections              // beyond the sockets to spare
 	RefusedRequests                 // users' requests beyond those worked on at once
 	RefusedJobs                     // submissions for want of memory
+	MalformedViews                  // messages of peers about machines that could not be applied
 	AccountRows                     // rows of accounting written
 	AccountWrites                   // of its pages, and
 	AccountBytes                    // as many bytes
 	events
 )
 
-var eventNames = [events]string{"malformed_reports", "refused_connections", "refused_requests", "refused_jobs", "account_rows", "account_writes", "account_bytes"}
+var eventNames = [events]string{"malformed_reports", "refused_connections", "refused_requests", "refused_jobs", "malformed_views", "account_rows", "account_writes", "account_bytes"}
 
 var noted [events]atomic.Int64
 
--- /dev/null
+++ b/internal/views/capacity_test.go
@@ -0,0 +1,97 @@
+package views
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/goccy/go-json"
+
+	"github.com/wallrack/wallrack/internal/capacity"
+	"github.com/wallrack/wallrack/internal/machine"
+	"github.com/wallrack/wallrack/internal/placement"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+const (
+	tasksEach   = 4     // 11,000 tasks on 2,600 machines
+	reportMs    = 8_000 // between a worker's reports
+	overrunWait = 2.2   // seconds, of a task that has outrun its estimate
+)
+
+// fleet is so many machines as their holder sees them.
+type fleet []machine.View
+
+func (fleet) Holds() bool                         { return true }
+func (f fleet) Views() []machine.View             { return f }
+func (fleet) Changed() ([]machine.View, []string) { return nil, nil }
+
+// machinesAt are machines with reports as of a time, each of whose first started tasks
+// began anew then.
+func machinesAt(machines int, atMs int64, started int) (f fleet) {
+	passed := float64(atMs) / perSecond
+	for i := range machines {
+		v := machine.View{Name: fmt.Sprintf("n-%06d", i), Endpoint: fmt.Sprintf("10.1.%03d.%03d:9000", i/250, i%250), Type: "m", Zone: "z",
+			Session: 1, Seq: 1000 + uint64(atMs), Token: 7, Holder: "a", AgeS: 0.25, UnansweredS: 0.25}
+		var uses []placement.Use
+		for t := range tasksEach {
+			task := machine.TaskView{Task: wire.Task{Task: wire.TaskName(fmt.Sprintf("j-%06d", i), t), Attempt: 20, State: wire.TaskRunning}, ForS: 10 + passed}
+			left := max(overrunWait, 10*float64(t)-passed)
+			if t < started {
+				task.Attempt, task.ForS, left = 21, 0, 30
+			}
+			v.Tasks = append(v.Tasks, task)
+			uses = append(uses, placement.Use{Shape: placement.Shape{CPUs: 2, MemoryGB: 8}, Left: left})
+		}
+		v.Matrix = placement.NewMatrix(placement.Shape{CPUs: 16, MemoryGB: 64}, uses, nil)
+		f = append(f, v)
+	}
+	return f
+}
+
+// told is the size of the messages that tell an owner of machines, first whole and then
+// once they have reported again, with so many tasks started in between.
+func told(tb testing.TB, machines, started int) (whole, change float64) {
+	e, d := NewEncoder("a"), NewDecoder()
+	first := machinesAt(machines, 0, 0)
+	e.after = d.stream
+	send := func(nowMs int64) (bytes float64) {
+		for more := true; more; {
+			m := e.Next(nowMs, first)
+			if m == nil {
+				break
+			}
+			data, err := json.Marshal(m)
+			if err != nil {
+				tb.Fatal(err)
+			}
+			bytes += float64(len(data))
+			_, reply, err := d.Take(m)
+			if err != nil {
+				tb.Fatal(err)
+			}
+			more = e.Took(nowMs, reply)
+		}
+		return bytes
+	}
+	whole = send(0)
+	e.Note(reportMs, machinesAt(machines, reportMs, started), nil)
+	return whole, send(reportMs)
+}
+
+var capacitySeries = []capacity.Series{
+	{Name: "views.whole", Sizes: []int{100, 400, 800, 1600}, FixedSlack: 500, Measure: func(tb testing.TB, machines int) float64 {
+		whole, _ := told(tb, machines, 0)
+		return whole
+	}},
+	{Name: "views.report", Sizes: []int{100, 400, 800, 1600}, FixedSlack: 500, Measure: func(tb testing.TB, machines int) float64 {
+		_, change := told(tb, machines, 0)
+		return change
+	}},
+	{Name: "views.start", Sizes: []int{100, 400, 800, 1600}, FixedSlack: 500, Measure: func(tb testing.TB, machines int) float64 {
+		_, change := told(tb, machines, 1)
+		return change
+	}},
+}
+
+func TestCapacity(t *testing.T)      { capacity.Check(t, capacitySeries...) }
+func BenchmarkCapacity(b *testing.B) { capacity.Bench(b, capacitySeries...) }
--- /dev/null
+++ b/internal/views/seed_test.go
@@ -0,0 +1,12 @@
+package views
+
+import "flag"
+
+// The generated inputs are the same at every run; a run takes a second.
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1500", "rapid.steps": "80"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
