--- a/cmd/wallrack/node.go
+++ b/cmd/wallrack/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,12 +16,11 @@
 	"github.com/wallrack/wallrack/internal/owner"
 	"github.com/wallrack/wallrack/internal/recovery"
 	"github.com/wallrack/wallrack/internal/statestore"
-	"github.com/wallrack/wallrack/internal/usage"
+	"github.com/wallrack/wallrack/internal/views"
 )
 
 const (
 	vouchEvery  = 2 * time.Second
-	republish   = 5 * time.Second
 	cancelSlack = 3.0 // seconds kept between a cut-off holder's last answer and the cancel limit
 )
 
@@ -32,18 +30,14 @@
 	methodForward = "Forward"
 	methodStore   = "Store"
 	methodSeen    = "Seen"
-	methodPublish = "Publish"
+	methodPublish = "Views"
 	methodDirect  = "Direct"
-	methodGrant   = "Grant"
+	methodGrants  = "Grants"
 	methodUser    = "User"
 	methodVouch   = "Vouch"
 	methodCancels = "Cancels"
 )
 
-type publishMessage struct {
-	Views []machine.View `json:"views"`
-}
-
 type vouchMessage struct {
 	Machines []string `json:"machines"`
 }
@@ -69,6 +63,9 @@
 	intake *intake.Intake
 	times  *recovery.Timeline
 
+	published *views.Publisher
+	pictures  *views.Receiver
+
 	cancels     *cancels.Register
 	tellCancels chan struct{} // there is news for the peers
 	badNews     atomic.Int64  // when malformed news was last logged, by time of day, ns
@@ -79,20 +76,14 @@
 func (n *node) handle() {
 	n.handleLinks()
 	n.handleCancels()
-	mesh.Handle(n.mesh, methodPublish, func(_ context.Context, m *publishMessage) (*nothing, error) {
-		defer usage.Count(usage.Peers, time.Now())
-		for _, v := range m.Views {
-			n.owner.Observe(v)
-		}
-		return &nothing{}, nil
-	})
+	n.handleViews()
 	mesh.Handle(n.mesh, methodDirect, func(_ context.Context, d *machine.Direction) (*machine.Unlaunched, error) {
 		un := n.holder.Direct(*d)
 		return &un, nil
 	})
-	mesh.Handle(n.mesh, methodGrant, func(_ context.Context, r *machine.GrantRequest) (*machine.GrantReply, error) {
-		rep := n.owner.GrantHere(*r)
-		return &rep, nil
+	mesh.Handle(n.mesh, methodGrants, func(_ context.Context, requests *[]machine.GrantRequest) (*[]machine.GrantReply, error) {
+		replies := n.owner.GrantAll(*requests)
+		return &replies, nil
 	})
 	mesh.Handle(n.mesh, methodUser, func(ctx context.Context, r *intake.Request) (*intake.Reply, error) {
 		rep := n.intake.Serve(ctx, *r)
@@ -162,12 +153,12 @@
 }
 
 // GrantThere asks an owner elsewhere.
-func (n *node) GrantThere(ctx context.Context, at string, r machine.GrantRequest) (machine.GrantReply, error) {
-	rep, err := call[machine.GrantRequest, machine.GrantReply](ctx, n, at, methodGrant, &r)
+func (n *node) GrantThere(ctx context.Context, at string, requests []machine.GrantRequest) ([]machine.GrantReply, error) {
+	replies, err := call[[]machine.GrantRequest, []machine.GrantReply](ctx, n, at, methodGrants, &requests)
 	if err != nil {
-		return machine.GrantReply{}, err
+		return nil, err
 	}
-	return *rep, nil
+	return *replies, nil
 }
 
 // Direct carries an owner's directions to a holder.
@@ -182,68 +173,6 @@
 	return *rep, nil
 }
 
-// publish sends views, with their matrices, to the owners elsewhere: what
-// changed often, and everything now and then or to a new owner.
-func (n *node) publish(ctx context.Context) error {
-	tick := time.NewTicker(config.Seconds(n.op.PublishS))
-	defer tick.Stop()
-	var full time.Time
-	known := map[string]bool{}
-	owned := false
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-		}
-		owners := n.Owners()
-		owns := n.member.Held() > 0 && len(n.member.Own()) > 0
-		if owns && !owned {
-			// New here as an owner: what was heard before counts too.
-			for _, v := range n.holder.Views() {
-				n.owner.Observe(v)
-			}
-			go n.meet(ctx)
-		}
-		owned = owns
-		if len(owners) == 0 {
-			// A view costs a matrix: none is made for nobody.
-			clear(known)
-			continue
-		}
-		start := time.Now()
-		changed := n.holder.Changed()
-		if time.Since(full) > republish {
-			full = time.Now()
-			changed = n.holder.Views()
-			clear(known)
-		}
-		var wg sync.WaitGroup
-		for _, o := range owners {
-			views := changed
-			if !known[o] {
-				views = n.holder.Views()
-			}
-			if len(views) == 0 {
-				continue
-			}
-			known[o] = true
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				pctx, cancel := context.WithTimeout(ctx, time.Second)
-				defer cancel()
-				if _, err := call[publishMessage, nothing](pctx, n, o, methodPublish, &publishMessage{Views: views}); err != nil {
-					n.links.table.Untold(o, time.Now())
-					n.log.Debug("publishing failed", "owner", o, "err", err)
-				}
-			}()
-		}
-		wg.Wait()
-		usage.Count(usage.Peers, start)
-	}
-}
-
 const (
 	meetFor   = 4 * time.Second
 	meetEvery = 250 * time.Millisecond
--- a/internal/machine/holder.go
+++ b/internal/machine/holder.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/gather"
 	"github.com/wallrack/wallrack/internal/httpjson"
 	"github.com/wallrack/wallrack/internal/placement"
 	"github.com/wallrack/wallrack/internal/recent"
@@ -20,6 +21,7 @@
 const (
 	orderTimeout  = 1500 * time.Millisecond
 	raiseTimeout  = 1500 * time.Millisecond
+	grantTimeout  = time.Second
 	maxCommands   = 200 // keeps every answer's line well under 64 KiB
 	bounceWindow  = 15 * time.Second
 	stickyFor     = 30 * time.Second
@@ -89,6 +91,7 @@
 	ctx     context.Context
 	started time.Time
 	workers sync.WaitGroup
+	asks    gather.Sender[ask] // to owners elsewhere
 
 	// Cancels are the cancelled jobs, whoever owns them: none of their tasks is
 	// launched here, and each that a worker lists is halted. nil: none. Set it
@@ -100,8 +103,9 @@
 	mu       sync.Mutex
 	machines map[string]*held
 	answered map[string]time.Time
-	gone     *recent.Set // machines that the cloud deleted
-	dirty    map[string]bool
+	gone     *recent.Set     // machines that the cloud deleted
+	dirty    map[string]bool // changed, or forgotten, since Changed was last called
+	forgotAt time.Time       // when machines were last forgotten
 	nextSeq  uint64
 	raising  bool
 	ended    bool            // Wait was called after the context had ended
@@ -111,11 +115,13 @@
 
 // New returns a holder; ctx bounds the goroutines it starts.
 func New(ctx context.Context, name string, lease time.Duration, owners Owners, tokens Tokens, types Types, routing Routing, orders Orderer, log *slog.Logger) *Holder {
-	return &Holder{
+	h := &Holder{
 		name: name, lease: lease, owners: owners, tokens: tokens, types: types, routing: routing, orders: orders, log: log,
 		ctx: ctx, started: time.Now(),
 		machines: map[string]*held{}, answered: map[string]time.Time{}, gone: recent.NewSet(maxTombstones), dirty: map[string]bool{},
 	}
+	h.asks.Send = h.askOwner
+	return h
 }
 
 // Wait waits for the goroutines that the holder started. Once its context has ended, none
@@ -124,6 +130,7 @@
 	h.mu.Lock()
 	h.ended = h.ctx.Err() != nil
 	h.mu.Unlock()
+	h.asks.Wait()
 	h.workers.Wait()
 }
 
@@ -217,6 +224,7 @@
 		return false
 	}
 	h.answered[rep.Machine] = time.Now()
+	h.dirty[rep.Machine] = true // its owner counts its lease from then
 	return true
 }
 
@@ -279,6 +287,7 @@
 	}
 	now := time.Now()
 	same := slices.Equal(s.report.Tasks, rep.Tasks)
+	quiet := same && renews && len(s.queue) == 0 && sameStanding(&s.report, rep)
 	s.report, s.at = *rep, now
 	if renews {
 		h.answered[rep.Machine], s.told = now, now
@@ -318,7 +327,15 @@
 		s.fate = 0
 	}
 	h.dirty[rep.Machine] = true
-	return h.view(s), true
+	v := h.view(s)
+	v.Same = quiet
+	return v, true
+}
+
+// sameStanding reports whether two reports of a worker say the same but for their tasks.
+func sameStanding(a, b *wire.Report) bool {
+	return a.Machine == b.Machine && a.Endpoint == b.Endpoint && a.Session == b.Session && a.Token == b.Token &&
+		a.NoticeS == nil && b.NoticeS == nil && a.Zone == b.Zone && a.Type == b.Type && a.Spot == b.Spot
 }
 
 // list takes over the tasks that a report lists.
@@ -376,6 +393,7 @@
 	defer h.mu.Unlock()
 	delete(h.machines, name)
 	delete(h.answered, name)
+	h.dirty[name] = true
 	h.gone.Add(name)
 }
 
