--- a/internal/machine/orders.go
+++ b/internal/machine/orders.go
@@ -37,11 +37,19 @@
 type HTTPOrderer struct {
 	connections *connectionPool
 	slots       chan struct{}
+	asks        chan struct{} // of slots, those that requests for reports may take
 }
 
+// asksShare is the part of the slots, one in so many, that requests for reports may take.
+// Mostly machines are asked that are silent, each of which keeps its slot until its time is
+// over: with all slots taken by them, orders to machines that are well waited, left with
+// next to no time for an answer, and counted as perhaps under way.
+const asksShare = 2
+
 // NewHTTPOrderer returns an orderer that keeps within the process's sockets.
 func NewHTTPOrderer(budget sockets.Budget) *HTTPOrderer {
-	return &HTTPOrderer{newConnectionPool(budget.Orders), make(chan struct{}, budget.OrdersAtOnce())}
+	slots := budget.OrdersAtOnce()
+	return &HTTPOrderer{newConnectionPool(budget.Orders), make(chan struct{}, slots), make(chan struct{}, slots/asksShare)}
 }
 
 // Trim closes idle connections, the longest idle first, if there are fewer sockets to
@@ -51,10 +59,10 @@
 // Connections returns how many connections to workers are open, at most.
 func (h *HTTPOrderer) Connections() int { return h.connections.count() }
 
-// slot waits until one more order may be under way.
-func (h *HTTPOrderer) slot(ctx context.Context) error {
+// take waits for one of the slots.
+func take(ctx context.Context, slots chan struct{}) error {
 	select {
-	case h.slots <- struct{}{}:
+	case slots <- struct{}{}:
 		return nil
 	case <-ctx.Done():
 		return fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
@@ -63,7 +71,11 @@
 
 // Show implements Orderer.
 func (h *HTTPOrderer) Show(ctx context.Context, endpoint string) (*wire.Report, error) {
-	if err := h.slot(ctx); err != nil {
+	if err := take(ctx, h.asks); err != nil {
+		return nil, err
+	}
+	defer func() { <-h.asks }()
+	if err := take(ctx, h.slots); err != nil {
 		return nil, err
 	}
 	defer func() { <-h.slots }()
@@ -90,7 +102,7 @@
 
 // Order implements Orderer.
 func (h *HTTPOrderer) Order(ctx context.Context, endpoint string, o wire.Orders, valid func() error) (*wire.Report, bool, error) {
-	if err := h.slot(ctx); err != nil {
+	if err := take(ctx, h.slots); err != nil {
 		return nil, false, err
 	}
 	defer func() { <-h.slots }()
