Silent machines that the cloud's list lacks are returned

Cause: a new owner keeps silent machines that fell silent together with a controller that is apart: it may go on answering them. Change: a machine that existed before the earliest time that a list can show, and is not in it, is returned; the cloud's answer to that is the proof that its tasks are off, as ever. A list that was asked for earlier and comes later no longer makes the machine look less lately listed.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -148,7 +148,7 @@
 			f.leading = true
 			f.mu.Lock()
 			f.boxes, f.hires, f.answered = map[string]*box{}, map[string]*hire{}, map[string]*answeredHire{}
-			f.ledAt, f.listAt = time.Now(), time.Time{}
+			f.ledAt, f.listAt, f.listedAt = time.Now(), time.Time{}, time.Time{}
 			f.mu.Unlock()
 		}
 		if !f.loaded {
@@ -184,6 +184,9 @@
 	for i := range loads {
 		l := &loads[i]
 		busy += l.Used.CPUs
+		if f.vanished(l.Name, l.Existed) {
+			back[l.Name] = "not in the cloud's list any more"
+		}
 		if l.Heard.IsZero() {
 			continue
 		}
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -12,8 +12,9 @@
 const listShare = 5
 
 // refresh reads the cloud's list, which lags and may be older than the last.
-func (f *Fleet) refresh(ctx context.Context) {
-	asked := time.Now()
+func (f *Fleet) refresh(ctx context.Context) { f.refreshAt(ctx, time.Now()) }
+
+func (f *Fleet) refreshAt(ctx context.Context, asked time.Time) {
 	list, err := f.cloud.list(ctx)
 	if err != nil {
 		f.log.Info("no machine list", "err", err)
@@ -32,7 +33,7 @@
 			b = &box{name: l.Name, known: asked, hired: asked.Add(-seconds(l.AgeS))}
 			f.boxes[l.Name] = b
 		}
-		b.offer, b.listed, b.stage = offer{l.Type, l.Zone, l.Spot}, asked, l.Stage
+		b.offer, b.listed, b.stage = offer{l.Type, l.Zone, l.Spot}, later(b.listed, asked), l.Stage
 		if l.Stage == wire.MachineFailed {
 			failed[l.Name] = "failed"
 		}
@@ -50,10 +51,28 @@
 	f.holder.Probe(ctx, endpoints, seconds(1.5*f.cfg.Params.Workers.ReportS))
 }
 
+// listMargin is added to the most that a list may lag, for the way of the request.
+const listMargin = 5 * time.Second
+
+// listLag is how much older a list may be than the request for it.
+func (f *Fleet) listLag() time.Duration { return seconds(2*f.cfg.Params.Cloud.ListLagS) + listMargin }
+
+// vanished reports whether a machine that existed at a time is gone by the cloud's list: a
+// list that shows a later time lacks it. Such a machine may be silent for other reasons by
+// all that controllers know, as when it fell silent together with one of them, and what was
+// placed on it would wait for a lease and more. To return it makes sure.
+func (f *Fleet) vanished(name string, existed time.Time) bool {
+	if f.sending[name] || f.listedAt.Sub(existed) <= f.listLag() {
+		return false
+	}
+	b := f.boxes[name]
+	return b == nil || b.listed.Before(f.listedAt) && f.listedAt.Sub(b.known) > f.listLag()
+}
+
 // sortOut forgets machines that the cloud took and returns those that never
 // came up, are faulty or idle.
 func (f *Fleet) sortOut(now time.Time, back map[string]string) {
-	lag := seconds(2*f.cfg.Params.Cloud.ListLagS) + 5*time.Second
+	lag := f.listLag()
 	for name, b := range f.boxes {
 		t, _ := f.catalog.Type(b.offer.Type)
 		switch {
--- a/internal/owner/demand.go
+++ b/internal/owner/demand.go
@@ -82,7 +82,7 @@
 	var ls []Load
 	for _, m := range o.machines {
 		m.kind, _ = o.types.Type(m.view.Type) // prices move
-		l := Load{Name: m.name, Type: m.view.Type, Zone: m.view.Zone, Spot: m.view.Spot, Matrix: m.matrix, Heard: m.heard,
+		l := Load{Name: m.name, Type: m.view.Type, Zone: m.view.Zone, Spot: m.view.Spot, Matrix: m.matrix, Heard: m.heard, Existed: later(m.heard, m.since),
 			Places: len(m.places), Notice: !m.notice.IsZero(), Faulty: m.faulty()}
 		for p := range m.places {
 			if p.on() {
@@ -171,6 +171,7 @@
 	Matrix               placement.Matrix
 	Used                 placement.Shape
 	Heard                time.Time
+	Existed              time.Time // when it was last heard, or when this owner took over what it knows of it
 	Places               int
 }
 
