--- a/internal/owner/answers_test.go
+++ b/internal/owner/answers_test.go
@@ -204,3 +204,32 @@
 		}
 	})
 }
+
+// While a cancel is under way that will be refused, another is found to have been applied.
+func TestRefusedCancelBesideAnAppliedOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, s := scripted(t)
+		if err := o.Load(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		job, record := live(t, 11)
+		o.Accepted(job, nil, 0, 0, 11)
+		s.get = func(string) (wire.Item, error) { return record, nil }
+		s.txn = func() (uint64, error) {
+			time.Sleep(10 * time.Second)
+			record.Version = 12
+			record.Value = json.RawMessage(strings.Replace(string(record.Value), `"at":0`, `"at":0,"cancelled":true`, 1))
+			o.ResolveCancels(t.Context())
+			if st, ok := o.Known("j-1"); !ok || st.Stage != wire.StageCancelled {
+				t.Errorf("the applied cancel is not found: %+v, %v", st, ok)
+			}
+			return 0, statestore.ErrUnavailable
+		}
+		if st, err := o.Cancel(t.Context(), "j-1"); err == nil {
+			t.Errorf("the refused cancel is answered %+v", st)
+		}
+		if st, ok := o.Known("j-1"); !ok || st.Stage != wire.StageCancelled {
+			t.Errorf("%+v, %v", st, ok)
+		}
+	})
+}
--- a/internal/owner/opencancels.go
+++ b/internal/owner/opencancels.go
@@ -32,11 +32,14 @@
 	c.since = now
 }
 
-// failed notes that one that was sent was surely not applied and never will be.
+// failed notes that one that was sent was surely not applied and never will be. It may have
+// been taken out before: by a newer record, or since another cancel was applied.
 func (c *openCancels) failed(version uint64) {
-	if c.writes[version]--; c.writes[version] <= 0 {
-		delete(c.writes, version)
+	if c.writes[version] > 1 {
+		c.writes[version]--
+		return
 	}
+	delete(c.writes, version)
 }
 
 // passed notes that the job's record has a version, and is not cancelled: a version never
