A grant that has not reached the holder makes no machine deaf

Cause: an owner took a machine for deaf (its reports arrive, nothing sent to it has an effect) when a start that it had granted 3.5 s ago did not show. Where another controller holds the machine and the links between controllers are slow, the holder has the task queued still and has sent nothing.

Change: a holder's view says of each queued task whether it has sent no start command yet (unsent), and the owner judges only machines to which something was sent. Views of older holders lack the field and are judged as before.

Test: TestGrantThatHasNotReachedTheHolderMakesNoMachineDeaf.

--- a/internal/machine/messages.go
+++ b/internal/machine/messages.go
@@ -90,6 +90,8 @@
 type QueueView struct {
 	Ref
 	WaitS float64 `json:"w"`
+	// Unsent says that this holder has sent no start command for the task yet.
+	Unsent bool `json:"unsent,omitempty"`
 }
 
 // View is what a holder publishes of a machine.
--- a/internal/machine/view.go
+++ b/internal/machine/view.go
@@ -62,7 +62,7 @@
 	v.Matrix = placement.NewMatrix(total, h.occupied(s, total, now), nil)
 	for _, q := range s.queue {
 		if q.sent || q.granted {
-			v.Queue = append(v.Queue, QueueView{q.Ref, 0})
+			v.Queue = append(v.Queue, QueueView{Ref: q.Ref, Unsent: !q.sent})
 			continue
 		}
 		w := v.Matrix.Wait(q.Shape, q.Fetch+q.Run)
@@ -71,7 +71,7 @@
 		} else {
 			v.Matrix = v.Matrix.Reserve(q.Shape, w, q.Fetch+q.Run)
 		}
-		v.Queue = append(v.Queue, QueueView{q.Ref, w})
+		v.Queue = append(v.Queue, QueueView{Ref: q.Ref, WaitS: w, Unsent: true})
 	}
 	return v
 }
--- a/internal/owner/blame.go
+++ b/internal/owner/blame.go
@@ -68,6 +68,10 @@
 		}
 		var sent time.Time
 		switch {
+		case p.state == placeGranted && unsent(m.view.Queue, p.ref):
+			// The grant has not reached the holder, which says nothing of the machine: over a
+			// slow link between controllers, machines that worked were returned as deaf.
+			continue
 		case p.state == placeGranted:
 			sent = p.grantedAt
 		case p.state == placeUnsettled && m.view.Token <= p.token:
--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -148,6 +148,16 @@
 	return false
 }
 
+// unsent reports whether a holder has a place queued and has sent no start command for it.
+func unsent(queue []machine.QueueView, ref machine.Ref) bool {
+	for i := range queue {
+		if queue[i].Attempt == ref.Attempt && queue[i].Ref == ref {
+			return queue[i].Unsent
+		}
+	}
+	return false
+}
+
 // reserveUnshown takes what this owner has placed on the machine, and its
 // holder does not know yet, off the published matrix.
 func (o *Owner) reserveUnshown(m *mach) {
--- /dev/null
+++ b/internal/owner/unsent_grant_test.go
@@ -0,0 +1,60 @@
+package owner_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/machine"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// A start was granted to a holder that has it queued still, since the grant is long under
+// way to it: the machine was taken for deaf, and returned. It is deaf if the holder sent the
+// start, and its reports show nothing of it.
+func TestGrantThatHasNotReachedTheHolderMakesNoMachineDeaf(t *testing.T) {
+	for _, unsent := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 2, 0)
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() { defer close(done); _ = f.owner.Run(ctx) }()
+			f.owner.Accepted(&wire.Job{UID: "j-1", Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: 1, CPUs: 2, MemoryGB: 1, Estimate: 5, Spot: true},
+				nil, 0, time.Now().UnixMilli(), 1)
+			var ref machine.Ref
+			show := func() {
+				for i := range f.views {
+					v := &f.views[i]
+					v.Seq, v.Holder, v.Queue = v.Seq+1, "b", nil
+					if v.Asked = v.Name != ref.Machine; !v.Asked {
+						v.Queue = []machine.QueueView{{Ref: ref, Unsent: unsent}}
+					}
+					f.owner.Observe(*v)
+				}
+				time.Sleep(time.Second)
+			}
+			for range 2 {
+				f.show(0, 0.2)
+				time.Sleep(time.Second)
+			}
+			ref = f.owner.PlacesOf("j-1")[0]
+			if !f.owner.GrantHere(machine.GrantRequest{Ref: ref, Holder: "b", Token: 7, Session: 1}).OK {
+				t.Fatal("not granted")
+			}
+			deaf := false
+			for range 9 { // less than the time after which the owner asks for a newer token
+				show()
+				_, silent := f.owner.Silent(2 * time.Second)
+				for i := range silent {
+					deaf = deaf || silent[i].Name == ref.Machine && silent[i].Deaf
+				}
+			}
+			if deaf == unsent {
+				t.Errorf("start not sent: %v; taken for deaf: %v", unsent, deaf)
+			}
+			cancel()
+			<-done
+		})
+	}
+}
