Grants and answers over links of 1.5 s each way are waited for

Cause: a holder waited 1 s for the grant of an owner elsewhere and then asked anew; over links of 0.1 to 1.5 s each way five in six grants came too late and were thrown away, so that machines held by another controller stood still beside urgent work, one task for 13 s. A machine that was asked whether it works had 1.5 s to answer, and was called silent.

Change: a grant is waited for 3 s. Ask, by which machines are judged, waits 3.5 s; the rounds of Probe and Chase wait 1.5 s as before.

Test: TestLateGrantsAndAnswersCount.

--- a/internal/machine/holder.go
+++ b/internal/machine/holder.go
@@ -20,8 +20,9 @@
 
 const (
 	orderTimeout  = 1500 * time.Millisecond
+	askTimeout    = 3500 * time.Millisecond
+	grantTimeout  = 3 * time.Second
 	raiseTimeout  = 1500 * time.Millisecond
-	grantTimeout  = time.Second
 	maxCommands   = 200 // keeps every answer's line well under 64 KiB
 	bounceWindow  = 15 * time.Second
 	stickyFor     = 30 * time.Second
--- a/internal/machine/push.go
+++ b/internal/machine/push.go
@@ -113,14 +113,20 @@
 		if skip || !h.routing.Entitled() {
 			continue
 		}
-		g.Go(func() error { h.Ask(ctx, name, endpoint); return nil })
+		g.Go(func() error { h.askWithin(ctx, name, endpoint, orderTimeout); return nil })
 	}
 	_ = g.Wait() // none returns an error
 }
 
-// Ask asks a machine for its report and reports whether it answered.
+// Ask asks a machine for its report and reports whether it answered. It is for judging
+// whether the machine works, and so waits longer than the rounds of Probe and Chase do: one
+// at the end of a slow link was returned as deaf.
 func (h *Holder) Ask(ctx context.Context, name, endpoint string) bool {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	return h.askWithin(ctx, name, endpoint, askTimeout)
+}
+
+func (h *Holder) askWithin(ctx context.Context, name, endpoint string, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	rep, err := h.orders.Show(ctx, endpoint)
 	cancel()
 	if err != nil || rep.Machine != name {
@@ -140,7 +146,7 @@
 	g.SetLimit(probesAtOnce)
 	for name, endpoint := range endpoints {
 		g.Go(func() error {
-			if h.Ask(ctx, name, endpoint) {
+			if h.askWithin(ctx, name, endpoint, orderTimeout) {
 				h.Push(name)
 			}
 			return nil
--- /dev/null
+++ b/internal/machine/slow_links_test.go
@@ -0,0 +1,78 @@
+package machine_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/machine"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// slowLinks are around a holder whose requests to owners elsewhere and to workers are
+// answered late.
+type slowLinks struct {
+	*stub
+	answerTakes time.Duration
+}
+
+func (s *slowLinks) wait(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(s.answerTakes):
+		return nil
+	}
+}
+
+func (s *slowLinks) GrantThere(ctx context.Context, _ string, requests []machine.GrantRequest) ([]machine.GrantReply, error) {
+	if err := s.wait(ctx); err != nil {
+		return nil, err
+	}
+	replies := make([]machine.GrantReply, len(requests))
+	for i := range replies {
+		replies[i].OK = true
+	}
+	return replies, nil
+}
+
+func (s *slowLinks) Show(ctx context.Context, endpoint string) (*wire.Report, error) {
+	if err := s.wait(ctx); err != nil {
+		return nil, err
+	}
+	return s.stub.Show(ctx, endpoint)
+}
+
+// Over links on which a message takes well over a second each way, a grant of an owner
+// elsewhere comes in time to be used, the owner sees until then that nothing was sent, and
+// a machine that is asked whether it works is waited for.
+func TestLateGrantsAndAnswersCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &slowLinks{&stub{term: 5, order: func(wire.Orders) (*wire.Report, bool, error) { return report(2, 5), true, nil }}, 2900 * time.Millisecond}
+		ctx, cancel := context.WithCancel(context.Background())
+		h := machine.New(ctx, "a", 10*time.Second, s, s, s, s, s, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		h.Report(ctx, report(1, 5))
+		e := entry(1)
+		e.Owner = "b"
+		h.Direct(machine.Direction{From: "b", Assign: []machine.Entry{e}})
+		if q := h.Views()[0].Queue; len(q) != 1 || !q[0].Unsent {
+			t.Errorf("queue %+v before the grant", q)
+		}
+		time.Sleep(s.answerTakes + time.Millisecond)
+		synctest.Wait()
+		if len(s.sent) != 1 || s.sent[0].Commands[0].Verb != wire.VerbStart {
+			t.Errorf("sent %+v", s.sent)
+		}
+		if q := h.Views()[0].Queue; len(q) != 1 || q[0].Unsent {
+			t.Errorf("queue %+v after the start was sent", q)
+		}
+		if !h.Ask(ctx, "n-1", "e") {
+			t.Error("a machine that answers late counts as not answering")
+		}
+		cancel()
+		h.Wait()
+	})
+}
