internal/lending: parts of teams' limits, lent to shards by versioned records

Cause: with several owners (spread above 1) a limited team's jobs had to stay in one shard, so that one owner counts them; docs/CAPACITY.md names lent limits as missing.

Parts belong to shards; every owner writes for itself, conditional on the record's version and its shards' keys; what makes a part smaller counts before it is sent. Nothing uses it yet.

--- /dev/null
+++ b/internal/lending/record.go
@@ -0,0 +1,179 @@
+package lending
+
+import (
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"slices"
+
+	"github.com/goccy/go-json"
+)
+
+// Prefix begins the keys of the records in the state service.
+const Prefix = "lent/"
+
+// Records is how many records the teams are divided among. It never changes: a team
+// whose record moved would be lent twice.
+const Records = 16
+
+// RecordOf is the number of the record that holds a team's parts.
+func RecordOf(team string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(team)) // never fails
+	return int(h.Sum32() % Records)
+}
+
+// Key is the key of a record.
+func Key(record int) string { return fmt.Sprintf("%s%02d", Prefix, record) }
+
+// Record is how the limits of some teams are divided among the shards. A shard without a
+// row was never taken over by an owner that borrows: what runs under it is not known.
+type Record struct {
+	Rows []Row `json:"rows"` // by shard, ascending
+}
+
+// Row is what a shard's owner borrowed.
+type Row struct {
+	Shard int              `json:"shard"`
+	Term  uint64           `json:"term"` // version of the shard's key under which its owner last wrote the row
+	Teams map[string]Entry `json:"teams,omitempty"`
+}
+
+// Entry is what a shard has and wants of a team's limit.
+type Entry struct {
+	Part Amount // lent to the shard
+	Want Amount // that it could use in all, if that is more than its part
+	Unit Amount // least by which its use can grow: a task, or a gang; 0: it starts nothing
+}
+
+const entryNumbers = 3 * kinds
+
+// MarshalJSON writes an entry as its numbers, without the zeros at the end.
+func (e Entry) MarshalJSON() ([]byte, error) {
+	numbers := make([]int64, 0, entryNumbers)
+	for _, a := range []Amount{e.Part, e.Want, e.Unit} {
+		numbers = append(numbers, a[:]...)
+	}
+	for len(numbers) > 0 && numbers[len(numbers)-1] == 0 {
+		numbers = numbers[:len(numbers)-1]
+	}
+	return json.Marshal(numbers)
+}
+
+// UnmarshalJSON reads what MarshalJSON writes.
+func (e *Entry) UnmarshalJSON(data []byte) error {
+	var numbers []int64
+	if err := json.Unmarshal(data, &numbers); err != nil {
+		return err
+	}
+	if len(numbers) > entryNumbers {
+		return fmt.Errorf("an entry of %d numbers", len(numbers))
+	}
+	if slices.ContainsFunc(numbers, func(n int64) bool { return n < 0 || n > largest }) {
+		return errors.New("an amount out of bounds")
+	}
+	var all [entryNumbers]int64
+	copy(all[:], numbers)
+	*e = Entry{Part: Amount(all[:kinds]), Want: Amount(all[kinds : 2*kinds]), Unit: Amount(all[2*kinds:])}
+	return nil
+}
+
+// largest amount in an entry, so that sums of them can't overflow.
+const largest = 1 << 50
+
+// Parse reads a record. Teams are checked by their Borrower, which knows the settings.
+func Parse(data []byte, shards int) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return Record{}, err
+	}
+	last := -1
+	for _, row := range r.Rows {
+		switch {
+		case row.Shard < 0 || row.Shard >= shards:
+			return Record{}, fmt.Errorf("rows: unknown shard %d of %d", row.Shard, shards)
+		case row.Shard <= last:
+			return Record{}, fmt.Errorf("rows: shard %d is out of order or given twice", row.Shard)
+		case row.Term == 0:
+			return Record{}, fmt.Errorf("rows: shard %d has no term", row.Shard)
+		}
+		last = row.Shard
+	}
+	return r, nil
+}
+
+// row returns a shard's row, or nil.
+func (r *Record) row(shard int) *Row {
+	for i := range r.Rows {
+		if r.Rows[i].Shard == shard {
+			return &r.Rows[i]
+		}
+	}
+	return nil
+}
+
+// addRow adds a shard's first row.
+func (r *Record) addRow(row Row) {
+	r.Rows = append(r.Rows, row)
+	slices.SortFunc(r.Rows, func(a, b Row) int { return a.Shard - b.Shard })
+}
+
+// set changes what a row has of a team; nothing is not kept.
+func (w *Row) set(team string, e Entry) {
+	if e.Part.Zero() && e.Want.Zero() {
+		delete(w.Teams, team)
+		return
+	}
+	if w.Teams == nil {
+		w.Teams = map[string]Entry{}
+	}
+	w.Teams[team] = e
+}
+
+// lent is the sum of a team's parts.
+func (r *Record) lent(team string) (sum Amount) {
+	for i := range r.Rows {
+		sum = sum.Add(r.Rows[i].Teams[team].Part)
+	}
+	return sum
+}
+
+func (r *Record) clone() Record {
+	out := Record{Rows: slices.Clone(r.Rows)}
+	for i := range out.Rows {
+		teams := make(map[string]Entry, len(r.Rows[i].Teams))
+		for team, e := range r.Rows[i].Teams {
+			teams[team] = e
+		}
+		out.Rows[i].Teams = teams
+	}
+	return out
+}
+
+// CheckSize reports an error if the parts of teams with these limits may not fit the
+// records, whose values have at most so many bytes.
+func CheckSize(limits map[string]Amount, shards, valueBytes int) error {
+	const anyTerm = 1 << 53
+	records := [Records]Record{}
+	for n := range records {
+		for s := range shards {
+			records[n].Rows = append(records[n].Rows, Row{Shard: s, Term: anyTerm, Teams: map[string]Entry{}})
+		}
+	}
+	for team, limit := range limits {
+		for i := range records[RecordOf(team)].Rows {
+			records[RecordOf(team)].Rows[i].set(team, Entry{Part: limit, Want: limit, Unit: limit})
+		}
+	}
+	for n := range records {
+		data, err := json.Marshal(records[n])
+		if err != nil {
+			return err
+		}
+		if len(data) > valueBytes {
+			return fmt.Errorf("parts of %d teams' limits for %d shards take %d bytes in record %s, of %d",
+				len(records[n].Rows[0].Teams), shards, len(data), Key(n), valueBytes)
+		}
+	}
+	return nil
+}
