Lent limits for several owners: an owner asks for its parts instead of the whole limit

Cause: spread above 1 had no lent limits.

Change: with spread above 1, and only then, jobs of a team with a limit belong to any shard (a job's record keeps its shard, so those accepted before stay), the grant, the estimate and the placing ask for the shard's part, and a loop borrows and returns parts with at most 5 % of the service's writes on average. With one owner nothing is read, written or allocated more than before. A team's name given twice and a guarantee above the limit are refused when settings are read; with spread above 1 so are more parts than the records hold.

The checker of team limits is unchanged.

--- a/cmd/wallrack/main.go
+++ b/cmd/wallrack/main.go
@@ -14,6 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/owner"
 	"github.com/wallrack/wallrack/internal/rollout"
 	"github.com/wallrack/wallrack/internal/slurmapi"
 )
@@ -51,7 +52,13 @@
 			return nil, nil, err
 		}
 		op, err := config.LoadOperator(operator)
-		return p, op, err
+		if err != nil {
+			return nil, nil, err
+		}
+		if err := owner.CheckLending(p, op); err != nil {
+			return nil, nil, fmt.Errorf("%s: %w", platform, err)
+		}
+		return p, op, nil
 	}
 	root := &cobra.Command{
 		Use:           "wallrack --config FILE",
--- a/cmd/wallrack/rollouts.go
+++ b/cmd/wallrack/rollouts.go
@@ -43,7 +43,7 @@
 	} else if !errors.Is(err, statestore.ErrNotFound) {
 		return err
 	}
-	shard := owner.ShardOf(job, c.n.cfg.Params.Teams, c.n.op.Shards)
+	shard := owner.HomeOf(job, c.n.cfg.Params.Teams, c.n.op)
 	at := time.Now().UnixMilli()
 	var t *terms.Terms
 	if book := c.n.intake.Numbers; book != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -164,13 +164,24 @@
 	if st.TxnOps < 4 {
 		return nil, errors.New("params.state.txn_ops: must be at least 4")
 	}
+	named := map[string]int{}
 	for i, t := range p.Params.Teams {
 		if t.Name == "" {
 			return nil, fmt.Errorf("params.teams[%d].name: missing", i)
 		}
+		if first, twice := named[t.Name]; twice {
+			return nil, fmt.Errorf("params.teams[%d].name: %q is the name of params.teams[%d] already", i, t.Name, first)
+		}
+		named[t.Name] = i
 		if t.CPUs < 0 || t.CPUsMax < 0 || t.GPUs < 0 || t.GPUsMax < 0 {
 			return nil, fmt.Errorf("params.teams[%d]: negative amount", i)
 		}
+		if t.CPUsMax > 0 && t.CPUs > t.CPUsMax {
+			return nil, fmt.Errorf("params.teams[%d].cpus: the guarantee of %v is above the limit of %v", i, t.CPUs, t.CPUsMax)
+		}
+		if t.GPUsMax > 0 && t.GPUs > t.GPUsMax {
+			return nil, fmt.Errorf("params.teams[%d].gpus: the guarantee of %v is above the limit of %v", i, t.GPUs, t.GPUsMax)
+		}
 	}
 	return &p, nil
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -64,6 +64,36 @@
 	}
 }
 
+// Of 410 teams one has another's name, or a guarantee above its limit: the error names it.
+func TestTeamsThatContradictThemselvesAreRefused(t *testing.T) {
+	teams := func(change func(i int) string) []byte {
+		var b strings.Builder
+		b.WriteString(platform)
+		for i := range 410 {
+			fmt.Fprintf(&b, "[[params.teams]]\n%s\n", change(i))
+		}
+		return []byte(b.String())
+	}
+	plain := func(i int) string { return fmt.Sprintf("name = \"team-%d\"\ncpus = 4.0\ncpus_max = 4.0", i) }
+	for _, c := range []struct{ last, want string }{
+		{plain(409), ""},
+		{"name = \"team-7\"", `params.teams[409].name: "team-7" is the name of params.teams[7] already`},
+		{"name = \"x\"\ncpus = 5.0\ncpus_max = 4.5", "params.teams[409].cpus: the guarantee of 5 is above the limit of 4.5"},
+		{"name = \"x\"\ngpus = 2.0\ngpus_max = 1.0", "params.teams[409].gpus: the guarantee of 2 is above the limit of 1"},
+		{"name = \"x\"\ncpus = 5.0", ""}, // a limit of 0 is none
+	} {
+		_, err := config.ParsePlatform(teams(func(i int) string {
+			if i == 409 {
+				return c.last
+			}
+			return plain(i)
+		}))
+		if (err == nil) != (c.want == "") || err != nil && err.Error() != c.want {
+			t.Errorf("%q: %v, want %q", c.last, err, c.want)
+		}
+	}
+}
+
 func TestOperatorOverridesOneKey(t *testing.T) {
 	base, err := config.LoadOperator("")
 	if err != nil {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -368,7 +368,7 @@
 		usage.Note(usage.RefusedJobs)
 		return Reply{Status: http.StatusServiceUnavailable, Reason: "too much work at once"}
 	}
-	shard := owner.ShardOf(job, in.cfg.Params.Teams, in.op.Shards)
+	shard := owner.HomeOf(job, in.cfg.Params.Teams, in.op)
 	at := time.Now().UnixMilli()
 	guards, ops := owner.AcceptTxn(job, asked, shard, at)
 	for n := 0; ; n++ {
--- a/internal/owner/batch.go
+++ b/internal/owner/batch.go
@@ -83,8 +83,11 @@
 		return true
 	}
 	queued := t.use
+	if t.lent != nil {
+		queued = t.lent.use[j.shard]
+	}
 	for _, x := range o.order {
-		if x.team != t {
+		if x.team != t || t.lent != nil && x.shard != j.shard {
 			continue
 		}
 		for _, ps := range x.places {
@@ -96,6 +99,9 @@
 		}
 	}
 	queued = queued.Add(j.shape, float64(more))
+	if t.lent != nil {
+		return t.allows(j.shard, queued)
+	}
 	return (t.CPUsMax <= 0 || queued.CPUs <= t.CPUsMax+1e-6) && (t.GPUsMax <= 0 || queued.GPUs <= t.GPUsMax+1e-6)
 }
 
--- a/internal/owner/books.go
+++ b/internal/owner/books.go
@@ -49,6 +49,9 @@
 		return
 	}
 	p.job.team.use = p.job.team.use.Add(p.job.shape, float64(sign))
+	if lent := p.job.team.lent; lent != nil {
+		lent.count(p.job.shard, p.job.shape, float64(sign))
+	}
 	if p.mach.view.Zone == "" {
 		p.job.unzoned += sign
 		return
--- a/internal/owner/build.go
+++ b/internal/owner/build.go
@@ -6,6 +6,7 @@
 	"github.com/goccy/go-json"
 
 	"github.com/wallrack/wallrack/internal/accounting"
+	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -268,4 +269,6 @@
 }
 
 // valueBytes is how long a value that this owner writes may be.
-func (o *Owner) valueBytes() int { return int(o.cfg.Params.State.ValueKB*1024*0.9) - 64 }
+func (o *Owner) valueBytes() int { return valueBytes(o.cfg) }
+
+func valueBytes(cfg *config.Platform) int { return int(cfg.Params.State.ValueKB*1024*0.9) - 64 }
--- a/internal/owner/grant.go
+++ b/internal/owner/grant.go
@@ -136,6 +136,9 @@
 // underLimit reports whether the job's team may use one more task of it.
 func (o *Owner) underLimit(j *job) bool {
 	t := j.team
+	if t.lent != nil {
+		return t.allows(j.shard, t.lent.use[j.shard].Add(j.shape, 1))
+	}
 	u := t.use.Add(j.shape, 1)
 	const tiny = 1e-6
 	return (t.CPUsMax <= 0 || u.CPUs <= t.CPUsMax+tiny) && (t.GPUsMax <= 0 || u.GPUs <= t.GPUsMax+tiny)
--- /dev/null
+++ b/internal/owner/lend.go
@@ -0,0 +1,358 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/lending"
+	"github.com/wallrack/wallrack/internal/placement"
+	"github.com/wallrack/wallrack/internal/statestore"
+	"github.com/wallrack/wallrack/internal/terms"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+const (
+	lendEvery = 200 * time.Millisecond // between looks at what is needed
+	// lendShare is the part of the state service's writes that an owner uses to borrow,
+	// on average. A takeover writes every record once, at once.
+	lendShare = 0.05
+)
+
+// Lends reports whether limits are lent to several owners: then a team's jobs need not
+// belong to one shard.
+func Lends(op *config.Operator) bool { return op.Spread > 1 }
+
+// lends reports whether the team's limit is one that is lent. What has only a guarantee
+// stays together: there is nothing to lend.
+func lends(t config.Team) bool { return t.CPUsMax > 0 || t.GPUsMax > 0 }
+
+// HomeOf says which shard a new job belongs to. The job's record keeps it, so that jobs
+// that were accepted under another setting stay where they are.
+func HomeOf(job *wire.Job, teams []config.Team, op *config.Operator) int {
+	if Lends(op) {
+		apart := make([]config.Team, 0, len(teams))
+		for _, t := range teams {
+			if !lends(t) {
+				apart = append(apart, t)
+			}
+		}
+		teams = apart
+	}
+	return ShardOf(job, teams, op.Shards)
+}
+
+func limitOf(t config.Team) lending.Amount { return lending.LimitOf(t.CPUsMax, t.GPUsMax) }
+
+// CheckLending reports an error if the records of lent limits may not hold all parts.
+func CheckLending(cfg *config.Platform, op *config.Operator) error {
+	if !Lends(op) {
+		return nil
+	}
+	limits := map[string]lending.Amount{}
+	for _, t := range cfg.Params.Teams {
+		if lends(t) {
+			limits[t.Name] = limitOf(t)
+		}
+	}
+	if err := lending.CheckSize(limits, op.Shards, valueBytes(cfg)); err != nil {
+		return fmt.Errorf("params.teams: %w", err)
+	}
+	return nil
+}
+
+// lentTeam is what an owner knows of a team whose limit it borrows parts of.
+type lentTeam struct {
+	name string
+	side *lending.Borrower
+	use  map[int]placement.Shape // of all that may be on, by shard
+}
+
+func (t *lentTeam) count(shard int, shape placement.Shape, sign float64) {
+	t.use[shard] = t.use[shard].Add(shape, sign)
+}
+
+func amountOf(s placement.Shape) lending.Amount { return lending.AmountOf(s.CPUs, s.GPUs) }
+
+// allows reports whether the tasks of a shard may use so much.
+func (t *team) allows(shard int, use placement.Shape) bool { return t.short(shard, use) == "" }
+
+// short says which kind of the team's limit does not let the tasks of a shard use so much,
+// or "".
+func (t *team) short(shard int, use placement.Shape) string {
+	a, c := amountOf(use), t.lent.side.Ceiling(shard, t.lent.name)
+	for kind, limit := range limitOf(t.Team) {
+		if limit > 0 && a[kind] > c[kind] {
+			return [...]string{terms.ReasonLimitCPU, terms.ReasonLimitGPU}[kind]
+		}
+	}
+	return ""
+}
+
+// favoured reports whether a shard's tasks use less than its share of the team's guarantee.
+// A whole task may go beyond: else a share smaller than one task would favour nothing.
+func (t *team) favoured(shard int) bool {
+	share := t.lent.side.GuaranteeShare(shard, t.lent.name)
+	use := t.lent.use[shard]
+	return t.CPUs > 0 && use.CPUs < t.CPUs*share-1e-6 || t.GPUs > 0 && use.GPUs < t.GPUs*share-1e-6
+}
+
+// lender borrows parts of limits for the shards of this owner.
+type lender struct {
+	sides [lending.Records]*lending.Borrower // nil: the record holds no team
+	busy  [lending.Records]bool              // a request for it is under way
+	next  int                                // the record to begin the next round with
+	pace  *rate.Limiter                      // of writes
+	wake  chan struct{}
+}
+
+func newLender(cfg *config.Platform, op *config.Operator, teams map[string]*team) *lender {
+	limits := [lending.Records]map[string]lending.Amount{}
+	for name, t := range teams {
+		if !lends(t.Team) {
+			continue
+		}
+		n := lending.RecordOf(name)
+		if limits[n] == nil {
+			limits[n] = map[string]lending.Amount{}
+		}
+		limits[n][name] = limitOf(t.Team)
+	}
+	l := &lender{pace: rate.NewLimiter(rate.Limit(max(1, lendShare*cfg.Params.State.WriteRPS)), lending.Records), wake: make(chan struct{}, 1)}
+	for n := range limits {
+		if limits[n] != nil {
+			l.sides[n] = lending.New(limits[n], op.Shards)
+		}
+	}
+	for name, t := range teams {
+		if lends(t.Team) {
+			t.lent = &lentTeam{name: name, side: l.sides[lending.RecordOf(name)], use: map[int]placement.Shape{}}
+		}
+	}
+	return l
+}
+
+// lendShards tells the lender which shards are owned. It is called whenever they change,
+// before anything can start under the new ones.
+func (o *Owner) lendShards() {
+	if o.lender == nil {
+		return
+	}
+	for _, side := range o.lender.sides {
+		if side != nil {
+			side.Own(o.loaded)
+		}
+	}
+	poke(o.lender.wake)
+}
+
+// lend borrows and returns parts until ctx ends.
+func (o *Owner) lend(ctx context.Context) {
+	if o.lender == nil {
+		return
+	}
+	go o.watchLent(ctx)
+	tick := time.NewTicker(lendEvery)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-o.lender.wake:
+		}
+		o.lendRound(ctx)
+	}
+}
+
+// watchLent follows the records.
+func (o *Owner) watchLent(ctx context.Context) {
+	o.store.Watch(ctx, lending.Prefix, 20*time.Second, func(items []wire.Item) {
+		for _, it := range items {
+			o.lentNews(it)
+		}
+		poke(o.lender.wake)
+	}, func(events []wire.Event) {
+		for _, e := range events {
+			if e.Put != "" {
+				o.lentNews(wire.Item{Key: e.Put, Value: e.Value, Version: e.Version})
+			}
+		}
+		poke(o.lender.wake)
+	})
+}
+
+func (o *Owner) lentNews(it wire.Item) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for n, side := range o.lender.sides {
+		if side != nil && lending.Key(n) == it.Key {
+			if r, ok := o.readLent(it); ok {
+				o.heardLent(it.Key, side, func() { side.Observe(r, it.Version, it.Version) })
+			}
+		}
+	}
+}
+
+// readLent reads a record; one that can't be read is counted and said.
+func (o *Owner) readLent(it wire.Item) (lending.Record, bool) {
+	if it.Version == 0 {
+		return lending.Record{}, true
+	}
+	r, err := lending.Parse(it.Value, o.op.Shards)
+	if err != nil {
+		o.stats.LentRefused++
+		o.log.Error("record of lent limits refused", "key", it.Key, "err", err)
+		return r, false
+	}
+	return r, true
+}
+
+// heardLent has a side take a record, counts and says what it refused of it.
+func (o *Owner) heardLent(key string, side *lending.Borrower, take func()) {
+	before := side.Unknown
+	take()
+	if n := side.Unknown - before; n > 0 {
+		o.stats.LentRefused += n
+		o.log.Warn("unknown terms or teams in a record of lent limits", "key", key, "refused", n)
+	}
+	poke(o.wake)
+}
+
+// lendRound sends what is to be written, as far as the pace allows.
+func (o *Owner) lendRound(ctx context.Context) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	// A successor may own the shards already: what was planned could not be written.
+	if len(o.loaded) == 0 || o.member.Held() <= 0 {
+		return
+	}
+	l := o.lender
+	now := time.Now()
+	needs := o.lentNeeds(now)
+	first := l.next
+	for i := range lending.Records {
+		n := (first + i) % lending.Records
+		side := l.sides[n]
+		if side == nil || l.busy[n] {
+			continue
+		}
+		if l.pace.Tokens() < 1 {
+			l.next = n
+			return
+		}
+		if side.Rereads() {
+			l.pace.Allow()
+			l.busy[n] = true
+			go o.rereadLent(ctx, n)
+			continue
+		}
+		w, ok := side.Plan(now, func(shard int, team string) lending.Need { return needs[lentKey{shard, team}] })
+		if ok {
+			l.pace.Allow()
+			l.busy[n] = true
+			go o.writeLent(ctx, n, w)
+		}
+	}
+}
+
+type lentKey struct {
+	shard int
+	team  string
+}
+
+// lentNeeds is what this owner's shards need of the limits that are lent.
+func (o *Owner) lentNeeds(now time.Time) map[lentKey]lending.Need {
+	o.now = now
+	needs := map[lentKey]lending.Need{}
+	for _, t := range o.teams {
+		if t.lent == nil {
+			continue
+		}
+		for shard, use := range t.lent.use {
+			if a := amountOf(use); !a.Zero() {
+				needs[lentKey{shard, t.lent.name}] = lending.Need{Use: a, Demand: a}
+			}
+		}
+	}
+	for _, j := range o.order {
+		if j.team.lent == nil || j.cancelled || j.ended != "" || now.Before(j.notBefore) {
+			continue
+		}
+		n := o.wants(j)
+		for _, ps := range j.places {
+			for _, p := range ps {
+				if !p.on() && !p.exited {
+					n++
+				}
+			}
+		}
+		if n == 0 {
+			continue
+		}
+		key := lentKey{j.shard, j.team.lent.name}
+		need := needs[key]
+		need.Demand = need.Demand.Add(amountOf(j.shape.Scale(float64(n))))
+		unit := amountOf(j.shape)
+		if j.spec.Gang() {
+			unit = amountOf(j.shape.Scale(float64(n)))
+		}
+		if need.Unit.Zero() || unit.Smaller(need.Unit) {
+			need.Unit = unit
+		}
+		needs[key] = need
+	}
+	return needs
+}
+
+// writeLent carries out a write of a record. If nothing is heard of it, it is repeated as
+// it was.
+func (o *Owner) writeLent(ctx context.Context, n int, w lending.Write) {
+	guards := []wire.Guard{{Key: lending.Key(n), Version: w.Guard}}
+	for _, s := range slices.Sorted(maps.Keys(w.Shards)) {
+		guards = append(guards, wire.Guard{Key: o.member.ShardKey(s), Version: w.Shards[s]})
+	}
+	tctx, cancel := context.WithTimeout(ctx, txnTimeout)
+	defer cancel()
+	rev, err := o.store.Txn(tctx, guards, wire.Op{Put: lending.Key(n), Value: w.Record})
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lender.busy[n] = false
+	side := o.lender.sides[n]
+	var conflict *statestore.Conflict
+	switch {
+	case err == nil:
+		side.Applied(w, rev)
+		poke(o.wake)
+	case errors.As(err, &conflict):
+		side.Refused(w)
+		poke(o.lender.wake)
+	default:
+		o.log.Debug("no answer to a write of lent limits", "key", lending.Key(n), "err", err)
+	}
+}
+
+// rereadLent reads a record anew after a write of it was refused.
+func (o *Owner) rereadLent(ctx context.Context, n int) {
+	rctx, cancel := context.WithTimeout(ctx, txnTimeout)
+	defer cancel()
+	it, err := o.store.Get(rctx, lending.Key(n))
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lender.busy[n] = false
+	if err != nil && !errors.Is(err, statestore.ErrNotFound) {
+		return
+	}
+	it.Key = lending.Key(n)
+	if r, ok := o.readLent(it); ok {
+		side := o.lender.sides[n]
+		o.heardLent(it.Key, side, func() { side.Reread(r, it.Version, it.Version) })
+		poke(o.lender.wake)
+	}
+}
--- a/internal/owner/listing.go
+++ b/internal/owner/listing.go
@@ -158,6 +158,8 @@
 	use := j.team.use.Add(j.shape, 1)
 	const tiny = 1e-6
 	switch {
+	case j.team.lent != nil && !o.underLimit(j):
+		return j.team.short(j.shard, j.team.lent.use[j.shard].Add(j.shape, 1))
 	case j.asked.Most > 0 && j.busy(false, -1) >= j.asked.Most:
 		return terms.ReasonThrottle
 	case j.team.CPUsMax > 0 && use.CPUs > j.team.CPUsMax+tiny:
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -176,7 +176,8 @@
 // team is a team's use.
 type team struct {
 	config.Team
-	use placement.Shape // of all that may be on
+	use  placement.Shape // of all that may be on
+	lent *lentTeam       // nil: the whole limit is this owner's
 }
 
 type cached struct {
@@ -285,11 +286,12 @@
 	over      tally // of jobs that ended here
 	book      *accounting.Book
 	loose     []accounting.Row // of attempts whose end needs no record
+	lender    *lender          // nil: limits are not lent
 }
 
 // Stats are counters for operators.
 type Stats struct {
-	Placed, Duplicates, Granted, Refused, Lost, Done, Errors, Preempted, Evacuated, Expiring, Takeovers int
+	Placed, Duplicates, Granted, Refused, Lost, Done, Errors, Preempted, Evacuated, Expiring, Takeovers, LentRefused int
 }
 
 // New returns an owner of nothing yet.
@@ -305,6 +307,9 @@
 	for _, t := range cfg.Params.Teams {
 		o.teams[t.Name] = &team{Team: t}
 	}
+	if Lends(op) {
+		o.lender = newLender(cfg, op, o.teams)
+	}
 	return o
 }
 
@@ -325,7 +330,7 @@
 // Run owns jobs until ctx ends.
 func (o *Owner) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){o.write, o.direct, o.watch, o.attend} {
+	for _, f := range []func(context.Context){o.write, o.direct, o.watch, o.attend, o.lend} {
 		wg.Add(1)
 		go func() { defer wg.Done(); f(ctx) }()
 	}
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -102,6 +102,10 @@
 	for _, j := range jobs {
 		first[j] = o.first(j)
 		t := j.team
+		if t.lent != nil {
+			within[j] = t.favoured(j.shard)
+			continue
+		}
 		within[j] = t.CPUs > 0 && t.use.CPUs+j.shape.CPUs <= t.CPUs+1e-6 || t.GPUs > 0 && t.use.GPUs+j.shape.GPUs <= t.GPUs+1e-6
 	}
 	sort.SliceStable(jobs, func(a, b int) bool {
--- a/internal/owner/takeover.go
+++ b/internal/owner/takeover.go
@@ -47,6 +47,7 @@
 	delete(o.loaded, shard)
 	delete(o.listed, shard)
 	delete(o.logs, shard)
+	o.lendShards()
 	for uid, j := range o.jobs {
 		if j.shard == shard {
 			o.forget(uid, j)
@@ -144,6 +145,7 @@
 	for _, s := range shards {
 		o.loaded[s], o.listed[s] = versions[s], listed
 	}
+	o.lendShards()
 	if o.Accounts {
 		o.book = accounting.NewBook(fence, o.valueBytes())
 	}
--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -95,6 +95,7 @@
 	ordering func(endpoint string, o wire.Orders) // sees a direct order before it is on its way; nil: nobody
 
 	beside     func(n *node) []func(context.Context) error            // what else a controller runs; nil: nothing
+	spread     int                                                    // controllers that shards are spread over; 0: as the settings have it
 	loseAnswer func(n *node, t wire.Txn, version uint64) bool         // of an applied transaction; nil: none by choice
 	seen       func(n *node, key string, version uint64)              // what a controller reads in the store; nil: nobody looks
 	delay      func(n *node, t wire.Txn) (time.Duration, func(error)) // until a transaction is applied; nil: no time
@@ -306,11 +307,7 @@
 		Transit: func() time.Duration { return w.drawn(&w.transit) },
 	}
 	w.watched(n)
-	op, err := config.LoadOperator("")
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	op.Shards = 4
+	op := w.operator()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	n.member = membership.New(n.view, name, config.Seconds(op.LeaseS), op.Shards, op.Spread, log)
 	cfg := *w.cfg
@@ -344,6 +341,19 @@
 	w.mu.Unlock()
 }
 
+// operator is the operators' settings of all controllers.
+func (w *cluster) operator() *config.Operator {
+	op, err := config.LoadOperator("")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	op.Shards = 4
+	if w.spread > 0 {
+		op.Spread = w.spread
+	}
+	return op
+}
+
 // drawn asks a trouble that may begin and end at any time.
 func (w *cluster) drawn(f *func() time.Duration) time.Duration {
 	w.mu.Lock()
@@ -620,7 +630,7 @@
 	w.mu.Lock()
 	w.specs[job.UID] = job
 	w.mu.Unlock()
-	guards, ops := owner.AcceptTxn(job, t, owner.ShardOf(job, w.cfg.Params.Teams, 4), time.Now().UnixMilli())
+	guards, ops := owner.AcceptTxn(job, t, owner.HomeOf(job, w.cfg.Params.Teams, w.operator()), time.Now().UnixMilli())
 	clean := &testkit.View{Store: w.store}
 	if _, err := clean.Txn(context.Background(), guards, ops...); err != nil {
 		w.t.Fatal(err)
