--- a/internal/lending/lending_test.go
+++ b/internal/lending/lending_test.go
@@ -632,3 +632,40 @@
 		t.Errorf("64 shards: %v", err)
 	}
 }
+
+// BenchmarkRound is one look of an owner of half the shards at all records, with 410 teams
+// that all want more than they have.
+func BenchmarkRound(b *testing.B) {
+	const shards = 6
+	var sides [lending.Records]*lending.Borrower
+	var all [lending.Records]map[string]lending.Amount
+	for i := range 410 {
+		team := fmt.Sprintf("team-%03d", i)
+		n := lending.RecordOf(team)
+		if all[n] == nil {
+			all[n] = map[string]lending.Amount{}
+		}
+		all[n][team] = lending.LimitOf(64, 4)
+	}
+	need := lending.Need{Use: lending.AmountOf(10, 0), Demand: lending.AmountOf(64, 2), Unit: lending.AmountOf(1, 0)}
+	needs := func(int, string) lending.Need { return need }
+	now, version := time.Now(), uint64(100)
+	for n := range sides {
+		other := lending.New(all[n], shards)
+		other.Own(map[int]uint64{3: 1, 4: 1, 5: 1}, 0)
+		w, _ := other.Plan(now, needs)
+		sides[n] = lending.New(all[n], shards)
+		sides[n].Own(map[int]uint64{0: 2, 1: 2, 2: 2}, 0)
+		sides[n].Observe(w.Record, version, version)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(200 * time.Millisecond)
+		version++
+		for _, side := range sides {
+			if w, ok := side.Plan(now, needs); ok {
+				side.Applied(w, version)
+			}
+		}
+	}
+}
--- a/internal/owner/lend.go
+++ b/internal/owner/lend.go
@@ -205,7 +205,13 @@
 		case <-tick.C:
 		case <-o.lender.wake:
 		}
+		start := time.Now()
 		o.lendRound(ctx)
+		// As passes: a small part of the processor, however many teams there are.
+		select {
+		case <-ctx.Done():
+		case <-time.After(passShare * time.Since(start)):
+		}
 	}
 }
 
