Tests over slow links: a second of the cluster is a second for everybody

Cause of TestMoreWorkThanRoomOverSlowLinks failing in a third of its runs: the simulated cluster, not the controllers. Between two reports of the workers it waited, in the one goroutine that lets time pass, for the answers to what the owner asks other machines (Probe, Expiring with Chase, the asks of silent machines, those for cancelled tasks), and at the end for every user's question to be answered in turn. With links of 0.1 to 1.5 s each way a "second" so took 1 to 17 s, in which no worker reported to anybody. No real worker waits with its report for what a controller asks another machine: cmd/wallrack has a loop of its own for each of these.

Change: what a controller asks is under way beside the rest while links are slow, one round at a time of each kind, until the controller ends. Users ask at once while the rest goes on. A controller that ended while a report was on its way does not answer it any more.

--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -128,7 +128,10 @@
 	entitled bool // when last looked at
 	knows    knownCancels
 	intake   *intake.Intake
-	mux      *http.ServeMux // the users' interface
+	mux      *http.ServeMux  // the users' interface
+	ctx      context.Context // until it ends
+	duties   map[string]bool // under way beside the rest: see onDuty
+	underWay sync.WaitGroup  // of those
 
 	started   time.Time
 	published *views.Publisher
@@ -288,7 +291,7 @@
 
 func (w *cluster) start(name string) {
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &node{w: w, name: name, stop: cancel, done: make(chan struct{})}
+	n := &node{w: w, name: name, ctx: ctx, stop: cancel, done: make(chan struct{}), duties: map[string]bool{}}
 	n.reach.init(n)
 	n.view = &testkit.View{Store: w.store,
 		Down: func() bool { w.mu.Lock(); defer w.mu.Unlock(); return n.down || !w.stored(n) },
@@ -338,7 +341,7 @@
 		wg.Add(1)
 		go func() { defer wg.Done(); _ = f(ctx) }()
 	}
-	go func() { wg.Wait(); n.holder.Wait(); close(n.done) }()
+	go func() { wg.Wait(); n.underWay.Wait(); n.holder.Wait(); close(n.done) }()
 	w.mu.Lock()
 	w.nodes[name] = n
 	w.mu.Unlock()
@@ -416,6 +419,12 @@
 		return
 	}
 	w.travel()
+	if n.ended() { // while the report was on its way
+		w.mu.Lock()
+		w.at[k]++
+		w.mu.Unlock()
+		return
+	}
 	status, body := n.holder.Report(context.Background(), rep)
 	answered := time.Now()
 	w.travel()
@@ -525,16 +534,16 @@
 	for _, n := range nodes {
 		if len(n.member.Own()) > 0 {
 			if !w.unlisted {
-				n.holder.Probe(context.Background(), unheard, 3*reportEvery)
+				n.onDuty("probe", func(ctx context.Context) { n.holder.Probe(ctx, unheard, 3*reportEvery) })
 			}
-			w.askExpiring(n)
+			n.onDuty("leases", n.askExpiring)
 		}
 	}
 	if len(nodes) < len(w.names) {
 		return
 	}
 	for _, n := range nodes {
-		w.afterLink(func() { n.attest() })
+		n.onDuty("attest", n.attest)
 	}
 }
 
--- a/internal/testkit/cuts_test.go
+++ b/internal/testkit/cuts_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,6 +45,7 @@
 	born      int64
 	seq       uint64
 	by        string // who passes requests to the state service on
+	silenceMu sync.Mutex
 	silence   links.Silence
 	watch     links.Watch
 	announced time.Time
@@ -184,21 +186,19 @@
 func (w *cluster) judge(n *node, v *links.View) {
 	r := &n.reach
 	known, silent := n.owner.Silent(r.silence.From())
+	r.silenceMu.Lock()
 	verdict := r.silence.Judge(time.Now(), v, links.Ears{}, known, silent)
+	r.silenceMu.Unlock()
 	for name, m := range verdict.Ask {
-		endpoint := m.Endpoint
-		heard := endpoint != "" && n.holder.Ask(context.Background(), name, endpoint)
-		for _, p := range w.names { // and its peers are asked whether they hear it
-			w.mu.Lock()
-			to := w.nodes[p]
-			ok := to != n && w.reach(n, to)
-			w.mu.Unlock()
-			heard = heard || ok && (!m.Deaf && to.holder.Seen(name) < r.silence.Base || endpoint != "" && to.holder.Ask(context.Background(), name, endpoint))
-		}
-		if heard && m.Deaf {
-			n.owner.Answered(name)
-		}
-		r.silence.Asked(name, heard, time.Now())
+		n.onDuty("silence of "+name, func(ctx context.Context) {
+			heard := n.lives(ctx, m)
+			if heard && m.Deaf {
+				n.owner.Answered(name)
+			}
+			r.silenceMu.Lock()
+			defer r.silenceMu.Unlock()
+			r.silence.Asked(name, heard, time.Now())
+		})
 	}
 	for name, why := range verdict.Back {
 		w.mu.Lock()
@@ -231,6 +231,20 @@
 	}
 }
 
+// lives asks a machine, and has all peers ask it, whether it lives.
+func (n *node) lives(ctx context.Context, m links.Machine) bool {
+	w := n.w
+	heard := m.Endpoint != "" && n.holder.Ask(ctx, m.Name, m.Endpoint)
+	for _, p := range w.names { // and its peers are asked whether they hear it
+		w.mu.Lock()
+		to := w.nodes[p]
+		ok := to != n && w.reach(n, to)
+		w.mu.Unlock()
+		heard = heard || ok && (!m.Deaf && to.holder.Seen(m.Name) < n.reach.silence.Base || m.Endpoint != "" && to.holder.Ask(ctx, m.Name, m.Endpoint))
+	}
+	return heard
+}
+
 // hearing is since when, without a longer gap, and when last a worker was heard.
 type hearing struct{ since, last time.Time }
 
--- a/internal/testkit/links_test.go
+++ b/internal/testkit/links_test.go
@@ -102,16 +102,35 @@
 	do()
 }
 
-// afterLink does something now, or beside the rest while links are slow.
-func (w *cluster) afterLink(do func()) {
+// ended reports whether a controller is down.
+func (n *node) ended() bool {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	return n.down
+}
+
+// onDuty has a controller do something that waits for workers' or peers' answers. While
+// links are slow it does so beside the rest, one at a time of each duty, as cmd/wallrack's
+// loops do, and until it ends. Done in place, it stopped the world for as long as the
+// answers took: no worker reported meanwhile, and all leases ended for no fault.
+func (n *node) onDuty(duty string, do func(ctx context.Context)) {
+	w := n.w
 	if !w.linksAreSlow() {
-		do()
+		do(n.ctx)
 		return
 	}
-	go func() {
-		time.Sleep(w.drawn(&w.linkDelay))
-		do()
-	}()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if n.duties[duty] {
+		return
+	}
+	n.duties[duty] = true
+	n.underWay.Go(func() {
+		do(n.ctx)
+		w.mu.Lock()
+		delete(n.duties, duty)
+		w.mu.Unlock()
+	})
 }
 
 // publishWithin is how long a message about machines is waited for.
@@ -169,7 +188,7 @@
 
 // attest settles silent machines as cmd/wallrack does: one after the other the peers say
 // for how long they left a machine unanswered.
-func (n *node) attest() {
+func (n *node) attest(ctx context.Context) {
 	w := n.w
 	_, silent := n.owner.Silent(workerLease)
 	for i := range silent {
@@ -179,7 +198,7 @@
 			if peer == n.name {
 				continue
 			}
-			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			ctx, cancel := context.WithTimeout(ctx, time.Second)
 			unanswered, err := overLink(ctx, w, func() (time.Duration, error) {
 				to, err := n.peer(peer)
 				if err != nil {
--- a/internal/testkit/state_outage_test.go
+++ b/internal/testkit/state_outage_test.go
@@ -96,7 +96,7 @@
 			}
 		}
 		if on := n.owner.Escaped(3 * time.Second); len(on) > 0 && n.Entitled() {
-			n.holder.Chase(context.Background(), on)
+			n.onDuty("cancels", func(ctx context.Context) { n.holder.Chase(ctx, on) })
 		}
 	}
 }
--- a/internal/testkit/unrenewed_lease_test.go
+++ b/internal/testkit/unrenewed_lease_test.go
@@ -15,11 +15,11 @@
 
 // askExpiring does what cmd/wallrack does several times a second for workers whose
 // reports are overdue.
-func (w *cluster) askExpiring(n *node) {
+func (n *node) askExpiring(ctx context.Context) {
 	const timesASecond = 4
 	for range timesASecond {
 		if ask := n.owner.Expiring(); len(ask) > 0 && n.Entitled() {
-			n.holder.Chase(context.Background(), ask)
+			n.holder.Chase(ctx, ask)
 		}
 	}
 }
