A running job is not called queued while a cancel's outcome is open

While a cancel's answer is out the owner asks the state service about the job, which has every living job as queued.

Change: what the store says of a living job is refined by its owner's books, if this controller surely owns it; polls and repeated submissions alike. What others may have told meanwhile is no older than before: the answer still rests on the store's reading.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -41,6 +41,7 @@
 // Jobs is the owner in this process.
 type Jobs interface {
 	Known(uid string) (wire.JobState, bool)
+	Refined(stored wire.JobState) wire.JobState
 	Accepted(job *wire.Job, t *terms.Terms, shard int, atMs int64, version uint64)
 	Cancel(ctx context.Context, uid string) (wire.JobState, error)
 }
@@ -325,7 +326,16 @@
 	if s, ok := in.jobs.Known(uid); ok {
 		return s, nil
 	}
-	return owner.Stored(ctx, in.store, uid)
+	return in.stored(ctx, uid)
+}
+
+// stored answers from the store, and with what the job's owner knows besides if it is here.
+func (in *Intake) stored(ctx context.Context, uid string) (wire.JobState, error) {
+	s, err := owner.Stored(ctx, in.store, uid)
+	if err != nil {
+		return s, err
+	}
+	return in.jobs.Refined(s), nil
 }
 
 // accept records a submission. A known id is answered with its state,
@@ -362,7 +372,7 @@
 	}
 	if in.Crowded != nil && in.Crowded() {
 		// Better than to end for want of memory with all that runs.
-		if s, err := owner.Stored(ctx, in.store, job.UID); err == nil {
+		if s, err := in.stored(ctx, job.UID); err == nil {
 			return Reply{Status: http.StatusOK, State: s}
 		}
 		usage.Note(usage.RefusedJobs)
@@ -385,12 +395,12 @@
 				return Reply{Status: http.StatusUnprocessableEntity, Reason: "number: belongs to another job"}
 			}
 			// Known already, or our own attempt whose answer was lost.
-			s, err := owner.Stored(ctx, in.store, job.UID)
+			s, err := in.stored(ctx, job.UID)
 			return in.found(s, err, http.StatusOK)
 		case errors.Is(err, statestore.ErrUnknown) && ctx.Err() == nil && n < 2:
 			// Mostly it was carried out, and only its answer was lost. A repeat would tell
 			// so too, but may lose its answer like the first.
-			if s, err := owner.Stored(ctx, in.store, job.UID); err == nil {
+			if s, err := in.stored(ctx, job.UID); err == nil {
 				return in.found(s, nil, http.StatusOK)
 			}
 			continue
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -29,6 +29,7 @@
 }
 
 func (s *stub) Known(string) (wire.JobState, bool)                   { return wire.JobState{}, false }
+func (s *stub) Refined(stored wire.JobState) wire.JobState           { return stored }
 func (s *stub) Accepted(*wire.Job, *terms.Terms, int, int64, uint64) {}
 func (s *stub) All() []wire.MachineType                              { return s.types }
 func (s *stub) Owners() []string                                     { return nil }
--- a/internal/owner/users.go
+++ b/internal/owner/users.go
@@ -33,11 +33,33 @@
 	return j.state(), true
 }
 
+// Refined adds what this controller, if it surely owns a job, knows of its tasks to what the
+// store just said of it. The store has a living job as queued: while a cancel's outcome was
+// open, and the store was asked therefore, a running job was called queued.
+func (o *Owner) Refined(stored wire.JobState) wire.JobState {
+	if stored.Stage != wire.StageQueued {
+		return stored
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	j := o.jobs[stored.UID]
+	if j == nil || !o.owns(j) {
+		return stored
+	}
+	return j.state()
+}
+
+// owns reports whether the job's shard is surely this controller's, as it was loaded.
+func (o *Owner) owns(j *job) bool {
+	version, ok := o.member.Owns(j.shard)
+	return ok && version == o.loaded[j.shard]
+}
+
 // sure reports whether what is in memory of a living job is not older than what any
 // controller may have told.
 func (o *Owner) sure(j *job) bool {
 	// An owner whose lease may have ended could miss a later end.
-	if v, ok := o.member.Owns(j.shard); !ok || v != o.loaded[j.shard] {
+	if !o.owns(j) {
 		return false
 	}
 	// A write of its end may have been applied although the answer is out:
