--- a/internal/owner/build.go
+++ b/internal/owner/build.go
@@ -6,6 +6,7 @@
 	"github.com/goccy/go-json"
 
 	"github.com/wallrack/wallrack/internal/accounting"
+	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -140,6 +141,7 @@
 // addLog adds a shard's log record, over the oldest one if that is not needed any more.
 func (t *txnBuilder) addLog(shard int, l *shardLog, lb *logBuilder) error {
 	lb.keepRows()
+	lb.rec.lendMark = t.owner.lendMark(shard)
 	l.seq++
 	t.guardShard(shard)
 	w := logWrite{shard: shard, log: l, seq: l.seq, changes: lb.changes, chunks: lb.chunks}
@@ -268,4 +270,6 @@
 }
 
 // valueBytes is how long a value that this owner writes may be.
-func (o *Owner) valueBytes() int { return int(o.cfg.Params.State.ValueKB*1024*0.9) - 64 }
+func (o *Owner) valueBytes() int { return valueBytes(o.cfg) }
+
+func valueBytes(cfg *config.Platform) int { return int(cfg.Params.State.ValueKB*1024*0.9) - 64 }
--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -95,6 +95,7 @@
 	ordering func(endpoint string, o wire.Orders) // sees a direct order before it is on its way; nil: nobody
 
 	beside     func(n *node) []func(context.Context) error            // what else a controller runs; nil: nothing
+	spread     int                                                    // controllers that shards are spread over; 0: as the settings have it
 	loseAnswer func(n *node, t wire.Txn, version uint64) bool         // of an applied transaction; nil: none by choice
 	seen       func(n *node, key string, version uint64)              // what a controller reads in the store; nil: nobody looks
 	delay      func(n *node, t wire.Txn) (time.Duration, func(error)) // until a transaction is applied; nil: no time
@@ -128,7 +129,10 @@
 	entitled bool // when last looked at
 	knows    knownCancels
 	intake   *intake.Intake
-	mux      *http.ServeMux // the users' interface
+	mux      *http.ServeMux  // the users' interface
+	ctx      context.Context // until it ends
+	duties   map[string]bool // under way beside the rest: see onDuty
+	underWay sync.WaitGroup  // of those
 
 	started   time.Time
 	published *views.Publisher
@@ -288,7 +292,7 @@
 
 func (w *cluster) start(name string) {
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &node{w: w, name: name, stop: cancel, done: make(chan struct{})}
+	n := &node{w: w, name: name, ctx: ctx, stop: cancel, done: make(chan struct{}), duties: map[string]bool{}}
 	n.reach.init(n)
 	n.view = &testkit.View{Store: w.store,
 		Down: func() bool { w.mu.Lock(); defer w.mu.Unlock(); return n.down || !w.stored(n) },
@@ -306,11 +310,7 @@
 		Transit: func() time.Duration { return w.drawn(&w.transit) },
 	}
 	w.watched(n)
-	op, err := config.LoadOperator("")
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	op.Shards = 4
+	op := w.operator()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	n.member = membership.New(n.view, name, config.Seconds(op.LeaseS), op.Shards, op.Spread, log)
 	cfg := *w.cfg
@@ -338,12 +338,25 @@
 		wg.Add(1)
 		go func() { defer wg.Done(); _ = f(ctx) }()
 	}
-	go func() { wg.Wait(); n.holder.Wait(); close(n.done) }()
+	go func() { wg.Wait(); n.underWay.Wait(); n.holder.Wait(); close(n.done) }()
 	w.mu.Lock()
 	w.nodes[name] = n
 	w.mu.Unlock()
 }
 
+// operator is the operators' settings of all controllers.
+func (w *cluster) operator() *config.Operator {
+	op, err := config.LoadOperator("")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	op.Shards = 4
+	if w.spread > 0 {
+		op.Spread = w.spread
+	}
+	return op
+}
+
 // drawn asks a trouble that may begin and end at any time.
 func (w *cluster) drawn(f *func() time.Duration) time.Duration {
 	w.mu.Lock()
@@ -416,6 +429,12 @@
 		return
 	}
 	w.travel()
+	if n.ended() { // while the report was on its way
+		w.mu.Lock()
+		w.at[k]++
+		w.mu.Unlock()
+		return
+	}
 	status, body := n.holder.Report(context.Background(), rep)
 	answered := time.Now()
 	w.travel()
@@ -525,16 +544,16 @@
 	for _, n := range nodes {
 		if len(n.member.Own()) > 0 {
 			if !w.unlisted {
-				n.holder.Probe(context.Background(), unheard, 3*reportEvery)
+				n.onDuty("probe", func(ctx context.Context) { n.holder.Probe(ctx, unheard, 3*reportEvery) })
 			}
-			w.askExpiring(n)
+			n.onDuty("leases", n.askExpiring)
 		}
 	}
 	if len(nodes) < len(w.names) {
 		return
 	}
 	for _, n := range nodes {
-		w.afterLink(func() { n.attest() })
+		n.onDuty("attest", n.attest)
 	}
 }
 
@@ -620,7 +639,7 @@
 	w.mu.Lock()
 	w.specs[job.UID] = job
 	w.mu.Unlock()
-	guards, ops := owner.AcceptTxn(job, t, owner.ShardOf(job, w.cfg.Params.Teams, 4), time.Now().UnixMilli())
+	guards, ops := owner.AcceptTxn(job, t, owner.HomeOf(job, w.cfg.Params.Teams, w.operator()), time.Now().UnixMilli())
 	clean := &testkit.View{Store: w.store}
 	if _, err := clean.Txn(context.Background(), guards, ops...); err != nil {
 		w.t.Fatal(err)
