Workers are shared by seats while the foreman has no connections for all

Cause: all workers report to the controller that owns the jobs.

Change: a foreman to which more workers report than it has room for, 0.85 of the connections that the process's own limit of sockets leaves for callers, names seats in its row of links: itself, filled to 0.95 of its room, and its peers, by the room that they then tell, only as many as needed. Every controller finds a worker's seat by the same weighted rendezvous hashing of its name, so that a share that grows moves only workers to it. A report elsewhere is answered by 421 with that foreman, as before. Seats change if another plan has been better for five pauses between reports (a worker that moves is counted at both ends meanwhile), sooner if the foreman is too full, and end when all workers have fitted in 0.9 of its room for 30 s. Who can't be seen to be there has no seat: its workers are the foreman's. While all fit, rows, messages and decisions are as they were.

Terms: what a controller asked of a worker that has its seat elsewhere is observed as that holder's, so that the owner goes on directing the one holder.

Tests: seats by generated plans; the planner's steps; three controllers with room for four of nine workers: they stay where they are, no term is raised during a job, all go back when there is room; a holder dies, returns within a second, is cut from the owner or from both, its views stop or half of them are lost, with limits and a cancel.

--- a/cmd/wallrack/daemon.go
+++ b/cmd/wallrack/daemon.go
@@ -101,6 +101,7 @@
 		q["connections"], q["order_connections"] = inbound.count(), orders.Connections()
 		return q
 	}, log)
+	n.links.connections = func() (open, most int) { return inbound.count(), int(inbound.most) }
 	n.links.ears = func() links.Ears {
 		return links.Ears{Refused: usage.Noted(usage.RefusedConnections), Late: meter.Late()}
 	}
--- a/cmd/wallrack/links.go
+++ b/cmd/wallrack/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -31,13 +32,20 @@
 	ears  func() links.Ears
 	view  atomic.Pointer[madeView]
 
+	connections func() (open, most int) // this process's, of those who come to it
+	spreading   atomic.Bool             // some controller shares out workers
+
 	mu      sync.Mutex
 	seq     uint64
 	reports int     // see links.Row
 	expects float64 // see links.Row
 	names   *links.Names
-	sample  []string  // see links.Row
-	tried   time.Time // when a sample was last tried here
+	plan    links.Planner
+	seats   []links.Seat // see links.Row
+	room    int          // see links.Row
+	here    int          // see links.Row
+	sample  []string     // see links.Row
+	tried   time.Time    // when a sample was last tried here
 	reaches float64
 	urgent  bool // others wait for this row
 	silence links.Silence
@@ -86,7 +94,7 @@
 	if r.Tried {
 		r.Reaches = s.reaches
 	}
-	r.Heard = s.names
+	r.Heard, r.Seats, r.Room, r.Here = s.names, s.seats, s.room, s.here
 	return r
 }
 
@@ -121,6 +129,7 @@
 		if time.Since(listened) >= time.Second {
 			listened = now
 			n.listen()
+			n.seat(now)
 			n.tellLinks(n.links.now())
 		}
 		v := n.links.now()
@@ -144,6 +153,38 @@
 	}
 }
 
+// seat looks whether this controller has connections for all workers, and tells others
+// that share them out how many it has room for.
+func (n *node) seat(now time.Time) {
+	s := &n.links
+	open, most := s.connections()
+	v := s.now()
+	reportS := n.cfg.Params.Workers.ReportS
+	here := n.holder.Reporting(config.Seconds(reportsMissed * reportS))
+	room := 0 // without a limit all fit
+	if most < math.MaxInt32 {
+		room = int(links.WorkerShare * float64(most))
+	}
+	s.mu.Lock()
+	before := len(s.seats)
+	s.seats = s.plan.Plan(now, v, here, room, config.Seconds(reportS))
+	s.room, s.here = 0, 0
+	if v.Spreading() {
+		s.here = here
+		s.room = max(0, min(room, most-max(0, open-here)-most/10))
+	}
+	if len(s.seats) != before {
+		n.log.Info("workers are shared out", "seats", s.seats, "here", here, "room", room)
+	}
+	s.mu.Unlock()
+	s.spreading.Store(v.Spreading())
+	s.changed()
+}
+
+// reportsMissed is how many times the pause between reports a worker may be silent and
+// still counts as here.
+const reportsMissed = 2.5
+
 // due reports whether this controller's row is to be announced: now and then, or at
 // once if others wait for it.
 func (s *linkState) due(now, last time.Time, pause time.Duration) bool {
--- a/cmd/wallrack/node.go
+++ b/cmd/wallrack/node.go
@@ -139,6 +139,11 @@
 // publish.
 func (n *node) Observe(v machine.View) {
 	n.times.Mark(recovery.Heard)
+	if v.Asked && n.links.spreading.Load() {
+		// The worker reports to its own holder, which is to command it: two that took
+		// turns would each have to raise its term above the other's.
+		v.Holder = n.Foreman(v.Name)
+	}
 	n.owner.Observe(v)
 }
 
--- a/cmd/wallrack/roles.go
+++ b/cmd/wallrack/roles.go
@@ -19,8 +19,8 @@
 	return ""
 }
 
-// Foreman names the controller that should hold workers.
-func (n *node) Foreman() string { return n.links.now().Foreman() }
+// Foreman names the controller that should hold a worker.
+func (n *node) Foreman(worker string) string { return n.links.now().ForemanOf(worker) }
 
 // Entitled reports whether this controller may answer workers: it knows of all
 // cancels that were confirmed up to a moment ago, by whomever.
--- a/internal/links/row.go
+++ b/internal/links/row.go
@@ -48,6 +48,9 @@
 	Sample   []string `json:"sample,omitempty"`   // addresses of machines that it doubts it reaches: who hears of them, tries them
 	Tried    bool     `json:"tried,omitempty"`    // it tried such a sample lately
 	Reaches  float64  `json:"reaches,omitempty"`  // share of it that answered
+	Seats    []Seat   `json:"seats,omitempty"`    // of the workers, while it can't hold them all, see Planner
+	Room     int      `json:"room,omitempty"`     // workers that it has connections for; only while some controller has Seats
+	Here     int      `json:"here,omitempty"`     // workers that report to it; with Room
 	Heard    *Names   `json:"heard,omitempty"`    // machines that it heard within a lease; only while it lacks a peer, or a peer lacks it
 }
 
--- /dev/null
+++ b/internal/links/seats_test.go
@@ -0,0 +1,153 @@
+package links
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestSeatsAreStable: workers are shared as the plan says, and when one share grows, a
+// worker moves to that seat or not at all.
+func TestSeatsAreStable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const workers = 4000
+		var plan []Seat
+		total := 0.0
+		for i, share := range rapid.SliceOfN(rapid.IntRange(0, 500), 2, 6).Draw(t, "shares") {
+			plan = append(plan, Seat{fmt.Sprint("racker-", i), float64(share)})
+			total += float64(share)
+		}
+		plan[0].Share, total = plan[0].Share+1, total+1
+		grown := rapid.IntRange(0, len(plan)-1).Draw(t, "grows")
+		next := append([]Seat(nil), plan...)
+		next[grown].Share += float64(rapid.IntRange(1, 500).Draw(t, "by"))
+		count := map[string]int{}
+		for i := range workers {
+			name := fmt.Sprintf("n-%06d", i)
+			before, after := seatOf(name, plan), seatOf(name, next)
+			count[before]++
+			if before != after && after != next[grown].Node {
+				t.Fatalf("%s moves from %s to %s, when the share of %s grows", name, before, after, next[grown].Node)
+			}
+		}
+		for _, s := range plan {
+			share := s.Share / total
+			sigma := math.Sqrt(workers * share * (1 - share))
+			if got := float64(count[s.Node]); math.Abs(got-share*workers) > 5*sigma+1 {
+				t.Fatalf("%s has %v of %d workers, its share is %v", s.Node, got, workers, share)
+			}
+		}
+	})
+}
+
+// TestPlanner: nothing is shared out while all fit; then as many as needed, at once; a
+// worker that is counted twice while it moves changes nothing; and the foreman takes all
+// back only once they have fitted for a while.
+func TestPlanner(t *testing.T) {
+	const room, report = 1700, 8 * time.Second
+	now := time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+	var p Planner
+	peer := func(here, room int) Peer {
+		return Peer{Known: true, Out: true, Row: Row{Held: true, Here: here, Room: room}}
+	}
+	view := func(peers ...Peer) *View {
+		v := &View{Self: Row{Node: "a", Chief: "a"}}
+		for i, q := range peers {
+			q.Name = string(rune('b' + i))
+			q.Row.Node = q.Name
+			v.Peers = append(v.Peers, q)
+		}
+		return v
+	}
+	look := func(after time.Duration, v *View, here int) []Seat {
+		now = now.Add(after)
+		return p.Plan(now, v, here, room, report)
+	}
+	others := func(plan []Seat) (sum float64) {
+		for _, s := range plan[1:] {
+			sum += s.Share
+		}
+		return sum
+	}
+	if plan := look(0, view(peer(0, 0)), room); plan != nil {
+		t.Errorf("all fit, but: %v", plan)
+	}
+	if plan := look(time.Second, view(peer(0, 0)), room+1); len(plan) != 1 {
+		t.Errorf("others are to be asked for their room first, but: %v", plan)
+	}
+	plan := look(time.Second, view(peer(0, 1700), peer(0, 850), peer(0, 0)), room+300)
+	if len(plan) != 3 || math.Abs(others(plan)-385) > 2 || math.Abs(plan[1].Share-2*plan[2].Share) > 2 {
+		t.Errorf("385 of 2,000 are to go, two thirds of them to b, but: %v", plan)
+	}
+	for range 20 { // they move, and count twice for a while
+		if again := look(time.Second, view(peer(250, 1700), peer(120, 850), peer(0, 0)), room); others(again) != others(plan) {
+			t.Fatalf("workers that move change the plan: %v", again)
+		}
+	}
+	look(time.Second, view(peer(250, 1700), peer(120, 850), peer(0, 0)), room-70)
+	if again := look(time.Hour, view(peer(400, 1700), peer(270, 850), peer(0, 0)), room); others(again) != others(plan) {
+		t.Errorf("one look changes the plan: %v", again)
+	}
+	if again := look(settleReports*report, view(peer(400, 1700), peer(270, 850), peer(0, 0)), room); others(again) < others(plan)+200 {
+		t.Errorf("with 370 more for long the plan is %v", again)
+	}
+	few := view(peer(100, 1700), peer(50, 850), peer(0, 0))
+	if look(time.Second, few, 1000) == nil {
+		t.Error("the foreman takes all back at once")
+	}
+	if look(calmFor-time.Second, few, 1000) == nil {
+		t.Error("the foreman takes all back soon")
+	}
+	if plan := look(2*time.Second, few, 1000); plan != nil {
+		t.Errorf("all have fitted for long, but: %v", plan)
+	}
+}
+
+// TestForemanOf: a worker's seat counts at every controller alike, but a controller that is
+// gone has none, and one that does not know the plan holds what comes to it.
+func TestForemanOf(t *testing.T) {
+	plan := []Seat{{"a", 10}, {"b", 10}, {"c", 10}}
+	at := map[string]string{}
+	for i := range 60 {
+		name := fmt.Sprintf("n-%06d", i)
+		at[name] = seatOf(name, plan)
+	}
+	see := func(self string, fresh ...string) *View {
+		v := &View{Self: Row{Node: self, Chief: "a", Held: true}}
+		for _, name := range []string{"a", "b", "c"} {
+			p := Peer{Name: name, Row: Row{Node: name, Held: true, Chief: "a"}}
+			for _, f := range fresh {
+				p.Known = p.Known || f == name
+			}
+			if name == "a" {
+				p.Row.Seats = plan
+			}
+			if name == self {
+				v.Self.Seats = p.Row.Seats
+			} else {
+				v.Peers = append(v.Peers, p)
+			}
+		}
+		return v
+	}
+	for name, seat := range at {
+		for _, c := range []struct {
+			view *View
+			want string
+		}{
+			{see("a", "b", "c"), seat},
+			{see("b", "a", "c"), seat},
+			{see("c", "a", "b"), seat},
+			{see("a", "c"), map[bool]string{true: "a", false: seat}[seat == "b"]},
+			{see("c", "a"), map[bool]string{true: "a", false: seat}[seat == "b"]},
+			{see("b", "c"), "b"},
+		} {
+			if got := c.view.ForemanOf(name); got != c.want {
+				t.Errorf("%s, on the seat of %s, is sent to %s by %s, not to %s", name, seat, got, c.view.Self.Node, c.want)
+			}
+		}
+	}
+}
--- a/internal/machine/arrivals.go
+++ b/internal/machine/arrivals.go
@@ -83,6 +83,19 @@
 	return h.arrivals.last(h.second()), machines
 }
 
+// Reporting counts the machines that reported here by themselves, and were answered, so
+// lately.
+func (h *Holder) Reporting(within time.Duration) (machines int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.machines {
+		if time.Since(s.told) < within {
+			machines++
+		}
+	}
+	return machines
+}
+
 // HeardWithin names the machines that reported here so lately.
 func (h *Holder) HeardWithin(d time.Duration) (names []string) {
 	h.mu.Lock()
--- a/internal/machine/holder.go
+++ b/internal/machine/holder.go
@@ -171,7 +171,7 @@
 	if !h.arrived(rep) {
 		return http.StatusServiceUnavailable, wire.Problem{Error: "late report"}
 	}
-	foreman := h.routing.Foreman()
+	foreman := h.routing.Foreman(rep.Machine)
 	if !h.routing.Entitled() {
 		if foreman == h.name {
 			foreman = ""
--- a/internal/machine/holder_test.go
+++ b/internal/machine/holder_test.go
@@ -65,7 +65,7 @@
 func (s *stub) Type(string) (wire.MachineType, bool) {
 	return wire.MachineType{Name: "m", CPUs: 4, MemoryGB: 8}, true
 }
-func (s *stub) Foreman() string {
+func (s *stub) Foreman(string) string {
 	if s.foreman != "" {
 		return s.foreman
 	}
--- a/internal/machine/messages.go
+++ b/internal/machine/messages.go
@@ -149,8 +149,8 @@
 // Routing says whether this controller may act for a worker, and which one
 // should instead.
 type Routing interface {
-	// Foreman names the controller that should hold workers, "" for none.
-	Foreman() string
+	// Foreman names the controller that should hold a worker, "" for none.
+	Foreman(worker string) string
 	// Entitled reports whether this controller may answer workers.
 	Entitled() bool
 	// Alone reports whether this controller can start nothing, and knows of no
--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -100,6 +100,7 @@
 	delay      func(n *node, t wire.Txn) (time.Duration, func(error)) // until a transaction is applied; nil: no time
 	behind     func(n *node, prefix string) time.Duration             // how far a controller's watch is behind; nil: not at all
 
+	rooms     map[string]int            // workers that a controller has connections for; nil: all fit
 	loseViews func(from, to *node) bool // whether a message about machines, or its reply, is lost; nil: none
 
 	onStart func(k *testkit.Worker, task string, attempt uint64) // a task starts; nil: nobody looks
@@ -149,7 +150,14 @@
 	return by != nil && !by.down && w.works(from.name, by.name) && (by == to || w.works(by.name, to.name))
 }
 
-func (n *node) Observe(v machine.View)                              { n.owner.Observe(v) }
+// Observe hands a view to the owner here, as cmd/wallrack does.
+func (n *node) Observe(v machine.View) {
+	if seen := n.linksSeen(); v.Asked && seen.Spreading() {
+		v.Holder = n.Foreman(v.Name)
+	}
+	n.owner.Observe(v)
+}
+
 func (n *node) GrantHere(r machine.GrantRequest) machine.GrantReply { return n.owner.GrantHere(r) }
 func (n *node) GrantThere(ctx context.Context, at string, requests []machine.GrantRequest) ([]machine.GrantReply, error) {
 	return overPeerLink(ctx, n.w, func() ([]machine.GrantReply, error) {
--- a/internal/testkit/cuts_test.go
+++ b/internal/testkit/cuts_test.go
@@ -46,6 +46,10 @@
 	by        string // who passes requests to the state service on
 	silence   links.Silence
 	watch     links.Watch
+	plan      links.Planner
+	seats     []links.Seat
+	room      int
+	here      int
 	announced time.Time
 	last      links.View // as of the last exchange
 }
@@ -82,6 +86,7 @@
 	if o := n.member.Owners(); len(o) > 0 {
 		row.Chief = o[0]
 	}
+	row.Seats, row.Room, row.Here = r.seats, r.room, r.here
 	if len(row.Lacks) > 0 || r.table.Lacked(now) {
 		row.Heard = links.NewNames(n.holder.HeardWithin(workerLease), 4096)
 	}
@@ -102,13 +107,13 @@
 	return n.reach.last
 }
 
-func (n *node) Foreman() string {
+func (n *node) Foreman(worker string) string {
 	v := n.linksSeen()
 	v.Self.Held = n.member.Held() > 0
 	if o := n.member.Owners(); len(o) > 0 {
 		v.Self.Chief = o[0]
 	}
-	return v.Foreman()
+	return v.ForemanOf(worker)
 }
 
 func (n *node) Entitled() bool {
@@ -160,6 +165,7 @@
 	for _, n := range living {
 		r := &n.reach
 		v := r.table.View(r.row(straight[n]), now)
+		r.seat(now, &v)
 		w.mu.Lock()
 		r.last, r.by = v, ""
 		if served := v.Served(); !straight[n] && len(served) > 0 {
@@ -179,6 +185,18 @@
 	}
 }
 
+// seat shares out the workers as cmd/wallrack does, by the room that the test sets.
+func (r *reach) seat(now time.Time, v *links.View) {
+	room := r.node.w.rooms[r.node.name]
+	here := r.node.holder.Reporting(5 * reportEvery / 2)
+	r.seats = r.plan.Plan(now, v, here, room, reportEvery)
+	r.room, r.here = 0, 0
+	if v.Self.Seats = r.seats; v.Spreading() {
+		r.room, r.here = room, here
+	}
+	v.Self.Room = r.room
+}
+
 // judge returns the machines that an owner gives up. A machine whose worker a
 // controller heard a moment ago must not be among them.
 func (w *cluster) judge(n *node, v *links.View) {
