--- a/cmd/wallrack/links.go
+++ b/cmd/wallrack/links.go
@@ -161,9 +161,9 @@
 	v := s.now()
 	reportS := n.cfg.Params.Workers.ReportS
 	here := n.holder.Reporting(config.Seconds(reportsMissed * reportS))
-	room := 0 // without a limit all fit
+	room := 0 // without a limit, or a share, all fit
 	if most < math.MaxInt32 {
-		room = int(links.WorkerShare * float64(most))
+		room = int(n.op.WorkerShare * float64(most))
 	}
 	s.mu.Lock()
 	before := len(s.seats)
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -25,6 +25,7 @@
 	HorizonS    float64 // longest wait at which a match is dispatched
 	RandomS     float64 // size of the random term in C
 	PublishS    float64 // how often holders publish to other owners
+	WorkerShare float64 // part of a controller's connections that workers may take before others hold some; 0: they never do
 	ReplaceS    float64 // excess wait that makes a queued task look elsewhere
 	SilentS     float64 // silence after which a machine is returned
 	IdleS       float64 // idle time after which a machine is returned
@@ -48,6 +49,7 @@
 	"k-fail":                {1, 100, func(o *Operator, v float64) { o.KFail = v }, false},
 	"queue-horizon-s":       {0, 600, func(o *Operator, v float64) { o.HorizonS = v }, false},
 	"random-s":              {0, 60, func(o *Operator, v float64) { o.RandomS = v }, false},
+	"worker-share":          {0, 1, func(o *Operator, v float64) { o.WorkerShare = v }, false},
 	"publish-s":             {0.1, 60, func(o *Operator, v float64) { o.PublishS = v }, false},
 	"replace-s":             {0.5, 600, func(o *Operator, v float64) { o.ReplaceS = v }, false},
 	"silent-s":              {3, 600, func(o *Operator, v float64) { o.SilentS = v }, false},
--- a/internal/config/operator.sexp
+++ b/internal/config/operator.sexp
@@ -7,6 +7,7 @@
   (k-fail 4)              ; cost of losing a machine, the paper's K_fail
   (queue-horizon-s 1)     ; longest wait at which a match is dispatched
   (random-s 0.2)          ; size of the random term in C
+  (worker-share 0)        ; part of the connections that workers may take before other controllers hold some; 0: never
   (publish-s 0.5)         ; how often holders publish to owners elsewhere
   (replace-s 4)           ; excess wait that makes a queued task look elsewhere
   (silent-s 14)           ; silence after which a machine is returned
--- a/internal/links/seats.go
+++ b/internal/links/seats.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// WorkerShare is the part of a controller's connections that workers may take; the
-	// rest is for users.
-	WorkerShare = 0.85
 	// fillTo is how full of workers a holder stays that hands some on, so that it does
 	// not begin anew with each that joins.
 	fillTo = 0.95
