--- a/internal/testkit/spread_holders_test.go
+++ b/internal/testkit/spread_holders_test.go
@@ -95,7 +95,7 @@
 			t.Errorf("held: %v, owner %s", held, w.leader())
 		}
 		for _, name := range w.names {
-			if r := w.nodes[name].reach; r.seats != nil || r.room != 0 {
+			if r := &w.nodes[name].reach; r.seats != nil || r.room != 0 {
 				t.Errorf("%s tells of seats %v, room %d", name, r.seats, r.room)
 			}
 		}
