A holder that lacks what a listed task takes is told again

An owner tells a new holder once what the listed tasks take. If an old report, in which the task was not listed, was the newest that the holder had when that came, it dropped the entry; when the task was listed again it took the machine for full, for as long as the task ran. Three tasks waited there for 154 s behind one long task, 'in 3 s' by its word, beside machines with room.

Change: views say of each task whether its holder lacks the entry (unknown), and an owner tells it again, every 2 s at most. Views as changes carry it.

Test: TestHolderThatLacksATasksEntryIsToldAgain; without the change: 'a holder that lacks the task's entry was told 0 times in 12 s'.

--- a/internal/machine/messages.go
+++ b/internal/machine/messages.go
@@ -84,6 +84,9 @@
 type TaskView struct {
 	wire.Task
 	ForS float64 `json:"for"` // seconds since the holder first saw it in this state
+	// Unknown says that the holder has not been told what the task takes, and takes its
+	// machine for full meanwhile.
+	Unknown bool `json:"u,omitempty"`
 }
 
 // QueueView is a queued task and its expected wait.
--- a/internal/machine/view.go
+++ b/internal/machine/view.go
@@ -53,7 +53,7 @@
 	v.Tasks = make([]TaskView, 0, len(r.Tasks))
 	for _, t := range r.Tasks {
 		l := s.tasks[Ref{r.Machine, t.Task, t.Attempt}]
-		v.Tasks = append(v.Tasks, TaskView{Task: t, ForS: now.Sub(l.since).Seconds()})
+		v.Tasks = append(v.Tasks, TaskView{Task: t, ForS: now.Sub(l.since).Seconds(), Unknown: l.entry == nil && l.state != wire.TaskExited})
 	}
 	total, ok := h.total(s)
 	if !ok {
--- a/internal/owner/bench_test.go
+++ b/internal/owner/bench_test.go
@@ -34,6 +34,7 @@
 	sent  func(ops []wire.Op)    // called at every transaction, if set
 	watch func(context.Context)  // called with each watch, if set
 	none  atomic.Bool            // it has no jobs, as far as Claimed says
+	told  atomic.Int64           // entries for listed tasks that directions had
 
 	unlaunched machine.Unlaunched // how every direction with halts is answered
 }
@@ -57,6 +58,11 @@
 func (f *fleet) ShardKey(int) string { return "c/shard/000" }
 func (f *fleet) Direct(_ context.Context, _ string, d machine.Direction) (machine.Unlaunched, error) {
 	f.raise = max(f.raise, d.RaiseAbove)
+	for _, e := range d.Assign {
+		if e.Listed {
+			f.told.Add(1)
+		}
+	}
 	if len(d.Halt) == 0 {
 		return machine.Unlaunched{}, nil
 	}
--- a/internal/owner/observe.go
+++ b/internal/owner/observe.go
@@ -15,6 +15,9 @@
 // viewLag is how old a view from another controller may be when it comes.
 const viewLag = 1500 * time.Millisecond
 
+// tellAgain is how long a holder that was told what a listed task takes may not know it.
+const tellAgain = 2 * time.Second
+
 // grantedLong is how long a granted start may neither show nor go before a newer token
 // tells which it was.
 const grantedLong = 10 * time.Second
@@ -234,7 +237,10 @@
 		if unsettled || p.sentTo != m.view.Holder {
 			o.tell(p, true)
 		}
-	} else if p.sentTo != m.view.Holder {
+	} else if p.sentTo != m.view.Holder || t.Unknown && time.Since(p.sentAt) > tellAgain {
+		// What it was told may have come when it had an older report, in which the task was
+		// not listed: it took the machine for full as long as the task ran, and what was
+		// queued there never started.
 		o.tell(p, true)
 	}
 	p.session = max(p.session, m.view.Session)
--- a/internal/views/change.go
+++ b/internal/views/change.go
@@ -184,11 +184,15 @@
 	return exit && a == b
 }
 
+func sameListed(a, b machine.TaskView) bool {
+	return sameTask(a.Task, b.Task) && a.Unknown == b.Unknown && near(a.ForS, b.ForS, forTolerance)
+}
+
 func near(a, b, tolerance float64) bool { return math.Abs(a-b) <= tolerance }
 
 func sameTasks(a, b []machine.TaskView) bool {
 	return slices.EqualFunc(a, b, func(x, y machine.TaskView) bool {
-		return sameTask(x.Task, y.Task) && near(x.ForS, y.ForS, forTolerance)
+		return sameListed(x, y)
 	})
 }
 
@@ -264,7 +268,7 @@
 	}
 	for i := range now {
 		t := &now[i]
-		if old := before[key(t)]; old == nil || !sameTask(old.Task, t.Task) || !near(old.ForS, t.ForS, forTolerance) {
+		if old := before[key(t)]; old == nil || !sameListed(*old, *t) {
 			c.Tasks = append(c.Tasks, *t)
 		}
 		delete(before, key(t))
