One reading and writing of a job's records; one set-up for tests of an owner at work

A last reading found the same lines in five places: reading a living job's record and its version (answers, listings, cancels, changed terms, the renewal of a record), three times the write under the guards of record and shard, and three times the reading of an ended job's. They are readLive, writeLive, recordChanged and readFinal now; the check that a job's shard is surely owned serves grants too; two bounds of the cloud's list share what a list lags at most. The tests' running owner, its array and its scripted store with one job are set up in one place.

--- a/internal/fleet/answered.go
+++ b/internal/fleet/answered.go
@@ -21,7 +21,7 @@
 
 // unlisted is how long after the answer to a hire its machines may be missing from the
 // cloud's list.
-func (f *Fleet) unlisted() time.Duration { return seconds(2*f.cfg.Params.Cloud.ListLagS) + time.Second }
+func (f *Fleet) unlisted() time.Duration { return f.mostLag() + time.Second }
 
 // rentedLocked takes in the machines that the cloud answered to a hire. Its record stays: a
 // leader that begins before they are listed would rent them again.
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -54,8 +54,11 @@
 // listMargin is added to the most that a list may lag, for the way of the request.
 const listMargin = 5 * time.Second
 
+// mostLag is the most that a list lags behind: at times twice what it mostly does.
+func (f *Fleet) mostLag() time.Duration { return seconds(2 * f.cfg.Params.Cloud.ListLagS) }
+
 // listLag is how much older a list may be than the request for it.
-func (f *Fleet) listLag() time.Duration { return seconds(2*f.cfg.Params.Cloud.ListLagS) + listMargin }
+func (f *Fleet) listLag() time.Duration { return f.mostLag() + listMargin }
 
 // vanished reports whether a machine that existed at a time is gone by the cloud's list: a
 // list that shows a later time lacks it. Such a machine may be silent for other reasons by
--- a/internal/owner/amend.go
+++ b/internal/owner/amend.go
@@ -5,11 +5,8 @@
 	"errors"
 	"fmt"
 
-	"github.com/goccy/go-json"
-
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/terms"
-	"github.com/wallrack/wallrack/internal/wire"
 )
 
 // Hold holds a job's tasks that have not started, or releases them.
@@ -66,14 +63,10 @@
 // so, or anybody while nobody owns it.
 func (o *Owner) amend(ctx context.Context, uid string, change func(*liveRecord) (bool, error)) error {
 	for {
-		it, err := o.store.Get(ctx, liveKey+uid)
+		r, recorded, err := readLive(ctx, o.store, uid)
 		if err != nil {
 			return err
 		}
-		var r liveRecord
-		if err := json.Unmarshal(it.Value, &r); err != nil {
-			return fmt.Errorf("read job: %w", err)
-		}
 		if r.Terms == nil {
 			return fmt.Errorf("%w: the job was accepted without a number", ErrInput)
 		}
@@ -88,10 +81,8 @@
 		if err != nil || !changed || r.Cancelled {
 			return err
 		}
-		guards := []wire.Guard{{Key: o.member.ShardKey(r.Shard), Version: version}, {Key: liveKey + uid, Version: it.Version}}
-		rev, err := o.store.Txn(ctx, guards, wire.Op{Put: liveKey + uid, Value: r})
-		var conflict *statestore.Conflict
-		if errors.As(err, &conflict) && !conflict.Has(guards[0].Key) {
+		rev, err := o.writeLive(ctx, uid, &r, recorded, version)
+		if o.recordChanged(err, &r) {
 			continue
 		}
 		if err != nil {
--- a/internal/owner/answers_test.go
+++ b/internal/owner/answers_test.go
@@ -65,6 +65,24 @@
 	return job, wire.Item{Key: "live/j-1", Version: version, Value: json.RawMessage(fmt.Sprintf(`{"job":%s,"shard":0,"at":0}`, oneTask))}
 }
 
+// scriptedWithJob is an owner of j-1, whose record the store reads as it is at the time.
+func scriptedWithJob(t *testing.T) (*owner.Owner, *scriptedStore, *wire.Item) {
+	t.Helper()
+	o, s := scripted(t)
+	if err := o.Load(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	job, record := live(t, 11)
+	o.Accepted(job, nil, 0, 0, 11)
+	s.get = func(string) (wire.Item, error) { return record, nil }
+	return o, s, &record
+}
+
+// cancelledRecord is a living job's record once it is cancelled.
+func cancelledRecord(record json.RawMessage) json.RawMessage {
+	return json.RawMessage(strings.Replace(string(record), `"at":0`, `"at":0,"cancelled":true`, 1))
+}
+
 // A watch that lags tells a new owner of an acceptance when the job has ended under its
 // predecessor: it is no living job again. One that was accepted after the listing is.
 func TestLaggingWatchRevivesNoEndedJob(t *testing.T) {
@@ -145,13 +163,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				o, s := scripted(t)
-				if err := o.Load(t.Context()); err != nil {
-					t.Fatal(err)
-				}
-				job, record := live(t, 11)
-				o.Accepted(job, nil, 0, 0, 11)
-				s.get = func(string) (wire.Item, error) { return record, nil }
+				o, s, _ := scriptedWithJob(t)
 				for _, outcome := range c.outcomes {
 					s.txn = func() (uint64, error) { return 0, outcome }
 					if st, err := o.Cancel(t.Context(), "j-1"); err == nil {
@@ -185,18 +197,12 @@
 // would be written anew.
 func TestAppliedCancelIsFound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o, s := scripted(t)
-		if err := o.Load(t.Context()); err != nil {
-			t.Fatal(err)
-		}
-		job, record := live(t, 11)
-		o.Accepted(job, nil, 0, 0, 11)
-		s.get = func(string) (wire.Item, error) { return record, nil }
+		o, _, record := scriptedWithJob(t)
 		if st, err := o.Cancel(t.Context(), "j-1"); err == nil {
 			t.Fatalf("the cancel is answered %+v", st)
 		}
 		record.Version = 12
-		record.Value = json.RawMessage(strings.Replace(string(record.Value), `"at":0`, `"at":0,"cancelled":true`, 1))
+		record.Value = cancelledRecord(record.Value)
 		time.Sleep(10 * time.Second)
 		o.ResolveCancels(t.Context())
 		if st, ok := o.Known("j-1"); !ok || st.Stage != wire.StageCancelled {
@@ -208,17 +214,11 @@
 // While a cancel is under way that will be refused, another is found to have been applied.
 func TestRefusedCancelBesideAnAppliedOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		o, s := scripted(t)
-		if err := o.Load(t.Context()); err != nil {
-			t.Fatal(err)
-		}
-		job, record := live(t, 11)
-		o.Accepted(job, nil, 0, 0, 11)
-		s.get = func(string) (wire.Item, error) { return record, nil }
+		o, s, record := scriptedWithJob(t)
 		s.txn = func() (uint64, error) {
 			time.Sleep(10 * time.Second)
 			record.Version = 12
-			record.Value = json.RawMessage(strings.Replace(string(record.Value), `"at":0`, `"at":0,"cancelled":true`, 1))
+			record.Value = cancelledRecord(record.Value)
 			o.ResolveCancels(t.Context())
 			if st, ok := o.Known("j-1"); !ok || st.Stage != wire.StageCancelled {
 				t.Errorf("the applied cancel is not found: %+v, %v", st, ok)
--- a/internal/owner/bench_test.go
+++ b/internal/owner/bench_test.go
@@ -41,6 +41,20 @@
 
 var size = wire.MachineType{Name: "m", CPUs: 16, MemoryGB: 64, CacheGB: 50, FetchGBPerS: 1, Price: 1, SpotPrice: 0.3, BootS: 10, Zones: []string{"z"}}
 
+// run has the owner work until stop is called.
+func (f *fleet) run() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = f.owner.Run(ctx) }()
+	return func() { cancel(); <-done }
+}
+
+// acceptArray accepts j-1, an array of so many tasks of 2 CPUs.
+func (f *fleet) acceptArray(tasks int) {
+	f.owner.Accepted(&wire.Job{UID: "j-1", Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: tasks, CPUs: 2, MemoryGB: 1, Estimate: 5, Spot: true},
+		nil, 0, time.Now().UnixMilli(), 1)
+}
+
 func (f *fleet) Type(string) (wire.MachineType, bool) { return size, true }
 func (f *fleet) Name() string                         { return "a" }
 func (f *fleet) Held() time.Duration                  { return f.held }
--- a/internal/owner/dependencies.go
+++ b/internal/owner/dependencies.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
-	"github.com/goccy/go-json"
-
 	"github.com/wallrack/wallrack/internal/terms"
 	"github.com/wallrack/wallrack/internal/wire"
 )
@@ -176,14 +173,10 @@
 // StoredFacts reads from the store how a job ended; a living one is only known to
 // its owner.
 func StoredFacts(ctx context.Context, store Reader, uid string) (terms.Facts, error) {
-	it, err := store.Get(ctx, finalKey+uid)
+	f, err := readFinal(ctx, store, uid)
 	if err != nil {
 		return terms.Facts{}, err
 	}
-	var f finalRecord
-	if err := json.Unmarshal(it.Value, &f); err != nil {
-		return terms.Facts{}, fmt.Errorf("read job: %w", err)
-	}
 	return f.facts(), nil
 }
 
--- a/internal/owner/grant.go
+++ b/internal/owner/grant.go
@@ -40,7 +40,7 @@
 	if j == nil {
 		return machine.GrantReply{Drop: len(o.loaded) == o.op.Shards}
 	}
-	if v, ok := o.member.Owns(j.shard); !ok || o.loaded[j.shard] != v {
+	if !o.owns(j) {
 		return no
 	}
 	var p *place
--- a/internal/owner/holders_test.go
+++ b/internal/owner/holders_test.go
@@ -1,7 +1,6 @@
 package owner_test
 
 import (
-	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,9 +42,7 @@
 func TestOwnPlacementsCountAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, 0)
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() { defer close(done); _ = f.owner.Run(ctx) }()
+		stop := f.run()
 		idle := func() {
 			v := &f.views[0]
 			v.Seq++
@@ -78,7 +75,6 @@
 		if f.owner.Placed("j-2") != 0 {
 			t.Error("the room of the first job, which was just granted, is given away again")
 		}
-		cancel()
-		<-done
+		stop()
 	})
 }
--- a/internal/owner/listing.go
+++ b/internal/owner/listing.go
@@ -4,12 +4,9 @@
 	"cmp"
 	"context"
 	"errors"
-	"fmt"
 	"slices"
 	"time"
 
-	"github.com/goccy/go-json"
-
 	"github.com/wallrack/wallrack/internal/listing"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/terms"
@@ -189,12 +186,8 @@
 // StoredInfo shows what the store has of a job: of a living one only what was
 // submitted.
 func StoredInfo(ctx context.Context, store Reader, uid string) (listing.Info, error) {
-	it, err := store.Get(ctx, liveKey+uid)
+	r, _, err := readLive(ctx, store, uid)
 	if err == nil {
-		var r liveRecord
-		if err := json.Unmarshal(it.Value, &r); err != nil {
-			return listing.Info{}, fmt.Errorf("read job: %w", err)
-		}
 		i := listing.Info{Job: r.Job, Terms: r.Terms, AtMs: r.AtMs, Stage: wire.StageQueued}
 		if r.Cancelled {
 			i.Stage = wire.StageCancelled
@@ -204,12 +197,9 @@
 	if !errors.Is(err, statestore.ErrNotFound) {
 		return listing.Info{}, err
 	}
-	if it, err = store.Get(ctx, finalKey+uid); err != nil {
+	f, err := readFinal(ctx, store, uid)
+	if err != nil {
 		return listing.Info{}, err
 	}
-	var f finalRecord
-	if err := json.Unmarshal(it.Value, &f); err != nil {
-		return listing.Info{}, fmt.Errorf("read job: %w", err)
-	}
 	return listing.Info{Job: wire.Job{UID: uid}, Stage: f.Stage, Done: f.Done, Ending: f.Ending}, nil
 }
--- a/internal/owner/opencancels.go
+++ b/internal/owner/opencancels.go
@@ -3,13 +3,9 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
-	"github.com/goccy/go-json"
-
 	"github.com/wallrack/wallrack/internal/statestore"
-	"github.com/wallrack/wallrack/internal/wire"
 )
 
 // resolveAfter is how long a cancel's outcome may be open before its job's record is written
@@ -87,22 +83,16 @@
 
 // renew writes a living job's record anew, unless it is cancelled.
 func (o *Owner) renew(ctx context.Context, uid string) error {
-	it, err := o.store.Get(ctx, liveKey+uid)
+	r, rev, err := readLive(ctx, o.store, uid)
 	if err != nil {
 		return err
 	}
-	var r liveRecord
-	if err := json.Unmarshal(it.Value, &r); err != nil {
-		return fmt.Errorf("read job: %w", err)
-	}
 	version, mine := o.member.Owns(r.Shard)
 	if !mine {
 		return nil // the shard's version has changed: the cancel failed, or is its owner's
 	}
-	rev := it.Version
 	if !r.Cancelled {
-		guards := []wire.Guard{{Key: o.member.ShardKey(r.Shard), Version: version}, {Key: liveKey + uid, Version: it.Version}}
-		if rev, err = o.store.Txn(ctx, guards, wire.Op{Put: liveKey + uid, Value: r}); err != nil {
+		if rev, err = o.writeLive(ctx, uid, &r, rev, version); err != nil {
 			return err
 		}
 	}
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -1,7 +1,6 @@
 package owner_test
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"runtime"
@@ -48,9 +47,7 @@
 func TestBothQueuesStandStill(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 2, 0)
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() { defer close(done); _ = f.owner.Run(ctx) }()
+		stop := f.run()
 		// Machines are full for so long; a third one comes later, and has room.
 		look := func(left ...float64) {
 			for i, s := range left {
@@ -62,8 +59,7 @@
 			time.Sleep(time.Second)
 			f.owner.Pass()
 		}
-		f.owner.Accepted(&wire.Job{UID: "j-1", Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: 1, CPUs: 2, MemoryGB: 1, Estimate: 5, Spot: true},
-			nil, 0, time.Now().UnixMilli(), 1)
+		f.acceptArray(1)
 		look(0.2, 0.2)
 		look(0.2, 0.2)
 		first := f.owner.PlacesOf("j-1")[0]
@@ -90,8 +86,7 @@
 		if !found {
 			t.Errorf("beside an idle machine the task waits at %v", f.owner.PlacesOf("j-1"))
 		}
-		cancel()
-		<-done
+		stop()
 	})
 }
 
@@ -104,16 +99,13 @@
 		ran := c.ran
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet(t, 1, 0)
-			ctx, cancel := context.WithCancel(context.Background())
-			done := make(chan struct{})
-			go func() { defer close(done); _ = f.owner.Run(ctx) }()
+			stop := f.run()
 			show := func(i int, full float64, tasks ...machine.TaskView) {
 				f.show(i, full, tasks...)
 				time.Sleep(time.Second)
 				f.owner.Pass()
 			}
-			f.owner.Accepted(&wire.Job{UID: "j-1", Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: 1, CPUs: 2, MemoryGB: 1, Estimate: 5, Spot: true},
-				nil, 0, time.Now().UnixMilli(), 1)
+			f.acceptArray(1)
 			show(0, 0.2)
 			show(0, 0.2)
 			ref := f.owner.PlacesOf("j-1")[0]
@@ -141,8 +133,7 @@
 			if i := len(at) - 1; i < 0 || at[i].Machine != "n-000009" || ran && at[0] == ref {
 				t.Errorf("ran %v: lost, or never begun, on %v, it waits at %v", ran, ref, at)
 			}
-			cancel()
-			<-done
+			stop()
 		})
 	}
 }
@@ -167,11 +158,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(t, 1, 0)
-				ctx, cancel := context.WithCancel(context.Background())
-				done := make(chan struct{})
-				go func() { defer close(done); _ = f.owner.Run(ctx) }()
-				f.owner.Accepted(&wire.Job{UID: "j-1", Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: 1, CPUs: 2, MemoryGB: 1, Estimate: 5, Spot: true},
-					nil, 0, time.Now().UnixMilli(), 1)
+				stop := f.run()
+				f.acceptArray(1)
 				for range 2 {
 					f.show(0, 0.2)
 					time.Sleep(time.Second)
@@ -188,8 +176,7 @@
 				if used := f.owner.TeamUse("t"); (used > 0) != c.counts {
 					t.Errorf("%v CPUs are counted", used)
 				}
-				cancel()
-				<-done
+				stop()
 			})
 		})
 	}
@@ -200,11 +187,8 @@
 func TestGrantIsRefusedAtTheTeamsLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, 0)
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() { defer close(done); _ = f.owner.Run(ctx) }()
-		f.owner.Accepted(&wire.Job{UID: "j-1", Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: 2, CPUs: 2, MemoryGB: 1, Estimate: 5, Spot: true},
-			nil, 0, time.Now().UnixMilli(), 1)
+		stop := f.run()
+		f.acceptArray(2)
 		for range 3 {
 			f.show(0, 0)
 			time.Sleep(time.Second)
@@ -225,8 +209,7 @@
 		if !grant(1) {
 			t.Error("refused although the other task is off")
 		}
-		cancel()
-		<-done
+		stop()
 	})
 }
 
--- a/internal/owner/told_again_test.go
+++ b/internal/owner/told_again_test.go
@@ -1,7 +1,6 @@
 package owner_test
 
 import (
-	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,11 +15,8 @@
 func TestHolderThatLacksATasksEntryIsToldAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, 0)
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() { defer close(done); _ = f.owner.Run(ctx) }()
-		f.owner.Accepted(&wire.Job{UID: "j-1", Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: 1, CPUs: 2, MemoryGB: 1, Estimate: 5, Spot: true},
-			nil, 0, time.Now().UnixMilli(), 1)
+		stop := f.run()
+		f.acceptArray(1)
 		for range 2 {
 			f.show(0, 0.2)
 			time.Sleep(time.Second)
@@ -48,7 +44,6 @@
 		if n := told(false); n > 0 {
 			t.Errorf("told %d times again, once it knew", n)
 		}
-		cancel()
-		<-done
+		stop()
 	})
 }
--- a/internal/owner/unsent_grant_test.go
+++ b/internal/owner/unsent_grant_test.go
@@ -1,13 +1,11 @@
 package owner_test
 
 import (
-	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/wallrack/wallrack/internal/machine"
-	"github.com/wallrack/wallrack/internal/wire"
 )
 
 // A start was granted to a holder that has it queued still, since the grant is long under
@@ -17,11 +15,8 @@
 	for _, unsent := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet(t, 2, 0)
-			ctx, cancel := context.WithCancel(context.Background())
-			done := make(chan struct{})
-			go func() { defer close(done); _ = f.owner.Run(ctx) }()
-			f.owner.Accepted(&wire.Job{UID: "j-1", Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: 1, CPUs: 2, MemoryGB: 1, Estimate: 5, Spot: true},
-				nil, 0, time.Now().UnixMilli(), 1)
+			stop := f.run()
+			f.acceptArray(1)
 			var ref machine.Ref
 			show := func() {
 				for i := range f.views {
@@ -53,8 +48,7 @@
 			if deaf == unsent {
 				t.Errorf("start not sent: %v; taken for deaf: %v", unsent, deaf)
 			}
-			cancel()
-			<-done
+			stop()
 		})
 	}
 }
--- a/internal/owner/users.go
+++ b/internal/owner/users.go
@@ -87,12 +87,8 @@
 // Stored answers from the store, and says whether the job was ever accepted.
 func Stored(ctx context.Context, store Reader, uid string) (wire.JobState, error) {
 	// The living record first: it goes only when the final one is there.
-	it, err := store.Get(ctx, liveKey+uid)
+	r, _, err := readLive(ctx, store, uid)
 	if err == nil {
-		var r liveRecord
-		if err := json.Unmarshal(it.Value, &r); err != nil {
-			return wire.JobState{}, fmt.Errorf("read job: %w", err)
-		}
 		s := wire.JobState{UID: uid, Stage: wire.StageQueued}
 		if r.Cancelled {
 			s.Stage = wire.StageCancelled
@@ -107,14 +103,10 @@
 
 // storedEnd answers from the store for a job that is not living.
 func storedEnd(ctx context.Context, store Reader, uid string) (wire.JobState, error) {
-	it, err := store.Get(ctx, finalKey+uid)
+	f, err := readFinal(ctx, store, uid)
 	if err != nil {
 		return wire.JobState{}, err
 	}
-	var f finalRecord
-	if err := json.Unmarshal(it.Value, &f); err != nil {
-		return wire.JobState{}, fmt.Errorf("read job: %w", err)
-	}
 	return wire.JobState{UID: uid, Stage: f.Stage, Done: f.Done}, nil
 }
 
@@ -128,7 +120,7 @@
 // cancelWhy is Cancel; why, if it is given, is how the job's own terms end it.
 func (o *Owner) cancelWhy(ctx context.Context, uid, why string) (wire.JobState, error) {
 	for {
-		it, err := o.store.Get(ctx, liveKey+uid)
+		r, recorded, err := readLive(ctx, o.store, uid)
 		if errors.Is(err, statestore.ErrNotFound) {
 			// The living record is not read again: a job that was accepted in the
 			// meantime would have its cancel answered with "queued".
@@ -137,10 +129,6 @@
 		if err != nil {
 			return wire.JobState{}, err
 		}
-		var r liveRecord
-		if err := json.Unmarshal(it.Value, &r); err != nil {
-			return wire.JobState{}, fmt.Errorf("read job: %w", err)
-		}
 		if r.Cancelled {
 			return wire.JobState{UID: uid, Stage: wire.StageCancelled}, nil
 		}
@@ -154,11 +142,11 @@
 			// A watch that lags may not have told of the job yet. Were it admitted after
 			// the write below, it would be called queued although others, who read that
 			// write, had told its user that it is cancelled.
-			o.take(&r, it.Version)
+			o.take(&r, recorded)
 		}
 		j := o.jobs[uid]
 		if j != nil {
-			j.cancels.sent(it.Version, time.Now())
+			j.cancels.sent(recorded, time.Now())
 		}
 		o.mu.Unlock()
 		r.Cancelled = true
@@ -167,15 +155,13 @@
 			asked.Why = why
 			r.Terms = &asked
 		}
-		guards := []wire.Guard{{Key: o.member.ShardKey(r.Shard), Version: version}, {Key: liveKey + uid, Version: it.Version}}
-		rev, err := o.store.Txn(ctx, guards, wire.Op{Put: liveKey + uid, Value: r})
+		rev, err := o.writeLive(ctx, uid, &r, recorded, version)
 		if j != nil && surelyFailed(err) {
 			o.mu.Lock()
-			j.cancels.failed(it.Version)
+			j.cancels.failed(recorded)
 			o.mu.Unlock()
 		}
-		var conflict *statestore.Conflict
-		if errors.As(err, &conflict) && !conflict.Has(guards[0].Key) {
+		if o.recordChanged(err, &r) {
 			continue
 		}
 		if err != nil {
