--- /dev/null
+++ b/internal/submission/refined_submission_test.go
@@ -0,0 +1,91 @@
+package submission_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/wallrack/wallrack/internal/submission"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// A user repeats the submission of a job that runs, at a controller that does not lead it.
+// The job's record is in the state service, which has every living job as queued, and the
+// answer was read from there: "queued", where a poll at the same moment says "running".
+// Polls were mended before (TestPollDuringPendingCancelIsRefinedByLeader); submissions took
+// another way to the same record. What showed it: the leader's count of polls stayed 0
+// while the repeated submission was answered.
+
+// relay is a leader, b, beside a controller, c, that reaches the state service and passes on
+// what is stored.
+type relay struct {
+	*unsureLeader
+	relayed int // submissions that c served
+}
+
+func (r *relay) ServingPeers() []string { return []string{"c"} }
+
+func (r *relay) QueryPeer(ctx context.Context, peer string, request submission.Request) (*submission.Reply, error) {
+	if peer == "c" && request.Verb == submission.VerbSubmit {
+		r.relayed++
+		return &submission.Reply{Status: http.StatusOK, State: wire.JobState{UID: "j-7", Stage: wire.StageQueued}}, nil
+	}
+	return r.unsureLeader.QueryPeer(ctx, peer, request)
+}
+
+// A repeated submission at any controller, in whatever way its answer was found, is answered
+// with what the job's leader knows of its tasks, and costs the leader one poll.
+func TestRepeatedSubmissionIsRefinedByLeader(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		body           string
+		memoryPressure bool // no new jobs are taken here
+		down           bool // this controller does not reach the state service
+	}{
+		{name: "as it was", body: job},
+		{name: "malformed by now", body: strings.Replace(job, `"pieces":3`, `"pieces":0`, 1)},
+		{name: "while memory is short", body: job, memoryPressure: true},
+		{name: "relayed by a peer", body: job, down: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, request := serve(t)
+			if status, _, _ := request(http.MethodPost, "/api/jobs", job); status != http.StatusCreated {
+				t.Fatalf("submission: %d", status)
+			}
+			s.Down = func() bool { return c.down }
+			leader := &relay{unsureLeader: &unsureLeader{stub: s}}
+			request = serveWith(t, s, submission.Options{Peers: leader, MemoryPressure: func() bool { return c.memoryPressure }})
+			stages := []string{wire.StageRunning, wire.StageCancelled, wire.StageDone, wire.StageQueued}
+			for _, stage := range stages {
+				leader.stage = stage
+				if status, _, state := request(http.MethodPost, "/api/jobs", c.body); status != http.StatusOK || state.Stage != stage {
+					t.Errorf("the leader says %s: %d %+v", stage, status, state)
+				}
+			}
+			if leader.polls != len(stages) {
+				t.Errorf("%d polls came to the leader, not %d", leader.polls, len(stages))
+			}
+			if c.down != (leader.relayed == len(stages)) {
+				t.Errorf("%d submissions were relayed", leader.relayed)
+			}
+		})
+	}
+}
+
+// A new job is answered without its leader, which cannot know it yet; and a check of a
+// submission, which records nothing, asks no leader either.
+func TestNewSubmissionAsksNoLeader(t *testing.T) {
+	s := newStub()
+	leader := &unsureLeader{stub: s, stage: wire.StageRunning}
+	service := newService(t, s, submission.Options{Peers: leader})
+	for _, verb := range []string{submission.VerbCheck, submission.VerbSubmit} {
+		reply := service.Submit(context.Background(), submission.Request{Verb: verb, Body: []byte(job)})
+		if reply.Status/100 != 2 || reply.State.Stage != wire.StageQueued {
+			t.Errorf("%s of a new job: %+v", verb, reply)
+		}
+	}
+	if leader.polls > 0 {
+		t.Errorf("%d polls came to the leader", leader.polls)
+	}
+}
