Fault mended: a repeated submission at a non-leader called a running job queued

Submissions take four ways to the same record: a conflict with the job's record, a body that is invalid by now, a controller short of memory, a peer that relays because this controller lacks the state service.

The answer of all four, and a poll's, now goes through refinedByLeader: known (200) and queued, it is read again at the leader, for 300 ms at most, and stands without an answer. A new job (201) and a check ask nobody. Cancels need none of it: they answer "cancelled" or "done" only, which the leader or the record decides.

--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -217,7 +217,11 @@
 func (s *Service) Submit(ctx context.Context, req Request) Reply {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	return s.confirmed(s.serveAnywhere(ctx, req))
+	rep := s.serveAnywhere(ctx, req)
+	if req.Verb == VerbSubmit {
+		rep = s.refinedByLeader(ctx, rep)
+	}
+	return s.confirmed(rep)
 }
 
 // jobRequest serves requests about the job in the path, in the given time at most.
@@ -245,24 +249,24 @@
 			return Reply{Status: http.StatusOK, State: state}
 		}
 	}
-	rep := s.serveAnywhere(ctx, req)
-	if rep.Status == http.StatusOK && rep.State.Stage == wire.StageQueued {
-		return s.refinedByLeader(ctx, req, rep)
-	}
-	return rep
+	return s.refinedByLeader(ctx, s.serveAnywhere(ctx, req))
 }
 
-// refineTimeout limits the time for all leaders together: a poll has a response already,
+// refineTimeout limits the time for all leaders together: the user has a response already,
 // which they can only make newer.
 const refineTimeout = 300 * time.Millisecond
 
-// refinedByLeader returns what a leader adds to a polled job's stored state, or stored
-// itself. While a cancel's outcome is pending the leader does not respond to VerbKnown, and
-// the state service has a living job as queued: a poll at another controller called a
-// running job queued for up to 5 s.
-func (s *Service) refinedByLeader(ctx context.Context, poll Request, stored Reply) Reply {
+// refinedByLeader returns what a leader adds to the stored state of a known job, or stored
+// itself. The state service has every living job as queued: a repeated submission at another
+// controller called a running job queued, and so did a poll while a cancel's outcome was
+// pending, when the leader does not respond to VerbKnown. A new job (201) is queued surely.
+func (s *Service) refinedByLeader(ctx context.Context, stored Reply) Reply {
+	if stored.Status != http.StatusOK || stored.State.Stage != wire.StageQueued {
+		return stored
+	}
 	ctx, cancel := context.WithTimeout(ctx, refineTimeout)
 	defer cancel()
+	poll := Request{Verb: VerbPoll, UID: stored.State.UID}
 	for _, leader := range s.peers.ShardLeaders() {
 		if rep, ok := s.query(ctx, leader, poll); ok && rep.Status == http.StatusOK && rep.State.Stage != wire.StageQueued {
 			return rep
