Test's data race: the ledger of cut workers is written under the cluster's lock

TestWorkersReachingNoController noted which workers are cut without the lock under which the workers' goroutines read it. Nothing that is checked changes.

--- a/internal/testkit/unrenewed_lease_test.go
+++ b/internal/testkit/unrenewed_lease_test.go
@@ -125,6 +125,20 @@
 	}
 }
 
+// cutOff notes that reports of a worker are lost from now on.
+func (l *workLedger) cutOff(w *cluster, k *testkit.Worker) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	l.cut[k.Name] = time.Now()
+}
+
+// healed notes that no reports are lost any more.
+func (l *workLedger) healed(w *cluster) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	clear(l.cut)
+}
+
 // finishes heals all links, and has so many jobs end.
 func (w *cluster) finishes(jobs int) {
 	w.healed()
@@ -231,7 +245,7 @@
 				cut := w.byJobs(savers, young)[:c.cut]
 				for _, k := range cut {
 					w.unreported(k)
-					l.cut[k.Name] = time.Now()
+					l.cutOff(w, k)
 					sessions[k.Name] = w.session(k)
 				}
 				if c.token {
@@ -292,7 +306,7 @@
 						t.Errorf("%d tasks still wait", len(l.left))
 					}
 				}
-				clear(l.cut)
+				l.healed(w)
 				w.finishes(jobs)
 			})
 		})
