Fault mended: lost tasks were queued behind running ones beside idle workers

Symptom: tasks of a worker that reaches no controller ran elsewhere too late (until 11.5 to 14.05 s after the cut, 8 to 13 s allowed): 8 of the 18 failures of 2,000 traced runs of TestWorkersReachingNoController, the most frequent kind.

Cause, from the traces: all were placed at once, on a worker without room. Its wait was estimated at 0 to 1 s, from running tasks that were to end by then. An estimate that is past counts as 0, so that a worker whose report was lost looked as if it had room; and a full worker is preferred to an idle one by pack-s, 1 s, which was more than the wait. The tasks ran on, and a wait counts as proved worse only 4 s later.

Mend: the cost of a worker without room now, as far as its last view shows, includes the error of such waits (1 s: 0.93 s on average for waits estimated at 0.01 to 0.5 s in traced runs), and it is not preferred for being full. With no room anywhere the order of the waits is as before.

--- a/internal/matching/estimate.go
+++ b/internal/matching/estimate.go
@@ -1,5 +1,10 @@
 package matching
 
+// WaitErrorS is for how many seconds longer than estimated a task waits, on average, for room
+// that running tasks have yet to leave: they are expected to end as soon as they may, and a
+// worker is picked because its estimate is the lowest.
+const WaitErrorS = 1.0
+
 const (
 	minRemainingS  = 1.0  // seconds that a running task still takes, at least
 	remainingShare = 0.15 // of the time that it has run, which is added to that
--- a/internal/planner/cost.go
+++ b/internal/planner/cost.go
@@ -52,21 +52,35 @@
 		return estimate{}, false
 	}
 	cost := matching.Cost(fetchS, waitS, runS, p.state.SuccessRate(worker), p.state.Operator.KFail)
+	if !hasRoomNow(job, worker) {
+		cost += matching.WaitErrorS
+	}
 	if p.startsLate(job, waitS+fetchS) {
 		cost += p.state.Operator.LateStartS
 	}
-	return estimate{waitS, cost + p.packing(worker, cost), fetchS}, true
+	return estimate{waitS, cost + p.packing(job, worker, cost), fetchS}, true
+}
+
+// hasRoomNow reports whether a task of the job fits on the worker without waiting for a task
+// there to end, as far as the worker's last view shows. A view that is old does not show
+// whether a task that should have ended by now has.
+func hasRoomNow(job *jobstate.Job, worker *jobstate.Worker) bool {
+	return job.Resources.Fits(worker.Matrix[0].Free)
 }
 
 // packing is added to a cost so that of workers which would finish a task at about the
 // same time the cheaper and the fuller one wins, and others become idle and can be scaled
-// in. What an on-demand worker costs more grows with the task.
-func (p *Planner) packing(worker *jobstate.Worker, cost float64) float64 {
+// in. What an on-demand worker costs more grows with the task. A worker without room now is
+// not preferred for being full: lost tasks were queued there for seconds, beside idle workers.
+func (p *Planner) packing(job *jobstate.Job, worker *jobstate.Worker, cost float64) float64 {
 	machine := p.state.TypeOf(worker)
 	if machine.CPUs <= 0 {
 		return 0
 	}
-	freeShare := max(0, worker.Matrix[0].Free.CPUs) / machine.CPUs
+	freeShare := 1.0
+	if hasRoomNow(job, worker) {
+		freeShare = max(0, worker.Matrix[0].Free.CPUs) / machine.CPUs
+	}
 	surcharge := 0.0 // of the on-demand price, relative to the spot price
 	if !worker.View.Spot && machine.SpotPrice > 0 {
 		surcharge = max(0, machine.Price/machine.SpotPrice-1)
