Fault mended: a worker's lease was counted from an answer that it may not have got

Cause: the leader counts a lease from the last heartbeat that was answered. Before reports stop, answers are often lost too, and the worker counts from the last one that it got: a few reports lost, one answered without the answer arriving, and the lease ended 3 to 4 s earlier than the leader thought, which is all the time that a stop in advance has.

Mend: whether an answer arrived shows in the next heartbeat, which comes to the same controller if it did. jobstate.Worker notes how far back the last such answer lies; EarliestLeaseEnd counts from it. Stops in advance and starts in the rest of a lease go by the earliest end, polls for what is done or lost by both ends. Two consecutive lost answers among lost reports are not told apart from arrived ones if the worker tries the same controller again; the 3 s of a stop in advance are for that.

--- a/internal/jobstate/lease.go
+++ b/internal/jobstate/lease.go
@@ -28,14 +28,27 @@
 	return worker.LastHeartbeat.Sub(worker.LastContact()) > config.Seconds(intervals*s.Platform.Params.Workers.ReportS)+OverdueSlack
 }
 
-// LeaseEnd returns when the worker's lease expires if it is not renewed. Each session after the
-// one of the last renewal has had a lease of its own.
+// LeaseEnd returns when the worker's lease expires, at the latest, if it is not renewed any
+// more: the response to its last heartbeat arrived.
 func (s *State) LeaseEnd(worker *Worker) time.Time {
+	return s.leaseEndAfter(worker, worker.lastRenewal())
+}
+
+// EarliestLeaseEnd returns when the worker's lease expires at the earliest: the response to its
+// last heartbeat may be lost. What has to be done before the expiry is done by this time: tasks
+// that could have saved were killed before they were told to.
+func (s *State) EarliestLeaseEnd(worker *Worker) time.Time {
+	return s.leaseEndAfter(worker, Later(worker.confirmedRenewal(), worker.KnownSince))
+}
+
+// leaseEndAfter returns when the worker's lease expires if it was last renewed at a time. Each
+// session after the one of the last renewal has had a lease of its own.
+func (s *State) leaseEndAfter(worker *Worker, renewedAt time.Time) time.Time {
 	leases := 1.0
 	if worker.View.Session > worker.RenewedSession {
 		leases += float64(worker.View.Session - worker.RenewedSession)
 	}
-	return worker.lastRenewal().Add(config.Seconds(leases * s.Platform.Params.Workers.LeaseS))
+	return renewedAt.Add(config.Seconds(leases * s.Platform.Params.Workers.LeaseS))
 }
 
 // FitsLease reports whether a task of the job that starts on the worker now would be done, and
@@ -48,5 +61,5 @@
 		return false
 	}
 	takes := StartOverheadS + s.FetchTime(job, worker) + RunTimeMargin*job.RunEstimate() + FinalPollS
-	return takes < time.Until(s.LeaseEnd(worker)).Seconds()
+	return takes < time.Until(s.EarliestLeaseEnd(worker)).Seconds()
 }
--- a/internal/jobstate/worker.go
+++ b/internal/jobstate/worker.go
@@ -28,20 +28,28 @@
 	LastHeartbeat time.Time // when the heartbeat in View reached the dispatcher
 	LastReport    time.Time // the same of the last heartbeat that was not polled
 
-	RenewedAt       time.Time // when any controller last responded to a heartbeat, which renews the lease
-	RenewedSession  uint64    // session of the worker at RenewedAt
+	RenewedAt      time.Time // when any controller last responded to a heartbeat, which renews the lease
+	RenewedSession uint64    // session of the worker at RenewedAt
+	RenewedBy      string    // the controller that responded at RenewedAt
+	// ConfirmedLag is how much earlier than RenewedAt the last response was that surely arrived,
+	// see RecordRenewal.
+	ConfirmedLag    time.Duration
 	PolledAt        time.Time // when it was last polled since its heartbeat was overdue
 	UnansweredPolls int       // polls in a row without a response
 
-	Matrix       matching.WaitMatrix // waits for room, as published, less what is reserved
-	RoomReserved bool                // Matrix holds a reservation of the pass in progress only
-	Placements   map[*Placement]struct{}
-	MaxToken     uint64               // highest fencing token that a start command granted by this leader may carry
-	Images       map[int]*CachedImage // by number in State.Images
+	Matrix     matching.WaitMatrix // waits for room, as published, less what is reserved
+	Placements map[*Placement]struct{}
+	MaxToken   uint64               // highest fencing token that a start command granted by this leader may carry
+	Images     map[int]*CachedImage // by number in State.Images
+
+	// These stand together to save memory: there are thousands of workers.
+	RoomReserved        bool  // Matrix holds a reservation of the pass in progress only
+	Cordoned            bool  // the autoscaler wants it empty
+	Removed             bool  // the cloud has deleted it
+	CommandObserved     bool  // a start command was seen to have had an effect since the last check
+	UnresponsiveReports int32 // heartbeats in a row that showed the worker to be unresponsive
 
 	NoticeAt time.Time // when the cloud will reclaim it; zero: no notice
-	Cordoned bool      // the autoscaler wants it empty
-	Removed  bool      // the cloud has deleted it
 	// OccupiedS is the time in seconds for which a cordoned worker stays occupied by tasks
 	// that are not evicted, as of the pass in progress.
 	OccupiedS float64
@@ -52,10 +60,8 @@
 
 	// UnresponsiveSince is the time since which commands have had no effect on the worker, by
 	// its heartbeats; zero: they have, or nothing is known.
-	UnresponsiveSince   time.Time
-	UnresponsiveReports int       // heartbeats in a row that showed it
-	CommandObserved     bool      // a start command was seen to have had an effect since the last check
-	RespondedAt         time.Time // when it last became responsive again
+	UnresponsiveSince time.Time
+	RespondedAt       time.Time // when it last became responsive again
 
 	RecordedFailover int // number of the last failover whose records had tasks on it; 0: none
 }
@@ -98,6 +104,23 @@
 	return seconds <= shortTaskShare*w.OccupiedS
 }
 
+// RecordRenewal notes that a controller responded to a heartbeat of the worker, in a session of
+// the worker. Whether the response arrived shows in the next heartbeat only: a worker that got
+// it comes back to that controller, and one that did not tries another. The lease of a new
+// session began after the heartbeat before.
+func (w *Worker) RecordRenewal(at time.Time, session uint64, controller string) {
+	confirmed := w.RenewedAt
+	if session == w.RenewedSession && controller != w.RenewedBy {
+		confirmed = confirmed.Add(-w.ConfirmedLag)
+	}
+	w.RenewedAt, w.RenewedSession, w.RenewedBy = at, session, controller
+	w.ConfirmedLag = at.Sub(confirmed)
+}
+
+// confirmedRenewal returns when a response to a heartbeat of the worker last surely arrived.
+// Without any that this leader can know of it is before KnownSince.
+func (w *Worker) confirmedRenewal() time.Time { return w.RenewedAt.Add(-w.ConfirmedLag) }
+
 // lastRenewal returns when a heartbeat of the worker was last responded to, by any controller,
 // as far as this leader can know: not before it learnt of the worker.
 func (w *Worker) lastRenewal() time.Time { return Later(w.RenewedAt, w.KnownSince) }
@@ -107,6 +130,6 @@
 // a slow link looked overdue at every heartbeat although all arrived.
 func (w *Worker) LastContact() time.Time { return Later(w.lastRenewal(), w.LastReport) }
 
-// LeaseUnknown reports whether this leader has not seen the worker's lease renewed, so that the
-// lease may expire at any time.
-func (w *Worker) LeaseUnknown() bool { return w.RenewedAt.Before(w.KnownSince) }
+// LeaseUnknown reports whether this leader has not surely seen the worker's lease renewed, so
+// that the lease may expire at any time.
+func (w *Worker) LeaseUnknown() bool { return w.confirmedRenewal().Before(w.KnownSince) }
--- a/internal/reconcile/lease_expiry.go
+++ b/internal/reconcile/lease_expiry.go
@@ -113,15 +113,18 @@
 
 // pollDue reports whether a worker whose report is overdue is to be polled for it: as often as
 // it would report, shortly before its lease expires for what is done, shortly after it for what
-// is lost, and each second while a task is being stopped.
+// is lost, at the earliest and at the latest end of the lease, and each second while a task is
+// being stopped.
 func (r *Reconciler) pollDue(worker *jobstate.Worker, now time.Time) bool {
 	if worker.PolledAt.After(worker.LastHeartbeat) && worker.UnansweredPolls >= maxUnanswered {
 		return false
 	}
-	last, leaseEnd := lastSeen(worker), r.state.LeaseEnd(worker)
-	for _, at := range []time.Time{leaseEnd.Add(-config.Seconds(jobstate.FinalPollS)), leaseEnd.Add(settleTakes)} {
-		if last.Before(at) && !now.Before(at) {
-			return true
+	last := lastSeen(worker)
+	for _, leaseEnd := range []time.Time{r.state.EarliestLeaseEnd(worker), r.state.LeaseEnd(worker)} {
+		for _, at := range []time.Time{leaseEnd.Add(-config.Seconds(jobstate.FinalPollS)), leaseEnd.Add(settleTakes)} {
+			if last.Before(at) && !now.Before(at) {
+				return true
+			}
 		}
 	}
 	return now.Sub(last) >= config.Seconds(r.pollIntervalS(worker))
@@ -144,7 +147,7 @@
 // stopExpiring stops what is to be stopped on a worker whose lease is about to expire. Tasks
 // that can't save are stopped only if few workers are overdue.
 func (r *Reconciler) stopExpiring(worker *jobstate.Worker, now time.Time, few bool) {
-	leftS := r.state.LeaseEnd(worker).Sub(now).Seconds()
+	leftS := r.state.EarliestLeaseEnd(worker).Sub(now).Seconds()
 	for placement := range worker.Placements {
 		job := placement.Job
 		if placement.State != jobstate.PlacementReported || placement.Exited || !placement.HaltedAt.IsZero() || job.Cancelled || job.Spec.Service() {
--- a/internal/reconcile/observe.go
+++ b/internal/reconcile/observe.go
@@ -99,7 +99,7 @@
 func (r *Reconciler) recordRenewal(worker *jobstate.Worker, view *dispatch.WorkerView, now time.Time) {
 	at := now.Add(-config.Seconds(view.UnansweredS))
 	if at.Sub(worker.RenewedAt) > config.Seconds(sameRenewal*r.state.Platform.Params.Workers.ReportS) {
-		worker.RenewedAt, worker.RenewedSession = at, view.Session
+		worker.RecordRenewal(at, view.Session, view.Dispatcher)
 	}
 }
 
