Tasks that can't save are stopped by the likely end of a lease

Whether to stop a task that can't save depends on how long it would wait for the end of the lease; by the earliest end, which may be several seconds before the likely one, the wait looked too short.

--- a/internal/reconcile/lease_expiry.go
+++ b/internal/reconcile/lease_expiry.go
@@ -24,6 +24,7 @@
 	maxUnanswered    = 2   // polls without a response after which only the rules for unresponsive workers apply
 	leastPolls       = 6   // workers polled in one round, at least
 	pollDivisor      = 16  // one in so many of those whose report is overdue, if that is more
+	leastLeaseLeftS  = 0.1 // rest of a lease that may have expired, unless it surely has
 	mostOverdueShare = 0.5 // of the workers; if more are overdue the fault is hardly theirs, and there is no room elsewhere
 )
 
@@ -147,7 +148,6 @@
 // stopExpiring stops what is to be stopped on a worker whose lease is about to expire. Tasks
 // that can't save are stopped only if few workers are overdue.
 func (r *Reconciler) stopExpiring(worker *jobstate.Worker, now time.Time, few bool) {
-	leftS := r.state.EarliestLeaseEnd(worker).Sub(now).Seconds()
 	for placement := range worker.Placements {
 		job := placement.Job
 		if placement.State != jobstate.PlacementReported || placement.Exited || !placement.HaltedAt.IsZero() || job.Cancelled || job.Spec.Service() {
@@ -158,13 +158,25 @@
 			continue // a gang's tasks stop together; how long one has run that a predecessor started is not known
 		}
 		task := r.newExpiringTask(placement, now)
-		if stopBeforeExpiry(task, leftS) || worker.LeaseUnknown() && task.saveS >= 0 {
+		if stopBeforeExpiry(task, r.leaseLeftS(worker, task, now)) || worker.LeaseUnknown() && task.saveS >= 0 {
 			r.state.HaltTask(placement, max(0, task.saveS)+1)
 			r.state.Stats.LeaseExpiring++
 		}
 	}
 }
 
+// leaseLeftS is the rest of the worker's lease in seconds that the stop of a task goes by; 0 or
+// less if the lease has surely expired. A task that saves has to be stopped in time even if the
+// last response to its worker was lost. For any other the likely end of the lease counts:
+// whether it is worth stopping depends on how long it would wait for that end.
+func (r *Reconciler) leaseLeftS(worker *jobstate.Worker, task expiringTask, now time.Time) float64 {
+	leftS := r.state.LeaseEnd(worker).Sub(now).Seconds()
+	if task.saveS < 0 || leftS <= 0 {
+		return leftS
+	}
+	return max(r.state.EarliestLeaseEnd(worker).Sub(now).Seconds(), leastLeaseLeftS)
+}
+
 // newExpiringTask returns what decides whether a placement's task is stopped.
 func (r *Reconciler) newExpiringTask(placement *jobstate.Placement, now time.Time) expiringTask {
 	job := placement.Job
