Test's fault: reads that came before a lost answer was noted were not counted

The product is right: both other controllers read the key. The write is applied and wakes the watches before the stand-in asks the case whether the answer is lost; a goroutine held up in between asks after the reads, and the case had looked at reads only from then on.

Reads are now kept from the arming on and judged in their order when the loss is noted. What is asserted is as strict: another controller must have read this version or a newer one before its writer did, whose own earlier reads count too, which they did not before.

--- a/internal/testkit/lost_answers_test.go
+++ b/internal/testkit/lost_answers_test.go
@@ -25,6 +25,24 @@
 	known   bool   // the writer has read it itself
 }
 
+// keyRead is a read of a key by a controller, in the store or by a watch.
+type keyRead struct {
+	by      *node
+	key     string
+	version uint64
+}
+
+// note takes a read, in the order in which they come.
+func (a *lostAnswer) note(r keyRead) {
+	switch {
+	case r.key != a.key || r.version < a.version:
+	case r.by == a.writer:
+		a.known = true
+	case !a.known && a.read == "":
+		a.read = r.by.name
+	}
+}
+
 // answerLoss loses the answers of transactions that write a key with a prefix.
 type answerLoss struct {
 	w      *cluster
@@ -35,6 +53,7 @@
 	by     time.Duration // how much later the transactions are applied; 0: at once
 	late   []error       // what came of those that were applied later
 	lost   []*lostAnswer
+	reads  []keyRead                      // since it was armed, of keys with the prefix, until all answers are lost
 	wrote  func(t wire.Txn)               // is told of each; nil: nobody
 	then   func(writer *node, key string) // is called while the writer waits for the answer; nil: nothing
 	busy   sync.WaitGroup
@@ -97,7 +116,7 @@
 func (l *answerLoss) arm(writer string, count int) {
 	l.w.mu.Lock()
 	defer l.w.mu.Unlock()
-	l.writer, l.left = writer, count
+	l.writer, l.left, l.reads = writer, count, nil
 }
 
 // takes reports whether a transaction is one whose answer shall be lost, by the key that
@@ -122,7 +141,11 @@
 	if !ok {
 		return false
 	}
-	l.lost = append(l.lost, &lostAnswer{writer: n, key: key, version: version})
+	lost := &lostAnswer{writer: n, key: key, version: version}
+	for _, r := range l.reads { // the write was applied, and wakes the watches, before this is called
+		lost.note(r)
+	}
+	l.lost = append(l.lost, lost)
 	if l.wrote != nil {
 		l.wrote(t)
 	}
@@ -130,15 +153,15 @@
 }
 
 func (l *answerLoss) saw(n *node, key string, version uint64) {
-	for _, a := range l.lost {
-		if key != a.key || version < a.version {
-			continue
-		}
-		if n == a.writer {
-			a.known = true
-		} else if !a.known && a.read == "" {
-			a.read = n.name
-		}
+	if !strings.HasPrefix(key, l.prefix) {
+		return
+	}
+	read := keyRead{by: n, key: key, version: version}
+	if l.left > 0 {
+		l.reads = append(l.reads, read)
+	}
+	for _, lost := range l.lost {
+		lost.note(read)
 	}
 }
 
