Fault mended: nobody led after a transfer until the peer's watch told it

Submissions wait, running jobs are called queued.

Cause, from the trace of such a run: a leader that had lost its workers to another dispatcher transferred its shards to it (33.737). From then on it led nothing; the peer leads once it knows that it has the shards, and learnt that by its watch alone, which was 5 s behind (failover complete at 38.721). The answer of the transfer was lost as well, so that the old leader, whose keys were refused when it reclaimed them, still took itself for the leader and told everybody so.

Mend: membership reads the shards' keys where it has learnt that its picture may be old: after a refused reclaim, after a claim that was refused or whose answer was lost (the same fault elsewhere: a claim that was applied was unknown to its own claimant until the watch came), and in a controller that a peer takes for the leader and that does not know of it (reachability.View.TakenForLeader, at most one read a second and shard, only while that holds). After a transfer the old leader pings its peers at once. The log line is "taken for the leader by a peer, reading shards".

--- a/internal/controller/link_monitor.go
+++ b/internal/controller/link_monitor.go
@@ -18,6 +18,7 @@
 const (
 	watchLinksEvery = 250 * time.Millisecond
 	countEvery      = time.Second // between counts of heartbeats and connections
+	readShardsEvery = time.Second // between reads of who leads, while peers take this controller for the leader
 	announceTimeout = time.Second
 	nameShare       = 0.5 // of a value's limit in the state service, for the names of workers
 	missedReports   = 2.5 // pauses between reports without one after which a worker does not count as reporting here
@@ -48,6 +49,7 @@
 	transfers   reachability.TransferMonitor
 	announced   time.Time
 	counted     time.Time
+	shardsRead  time.Time
 }
 
 func (l *linkMonitor) run(ctx context.Context) error {
@@ -72,9 +74,21 @@
 		view := l.links.Now()
 		l.announce(ctx, now, view)
 		l.transfer(ctx, now, view)
+		l.readShards(ctx, now, view)
 	}
 }
 
+// readShards reads who leads the shards if peers take this controller for the leader and it does
+// not know that it is.
+func (l *linkMonitor) readShards(ctx context.Context, now time.Time, view *reachability.View) {
+	if !view.TakenForLeader() || now.Sub(l.shardsRead) < readShardsEvery {
+		return
+	}
+	l.shardsRead = now
+	l.log.Info("taken for the leader by a peer, reading shards")
+	l.member.ReadShards(ctx)
+}
+
 // announce writes this controller's status to the state service when that is due and a living
 // peer is not reached.
 func (l *linkMonitor) announce(ctx context.Context, now time.Time, view *reachability.View) {
@@ -102,6 +116,7 @@
 	if err := l.member.TransferShards(ctx, to); err != nil {
 		l.log.Info("shard transfer failed", "err", err)
 	}
+	l.pinger.pingAll(ctx) // the peer learns at once that it leads: its watch may be behind
 }
 
 // countHeartbeats counts what came from workers. The status names them while a peer is not
--- a/internal/membership/claim.go
+++ b/internal/membership/claim.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -33,12 +35,14 @@
 	for _, shard := range free {
 		unled[shard] = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, txnTimeout)
-	defer cancel()
-	txn := assignment(unled, self)
-	revision, err := m.store.Txn(ctx, txn.If, txn.Then...)
+	revision, err := m.writeClaim(ctx, unled, self)
 	if err != nil {
 		m.log.Debug("claim failed", "shards", free, "err", err)
+		if !errors.Is(err, statestore.ErrUnavailable) {
+			// Others claimed them, or this claim was applied and its response lost: the
+			// watch tells too, but may be behind.
+			m.readShards(ctx, free)
+		}
 		return wait
 	}
 	m.mu.Lock()
@@ -54,6 +58,14 @@
 	return wait
 }
 
+// writeClaim writes that this controller leads shards which nobody led, and returns the revision.
+func (m *Member) writeClaim(ctx context.Context, unled map[int]uint64, self shardRecord) (revision uint64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, txnTimeout)
+	defer cancel()
+	txn := assignment(unled, self)
+	return m.store.Txn(ctx, txn.If, txn.Then...)
+}
+
 // selfLocked is the record of a shard that this controller leads.
 func (m *Member) selfLocked() shardRecord {
 	return shardRecord{Node: m.name, Token: m.token, Lease: m.lease}
--- a/internal/membership/shards.go
+++ b/internal/membership/shards.go
@@ -1,7 +1,9 @@
 package membership
 
 import (
+	"context"
 	"maps"
+	"slices"
 	"sort"
 )
 
@@ -68,6 +70,39 @@
 	return names
 }
 
+// ReadShards reads who leads the shards, for when the watch may be behind: a controller that
+// shards were transferred to led them seconds later than it could. A key that is not there is
+// left to the watch.
+func (m *Member) ReadShards(ctx context.Context) {
+	shards := make([]int, m.shards)
+	for shard := range shards {
+		shards[shard] = shard
+	}
+	m.readShards(ctx, shards)
+}
+
+// readShards reads who leads some shards.
+func (m *Member) readShards(ctx context.Context, shards []int) {
+	ctx, cancel := context.WithTimeout(ctx, txnTimeout)
+	defer cancel()
+	changed := false
+	for _, shard := range slices.Sorted(slices.Values(shards)) {
+		item, err := m.store.Get(ctx, shardKey(shard))
+		if err != nil {
+			m.log.Debug("shard not read", "shard", shard, "err", err)
+			continue
+		}
+		m.mu.Lock()
+		before, led := m.leaders[shard]
+		m.applyLocked(item.Key, item.Value, item.Version)
+		changed = changed || !led || m.leaders[shard] != before
+		m.mu.Unlock()
+	}
+	if changed {
+		m.notifyChange()
+	}
+}
+
 // shareLocked is how many shards each controller should lead.
 func (m *Member) shareLocked() int {
 	controllers := max(1, min(m.spread, len(m.nodes)))
--- a/internal/membership/transfer.go
+++ b/internal/membership/transfer.go
@@ -116,10 +116,14 @@
 		return // tried again
 	}
 	left := m.settle(shards, self, revision, conflict)
-	switch {
-	case err == nil:
+	if err == nil {
 		m.notifyChange()
-	case left:
+		return
+	}
+	// Who leads them now shows in the watch too, but that may be behind: until then this
+	// controller took itself for the leader, and told everybody so.
+	m.readShards(ctx, slices.Collect(maps.Keys(shards)))
+	if left {
 		m.wakeUp()
 	}
 }
--- a/internal/reachability/routing.go
+++ b/internal/reachability/routing.go
@@ -37,6 +37,18 @@
 	return v.Self.Node
 }
 
+// TakenForLeader reports whether a peer takes this controller for the leader although it leads
+// nothing, as far as it knows itself: shards were transferred to it, and its watch of the state
+// service is behind.
+func (v *View) TakenForLeader() bool {
+	if v.Self.LeadsShards || !v.Self.LeaseHeld {
+		return false
+	}
+	return slices.ContainsFunc(v.Peers, func(peer Peer) bool {
+		return peer.IsFresh() && peer.Status.LeaseHeld && peer.Status.PreferredLeader == v.Self.Node
+	})
+}
+
 // Isolated reports whether this controller leads no jobs, or none any more, and knows of
 // nobody who could start work: it reaches no peer, nor the state service. Workers that
 // it went on answering would only wait here, and their tasks would be settled later by
--- a/internal/testkit/reach_test.go
+++ b/internal/testkit/reach_test.go
@@ -177,6 +177,9 @@
 		if to := r.watch.Check(now, &v, n.member.RecentTransfers(reachability.TransferWindow)); to != "" {
 			_ = n.member.TransferShards(context.Background(), to) // tried again if it fails
 		}
+		if v.TakenForLeader() {
+			n.member.ReadShards(context.Background())
+		}
 		if v.Self.LeadsShards && w.keepCuts {
 			w.judge(n, &v)
 		}
