--- /dev/null
+++ b/internal/scheduler/hopeless_queue_test.go
@@ -0,0 +1,63 @@
+package scheduler_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/dispatch"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// A task is queued on a worker whose tasks run a thousand times their estimate. A duplicate of it
+// was to go to a worker with room, and none ever had: the tasks of a later job took all room in
+// the pass before the look for duplicates, at every turn. After an outage tasks waited so for
+// minutes (one seed of ten of TestTenCrashesInOneStateStoreOutage, which counts tasks "behind
+// long" ones apart), although they were the first in line and others started every second.
+
+// A queued task whose wait has proved much worse than planned gets the room of tasks that come
+// after it in line.
+func TestTaskBehindLongOnesGetsRoomBeforeLaterJobs(t *testing.T) {
+	const long, busy, allowedS = 0, 1, 90 // workers, and the seconds for which a job may wait beside room
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 2, 0)
+		stop := cluster.run()
+		defer stop()
+		cluster.acceptArray(1)
+		for range 3 {
+			cluster.heartbeat(long, 0.2)
+			cluster.heartbeat(busy, 600)
+			time.Sleep(time.Second)
+		}
+		refs := cluster.scheduler.PlacementsOf("j-1")
+		if len(refs) != 1 || refs[0].Worker != cluster.views[long].Name {
+			t.Fatalf("queued on %v", refs)
+		}
+		cluster.scheduler.JobAccepted(&wire.Job{
+			UID: "j-2", Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: 5000,
+			CPUs: 2, MemoryGB: 1, EstimateS: 5, Spot: true,
+		}, nil, 0, time.Now().UnixMilli(), 2)
+		started := 0
+		for second := range allowedS {
+			var done []dispatch.TaskView // what began on the busy worker a second ago
+			for _, ref := range cluster.scheduler.PlacementsOf("j-2") {
+				granted := ref.Worker == cluster.views[busy].Name &&
+					cluster.scheduler.GrantLocal(dispatch.GrantRequest{TaskRef: ref, Dispatcher: "a", Token: 7, Session: 1}).OK
+				if granted {
+					started++
+					done = append(done, dispatch.TaskView{Task: wire.Task{Task: ref.Task, Attempt: ref.Attempt, State: wire.TaskExited, Cause: wire.CauseDone}})
+				}
+			}
+			cluster.heartbeat(long, float64(second))
+			cluster.heartbeat(busy, 0, done...)
+			time.Sleep(time.Second)
+			for _, ref := range cluster.scheduler.PlacementsOf("j-1") {
+				if ref.Worker == cluster.views[busy].Name {
+					t.Logf("placed again after %d s, beside %d starts of later tasks", second, started)
+					return
+				}
+			}
+		}
+		t.Errorf("for %d s it waits at %v, while %d later tasks started elsewhere", allowedS, cluster.scheduler.PlacementsOf("j-1"), started)
+	})
+}
