Fault mended: a task queued behind long ones never got the room that there was

Cause: duplicating queued tasks is the design's answer, and it was looked for once a second after a scheduling pass had given all room to the tasks that wait, of later jobs too. While there is more work than room no worker has any left then, so that the duplicate was never placed; and the task did not take part in the pass, since it counted as placed.

Mend: a task all of whose queues are expected to take longer than a task is ever queued for (queue-horizon-s and replace-s, 5 s), and that no better worker has room for now, is withdrawn, which is safe since none of its placements was granted. It takes part in the next pass in its place in line. Up to 32 tasks a second are looked at, as before; tasks that start soon stay in their queues.

--- a/internal/planner/rebalance.go
+++ b/internal/planner/rebalance.go
@@ -26,7 +26,9 @@
 // Rebalance looks at tasks that are queued and not granted yet. It withdraws those on
 // workers where none may start, and places those that wait much longer than planned on a
 // second worker where that is now better; of two placements of a task that both wait too
-// long the longer one makes room for a third. The caller holds the state's Mu.
+// long the longer one makes room for a third. A task for which no worker is better now goes
+// back to those that wait for room, in its place in line: later tasks took all room before
+// the next look, and it waited for minutes beside them. The caller holds the state's Mu.
 func (p *Planner) Rebalance() {
 	p.state.Now = time.Now()
 	r := &rebalancing{open: p.openWorkers()}
@@ -41,14 +43,16 @@
 			if p.withdrawUnreachable(r, placements) {
 				continue // never granted: the task can simply be placed elsewhere
 			}
-			slowest, cost := p.overdue(r, job, placements)
-			if slowest == nil {
+			task := p.overdue(r, job, placements)
+			if task == nil {
 				continue
 			}
 			if budget--; budget < 0 {
 				return
 			}
-			p.placeAgain(r, placements, slowest, cost)
+			if !p.placeAgain(r, placements, task) && task.leastWaitS > p.state.Operator.HorizonS+p.state.Operator.ReplaceAfterS {
+				p.withdrawAll(placements)
+			}
 		}
 	}
 }
@@ -111,36 +115,53 @@
 		!worker.UnresponsiveSince.IsZero() || !p.state.FitsLease(placement.Job, worker)
 }
 
-// overdue returns, if all of a task's placements are queued and wait longer than planned,
-// the one that waits longest, and the lowest cost of any; else nil.
-func (p *Planner) overdue(r *rebalancing, job *jobstate.Job, placements []*jobstate.Placement) (slowest *jobstate.Placement, cost float64) {
+// overdueTask is a task all of whose placements are queued and wait longer than planned.
+type overdueTask struct {
+	slowest    *jobstate.Placement // the one that waits longest
+	leastWaitS float64             // that any of them still waits
+	cost       float64             // the lowest of any
+}
+
+// overdue returns a task if all its placements are queued and wait longer than planned; else
+// nil.
+func (p *Planner) overdue(r *rebalancing, job *jobstate.Job, placements []*jobstate.Placement) *overdueTask {
 	averageS := r.averageWaitS(job)
-	slowest, cost = placements[0], math.Inf(1)
+	task := &overdueTask{slowest: placements[0], leastWaitS: math.Inf(1), cost: math.Inf(1)}
 	for _, placement := range placements {
 		waitS, known := r.waitS[placement]
 		if placement.State != jobstate.PlacementRecorded || !known {
-			return nil, 0
+			return nil
 		}
 		queuedS := p.state.Now.Sub(placement.CreatedAt).Seconds()
 		if !matching.ShouldReplace(placement.PlannedWaitS, queuedS, waitS, max(averageS, placement.PlannedWaitS), p.state.Operator.ReplaceAfterS) {
-			return nil, 0
+			return nil
 		}
-		if waitS > r.waitS[slowest] {
-			slowest = placement
+		if waitS > r.waitS[task.slowest] {
+			task.slowest = placement
 		}
 		worker := placement.Worker
-		cost = min(cost, matching.Cost(p.state.FetchTime(job, worker), waitS, job.RunEstimate(), p.state.SuccessRate(worker), p.state.Operator.KFail))
+		cost := matching.Cost(p.state.FetchTime(job, worker), waitS, job.RunEstimate(), p.state.SuccessRate(worker), p.state.Operator.KFail)
+		task.cost, task.leastWaitS = min(task.cost, cost), min(task.leastWaitS, waitS)
+	}
+	return task
+}
+
+// withdrawAll withdraws a task's placements, none of which was granted.
+func (p *Planner) withdrawAll(placements []*jobstate.Placement) {
+	for _, placement := range slices.Clone(placements) { // withdrawing takes each out of the list
+		p.state.WithdrawPlacement(placement)
 	}
-	return slowest, cost
 }
 
 // placeAgain places a queued task on another worker too if that costs at least a second
-// less than cost. If it has maxPlacements already, the slowest is withdrawn: else a task
-// that waits on two workers behind long ones stays there beside an idle worker.
-func (p *Planner) placeAgain(r *rebalancing, placements []*jobstate.Placement, slowest *jobstate.Placement, cost float64) {
+// less than its cost, and reports whether one does. If it has maxPlacements already, the
+// slowest is withdrawn: else a task that waits on two workers behind long ones stays there
+// beside an idle worker.
+func (p *Planner) placeAgain(r *rebalancing, placements []*jobstate.Placement, task *overdueTask) bool {
+	slowest := task.slowest
 	job := slowest.Job
 	var best *jobstate.Worker
-	bestEstimate := estimate{cost: cost - 1}
+	bestEstimate := estimate{cost: task.cost - 1}
 	for _, worker := range p.candidates(job, p.workersWithRoom(job, r.open)) {
 		if slices.ContainsFunc(placements, func(placement *jobstate.Placement) bool { return placement.Worker == worker }) {
 			continue
@@ -150,11 +171,12 @@
 		}
 	}
 	if best == nil {
-		return
+		return false
 	}
 	if len(placements) >= maxPlacements {
 		p.state.WithdrawPlacement(slowest)
 	}
 	p.state.Stats.Duplicates++
 	p.placeTask(job, slowest.Task, best, bestEstimate.waitS)
+	return true
 }
