Duties at an interval share one loop; a log line for stops before a lease ends

The link monitor's look is a function of its own. "tasks stopped before lease expiry" (debug) says for each worker what two of the traced failures could not be told apart by: both ends of its lease, who renewed it when, and when it last reported.

--- a/internal/controller/expiring_leases.go
+++ b/internal/controller/expiring_leases.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/periodic"
+
 	"github.com/wallrack/wallrack/internal/dispatch"
 	"github.com/wallrack/wallrack/internal/scheduler"
 )
@@ -21,19 +23,12 @@
 }
 
 func (e *expiringLeases) run(ctx context.Context) error {
-	tick := time.NewTicker(expiringLeasesEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-		}
+	return periodic.Run(ctx, expiringLeasesEvery, func() {
 		if !e.router.MayAnswerWorkers() {
-			continue
+			return
 		}
 		if workers := e.scheduler.HandleExpiringLeases(); len(workers) > 0 {
 			e.dispatcher.ChaseCancelledTasks(ctx, workers)
 		}
-	}
+	})
 }
--- a/internal/controller/lease_attestation.go
+++ b/internal/controller/lease_attestation.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/periodic"
+
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/dispatch"
 	"github.com/wallrack/wallrack/internal/mesh"
@@ -53,16 +55,7 @@
 }
 
 func (a *leaseAttestor) run(ctx context.Context) error {
-	tick := time.NewTicker(attestEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-		}
-		a.round(ctx)
-	}
+	return periodic.Run(ctx, attestEvery, func() { a.round(ctx) })
 }
 
 // round notifies the scheduler of unresponsive workers whose leases expired for certain.
--- a/internal/controller/link_monitor.go
+++ b/internal/controller/link_monitor.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/periodic"
+
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/connlimit"
 	"github.com/wallrack/wallrack/internal/dispatch"
@@ -53,29 +55,25 @@
 }
 
 func (l *linkMonitor) run(ctx context.Context) error {
-	tick := time.NewTicker(watchLinksEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-		}
-		now := time.Now()
-		if l.prober.suspicionChanged(l.health().TimerDelay) {
-			l.pinger.pingAll(ctx)
-		}
-		if time.Since(l.counted) >= countEvery {
-			l.counted = now
-			l.countHeartbeats()
-			l.assignWorkers(now)
-			l.changes.update(l.links.Now())
-		}
-		view := l.links.Now()
-		l.announce(ctx, now, view)
-		l.transfer(ctx, now, view)
-		l.readShards(ctx, now, view)
+	return periodic.Run(ctx, watchLinksEvery, func() { l.look(ctx) })
+}
+
+// look takes one look at the links, and acts by them.
+func (l *linkMonitor) look(ctx context.Context) {
+	now := time.Now()
+	if l.prober.suspicionChanged(l.health().TimerDelay) {
+		l.pinger.pingAll(ctx)
 	}
+	if time.Since(l.counted) >= countEvery {
+		l.counted = now
+		l.countHeartbeats()
+		l.assignWorkers(now)
+		l.changes.update(l.links.Now())
+	}
+	view := l.links.Now()
+	l.announce(ctx, now, view)
+	l.transfer(ctx, now, view)
+	l.readShards(ctx, now, view)
 }
 
 // readShards reads who leads the shards if peers take this controller for the leader and it does
--- a/internal/membership/shards.go
+++ b/internal/membership/shards.go
@@ -21,7 +21,7 @@
 	return m.claimedLocked()
 }
 
-// LeadsShard is OwnedShards for one shard, without allocation: it is called at
+// LeadsShard is LedShards for one shard, without allocation: it is called at
 // every grant.
 func (m *Member) LeadsShard(shard int) (version uint64, ok bool) {
 	m.mu.Lock()
--- a/internal/reconcile/lease_expiry.go
+++ b/internal/reconcile/lease_expiry.go
@@ -148,6 +148,7 @@
 // stopExpiring stops what is to be stopped on a worker whose lease is about to expire. Tasks
 // that can't save are stopped only if few workers are overdue.
 func (r *Reconciler) stopExpiring(worker *jobstate.Worker, now time.Time, few bool) {
+	stopped := 0
 	for placement := range worker.Placements {
 		job := placement.Job
 		if placement.State != jobstate.PlacementReported || placement.Exited || !placement.HaltedAt.IsZero() || job.Cancelled || job.Spec.Service() {
@@ -161,8 +162,14 @@
 		if stopBeforeExpiry(task, r.leaseLeftS(worker, task, now)) || worker.LeaseUnknown() && task.saveS >= 0 {
 			r.state.HaltTask(placement, max(0, task.saveS)+1)
 			r.state.Stats.LeaseExpiring++
+			stopped++
 		}
 	}
+	if stopped > 0 {
+		r.log.Debug("tasks stopped before lease expiry", "worker", worker.Name, "tasks", stopped,
+			"left_s", r.state.LeaseEnd(worker).Sub(now).Seconds(), "surely_left_s", r.state.EarliestLeaseEnd(worker).Sub(now).Seconds(),
+			"controller", worker.RenewedBy, "renewed_s", now.Sub(worker.RenewedAt).Seconds(), "heartbeat_s", now.Sub(worker.LastReport).Seconds())
+	}
 }
 
 // leaseLeftS is the rest of the worker's lease in seconds that the stop of a task goes by; 0 or
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/periodic"
+
 	"github.com/wallrack/wallrack/internal/taskspec"
 	"github.com/wallrack/wallrack/internal/wire"
 )
@@ -75,16 +77,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { m.store.Watch(ctx, prefix, watchHold, m.reset, m.change) })
 	defer wg.Wait()
-	tick := time.NewTicker(tickInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-			m.Tick(ctx)
-		}
-	}
+	return periodic.Run(ctx, tickInterval, func() { m.Tick(ctx) })
 }
 
 // Tick drives every roll-out once, if this controller leads.
--- a/internal/scheduler/constraints.go
+++ b/internal/scheduler/constraints.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/periodic"
+
 	"github.com/wallrack/wallrack/internal/jobrecord"
 	"github.com/wallrack/wallrack/internal/jobspec"
 	"github.com/wallrack/wallrack/internal/jobstate"
@@ -19,19 +21,12 @@
 // ends: dependencies that are fulfilled or never can be, and deadlines. Without a lease it
 // does nothing.
 func (s *Scheduler) watchConstraints(ctx context.Context) {
-	tick := time.NewTicker(constraintInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	_ = periodic.Run(ctx, constraintInterval, func() { // ends with ctx
 		if s.state.Membership.LeaseRemaining() > 0 {
 			s.resolveCancels(ctx)
 			s.enforceConstraints(ctx)
 		}
-	}
+	})
 }
 
 // enforceConstraints evaluates the constraints of all jobs once, queries other leaders where
--- a/internal/slo/monitor.go
+++ b/internal/slo/monitor.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/periodic"
+
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/wallrack/wallrack/internal/config"
@@ -71,16 +73,7 @@
 
 // Run checks the jobs every checkInterval until ctx ends, and returns its error.
 func (m *Monitor) Run(ctx context.Context) error {
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			m.check(time.Now())
-		}
-	}
+	return periodic.Run(ctx, checkInterval, func() { m.check(time.Now()) })
 }
 
 // check compares the living jobs with the objectives, and with what they were at the last
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/periodic"
+
 	"github.com/goccy/go-json"
 	"go.etcd.io/bbolt"
 
@@ -96,22 +98,18 @@
 
 // ExpireLeases ends leases that nobody renewed in time, until ctx ends.
 func (s *State) ExpireLeases(ctx context.Context) {
-	tick := time.NewTicker(expiryInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		s.mu.Lock()
-		now := time.Now()
-		for id, l := range s.leases {
-			if now.After(l.ends) {
-				_ = s.endLeaseLocked(id) // tried again at the next tick
-			}
+	_ = periodic.Run(ctx, expiryInterval, s.endExpired) // ends with ctx
+}
+
+// endExpired ends the leases that nobody renewed in time.
+func (s *State) endExpired() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for id, l := range s.leases {
+		if now.After(l.ends) {
+			_ = s.endLeaseLocked(id) // tried again at the next tick
 		}
-		s.mu.Unlock()
 	}
 }
 
--- a/internal/statestore/route.go
+++ b/internal/statestore/route.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/wallrack/wallrack/internal/periodic"
 )
 
 const (
@@ -131,24 +133,17 @@
 
 // Run probes a lost link until ctx ends, and returns ctx's error.
 func (c *Client) Run(ctx context.Context) error {
-	ticker := time.NewTicker(probeInterval)
-	defer ticker.Stop()
 	succeeded := 0 // in a row
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
+	return periodic.Run(ctx, probeInterval, func() {
 		if !c.UsesRelay() || !c.probe(ctx) {
 			succeeded = 0
-			continue
+			return
 		}
 		if succeeded++; succeeded >= c.route.probesNeeded() {
 			succeeded = 0
 			c.route.find("probes succeed")
 		}
-	}
+	})
 }
 
 // probe reports whether the service responds directly.
--- a/internal/worker/agent.go
+++ b/internal/worker/agent.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/periodic"
+
 	"github.com/goccy/go-json"
 
 	"github.com/wallrack/wallrack/internal/httpjson"
@@ -107,16 +109,7 @@
 
 // expire expires the lease until ctx ends.
 func (a *Agent) expire(ctx context.Context) {
-	tick := time.NewTicker(expireInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			a.State.Expire()
-		}
-	}
+	_ = periodic.Run(ctx, expireInterval, a.State.Expire) // ends with ctx
 }
 
 // report sends one report. It returns the controller to go on with, and how long
