Test's set-up: the long job is accepted before those that would be ahead of it

The trace has "on=0 starts=0": the job had not started, and "queued" was right. It was accepted in the same millisecond as 156 tasks for 32 CPUs, and came after them in some runs.

It is accepted three seconds earlier now, so that it runs as the case says. What is asserted is as it was.

--- a/internal/testkit/lost_answers_test.go
+++ b/internal/testkit/lost_answers_test.go
@@ -283,8 +283,8 @@
 		l := &answerLoss{w: w, prefix: c.prefix}
 		begin(w, l)
 		w.startInTurn()
+		w.submit("j-80", 6) // before the others: accepted with them, it may wait behind their 156 tasks
 		w.live(3)
-		w.submit("j-80", 6)
 		jobs := []string{"j-1", "j-2", "j-3"}
 		for i, uid := range jobs {
 			w.submit(uid, 12+40*i)
