--- a/cmd/wallctl/recorded_test.go
+++ b/cmd/wallctl/recorded_test.go
@@ -133,7 +133,8 @@
 		// The response arrives, and the program pauses for a second before it repeats the request.
 		text.WriteString(program(t, srv.URL, func() { <-responded; time.Sleep(300 * time.Millisecond) }, strings.Fields(args)...))
 	}
-	text.WriteString(program(t, gone.URL, func() { time.Sleep(3 * time.Second) }, "status", "j-done"))
+	// Requests go out each second: the interrupt comes in the pause between two.
+	text.WriteString(program(t, gone.URL, func() { time.Sleep(2500 * time.Millisecond) }, "status", "j-done"))
 	recorded.Compare(t, "without-answer.txt", []byte(text.String()))
 }
 
