--- a/internal/controller/expiring_leases.go
+++ b/internal/controller/expiring_leases.go
@@ -4,9 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/wallrack/wallrack/internal/periodic"
-
 	"github.com/wallrack/wallrack/internal/dispatch"
+	"github.com/wallrack/wallrack/internal/periodic"
 	"github.com/wallrack/wallrack/internal/scheduler"
 )
 
--- a/internal/controller/lease_attestation.go
+++ b/internal/controller/lease_attestation.go
@@ -5,12 +5,11 @@
 	"log/slog"
 	"time"
 
-	"github.com/wallrack/wallrack/internal/periodic"
-
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/dispatch"
 	"github.com/wallrack/wallrack/internal/mesh"
 	"github.com/wallrack/wallrack/internal/peerlinks"
+	"github.com/wallrack/wallrack/internal/periodic"
 	"github.com/wallrack/wallrack/internal/scheduler"
 )
 
--- a/internal/controller/link_monitor.go
+++ b/internal/controller/link_monitor.go
@@ -7,13 +7,12 @@
 	"slices"
 	"time"
 
-	"github.com/wallrack/wallrack/internal/periodic"
-
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/connlimit"
 	"github.com/wallrack/wallrack/internal/dispatch"
 	"github.com/wallrack/wallrack/internal/membership"
 	"github.com/wallrack/wallrack/internal/peerlinks"
+	"github.com/wallrack/wallrack/internal/periodic"
 	"github.com/wallrack/wallrack/internal/reachability"
 )
 
--- a/internal/membership/shards.go
+++ b/internal/membership/shards.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"sort"
 )
 
@@ -86,7 +85,7 @@
 	ctx, cancel := context.WithTimeout(ctx, txnTimeout)
 	defer cancel()
 	changed := false
-	for _, shard := range slices.Sorted(slices.Values(shards)) {
+	for _, shard := range shards {
 		item, err := m.store.Get(ctx, shardKey(shard))
 		if err != nil {
 			m.log.Debug("shard not read", "shard", shard, "err", err)
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/wallrack/wallrack/internal/periodic"
-
 	"github.com/wallrack/wallrack/internal/taskspec"
 	"github.com/wallrack/wallrack/internal/wire"
 )
--- a/internal/scheduler/constraints.go
+++ b/internal/scheduler/constraints.go
@@ -4,11 +4,10 @@
 	"context"
 	"time"
 
-	"github.com/wallrack/wallrack/internal/periodic"
-
 	"github.com/wallrack/wallrack/internal/jobrecord"
 	"github.com/wallrack/wallrack/internal/jobspec"
 	"github.com/wallrack/wallrack/internal/jobstate"
+	"github.com/wallrack/wallrack/internal/periodic"
 )
 
 const (
--- a/internal/slo/monitor.go
+++ b/internal/slo/monitor.go
@@ -13,12 +13,11 @@
 	"sync"
 	"time"
 
-	"github.com/wallrack/wallrack/internal/periodic"
-
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/httpjson"
+	"github.com/wallrack/wallrack/internal/periodic"
 	"github.com/wallrack/wallrack/internal/scheduler"
 )
 
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -14,11 +14,10 @@
 	"sync"
 	"time"
 
-	"github.com/wallrack/wallrack/internal/periodic"
-
 	"github.com/goccy/go-json"
 	"go.etcd.io/bbolt"
 
+	"github.com/wallrack/wallrack/internal/periodic"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
--- a/internal/testkit/transfer_lag_test.go
+++ b/internal/testkit/transfer_lag_test.go
@@ -57,8 +57,11 @@
 				if at := w.leader(); at != to {
 					t.Errorf("%v after the transfer began, %q leads, not %s", time.Since(began), at, to)
 				}
-				if lost != c.answerLost {
-					t.Errorf("the answer was lost: %v", lost)
+				w.mu.Lock()
+				wasLost := lost
+				w.mu.Unlock()
+				if wasLost != c.answerLost {
+					t.Errorf("the answer was lost: %v", wasLost)
 				}
 				w.live(15)
 				if at := w.leader(); at != to {
--- a/internal/worker/agent.go
+++ b/internal/worker/agent.go
@@ -11,11 +11,10 @@
 	"sync"
 	"time"
 
-	"github.com/wallrack/wallrack/internal/periodic"
-
 	"github.com/goccy/go-json"
 
 	"github.com/wallrack/wallrack/internal/httpjson"
+	"github.com/wallrack/wallrack/internal/periodic"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
