Fault mended: running jobs were called queued after a change of the leader

What callers saw: for a second after a transfer of the shards, for several after a leader's crash or a restart of all controllers, polls and repeated submissions at every controller called running jobs "queued".

Cause: the state service has every living job as queued until its end. It was taken for evidence in two places: by submission.refinedByLeader where no leader answered or the leader itself said "queued", and by the new leader, whose placements read from the records are not confirmed by any heartbeat yet.

Mend: "queued" is answered only by a leader that is sure (Scheduler.SurelyQueued): no task of the job is known to run, and each placement that a predecessor may have started was compared with a heartbeat of its worker, or the worker's lease has run out since. Without that word the answer is 503. Bound: a job that waits is answered at the latest workers.lease_s after its shard was loaded, at once if it has no placement, and by its age alone in the first 2 s after its acceptance (a stage may lag by 3 s). Over slow links a leader's batched answer that comes too late for its user is kept 3 s for the user's next poll, and used only beside a living record read since: so it is never older than an end.

The stub of the service's own tests has no such knowledge: StageAuthority is optional there.

--- a/internal/jobstate/placement.go
+++ b/internal/jobstate/placement.go
@@ -61,6 +61,7 @@
 	LastHaltAt    time.Time // last halt; zero: none
 	HaltedAt      time.Time // first halt; zero: none
 	SeenInView    uint64    // number of the last view of the worker that listed it, see package reconcile
+	Compared      bool      // a heartbeat since it became known here was compared with it
 
 	Exited    bool   // the task is over; kept until that is recorded
 	ExitCode  int    // 0 to 255; 0 also if it ended without
--- a/internal/jobstate/state.go
+++ b/internal/jobstate/state.go
@@ -88,8 +88,14 @@
 // LeadsJob reports whether this controller surely leads the job's shard now, and has led it
 // without interruption since the shard was loaded.
 func (s *State) LeadsJob(job *Job) bool {
-	version, ok := s.Membership.LeadsShard(job.Shard)
-	return ok && version == s.Loaded[job.Shard]
+	return s.LeadsShard(job.Shard)
+}
+
+// LeadsShard reports whether this controller surely leads the shard now, and has led it
+// without interruption since the shard was loaded.
+func (s *State) LeadsShard(shard int) bool {
+	version, ok := s.Membership.LeadsShard(shard)
+	return ok && version == s.Loaded[shard]
 }
 
 // PassShare is the pause after a scheduling pass, as a multiple of the pass's duration.
--- /dev/null
+++ b/internal/jobstate/unconfirmed.go
@@ -0,0 +1,37 @@
+package jobstate
+
+import (
+	"time"
+
+	"github.com/wallrack/wallrack/internal/config"
+)
+
+const (
+	// stageLag is by how much the stage that users are told of a job may lag.
+	stageLag = 3 * time.Second
+	// clockDrift is by how much longer, at most, a lease lasts by another machine's clock.
+	clockDrift = 1.002
+)
+
+// CompareHeartbeat notes that a heartbeat of the worker was compared with the placement. An
+// older one than users may be told of proves nothing: it may be from before the task began.
+func (p *Placement) CompareHeartbeat(at time.Time) {
+	if at.After(p.CreatedAt.Add(-stageLag)) {
+		p.Compared = true
+	}
+}
+
+// MayRunUnseen reports whether a task of the job may run that a predecessor started and that
+// this leader has not seen: no heartbeat of its worker was compared with it since the
+// failover, and the worker's lease may hold still.
+func (s *State) MayRunUnseen(job *Job, now time.Time) bool {
+	lease := config.Seconds(clockDrift * s.Platform.Params.Workers.LeaseS)
+	for _, placements := range job.Placements {
+		for _, placement := range placements {
+			if placement.State == PlacementUnconfirmed && !placement.Compared && !placement.Exited && now.Before(placement.CreatedAt.Add(lease)) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/reconcile/observe.go
+++ b/internal/reconcile/observe.go
@@ -146,6 +146,7 @@
 		r.observeTask(worker, dispatch.TaskRef{Worker: view.Name, Task: task.Task.Task, Attempt: task.Attempt}, task)
 	}
 	for placement := range worker.Placements {
+		placement.CompareHeartbeat(worker.LastHeartbeat)
 		switch {
 		case placement.SeenInView == r.viewCount:
 		case mustBeReported(worker, placement):
--- a/internal/scheduler/job_state.go
+++ b/internal/scheduler/job_state.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/wallrack/wallrack/internal/jobrecord"
 	"github.com/wallrack/wallrack/internal/jobstate"
@@ -37,6 +38,9 @@
 	}
 	s.state.Mu.Lock()
 	defer s.state.Mu.Unlock()
+	if final, ended := s.state.FinalRecords[stored.UID]; ended {
+		return wire.JobState{UID: stored.UID, Stage: final.Stage, Done: final.Done} // since it was read
+	}
 	job := s.state.Jobs[stored.UID]
 	if job == nil || !s.state.LeadsJob(job) {
 		return stored
@@ -44,6 +48,23 @@
 	return job.PublicState()
 }
 
+// SurelyQueued reports whether this controller leads the shard of a living job and knows that
+// no task of the job runs. It does not know that after a failover, until the workers on which
+// a predecessor may have started the job's tasks have sent a heartbeat, or their leases have
+// expired: for workers.lease_s at most.
+func (s *Scheduler) SurelyQueued(uid string, shard int) bool {
+	s.state.Mu.Lock()
+	defer s.state.Mu.Unlock()
+	job := s.state.Jobs[uid]
+	if job == nil {
+		// Accepted since the shard was loaded and not heard of yet, so never placed. One that
+		// has ended meanwhile is not queued either.
+		_, ended := s.state.FinalRecords[uid]
+		return !ended && s.state.LeadsShard(shard)
+	}
+	return job.Running == 0 && s.state.LeadsJob(job) && !s.state.MayRunUnseen(job, time.Now())
+}
+
 // surelyCurrent reports whether what is in memory of a living job is not older than what any
 // controller may have answered for it.
 func (s *Scheduler) surelyCurrent(job *jobstate.Job) bool {
@@ -62,10 +83,22 @@
 	return job.Cancelled || s.state.Cancellations == nil || !s.state.Cancellations.IsCancelled(job.Spec.UID)
 }
 
-// StoredState returns a job's state as the state service has it: a living job that is not
-// cancelled is queued there, running or not. The error wraps statestore.ErrNotFound if there
-// was never such a job.
+// StoredState returns the state of ReadStoredJob.
 func StoredState(ctx context.Context, store jobrecord.Reader, uid string) (wire.JobState, error) {
+	job, err := ReadStoredJob(ctx, store, uid)
+	return job.State, err
+}
+
+// StoredJob is what the state service has of a job.
+type StoredJob struct {
+	State      wire.JobState // a living job that is not cancelled is queued, running or not
+	Shard      int           // of a living job
+	AcceptedMs int64         // of a living job, by the time of day of the controller that accepted it
+}
+
+// ReadStoredJob reads a job from the state service. The error wraps statestore.ErrNotFound if
+// there was never such a job.
+func ReadStoredJob(ctx context.Context, store jobrecord.Reader, uid string) (StoredJob, error) {
 	// The living record first: it is deleted only when the final one is there.
 	record, _, err := jobrecord.ReadLive(ctx, store, uid)
 	if err == nil {
@@ -73,12 +106,13 @@
 		if record.Cancelled {
 			state.Stage = wire.StageCancelled
 		}
-		return state, nil
+		return StoredJob{State: state, Shard: record.Shard, AcceptedMs: record.AcceptedMs}, nil
 	}
 	if !errors.Is(err, statestore.ErrNotFound) {
-		return wire.JobState{}, err
+		return StoredJob{}, err
 	}
-	return storedEnd(ctx, store, uid)
+	state, err := storedEnd(ctx, store, uid)
+	return StoredJob{State: state}, err
 }
 
 // storedEnd returns the state of a job that has no living record.
--- a/internal/submission/accept.go
+++ b/internal/submission/accept.go
@@ -26,13 +26,13 @@
 	if rejected != nil {
 		return s.rejectUnlessKnown(ctx, job, rejected)
 	}
-	if state, ok := s.jobs.LocalState(job.UID); ok {
-		return Reply{Status: http.StatusOK, State: state}
+	if rep, ok := s.local(job.UID); ok {
+		return rep
 	}
 	if s.memoryPressure != nil && s.memoryPressure() {
 		// Else the process ends for want of memory, with all that it leads.
-		if state, err := s.stored(ctx, job.UID); err == nil {
-			return Reply{Status: http.StatusOK, State: state}
+		if rep := s.stored(ctx, job.UID); rep.succeeded() {
+			return rep
 		}
 		usage.Note(usage.RefusedJobs)
 		return Reply{Status: http.StatusServiceUnavailable, Reason: "too much work at once"}
@@ -46,14 +46,11 @@
 	if job == nil || !wire.ValidJobID(job.UID) {
 		return rejected.reply()
 	}
-	state, err := s.lookup(ctx, job.UID)
-	switch {
-	case err == nil:
-		return Reply{Status: http.StatusOK, State: state}
-	case errors.Is(err, statestore.ErrNotFound):
+	rep := s.lookup(ctx, job.UID)
+	if rep.Status == http.StatusNotFound {
 		return rejected.reply()
 	}
-	return Reply{}
+	return rep
 }
 
 // record writes the acceptance of a job to the state service.
@@ -74,15 +71,15 @@
 				return Reply{Status: http.StatusUnprocessableEntity, Reason: "number: belongs to another job"}
 			}
 			// Known already, or an attempt of ours whose answer was lost.
-			return s.stateReply(s.stored(ctx, job.UID))
+			return s.stored(ctx, job.UID)
 		case !errors.Is(err, statestore.ErrUnknown) || ctx.Err() != nil || attempt == maxRecordings:
 			s.log.Debug("submission not recorded", "job", job.UID, "err", err)
 			return unknownOutcome(err)
 		}
 		// Mostly it was carried out, and only its answer was lost. A repeat would show
 		// that too, but may lose its answer like the first.
-		if state, err := s.stored(ctx, job.UID); err == nil {
-			return s.stateReply(state, nil)
+		if rep := s.stored(ctx, job.UID); rep.succeeded() {
+			return rep
 		}
 	}
 }
--- a/internal/submission/batched_polls.go
+++ b/internal/submission/batched_polls.go
@@ -2,15 +2,24 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
 const (
-	maxBatches   = 2   // in flight to a peer
+	maxBatches   = 2   // in flight to a peer that responds soon
 	maxBatchSize = 200 // polls in a batch
+
+	// Over a slow link a further batch is sent after slowBatch, up to maxSlowBatches in flight.
+	slowBatch      = 250 * time.Millisecond
+	maxSlowBatches = 16
+	batchTimeout   = 4 * time.Second
+	lateStateFor   = 3 * time.Second // for which a reply is kept that came too late for its poll
 )
 
 // pollBatcher passes users' polls to the peer that leads the jobs. While batches are in
@@ -20,21 +29,30 @@
 	query func(ctx context.Context, r Request) (Reply, bool)
 
 	mu       sync.Mutex
-	inFlight int // goroutines of run
-	pending  []pendingPoll
+	inFlight int       // goroutines of run
+	sentAt   time.Time // of the last batch
+	pending  []*pendingPoll
+	late     map[string]lateState // replies that came too late, by job
 }
 
 type pendingPoll struct {
-	uid   string
-	state chan wire.JobState // gets one; without a uid: the peer does not know it
+	uid     string
+	state   chan wire.JobState // gets one; without a uid: the peer does not know it
+	expired bool               // its user waits no more
+}
+
+// lateState is a state that came too late for the poll that asked for it.
+type lateState struct {
+	state  wire.JobState
+	cameAt time.Time
 }
 
 // poll reads a job's state from the peer; false if the peer does not know it, or not in time.
 func (b *pollBatcher) poll(ctx context.Context, uid string) (wire.JobState, bool) {
-	p := pendingPoll{uid, make(chan wire.JobState, 1)}
+	p := &pendingPoll{uid: uid, state: make(chan wire.JobState, 1)}
 	b.mu.Lock()
 	b.pending = append(b.pending, p)
-	if b.inFlight < maxBatches {
+	if b.inFlight < maxBatches || b.inFlight < maxSlowBatches && time.Since(b.sentAt) > slowBatch {
 		b.inFlight++
 		// It serves other users' polls too, so it outlives this one's context. It ends
 		// by itself: each query has a timeout.
@@ -45,10 +63,37 @@
 	case state := <-p.state:
 		return state, state.UID != ""
 	case <-ctx.Done():
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		p.expired = true
 		return wire.JobState{}, false
 	}
 }
 
+// lateState returns the state of a job by a reply that came too late for the poll that asked
+// for it. The job may have ended since.
+func (b *pollBatcher) lateState(uid string) (wire.JobState, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	late, ok := b.late[uid]
+	return late.state, ok && time.Since(late.cameAt) < lateStateFor
+}
+
+// deliver hands a poll its state, or keeps it if its user waits no more.
+func (b *pollBatcher) deliver(p *pendingPoll, state wire.JobState) {
+	p.state <- state
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !p.expired || state.UID == "" {
+		return
+	}
+	maps.DeleteFunc(b.late, func(_ string, late lateState) bool { return time.Since(late.cameAt) >= lateStateFor })
+	if b.late == nil {
+		b.late = map[string]lateState{}
+	}
+	b.late[p.uid] = lateState{state, time.Now()}
+}
+
 // run sends batches until no poll is pending.
 func (b *pollBatcher) run(ctx context.Context) {
 	for batch := b.next(); batch != nil; batch = b.next() {
@@ -58,18 +103,28 @@
 		}
 		rep, ok := b.query(ctx, req)
 		for i, p := range batch {
-			var state wire.JobState
-			if ok && i < len(rep.States) && rep.States[i].UID == p.uid {
-				state = rep.States[i]
-			}
-			p.state <- state
+			b.deliver(p, stateInBatch(&rep, ok, i, p.uid))
 		}
 	}
 }
 
+// stateInBatch returns the state of the i-th job of a batch, without a uid if the peer does not
+// know it.
+func stateInBatch(rep *Reply, ok bool, i int, uid string) wire.JobState {
+	switch {
+	case !ok:
+		return wire.JobState{}
+	case slices.Contains(rep.Unsettled, uid):
+		return wire.JobState{UID: uid, Stage: stageUnsettled}
+	case i < len(rep.States) && rep.States[i].UID == uid:
+		return rep.States[i]
+	}
+	return wire.JobState{}
+}
+
 // next takes a batch of the pending polls. With none it returns nil, and its goroutine no
 // longer counts as in flight.
-func (b *pollBatcher) next() []pendingPoll {
+func (b *pollBatcher) next() []*pendingPoll {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := min(len(b.pending), maxBatchSize)
@@ -79,16 +134,24 @@
 	}
 	batch := b.pending[:n:n]
 	b.pending = b.pending[n:]
+	b.sentAt = time.Now()
 	return batch
 }
 
+// pollBatched reads a job's state from a peer, within peerTimeout.
+func (s *Service) pollBatched(ctx context.Context, peer, uid string) (wire.JobState, bool) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	return s.batcher(peer).poll(ctx, uid)
+}
+
 // batcher returns the pollBatcher of a peer.
 func (s *Service) batcher(peer string) *pollBatcher {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.batchers[peer]
 	if b == nil {
-		b = &pollBatcher{query: func(ctx context.Context, r Request) (Reply, bool) { return s.query(ctx, peer, r) }}
+		b = &pollBatcher{query: func(ctx context.Context, r Request) (Reply, bool) { return s.queryWithin(ctx, peer, r, batchTimeout) }}
 		s.batchers[peer] = b
 	}
 	return b
@@ -98,7 +161,14 @@
 func (s *Service) localStates(uids []string) Reply {
 	rep := Reply{Status: http.StatusOK, States: make([]wire.JobState, len(uids))}
 	for i, uid := range uids {
-		rep.States[i], _ = s.jobs.LocalState(uid) // without a uid if it is unknown
+		known, ok := s.local(uid)
+		switch {
+		case !ok: // without a uid
+		case known.succeeded():
+			rep.States[i] = known.State
+		default:
+			rep.Unsettled = append(rep.Unsettled, uid)
+		}
 	}
 	return rep
 }
--- a/internal/submission/messages.go
+++ b/internal/submission/messages.go
@@ -16,6 +16,8 @@
 
 	UIDs []string `json:"uids,omitempty"` // of batched polls
 
+	AsLeader bool `json:"asLeader,omitempty"` // of a poll: only the leader's word that a job is queued will do
+
 	Constraints *jobspec.Constraints `json:"terms,omitempty"` // of a submission
 }
 
@@ -36,7 +38,10 @@
 	Reason string        `json:"reason,omitempty"` // of a refusal, for the user
 	Busy   bool          `json:"busy,omitempty"`   // the outcome is unknown for want of the state service's rate limit
 
-	States []wire.JobState `json:"states,omitempty"` // of batched polls, in their order; unknown ones have no uid
+	Settled bool `json:"settled,omitempty"` // the stage is known, not only what the state service has of every living job
+
+	States    []wire.JobState `json:"states,omitempty"`    // of batched polls, in their order; unknown ones have no uid
+	Unsettled []string        `json:"unsettled,omitempty"` // of batched polls: living jobs of which the leader can't say yet whether they run
 }
 
 // unknown reports whether another controller may do better: a state service that is busy is
--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -22,7 +22,6 @@
 	"github.com/wallrack/wallrack/internal/httpjson"
 	"github.com/wallrack/wallrack/internal/jobid"
 	"github.com/wallrack/wallrack/internal/jobspec"
-	"github.com/wallrack/wallrack/internal/scheduler"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/usage"
 	"github.com/wallrack/wallrack/internal/wire"
@@ -55,6 +54,15 @@
 	Cancel(ctx context.Context, uid string) (wire.JobState, error)
 }
 
+// StageAuthority may be implemented by Jobs. The state service has every living job as queued,
+// running or not: with a StageAuthority a user is told so only by a leader that is sure, and
+// gets 503 otherwise; without one the stored stage is the answer.
+type StageAuthority interface {
+	// SurelyQueued reports whether this controller leads the shard of a living job and knows
+	// that no task of the job runs.
+	SurelyQueued(uid string, shard int) bool
+}
+
 // Catalog knows the machine types.
 type Catalog interface {
 	// All returns every machine type, or none while they are unknown.
@@ -101,11 +109,13 @@
 	op          *config.Operator
 	store       Store
 	jobs        Jobs
+	stages      StageAuthority // nil: the stored stage of a living job is the answer
 	catalog     Catalog
 	peers       Peers
 	log         *slog.Logger
 	submitSlots chan struct{} // apart, so that a burst of submissions leaves room for polls and cancels
 	otherSlots  chan struct{}
+	unsettled   unsettledLog
 
 	mu       sync.Mutex
 	batchers map[string]*pollBatcher // by peer
@@ -128,8 +138,9 @@
 
 // New returns the users' interface.
 func New(o Options) *Service {
+	stages, _ := o.Jobs.(StageAuthority)
 	return &Service{
-		numbers: o.Numbers, cancellations: o.Cancellations, memoryPressure: o.MemoryPressure,
+		stages: stages, numbers: o.Numbers, cancellations: o.Cancellations, memoryPressure: o.MemoryPressure,
 		cfg: o.Platform, op: o.Operator, store: o.Store, jobs: o.Jobs, catalog: o.Catalog, peers: o.Peers, log: o.Log,
 		submitSlots: make(chan struct{}, maxInFlight), otherSlots: make(chan struct{}, maxInFlight), batchers: map[string]*pollBatcher{},
 	}
@@ -241,40 +252,17 @@
 // poll reads a job's state: from the memory of the controller that leads it, if that responds,
 // which saves the state service a request.
 func (s *Service) poll(ctx context.Context, req Request) Reply {
-	if state, ok := s.jobs.LocalState(req.UID); ok {
-		return Reply{Status: http.StatusOK, State: state}
+	if rep, ok := s.local(req.UID); ok {
+		return rep
 	}
 	for _, peer := range s.peers.ShardLeaders() {
-		if state, ok := s.batcher(peer).poll(ctx, req.UID); ok {
-			return Reply{Status: http.StatusOK, State: state}
+		if state, ok := s.pollBatched(ctx, peer, req.UID); ok {
+			return s.leaderReply(state)
 		}
 	}
 	return s.refinedByLeader(ctx, s.serveAnywhere(ctx, req))
 }
 
-// refineTimeout limits the time for all leaders together: the user has a response already,
-// which they can only make newer.
-const refineTimeout = 300 * time.Millisecond
-
-// refinedByLeader returns what a leader adds to the stored state of a known job, or stored
-// itself. The state service has every living job as queued: a repeated submission at another
-// controller called a running job queued, and so did a poll while a cancel's outcome was
-// pending, when the leader does not respond to VerbKnown. A new job (201) is queued surely.
-func (s *Service) refinedByLeader(ctx context.Context, stored Reply) Reply {
-	if stored.Status != http.StatusOK || stored.State.Stage != wire.StageQueued {
-		return stored
-	}
-	ctx, cancel := context.WithTimeout(ctx, refineTimeout)
-	defer cancel()
-	poll := Request{Verb: VerbPoll, UID: stored.State.UID}
-	for _, leader := range s.peers.ShardLeaders() {
-		if rep, ok := s.query(ctx, leader, poll); ok && rep.Status == http.StatusOK && rep.State.Stage != wire.StageQueued {
-			return rep
-		}
-	}
-	return stored
-}
-
 // cancel cancels a job, at the controller that leads it if that responds.
 func (s *Service) cancel(ctx context.Context, req Request) Reply {
 	if rep, ok := s.queryFirst(ctx, s.peers.ShardLeaders(), req); ok {
@@ -283,9 +271,14 @@
 	return s.serveAnywhere(ctx, req)
 }
 
-// query has a peer serve a request; false if it fails or the outcome stays unknown.
+// query has a peer serve a request within peerTimeout; false if it fails or the outcome stays
+// unknown.
 func (s *Service) query(ctx context.Context, peer string, req Request) (Reply, bool) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	return s.queryWithin(ctx, peer, req, peerTimeout)
+}
+
+func (s *Service) queryWithin(ctx context.Context, peer string, req Request, timeout time.Duration) (Reply, bool) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	rep, err := s.peers.QueryPeer(ctx, peer, req)
 	if err != nil {
@@ -326,7 +319,11 @@
 	case VerbKnown:
 		return s.localStates(req.UIDs)
 	case VerbPoll:
-		return s.stateReply(s.lookup(statestore.WithPriority(ctx, statestore.Lookup), req.UID))
+		rep := s.lookup(statestore.WithPriority(ctx, statestore.Lookup), req.UID)
+		if req.AsLeader && s.stages != nil && rep.unsettled() {
+			return s.unsettledReply(req.UID)
+		}
+		return rep
 	case VerbCancel:
 		return s.stateReply(s.jobs.Cancel(ctx, req.UID))
 	}
@@ -345,19 +342,10 @@
 	return unknownOutcome(err)
 }
 
-func (s *Service) lookup(ctx context.Context, uid string) (wire.JobState, error) {
-	if state, ok := s.jobs.LocalState(uid); ok {
-		return state, nil
+// lookup answers for a job from memory, or else from the state service.
+func (s *Service) lookup(ctx context.Context, uid string) Reply {
+	if rep, ok := s.local(uid); ok {
+		return rep
 	}
 	return s.stored(ctx, uid)
 }
-
-// stored reads a job's state from the state service, and adds what this controller knows
-// besides.
-func (s *Service) stored(ctx context.Context, uid string) (wire.JobState, error) {
-	state, err := scheduler.StoredState(ctx, s.store, uid)
-	if err != nil {
-		return state, err
-	}
-	return s.jobs.RefineState(state), nil
-}
