Fault mended: listings lacked jobs, or showed running ones as pending, after a failover

What callers saw: squeue without jobs while a new leader had claimed its shards and not loaded them, as if all had ended; scontrol show job with JobState=PENDING for a job that ran, from the state service or from a leader without heartbeats.

Mend: a leader whose shards are not all loaded refuses the listing (503, retried by the commands), and a living job is shown as queued only by a leader that is sure, or within 2 s of its acceptance. Accounting has rows of ended attempts only, hold and release change records, roll-outs ask only whether a job is there: none of them says whether a job runs.

--- a/internal/scheduler/listing.go
+++ b/internal/scheduler/listing.go
@@ -46,6 +46,20 @@
 	return jobs, next
 }
 
+// ShardsLoaded reports whether the jobs of all shards that this controller leads are in memory:
+// between the claim of a shard and its load a listing would lack its jobs.
+func (s *Scheduler) ShardsLoaded() bool {
+	claimed := s.state.Membership.ClaimedShards()
+	s.state.Mu.Lock()
+	defer s.state.Mu.Unlock()
+	for shard, version := range claimed {
+		if s.state.Loaded[shard] != version {
+			return false
+		}
+	}
+	return true
+}
+
 // snapshotPage copies the jobs of a listing from a cursor on, at most so many rows.
 func (s *Scheduler) snapshotPage(from jobquery.Cursor, maxRows int) (snapshots []jobSnapshot, next *jobquery.Cursor) {
 	s.state.Mu.Lock()
--- a/internal/slurmapi/jobs.go
+++ b/internal/slurmapi/jobs.go
@@ -34,7 +34,12 @@
 	page := jobquery.Page{Jobs: []jobquery.Info{}, NowMs: time.Now().UnixMilli()}
 	leaders := s.peers.ShardLeaders()
 	if s.peers.Leads() {
-		addPart(&page, s.Serve(ctx, req))
+		part := s.Serve(ctx, req)
+		if part.Status == 0 {
+			refuse(w, http.StatusServiceUnavailable, 1, "the jobs are being loaded")
+			return
+		}
+		addPart(&page, part)
 	} else if len(leaders) == 0 {
 		refuse(w, http.StatusServiceUnavailable, 1, "nobody owns the jobs now")
 		return
@@ -110,12 +115,26 @@
 				s.writeError(w, err)
 				return
 			}
+			if s.mayRun(&info) {
+				refuse(w, http.StatusServiceUnavailable, 1, "can't tell now")
+				return
+			}
 			rep = Reply{Status: http.StatusOK, Jobs: []jobquery.Info{info}}
 		}
 		writeJobReply(w, verb, rep)
 	}
 }
 
+// newJobAge is the time since its acceptance for which a job may be shown as queued without the
+// word of its leader.
+const newJobAge = 2 * time.Second
+
+// mayRun reports whether a job may run that the state service has as queued, like every living
+// job.
+func (s *Server) mayRun(stored *jobquery.Info) bool {
+	return s.knowledge != nil && stored.Stage == wire.StageQueued && time.Since(time.UnixMilli(stored.AcceptedMs)) >= newJobAge
+}
+
 // readTasks reads which tasks of a job to cancel. Its errors are for the client.
 func readTasks(w http.ResponseWriter, r *http.Request) (string, error) {
 	var request struct {
--- a/internal/slurmapi/peer_requests.go
+++ b/internal/slurmapi/peer_requests.go
@@ -9,6 +9,7 @@
 	"github.com/wallrack/wallrack/internal/jobspec"
 	"github.com/wallrack/wallrack/internal/scheduler"
 	"github.com/wallrack/wallrack/internal/statestore"
+	"github.com/wallrack/wallrack/internal/wire"
 )
 
 // Request is what one controller has another serve that leads jobs.
@@ -54,11 +55,14 @@
 	var err error
 	switch req.Verb {
 	case verbList:
+		if s.knowledge != nil && !s.knowledge.ShardsLoaded() {
+			return Reply{}
+		}
 		jobs, next := s.jobs.ListJobs(req.From, maxListed)
 		return Reply{Status: http.StatusOK, Jobs: jobs, Next: next}
 	case verbInfo:
 		info, ok := s.jobs.LocalJobInfo(req.UID)
-		if !ok {
+		if !ok || info.Stage == wire.StageQueued && s.knowledge != nil && !s.knowledge.SurelyQueued(req.UID, 0) {
 			return Reply{}
 		}
 		return Reply{Status: http.StatusOK, Jobs: []jobquery.Info{info}}
--- a/internal/slurmapi/server.go
+++ b/internal/slurmapi/server.go
@@ -53,6 +53,17 @@
 	CancelTasks(ctx context.Context, uid string, tasks jobspec.Ranges) error
 }
 
+// LeaderKnowledge may be implemented by Jobs: what a leader does not know yet after a failover.
+// Without it everything counts as known.
+type LeaderKnowledge interface {
+	// ShardsLoaded reports whether the jobs of all shards that this controller leads are in
+	// memory.
+	ShardsLoaded() bool
+	// SurelyQueued reports whether this controller leads the shard of a living job and knows
+	// that no task of the job runs.
+	SurelyQueued(uid string, shard int) bool
+}
+
 // Peers are the other controllers.
 type Peers interface {
 	// Leads reports whether this controller leads shards.
@@ -81,6 +92,7 @@
 	cfg       *config.Platform
 	store     Store
 	jobs      Jobs
+	knowledge LeaderKnowledge // nil: everything is known
 	numbers   *jobid.Allocator
 	peers     Peers
 	submitter Submitter
@@ -92,8 +104,9 @@
 
 // New returns a server; Register makes it reachable.
 func New(set *Settings, cfg *config.Platform, store Store, jobs Jobs, numbers *jobid.Allocator, peers Peers, in Submitter, catalog Catalog, log *slog.Logger) *Server {
+	knowledge, _ := jobs.(LeaderKnowledge)
 	return &Server{
-		settings: set, cfg: cfg, store: store, jobs: jobs, numbers: numbers, peers: peers, submitter: in, catalog: catalog, log: log,
+		settings: set, cfg: cfg, store: store, jobs: jobs, knowledge: knowledge, numbers: numbers, peers: peers, submitter: in, catalog: catalog, log: log,
 		limiter: newRateLimiter(set.PerS), slots: make(chan struct{}, maxInFlight),
 	}
 }
