Fault mended: a successor misjudged workers that reach no controller

- The successor polls the worker, sees it empty and responsive, takes it for one that has not found its new leader yet, and starts tasks there; when the report is overdue it stops them.
The stopped task was of a job that had run for long, it itself had not.
Now a poll that shows a leader without knowledge of the lease that the lease expired (a new session, or none of the recorded tasks and a session after the first) makes the worker take no tasks until it reports (Worker.ExpiredUnreported).
- A placement read from the records is settled by a report with a newer fencing token.
The worker answered each poll with its old token ("unconfirmed ... viewtok" of the predecessor, heartbeat a second old, 25 s after the failover): only responses to its reports would have shown it the new one, and a push leaves only if it has commands.
Now a worker that only responds to polls and has an older token gets a push without commands, which shows it the token.
If that push has an unknown outcome nothing needs to be fenced off.
- Tasks that save were stopped 2 report intervals and 1 s after the failover at the earliest.
A successor knows no lease: 1.25 intervals, from which on the worker is polled, do now.

UnresponsiveReports is 16 bits wide and stops at its bound: the worker keeps its size.

--- a/internal/dispatch/push.go
+++ b/internal/dispatch/push.go
@@ -40,7 +40,7 @@
 		return
 	}
 	commands := d.commandsLocked(name, token, false)
-	if len(commands) == 0 {
+	if len(commands) == 0 && !worker.needsToken(token) {
 		return
 	}
 	worker.pushInFlight, worker.pushPending = true, false
@@ -50,12 +50,17 @@
 	})
 }
 
+// needsToken reports whether a worker is to be shown a fencing token by a push without commands:
+// it only responds to polls, and no response to a heartbeat shows it one. Until its report has
+// the leader's token, what a predecessor placed on it can't be settled.
+func (w *workerState) needsToken(token uint64) bool { return w.polled && w.report.Token < token }
+
 // push sends commands and handles the worker's response.
 func (d *Dispatcher) push(name, endpoint string, orders wire.Orders) {
 	ctx, cancel := context.WithTimeout(d.lifetime, pushTimeout)
 	rep, executed, err := d.sender.SendCommands(ctx, endpoint, orders, func() error { return d.checkCurrent(orders) })
 	cancel()
-	known, pushAgain := d.finishPush(name, orders.Token, executed, err)
+	known, pushAgain := d.finishPush(name, &orders, executed, err)
 	if !known {
 		return
 	}
@@ -80,7 +85,7 @@
 
 // finishPush notes the outcome of a push. It returns false if the worker is not known any more,
 // and whether to push again.
-func (d *Dispatcher) finishPush(name string, token uint64, executed bool, err error) (known, pushAgain bool) {
+func (d *Dispatcher) finishPush(name string, orders *wire.Orders, executed bool, err error) (known, pushAgain bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	worker := d.workers[name]
@@ -90,10 +95,10 @@
 	pushAgain = worker.pushPending
 	worker.pushInFlight, worker.pushPending = false, false
 	switch {
-	case err != nil && !errors.Is(err, ErrNotSent):
+	case err != nil && !errors.Is(err, ErrNotSent) && len(orders.Commands) > 0:
 		// The commands may still arrive, minutes late, while their token and
 		// session match: only a newer token ends that.
-		worker.unknownOutcome = max(worker.unknownOutcome, token)
+		worker.unknownOutcome = max(worker.unknownOutcome, orders.Token)
 		d.raiseTokenLocked(worker.unknownOutcome)
 		return true, false
 	case errors.Is(err, errOutdated):
--- a/internal/jobstate/lease.go
+++ b/internal/jobstate/lease.go
@@ -54,6 +54,9 @@
 // FitsLease reports whether a task of the job that starts on the worker now would be done, and
 // seen to be done, before the worker's lease expires. It is true if the lease is being renewed.
 func (s *State) FitsLease(job *Job, worker *Worker) bool {
+	if worker.ExpiredUnreported {
+		return false
+	}
 	if !s.ReportOverdue(worker, renewOverdue) {
 		return true
 	}
--- a/internal/jobstate/placement.go
+++ b/internal/jobstate/placement.go
@@ -58,10 +58,10 @@
 	GrantedAt     time.Time // first grant
 	RunningSince  time.Time // by the heartbeat that first showed it running; zero: none did, or it has ended
 	StartObserved bool      // this leader granted its start, so its run time is known
+	Compared      bool      // a heartbeat since it became known here was compared with it
 	LastHaltAt    time.Time // last halt; zero: none
 	HaltedAt      time.Time // first halt; zero: none
 	SeenInView    uint64    // number of the last view of the worker that listed it, see package reconcile
-	Compared      bool      // a heartbeat since it became known here was compared with it
 
 	Exited    bool   // the task is over; kept until that is recorded
 	ExitCode  int    // 0 to 255; 0 also if it ended without
--- a/internal/jobstate/worker.go
+++ b/internal/jobstate/worker.go
@@ -47,7 +47,8 @@
 	Cordoned            bool  // the autoscaler wants it empty
 	Removed             bool  // the cloud has deleted it
 	CommandObserved     bool  // a start command was seen to have had an effect since the last check
-	UnresponsiveReports int32 // heartbeats in a row that showed the worker to be unresponsive
+	ExpiredUnreported   bool  // its lease expired while it reached no controller, by polls alone
+	UnresponsiveReports int16 // heartbeats in a row that showed the worker to be unresponsive
 
 	NoticeAt time.Time // when the cloud will reclaim it; zero: no notice
 	// OccupiedS is the time in seconds for which a cordoned worker stays occupied by tasks
--- a/internal/reconcile/lease_expiry.go
+++ b/internal/reconcile/lease_expiry.go
@@ -12,7 +12,7 @@
 // In units of a worker's report interval; jobstate.OverdueSlack is added to the first two.
 const (
 	pollAfterReports = 1.25 // without an answered report, after which a worker is polled
-	haltAfterReports = 2    // the same, after which tasks on it are stopped
+	haltAfterReports = 2    // the same, after which tasks on it are stopped, unless its lease may expire at any time
 	sameRenewal      = 0.25 // between two times that are of one renewal, at most
 )
 
@@ -72,7 +72,7 @@
 	}
 	few := float64(len(overdue)) <= mostOverdueShare*float64(len(r.state.Workers))
 	for _, worker := range overdue {
-		if r.state.ReportOverdue(worker, haltAfterReports) {
+		if r.state.ReportOverdue(worker, haltAfterReports) || worker.LeaseUnknown() && r.state.ReportOverdue(worker, pollAfterReports) {
 			r.stopExpiring(worker, now, few)
 		}
 	}
--- a/internal/reconcile/observe.go
+++ b/internal/reconcile/observe.go
@@ -80,6 +80,7 @@
 	if worker.View.Zone == "" && view.Zone != "" {
 		r.moveToZone(worker, view.Zone)
 	}
+	worker.ExpiredUnreported = view.Polled && (worker.ExpiredUnreported || r.expiredUnreported(worker, view))
 	worker.View, worker.ViewAt, worker.Matrix = *view, now, view.Matrix
 	recordHeartbeat(worker, now)
 	if r.state.Membership.LeaseRemaining() <= 0 {
@@ -111,6 +112,21 @@
 	return older && time.Since(worker.LastHeartbeat) < config.Seconds(r.state.Platform.Params.Workers.LeaseS)
 }
 
+// expiredUnreported reports whether the response to a poll shows a new leader, which does not know
+// the worker's lease, that it expired while no heartbeat came: the session is a new one, or the
+// tasks are gone that a predecessor had there. Such a worker was taken for one that had just not
+// found its new leader yet, and got tasks that it lost again.
+func (r *Reconciler) expiredUnreported(worker *jobstate.Worker, view *dispatch.WorkerView) bool {
+	if !worker.LeaseUnknown() {
+		return false
+	}
+	if known := worker.View.Session; known != 0 {
+		return view.Session > known
+	}
+	recorded := worker.RecordedFailover != 0 && worker.RecordedFailover == r.state.Stats.Failovers
+	return recorded && view.Session > 1 && len(view.Tasks) == 0
+}
+
 // moveToZone moves the use of placements, counted in every zone so far, to the worker's zone.
 func (r *Reconciler) moveToZone(worker *jobstate.Worker, zone string) {
 	for placement := range worker.Placements {
--- a/internal/reconcile/responsive.go
+++ b/internal/reconcile/responsive.go
@@ -58,7 +58,10 @@
 	if since.IsZero() {
 		return
 	}
-	if worker.UnresponsiveReports++; worker.UnresponsiveReports >= unresponsiveReports && worker.UnresponsiveSince.IsZero() {
+	if !worker.UnresponsiveSince.IsZero() {
+		return
+	}
+	if worker.UnresponsiveReports++; worker.UnresponsiveReports >= unresponsiveReports {
 		worker.UnresponsiveSince = now.Add(-timeout)
 		worker.RecentLost++
 		r.log.Info("worker unresponsive to commands", "worker", worker.Name, "controller", worker.View.Dispatcher, "for_s", now.Sub(since).Seconds())
