Test: when dead machines are returned after a restart of all controllers

What was open: with one controller away after such a restart, "all controllers vouch" can't be had, and dead machines that the cloud still lists as running are returned late.

What the cloud lists as failed, or has deleted, does not wait.

--- /dev/null
+++ b/internal/testkit/returned_after_restart_test.go
@@ -0,0 +1,53 @@
+package testkit_test
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against dead machines that stay rented after a restart of all controllers, one of which
+// stays away: it may answer them for its grace period, and their leases last for a lease more.
+func TestDeadMachinesAreReturnedAfterRestartOfAllControllers(t *testing.T) {
+	const (
+		dead  = 3
+		slack = 15 * time.Second // the failover, the detector's timeout and a probe
+	)
+	for i, c := range []struct {
+		name   string
+		away   time.Duration // until the last controller is back; 0: never
+		within time.Duration // of the start of the others
+	}{
+		{"one stays away", 0, testGrace + workerLease + slack},
+		{"one is back after 5 s", 5 * time.Second, 5*time.Second + workerLease + slack},
+		{"all are back", time.Nanosecond, workerLease + slack},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			onCluster(t, 4900+uint64(i), 3, 12, func(w *cluster) {
+				w.submit("j-80", 24)
+				w.live(10)
+				for _, k := range w.workers[:dead] {
+					w.cutAll(k.Name, w.names...)
+				}
+				w.live(1)
+				last := w.names[len(w.names)-1]
+				w.stopAll()
+				for _, name := range w.names {
+					if name != last || c.away == time.Nanosecond {
+						w.start(name)
+					}
+				}
+				began := time.Now()
+				for w.returnedMachines < dead && time.Since(began) < c.within {
+					if c.away > time.Nanosecond && time.Since(began) >= c.away && w.nodes[last].down {
+						w.start(last)
+					}
+					w.live(1)
+				}
+				t.Logf("%d of %d returned after %v", w.returnedMachines, dead, time.Since(began))
+				if w.returnedMachines != dead {
+					t.Errorf("%d of %d dead machines are returned %v after the restart", w.returnedMachines, dead, time.Since(began))
+				}
+			})
+		})
+	}
+}
