Test's data race: users look a controller up under the cluster's lock

go test -race found it in TestTriplesOfFaultsBreakNoRule: a user's submission reads the table of controllers while one is started again. Nothing that the test asserts changes.

--- a/internal/testkit/fault_kinds_test.go
+++ b/internal/testkit/fault_kinds_test.go
@@ -86,8 +86,11 @@
 
 // post submits a job at a controller, and returns the status; 0 if nothing comes back.
 func (m *faultRun) post(at string, job *wire.Job, drop ...string) int {
+	m.mu.Lock()
 	n := m.nodes[at]
-	if n.down {
+	down := n.down
+	m.mu.Unlock()
+	if down {
 		return 0
 	}
 	body, err := json.Marshal(job)
