Test's data race: drawn faults begin and end under the cluster's lock

go test -race found it in TestPairsOfFaultsBreakNoRule: the state service's delay is set while a renewal asks for it.

--- a/internal/testkit/fault_kinds_test.go
+++ b/internal/testkit/fault_kinds_test.go
@@ -84,6 +84,13 @@
 	}
 }
 
+// locked changes a fault that messages on their way may be asking.
+func (m *faultRun) locked(change func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	change()
+}
+
 // post submits a job at a controller, and returns the status; 0 if nothing comes back.
 func (m *faultRun) post(at string, job *wire.Job, drop ...string) int {
 	m.mu.Lock()
@@ -187,32 +194,34 @@
 	}, nil, (*faultRun).machinesBack},
 	{"the state service is slow", 8, 30, func(m *faultRun) {
 		did := m.did
-		m.storeLatency = func() time.Duration { *did++; return m.ms(300, 4000) }
-	}, nil, func(m *faultRun) { m.storeLatency = nil }},
+		m.locked(func() { m.storeLatency = func() time.Duration { *did++; return m.ms(300, 4000) } })
+	}, nil, func(m *faultRun) { m.locked(func() { m.storeLatency = nil }) }},
 	{"transactions are carried out late", 8, 30, func(m *faultRun) {
 		did := m.did
-		m.transactionDelay = func() time.Duration {
+		delay := func() time.Duration {
 			if m.rnd.IntN(5) > 0 {
 				return 0
 			}
 			*did++
 			return m.ms(2000, 12000)
 		}
-	}, nil, func(m *faultRun) { m.transactionDelay = nil }},
+		m.locked(func() { m.transactionDelay = delay })
+	}, nil, func(m *faultRun) { m.locked(func() { m.transactionDelay = nil }) }},
 	{"commands are held up", 5, 25, func(m *faultRun) {
 		did := m.did
-		m.holdsCommand = func() bool {
+		holds := func() bool {
 			if m.rnd.IntN(3) == 0 {
 				return false
 			}
 			*did++
 			return true
 		}
+		m.locked(func() { m.holdsCommand = holds })
 	}, func(m *faultRun, _ int) {
 		if m.draw(6) == 0 {
 			m.release()
 		}
-	}, func(m *faultRun) { m.holdsCommand = nil }},
+	}, func(m *faultRun) { m.locked(func() { m.holdsCommand = nil }) }},
 	{"the leader hands over, and back", 4, 20, nil, func(m *faultRun, _ int) {
 		if l := m.cluster.leader(); l != "" {
 			o := m.others(l)
@@ -262,14 +271,15 @@
 	}, func(m *faultRun, _ int) { m.release() }, (*faultRun).machinesBack},
 	{"answers of transactions are lost", 8, 30, func(m *faultRun) {
 		did := m.did
-		m.losesResponse = func() bool {
+		loses := func() bool {
 			if m.rnd.IntN(3) > 0 {
 				return false
 			}
 			*did++
 			return true
 		}
-	}, nil, func(m *faultRun) { m.losesResponse = nil }},
+		m.locked(func() { m.losesResponse = loses })
+	}, nil, func(m *faultRun) { m.locked(func() { m.losesResponse = nil }) }},
 	{"copies of reports come under the next leader", 12, 30, func(m *faultRun) { m.lastOne = m.cluster.leader() }, func(m *faultRun, second int) {
 		l := m.cluster.leader()
 		if second == 3 && l != "" {
