--- a/internal/reconcile/observe.go
+++ b/internal/reconcile/observe.go
@@ -114,8 +114,7 @@
 
 // expiredUnreported reports whether the response to a poll shows a new leader, which does not know
 // the worker's lease, that it expired while no heartbeat came: the session is a new one, or the
-// tasks are gone that a predecessor had there. Such a worker was taken for one that had just not
-// found its new leader yet, and got tasks that it lost again.
+// tasks are gone that a predecessor had there. What such a worker is given it loses again.
 func (r *Reconciler) expiredUnreported(worker *jobstate.Worker, view *dispatch.WorkerView) bool {
 	if !worker.LeaseUnknown() {
 		return false
--- a/internal/reconcile/responsive.go
+++ b/internal/reconcile/responsive.go
@@ -16,8 +16,8 @@
 
 // recordFailure notes that a task of the job ended with an error on the worker. A job that was
 // submitted with a mistake fails wherever it is tried: it counts against no worker, and only a
-// few of its tasks are tried at a time, until one is done. Before this, each such job put every
-// worker that it reached back for all others, and had sound ones deleted.
+// few of its tasks are tried at a time, until one is done: else it would put every worker that it
+// reaches back for all others, and have sound ones deleted.
 func (r *Reconciler) recordFailure(job *jobstate.Job, worker *jobstate.Worker) {
 	job.Errors++
 	job.Avoid[worker.Index] = time.Now().Add(avoidFailing)
--- a/internal/submission/refined_submission_test.go
+++ b/internal/submission/refined_submission_test.go
@@ -10,12 +10,7 @@
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
-// A user repeats the submission of a job that runs, at a controller that does not lead it.
-// The job's record is in the state service, which has every living job as queued, and the
-// answer was read from there: "queued", where a poll at the same moment says "running".
-// Polls were mended before (TestPollDuringPendingCancelIsRefinedByLeader); submissions took
-// another way to the same record. What showed it: the leader's count of polls stayed 0
-// while the repeated submission was answered.
+// Guards against a running job that is called queued to a user who repeats its submission.
 
 // relay is a leader, b, beside a controller, c, that reaches the state service and passes on
 // what is stored.
--- a/internal/testkit/lost_renewal_test.go
+++ b/internal/testkit/lost_renewal_test.go
@@ -8,14 +8,7 @@
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
-// The leader counts a worker's lease from the last heartbeat that was answered. The worker
-// counts it from the last answer that it got. A worker's reports are lost for three seconds;
-// the next one is answered, and the answer is lost; then no report arrives any more. The leader
-// took the lease to last four seconds longer than it did: tasks that could have saved were
-// told to when the worker had killed them, and a task was started that the end of the lease
-// killed. In the trace of TestWorkersReachingNoController that failed with "1 starts were killed"
-// the leader had "leaseEnd=22.300 renewed=12.300", the worker's lease ended at 19.3, and the
-// answer of 12.3 was the one that was lost.
+// Guards against a lease that the leader counts from an answer which its worker never got.
 
 // Tasks that save are stopped in time although the last answer before a worker's reports stop
 // was lost, and none is started that its lease kills.
--- a/internal/testkit/transfer_lag_test.go
+++ b/internal/testkit/transfer_lag_test.go
@@ -8,13 +8,7 @@
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
-// A leader that gets its workers' heartbeats no more transfers its shards to a peer that does.
-// The peer learnt of that by its watch of the state service only. While that is behind, nobody
-// leads: the old leader has given the shards up, the new one does not know that it has them,
-// and every controller hands users and workers on to either. In a run of
-// TestConcurrentPollsNeverSeeOlderState/watches_lag nobody led from 33.737, "transfer begins
-// node=a peer=b", to 38.721, "failover complete node=b"; 5 s of a cluster without any fault but
-// late watches and lost answers, in which running jobs were called queued.
+// Guards against shards that nobody leads after a transfer: the new leader's watch is behind.
 
 // A controller that shards are transferred to leads them soon, although its watch is behind.
 func TestTransferredShardsAreLedAlthoughWatchIsBehind(t *testing.T) {
