Fault mended: the first unresponsive worker was deleted when nothing reached any of them

Cause, by the traces: nothing reaches the 24 workers from 24.3 on. n-17 is the first to be found unresponsive, at 28.3; others count as reached since a command from before showed in a late report within the last 3.5 s; a probe fails, and n-17 is deleted at 29.3. The 23 that follow are kept, as most are unresponsive.

A response now counts from when its command or poll was sent, and only what was sent after a worker became unresponsive says that the way there works. TestFirstUnresponsiveWorkerIsNotJudgedByEarlierResponses states it; by the old rule, which had no time to compare with, its first case was judged lost.

--- a/internal/jobstate/worker.go
+++ b/internal/jobstate/worker.go
@@ -62,7 +62,7 @@
 	// UnresponsiveSince is the time since which commands have had no effect on the worker, by
 	// its heartbeats; zero: they have, or nothing is known.
 	UnresponsiveSince time.Time
-	RespondedAt       time.Time // when it last became responsive again
+	RespondedAt       time.Time // when the command or poll was sent that last had an effect
 
 	RecordedFailover int // number of the last failover whose records had tasks on it; 0: none
 }
--- a/internal/reconcile/responsive.go
+++ b/internal/reconcile/responsive.go
@@ -49,6 +49,9 @@
 func (r *Reconciler) checkResponsive(worker *jobstate.Worker, now time.Time) {
 	responsive := worker.CommandObserved || worker.View.Polled
 	worker.CommandObserved = false
+	if worker.View.Polled {
+		worker.RespondedAt = now
+	}
 	if responsive {
 		r.markResponsive(worker)
 		return
@@ -110,7 +113,7 @@
 	if !worker.UnresponsiveSince.IsZero() {
 		r.log.Info("worker reachable again", "worker", worker.Name, "after_s", time.Since(worker.UnresponsiveSince).Seconds())
 	}
-	worker.UnresponsiveSince, worker.UnresponsiveReports, worker.RespondedAt = time.Time{}, 0, time.Now()
+	worker.UnresponsiveSince, worker.UnresponsiveReports = time.Time{}, 0
 }
 
 // responseTimeout is the time after which a report shows what was sent.
@@ -123,6 +126,7 @@
 	r.state.Mu.Lock()
 	defer r.state.Mu.Unlock()
 	if worker := r.state.Workers[name]; worker != nil {
+		worker.RespondedAt = time.Now()
 		r.markResponsive(worker)
 	}
 }
--- a/internal/reconcile/task_reported.go
+++ b/internal/reconcile/task_reported.go
@@ -106,7 +106,9 @@
 			"controller", worker.View.Dispatcher, "fencing_token", worker.View.Token, "reported", view.State, "for_s", view.ForS, "halted_at", placement.LastHaltAt)
 	}
 	unconfirmed := placement.State == jobstate.PlacementUnconfirmed
-	worker.CommandObserved = worker.CommandObserved || placement.State == jobstate.PlacementGranted
+	if placement.State == jobstate.PlacementGranted {
+		worker.CommandObserved, worker.RespondedAt = true, jobstate.Later(worker.RespondedAt, placement.GrantedAt)
+	}
 	placement.StartObserved = !unconfirmed
 	r.state.CountUse(placement, -1)
 	placement.State, placement.Session = jobstate.PlacementReported, worker.View.Session
--- a/internal/reconcile/unresponsive.go
+++ b/internal/reconcile/unresponsive.go
@@ -1,6 +1,7 @@
 package reconcile
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wallrack/wallrack/internal/config"
@@ -17,10 +18,10 @@
 	r.state.Mu.Lock()
 	defer r.state.Mu.Unlock()
 	now := time.Now()
-	mostReached := r.commandsReachMost(now)
+	reach := r.newCommandReach(now)
 	for name, worker := range r.state.Workers {
 		unseenFor := now.Sub(jobstate.Later(worker.LastHeartbeat, worker.KnownSince))
-		outboundLost := !worker.UnresponsiveSince.IsZero() && mostReached
+		outboundLost := !worker.UnresponsiveSince.IsZero() && reach.mostSince(worker.UnresponsiveSince)
 		if outboundLost {
 			unseenFor = max(unseenFor, now.Sub(worker.UnresponsiveSince))
 		}
@@ -34,18 +35,30 @@
 	return len(r.state.Workers), unresponsive
 }
 
-// commandsReachMost reports whether of the workers that were sent something lately no more are
-// unresponsive than responded. Else the way there is bad, and not they.
-func (r *Reconciler) commandsReachMost(now time.Time) bool {
-	unreached, reached := 0, 0
+// commandReach is which workers commands reach.
+type commandReach struct {
+	unreached   int         // workers that are unresponsive
+	respondedAt []time.Time // of the others that were sent something lately, in order
+}
+
+func (r *Reconciler) newCommandReach(now time.Time) (reach commandReach) {
 	for _, worker := range r.state.Workers {
 		if !worker.UnresponsiveSince.IsZero() {
-			unreached++
+			reach.unreached++
 		} else if now.Sub(worker.RespondedAt) < r.responseTimeout() {
-			reached++
+			reach.respondedAt = append(reach.respondedAt, worker.RespondedAt)
 		}
 	}
-	return unreached <= reached
+	slices.SortFunc(reach.respondedAt, time.Time.Compare)
+	return reach
+}
+
+// mostSince reports whether no more workers are unresponsive than responded to something sent
+// after a time, since which one is unresponsive. Else the way there is bad, and not that worker:
+// what was sent before, and showed later, says nothing of that.
+func (c *commandReach) mostSince(since time.Time) bool {
+	first, _ := slices.BinarySearchFunc(c.respondedAt, since, time.Time.Compare)
+	return c.unreached <= len(c.respondedAt)-first
 }
 
 // RemoteWorkers returns the addresses of workers whose dispatcher is another controller, by name.
--- /dev/null
+++ b/internal/reconcile/unresponsive_test.go
@@ -0,0 +1,42 @@
+package reconcile
+
+import (
+	"testing"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/jobstate"
+)
+
+// Guards against the first worker that nothing reaches being deleted when nothing reaches any of
+// them: others had responded to what was sent before.
+func TestFirstUnresponsiveWorkerIsNotJudgedByEarlierResponses(t *testing.T) {
+	now := time.Now()
+	ago := func(s float64) time.Time { return now.Add(-config.Seconds(s)) }
+	for _, c := range []struct {
+		name      string
+		responded []float64 // seconds ago, of the other workers
+		lost      bool
+	}{
+		{"others responded to what was sent before", []float64{6, 5, 5.5}, false},
+		{"one responded to something sent since", []float64{6, 2}, true},
+		{"nothing was sent to others", nil, false},
+	} {
+		state := &jobstate.State{
+			Platform: &config.Platform{Params: config.Params{Workers: config.Workers{ReportS: 4, LeaseS: 22}}},
+			Workers:  map[string]*jobstate.Worker{},
+		}
+		state.WorkerOf("n-0").UnresponsiveSince = ago(4.5)
+		for i, at := range c.responded {
+			state.WorkerOf(string(rune('a' + i))).RespondedAt = ago(at)
+		}
+		for _, worker := range state.Workers {
+			worker.LastHeartbeat = now
+		}
+		r := &Reconciler{state: state}
+		_, unresponsive := r.UnresponsiveWorkers(3 * time.Second)
+		if lost := len(unresponsive) == 1 && unresponsive[0].OutboundLost; lost != c.lost {
+			t.Errorf("%s: %+v", c.name, unresponsive)
+		}
+	}
+}
