Fault mended: a controller took itself for the leader for good

What callers saw: at one controller, after a claim whose response was slow, running jobs called queued until the next change of the leader; since "queued" needs a leader's word, 503.

Trace: a claims the shards at 59.42; at 59.58 the response to c's own claim arrives, whose lease has ended meanwhile, and c notes itself as leader over the newer record.

A claim's and a reclaim's outcome are now taken like any other record of a shard: a newer version that the watch has brought outdates them. TestLateResponseToClaimDoesNotHideNewerLeader failed before ("leaders [a], led here map[0:2 1:2 2:2 3:2]"), every time.

--- a/internal/membership/claim.go
+++ b/internal/membership/claim.go
@@ -48,8 +48,7 @@
 	m.mu.Lock()
 	if m.lease == self.Lease {
 		for _, shard := range free {
-			m.claimed[shard], m.newestVersions[shard] = revision, max(m.newestVersions[shard], revision)
-			m.leaders[shard] = self
+			m.applyShardLocked(shard, self, revision) // unless the watch has told of a newer leader meanwhile
 		}
 	}
 	m.mu.Unlock()
--- /dev/null
+++ b/internal/membership/late_response_test.go
@@ -0,0 +1,75 @@
+package membership_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/goccy/go-json"
+
+	"github.com/wallrack/wallrack/internal/membership"
+	"github.com/wallrack/wallrack/internal/testkit"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// lateClaim is a state service in which another controller takes the shards over between a
+// claim and its response.
+type lateClaim struct {
+	*testkit.View
+	taken bool
+}
+
+func (l *lateClaim) Txn(ctx context.Context, guards []wire.Guard, ops ...wire.Op) (uint64, error) {
+	revision, err := l.View.Txn(ctx, guards, ops...)
+	if l.taken || err != nil || !strings.HasPrefix(ops[0].Put, "c/shard/") {
+		return revision, err
+	}
+	l.taken = true
+	clean := &testkit.View{Store: l.Store}
+	for _, op := range ops {
+		record := map[string]any{}
+		if err := json.Unmarshal([]byte(l.Store.Text(op.Put)), &record); err != nil {
+			return 0, err
+		}
+		for field, value := range record {
+			if value == "a" {
+				record[field] = "b"
+			} else if number, ok := value.(float64); ok {
+				record[field] = number + 1
+			}
+		}
+		if _, err := clean.Txn(ctx, nil, wire.Op{Delete: op.Put}); err != nil {
+			return 0, err
+		}
+		if _, err := clean.Txn(ctx, nil, wire.Op{Put: op.Put, Value: record}); err != nil {
+			return 0, err
+		}
+	}
+	time.Sleep(time.Second) // the watch tells of all that
+	return revision, nil
+}
+
+// Guards against a controller that takes itself for the leader for good, as the response to its
+// claim came after the watch had told of the next leader.
+func TestLateResponseToClaimDoesNotHideNewerLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &lateClaim{View: &testkit.View{Store: testkit.NewStore()}}
+		member := membership.New(store, "a", ttl, 4, 1, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		ctx, cancel := context.WithCancel(context.Background())
+		done := run(ctx, member)
+		time.Sleep(3 * time.Second)
+		if !store.taken {
+			t.Error("nothing was claimed")
+		}
+		if leaders := member.ShardLeaders(); !slices.Equal(leaders, []string{"b"}) || len(member.LedShards()) > 0 {
+			t.Errorf("leaders %v, led here %v", leaders, member.LedShards())
+		}
+		cancel()
+		<-done
+	})
+}
--- a/internal/membership/transfer.go
+++ b/internal/membership/transfer.go
@@ -157,8 +157,7 @@
 		}
 		delete(m.pending, shard)
 		if conflict == nil {
-			m.claimed[shard] = revision
-			m.leaders[shard] = self
+			m.applyShardLocked(shard, self, revision) // unless the watch has told of a newer leader meanwhile
 		}
 		// What the watch still brings from before this is out of date.
 		m.newestVersions[shard] = max(m.newestVersions[shard], revision, version+1)
