Fault mended: a task whose start was lost stood still behind long tasks

Trace, with the leader's state at the failure: a task is "recorded" at the leader, and queued at the dispatcher of a worker that is full of long tasks, with a wait of 0 and its start sent; free CPUs -1; three workers idle. The response with the start was lost, others filled the worker, and the note "start sent" was never taken back: the task kept its room for good, and with a wait of 0 no other worker was better.

A start that a newer report does not show counts as use of the worker no more.

--- a/internal/dispatch/commands.go
+++ b/internal/dispatch/commands.go
@@ -100,7 +100,7 @@
 	if queued.granted && (queued.grantToken != p.token || queued.grantSession != p.worker.report.Session) {
 		queued.granted = false
 	}
-	allocated := queued.startSent || queued.granted
+	allocated := queued.allocated()
 	if allocated {
 		p.free = p.free.Add(queued.Resources, 1)
 	}
@@ -108,7 +108,7 @@
 	dropped := fits && p.requestGrant(queued)
 	starts := fits && !dropped
 	if starts && queued.granted && len(p.commands) < maxCommands {
-		queued.startSent, queued.startSentSeq = true, p.worker.report.Seq
+		queued.startSent, queued.startSentSeq, queued.startAbsent = true, p.worker.report.Seq, false
 		p.commands = append(p.commands, wire.Command{Verb: wire.VerbStart, Task: queued.Task, Attempt: queued.Attempt})
 	}
 	if allocated || starts && (queued.granted || queued.grantRequested) {
--- /dev/null
+++ b/internal/dispatch/lost_start_test.go
@@ -0,0 +1,41 @@
+package dispatch_test
+
+import (
+	"testing"
+
+	"github.com/wallrack/wallrack/internal/dispatch"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// Guards against a task whose start was lost looking as if it were about to run behind long tasks
+// that took its room: its leader found no worker better, and it stood still.
+func TestTaskWhoseStartWasLostWaitsBehindRunningTasks(t *testing.T) {
+	s := &stub{token: 5, respond: func(wire.Orders) (*wire.Report, bool, error) { return nil, false, dispatch.ErrNotSent }}
+	d := newDispatcher(t.Context(), s)
+	d.HandleReport(t.Context(), report(1, 5))
+	d.ApplyInstructions(dispatch.Instructions{From: "a", Assign: []dispatch.QueueEntry{entry(1)}})
+	d.Wait()
+	if _, body := d.HandleReport(t.Context(), report(2, 5)); verbs(body, wire.VerbStart) != 1 {
+		t.Fatalf("no start: %+v", body)
+	}
+	// The response is lost, and other controllers fill the worker.
+	var others []wire.Task
+	var entries []dispatch.QueueEntry
+	for i := range 4 {
+		other := entry(9)
+		other.Task, other.RunS = wire.TaskName("j-2", i), 600
+		entries = append(entries, other)
+		others = append(others, wire.Task{Task: other.Task, Attempt: other.Attempt, State: wire.TaskRunning})
+	}
+	d.HandleReport(t.Context(), report(3, 5, others...))
+	d.ApplyInstructions(dispatch.Instructions{From: "a", Assign: entries})
+	d.Wait()
+	_, body := d.HandleReport(t.Context(), report(4, 5, others...))
+	view := s.views[len(s.views)-1]
+	if verbs(body, wire.VerbStart) != 0 || len(view.Queue) != 1 || view.Queue[0].WaitS < 100 || view.Queue[0].Unsent {
+		t.Errorf("behind tasks of 10 minutes: %+v, %+v", body, view.Queue)
+	}
+	if free := view.Matrix[0].Free.CPUs; free != 0 {
+		t.Errorf("%v CPUs are free on a full worker", free)
+	}
+}
--- a/internal/dispatch/view.go
+++ b/internal/dispatch/view.go
@@ -36,7 +36,7 @@
 		}
 	}
 	for _, queued := range worker.queue {
-		if queued.startSent || queued.granted {
+		if queued.allocated() {
 			allocations = append(allocations, matching.Allocation{Resources: queued.Resources, RemainingS: queued.FetchS + queued.RunS})
 		}
 	}
@@ -88,7 +88,7 @@
 // setQueue adds the queue, and reserves in the matrix what its tasks will take.
 func (v *WorkerView) setQueue(queue []*queuedTask) {
 	for _, queued := range queue {
-		if queued.startSent || queued.granted {
+		if queued.allocated() {
 			v.Queue = append(v.Queue, QueueView{TaskRef: queued.TaskRef, Unsent: !queued.startSent})
 			continue
 		}
@@ -99,7 +99,7 @@
 		} else {
 			v.Matrix = v.Matrix.Reserve(queued.Resources, waitS, takesS)
 		}
-		v.Queue = append(v.Queue, QueueView{TaskRef: queued.TaskRef, WaitS: waitS, Unsent: true})
+		v.Queue = append(v.Queue, QueueView{TaskRef: queued.TaskRef, WaitS: waitS, Unsent: !queued.startSent})
 	}
 }
 
--- a/internal/dispatch/worker_state.go
+++ b/internal/dispatch/worker_state.go
@@ -16,8 +16,14 @@
 	grantSession   uint64 // of the worker, likewise
 	startSent      bool   // a start command may have left this process
 	startSentSeq   uint64 // of the worker's newest report then
+	startAbsent    bool   // a newer report does not show the task
 }
 
+// allocated reports whether the task counts as using the worker: its start was granted, or a start
+// command is under way. Counted for good, a start that was lost would look as if it were about
+// to run behind whatever took its room, and its leader would place it nowhere else.
+func (q *queuedTask) allocated() bool { return q.granted || q.startSent && !q.startAbsent }
+
 // reportedTask is a task that the worker reported.
 type reportedTask struct {
 	state string
@@ -114,7 +120,7 @@
 		if queued.startSent && (w.report.Session > queued.grantSession || w.report.Seq > queued.startSentSeq) {
 			// The start command did not arrive, or not yet: it may be
 			// repeated, but only under a new grant.
-			queued.granted = false
+			queued.granted, queued.startAbsent = false, true
 		}
 		kept = append(kept, queued)
 	}
