--- a/internal/dispatch/lost_start_test.go
+++ b/internal/dispatch/lost_start_test.go
@@ -19,9 +19,10 @@
 		t.Fatalf("no start: %+v", body)
 	}
 	// The response is lost, and other controllers fill the worker.
-	var others []wire.Task
-	var entries []dispatch.QueueEntry
-	for i := range 4 {
+	const tasks = 4
+	others := make([]wire.Task, 0, tasks)
+	entries := make([]dispatch.QueueEntry, 0, tasks)
+	for i := range tasks {
 		other := entry(9)
 		other.Task, other.RunS = wire.TaskName("j-2", i), 600
 		entries = append(entries, other)
