One rule for jobs accepted a moment ago, and one interface for a leader's word

The submission service and the Slurm-style server each had the age up to which a job may be called queued without its leader, and the method SurelyQueued in an interface of their own. The age is scheduler.JustAccepted now, and LeaderKnowledge embeds submission.StageAuthority. No behaviour changes.

--- a/internal/scheduler/job_state.go
+++ b/internal/scheduler/job_state.go
@@ -89,6 +89,16 @@
 	return job.State, err
 }
 
+// newJobAge is the time since its acceptance for which a job may be called queued without the
+// word of its leader: less than the stage that users are told of may lag.
+const newJobAge = 2 * time.Second
+
+// JustAccepted reports whether a job was accepted, at a time of day in milliseconds since 1970,
+// so recently that it may be called queued although no leader says so.
+func JustAccepted(acceptedMs int64) bool {
+	return time.Since(time.UnixMilli(acceptedMs)) < newJobAge
+}
+
 // StoredJob is what the state service has of a job.
 type StoredJob struct {
 	State      wire.JobState // a living job that is not cancelled is queued, running or not
--- a/internal/slurmapi/jobs.go
+++ b/internal/slurmapi/jobs.go
@@ -125,14 +125,10 @@
 	}
 }
 
-// newJobAge is the time since its acceptance for which a job may be shown as queued without the
-// word of its leader.
-const newJobAge = 2 * time.Second
-
 // mayRun reports whether a job may run that the state service has as queued, like every living
 // job.
 func (s *Server) mayRun(stored *jobquery.Info) bool {
-	return s.knowledge != nil && stored.Stage == wire.StageQueued && time.Since(time.UnixMilli(stored.AcceptedMs)) >= newJobAge
+	return s.knowledge != nil && stored.Stage == wire.StageQueued && !scheduler.JustAccepted(stored.AcceptedMs)
 }
 
 // readTasks reads which tasks of a job to cancel. Its errors are for the client.
--- a/internal/slurmapi/server.go
+++ b/internal/slurmapi/server.go
@@ -56,12 +56,10 @@
 // LeaderKnowledge may be implemented by Jobs: what a leader does not know yet after a failover.
 // Without it everything counts as known.
 type LeaderKnowledge interface {
+	submission.StageAuthority
 	// ShardsLoaded reports whether the jobs of all shards that this controller leads are in
 	// memory.
 	ShardsLoaded() bool
-	// SurelyQueued reports whether this controller leads the shard of a living job and knows
-	// that no task of the job runs.
-	SurelyQueued(uid string, shard int) bool
 }
 
 // Peers are the other controllers.
--- a/internal/submission/stage.go
+++ b/internal/submission/stage.go
@@ -51,15 +51,11 @@
 	}
 	rep := Reply{Status: http.StatusOK, State: s.jobs.RefineState(job.State)}
 	if rep.State.Stage == wire.StageQueued && s.stages != nil {
-		rep.Settled = time.Since(time.UnixMilli(job.AcceptedMs)) < newJobAge || s.stages.SurelyQueued(uid, job.Shard)
+		rep.Settled = scheduler.JustAccepted(job.AcceptedMs) || s.stages.SurelyQueued(uid, job.Shard)
 	}
 	return rep
 }
 
-// newJobAge is the time since its acceptance for which a job may be called queued without the
-// word of its leader: less than the stage that users are told of may lag.
-const newJobAge = 2 * time.Second
-
 // unsettled reports whether a reply says "queued" by the state service alone, which has every
 // living job as queued. A new job (201) is queued surely.
 func (r *Reply) unsettled() bool {
