--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -74,6 +74,13 @@
 	CancelS float64 `toml:"cancel_s"`
 }
 
+// leaseDrift is by how much longer than lease_s a lease may last by another machine's clock: four
+// times what two steady clocks may differ by.
+const leaseDrift = 1.002
+
+// LongestLeaseS is for how many seconds of this machine's clock a worker's lease lasts at most.
+func (w *Workers) LongestLeaseS() float64 { return w.LeaseS * leaseDrift }
+
 // State are the limits of the state service: requests and writes a second, the size of a
 // value, and operations in a transaction.
 type State struct {
--- a/internal/jobstate/unconfirmed.go
+++ b/internal/jobstate/unconfirmed.go
@@ -6,12 +6,8 @@
 	"github.com/wallrack/wallrack/internal/config"
 )
 
-const (
-	// stageLag is by how much the stage that users are told of a job may lag.
-	stageLag = 3 * time.Second
-	// clockDrift is by how much longer, at most, a lease lasts by another machine's clock.
-	clockDrift = 1.002
-)
+// stageLag is by how much the stage that users are told of a job may lag.
+const stageLag = 3 * time.Second
 
 // CompareHeartbeat notes that a heartbeat of the worker was compared with the placement. An
 // older one than users may be told of proves nothing: it may be from before the task began.
@@ -25,7 +21,7 @@
 // this leader has not seen: no heartbeat of its worker was compared with it since the
 // failover, and the worker's lease may hold still.
 func (s *State) MayRunUnseen(job *Job, now time.Time) bool {
-	lease := config.Seconds(clockDrift * s.Platform.Params.Workers.LeaseS)
+	lease := config.Seconds(s.Platform.Params.Workers.LongestLeaseS())
 	for _, placements := range job.Placements {
 		for _, placement := range placements {
 			if placement.State == PlacementUnconfirmed && !placement.Compared && !placement.Exited && now.Before(placement.CreatedAt.Add(lease)) {
