Polls: no walk over placements once leases since the failover are over, one lock a batch

A poll of a waiting job at its leader walked over all its placements, for an array thousands, to find none that may run unseen; a lease after the last failover there can be none. Replies of a batch that came too late took the lock and swept the kept states one by one; once a batch now. The answers are the same.

--- a/internal/jobstate/unconfirmed.go
+++ b/internal/jobstate/unconfirmed.go
@@ -22,6 +22,9 @@
 // failover, and the worker's lease may hold still.
 func (s *State) MayRunUnseen(job *Job, now time.Time) bool {
 	lease := config.Seconds(s.Platform.Params.Workers.LongestLeaseS())
+	if !now.Before(s.LoadedAt.Add(lease)) {
+		return false // all placements of predecessors were known by then
+	}
 	for _, placements := range job.Placements {
 		for _, placement := range placements {
 			if placement.State == PlacementUnconfirmed && !placement.Compared && !placement.Exited && now.Before(placement.CreatedAt.Add(lease)) {
--- a/internal/submission/batched_polls.go
+++ b/internal/submission/batched_polls.go
@@ -79,19 +79,21 @@
 	return late.state, ok && time.Since(late.cameAt) < lateStateFor
 }
 
-// deliver hands a poll its state, or keeps it if its user waits no more.
-func (b *pollBatcher) deliver(p *pendingPoll, state wire.JobState) {
-	p.state <- state
+// deliver hands the polls of a batch their states, and keeps those whose users wait no more.
+func (b *pollBatcher) deliver(batch []*pendingPoll, rep *Reply, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !p.expired || state.UID == "" {
-		return
-	}
 	maps.DeleteFunc(b.late, func(_ string, late lateState) bool { return time.Since(late.cameAt) >= lateStateFor })
 	if b.late == nil {
 		b.late = map[string]lateState{}
 	}
-	b.late[p.uid] = lateState{state, time.Now()}
+	for i, p := range batch {
+		state := stateInBatch(rep, ok, i, p.uid)
+		p.state <- state // has room for it
+		if p.expired && state.UID != "" {
+			b.late[p.uid] = lateState{state, time.Now()}
+		}
+	}
 }
 
 // run sends batches until no poll is pending.
@@ -102,9 +104,7 @@
 			req.UIDs = append(req.UIDs, p.uid)
 		}
 		rep, ok := b.query(ctx, req)
-		for i, p := range batch {
-			b.deliver(p, stateInBatch(&rep, ok, i, p.uid))
-		}
+		b.deliver(batch, &rep, ok)
 	}
 }
 
