--- a/internal/testkit/cancel_transfer_test.go
+++ b/internal/testkit/cancel_transfer_test.go
@@ -278,9 +278,7 @@
 			h.start(h.taker) // it knows no cancels
 		}, 2, 1},
 		{"the giver's launches and the giver are held up right after the transaction", func(h *handOver) {
-			h.mu.Lock()
-			h.holdsCommand = func() bool { return true }
-			h.mu.Unlock()
+			h.locked(func() { h.holdsCommand = func() bool { return true } })
 			if _, heard := h.user(h.giver, http.MethodPost, "j-82"); !heard { // makes room for tasks of the others
 				h.t.Error("the first cancel is not heard")
 			}
@@ -303,9 +301,7 @@
 			if late := h.release(); late == 0 {
 				h.t.Error("no launch was held up")
 			}
-			h.mu.Lock()
-			h.holdsCommand = nil
-			h.mu.Unlock()
+			h.locked(func() { h.holdsCommand = nil })
 			h.live(11)
 			h.healLinks(h.giver, append(h.workerNames(), h.taker, h.third, stateService)...)
 		}, 2, 0},
--- a/internal/testkit/cluster_faults_test.go
+++ b/internal/testkit/cluster_faults_test.go
@@ -115,6 +115,13 @@
 	}
 }
 
+// locked changes a fault that messages on their way may be asking.
+func (w *cluster) locked(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
+}
+
 // drawn asks a fault that may begin and end at any time.
 func (w *cluster) drawn(f *func() time.Duration) time.Duration {
 	w.mu.Lock()
--- a/internal/testkit/deposed_leader_test.go
+++ b/internal/testkit/deposed_leader_test.go
@@ -59,9 +59,9 @@
 						unrecorded++
 					}
 				}
-				w.mu.Lock()
-				w.watchLag = func() time.Duration { return 3 * time.Second } // it hears late that it lost its shards
-				w.mu.Unlock()
+				w.locked(func() {
+					w.watchLag = func() time.Duration { return 3 * time.Second } // it hears late that it lost its shards
+				})
 				w.healLinks(former, append(w.others(former), stateService)...)
 				asks := func() {
 					for i := range jobs {
--- a/internal/testkit/fault_kinds_test.go
+++ b/internal/testkit/fault_kinds_test.go
@@ -84,13 +84,6 @@
 	}
 }
 
-// locked changes a fault that messages on their way may be asking.
-func (m *faultRun) locked(change func()) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	change()
-}
-
 // post submits a job at a controller, and returns the status; 0 if nothing comes back.
 func (m *faultRun) post(at string, job *wire.Job, drop ...string) int {
 	m.mu.Lock()
--- a/internal/testkit/late_starts_test.go
+++ b/internal/testkit/late_starts_test.go
@@ -75,9 +75,7 @@
 			w.bigger(3, 12)
 			w.startNodes()
 			w.live(3)
-			w.mu.Lock()
-			w.keepCuts, w.holdsCommand = true, func() bool { return true }
-			w.mu.Unlock()
+			w.locked(func() { w.keepCuts, w.holdsCommand = true, func() bool { return true } })
 			jobs := []string{"j-1", "j-2", "j-3"}
 			for _, uid := range jobs {
 				w.submit(uid, 30)
--- a/internal/testkit/stage_after_failover_test.go
+++ b/internal/testkit/stage_after_failover_test.go
@@ -2,13 +2,9 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
-	"github.com/goccy/go-json"
-
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -31,28 +27,22 @@
 		s.onSince = time.Now()
 	}
 	for _, name := range s.names {
-		s.request(name, http.MethodGet, "/api/jobs/"+s.job, "")
-		s.request(name, http.MethodPost, "/api/jobs", submissionBody(s.job, 1))
+		if s.nodes[name].down {
+			continue
+		}
+		s.heard(s.request(name, http.MethodGet, "/api/jobs/"+s.job, ""))
+		s.heard(s.request(name, http.MethodPost, "/api/jobs", submissionBody(s.job, 1)))
 	}
 }
 
-func (s *stageAnswers) request(name, method, path, body string) {
-	n := s.nodes[name]
-	if n.down {
-		return
-	}
-	rec := httptest.NewRecorder()
-	n.mux.ServeHTTP(rec, httptest.NewRequest(method, path, strings.NewReader(body)))
-	if n.down {
-		return
-	}
-	if rec.Code == http.StatusServiceUnavailable {
+// heard notes an answer.
+func (s *stageAnswers) heard(status int, state wire.JobState) {
+	if status == http.StatusServiceUnavailable {
 		s.refused++
 		return
 	}
-	var state wire.JobState
-	if err := json.Unmarshal(rec.Body.Bytes(), &state); err != nil || rec.Code != http.StatusOK {
-		s.t.Errorf("%s %s at %s: %d %s", method, path, name, rec.Code, rec.Body)
+	if status != http.StatusOK || state.UID != s.job {
+		s.t.Errorf("%s: %d, %+v", s.job, status, state)
 	}
 	s.stages[state.Stage]++
 	if state.Stage == wire.StageQueued && !s.onSince.IsZero() && time.Since(s.onSince) >= stageLag {
