Hollow workers are a package of their own

The workers whose tasks are timers were part of the scale run. The soak run needs them too, with its own observer and transport, so they move to internal/hollow; the scale run keeps its tracker and counts report bytes in a transport of its own. No change of behaviour; the tests of internal/scale are the same but for the calls' names.

--- a/internal/scale/link.go
+++ b/internal/hollow/link.go
@@ -1,10 +1,9 @@
-package scale
+package hollow
 
 import (
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 )
 
 // link is the network link of a worker. While it is cut, reports and incoming requests are held; they
@@ -46,29 +45,28 @@
 	return c
 }()
 
-// reportTransport sends a worker's reports over its link and counts the bytes.
-type reportTransport struct {
-	link  *link
-	base  *http.Transport
-	bytes map[string]*atomic.Int64 // of requests and responses, by controller address
+// linkTransport sends a worker's reports over its link.
+type linkTransport struct {
+	link *link
+	base http.RoundTripper
 }
 
 // RoundTrip implements http.RoundTripper.
-func (t *reportTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+func (t *linkTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	select {
 	case <-t.link.connected():
 	case <-req.Context().Done():
 		return nil, req.Context().Err()
 	}
-	resp, err := t.base.RoundTrip(req)
-	if err == nil {
-		t.bytes[req.URL.Host].Add(req.ContentLength + max(0, resp.ContentLength))
-	}
-	return resp, err
+	return t.base.RoundTrip(req)
 }
 
 // CloseIdleConnections is called by http.Client when the worker changes to another controller.
-func (t *reportTransport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+func (t *linkTransport) CloseIdleConnections() {
+	if base, ok := t.base.(interface{ CloseIdleConnections() }); ok {
+		base.CloseIdleConnections()
+	}
+}
 
 // linkListener accepts connections to a worker. A connection that arrives while the link is cut
 // never delivers anything, like a connection attempt that has timed out.
--- a/internal/scale/hollow.go
+++ b/internal/hollow/worker.go
@@ -1,4 +1,4 @@
-package scale
+package hollow
 
 import (
 	"context"
@@ -50,8 +50,8 @@
 
 // runner provides the task descriptions of a hollow worker and runs its tasks.
 type runner struct {
-	name      string // name of the worker
-	track     *tracker
+	worker    string // name of the worker
+	tasks     Tasks
 	fetchTime time.Duration // duration of fetching an image that is not cached
 
 	mu           sync.Mutex
@@ -61,7 +61,7 @@
 // Get implements worker.Descriptions. If the job's image is not cached, Get takes fetchTime and then
 // caches the image.
 func (r *runner) Get(ctx context.Context, uid string) (*taskspec.Spec, error) {
-	job := r.track.job(uid)
+	job := r.tasks.Job(uid)
 	if job == nil {
 		return nil, taskspec.ErrNotFound
 	}
@@ -95,9 +95,9 @@
 // Start implements worker.Runner. A task that completed in an earlier attempt exits at once with
 // code 0.
 func (r *runner) Start(task string, _ uint64, _ *taskspec.Spec, exited func(code int)) (worker.Process, error) {
-	runTime, completed := r.track.taskStarted(task, r.name)
+	runTime, completed := r.tasks.TaskStarted(task, r.worker)
 	p := &process{finish: func(completed bool) {
-		r.track.taskEnded(task, completed)
+		r.tasks.TaskEnded(task, r.worker, completed)
 		code := 0
 		if !completed {
 			code = killedExitCode
--- a/internal/scale/failures.go
+++ b/internal/scale/failures.go
@@ -32,9 +32,9 @@
 		names := r.oldestWorkers(cut.zones, cut.limit)
 		r.runPhase(ctx, cut.name, s.SteadyStarts, seconds(cut.durationS), func(context.Context) {
 			r.track.markLost(cut.name, names)
-			r.workers.setCut(names, true)
+			r.workers.SetCut(names, true)
 		})
-		r.workers.setCut(names, false)
+		r.workers.SetCut(names, false)
 		r.track.markReachable(names)
 		r.provisionWorkers()
 		r.runPhase(ctx, "after the "+cut.name, s.SteadyStarts, seconds(s.SettleS), nil)
@@ -43,7 +43,7 @@
 
 // oldestWorkers returns the names of the oldest workers in the given zones, at most limit.
 func (r *Run) oldestWorkers(zones []string, limit int) map[string]bool {
-	selected := r.workers.selectNames(func(h *hollowWorker) bool { return slices.Contains(zones, h.zone) })
+	selected := r.workers.Names(func(zone string) bool { return slices.Contains(zones, zone) })
 	names := slices.Sorted(maps.Keys(selected))
 	for _, name := range names[min(limit, len(names)):] {
 		delete(selected, name)
--- a/internal/scale/hollow_test.go
+++ b/internal/scale/hollow_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/goccy/go-json"
 
+	"github.com/wallrack/wallrack/internal/hollow"
 	"github.com/wallrack/wallrack/internal/wire"
 	"github.com/wallrack/wallrack/internal/worker"
 )
@@ -21,7 +22,7 @@
 type testSite struct {
 	t        *testing.T
 	track    *tracker
-	workers  *workers
+	workers  *hollow.Workers
 	endpoint string
 	reports  atomic.Int64
 	token    atomic.Uint64 // fencing token in responses; 0: reports get status 503
@@ -41,11 +42,9 @@
 	}))
 	t.Cleanup(controller.Close)
 	addr := strings.TrimPrefix(controller.URL, "http://")
-	s.workers = &workers{
-		settings: &Settings{ReportS: 0.1, LeaseS: lease.Seconds()}, track: s.track, byName: map[string]*hollowWorker{},
-		reportBytes: map[string]*atomic.Int64{addr: {}}, controllers: []worker.Controller{{Name: "c", Addr: addr}}, log: slog.New(slog.DiscardHandler),
-	}
-	t.Cleanup(s.workers.close)
+	s.workers = hollow.New(hollow.Options{ReportInterval: 100 * time.Millisecond, Lease: lease, Tasks: s.track, Log: slog.New(slog.DiscardHandler)})
+	s.workers.SetControllers([]worker.Controller{{Name: "c", Addr: addr}})
+	t.Cleanup(s.workers.Close)
 	endpoint, err := s.workers.Launch(wire.ListedMachine{Name: "n-1", Type: "hollow", Zone: "z"}, wire.MachineType{CPUs: 4, MemoryGB: 8})
 	if err != nil {
 		t.Fatal(err)
@@ -139,7 +138,7 @@
 	s.await("the task", func() bool { return s.running() == 1 })
 	cut := map[string]bool{"n-1": true}
 	s.track.markLost("cut", cut)
-	s.workers.setCut(cut, true)
+	s.workers.SetCut(cut, true)
 	time.Sleep(50 * time.Millisecond) // lets a report in progress arrive
 	before, start := s.reports.Load(), time.Now()
 	// An order on an established connection is delivered after the cut; one on a connection
@@ -160,7 +159,7 @@
 	if s.reports.Load() != before {
 		t.Error("a report arrived during the cut")
 	}
-	s.workers.setCut(cut, false)
+	s.workers.SetCut(cut, false)
 	s.await("reports again", func() bool { return s.reports.Load() > before })
 	if r := s.show(); r.Session < 2 || len(r.Tasks) != 0 || r.Token != 5 {
 		t.Errorf("report after the cut: %+v; orders of the earlier session must have no effect", r)
@@ -182,12 +181,12 @@
 	s.await("the task", func() bool { return s.running() == 1 })
 	cut := map[string]bool{"n-1": true}
 	s.track.markLost("cut", cut)
-	s.workers.setCut(cut, true)
+	s.workers.SetCut(cut, true)
 	openedDuringCut := &http.Client{Transport: &http.Transport{}, Timeout: 300 * time.Millisecond}
 	if a, b := s.sendOrder(established, 5, 1, "j-late"), s.sendOrder(openedDuringCut, 5, 1, "j-third"); a != 0 || b != 0 || s.running() != 1 {
 		t.Errorf("during the cut: statuses %d and %d, %d tasks running", a, b, s.running())
 	}
-	s.workers.setCut(cut, false)
+	s.workers.SetCut(cut, false)
 	s.track.markReachable(cut)
 	s.await("the late order", func() bool { return s.running() >= 2 })
 	time.Sleep(50 * time.Millisecond)
@@ -211,7 +210,7 @@
 			continue // the response was too slow on a busy host
 		}
 		s.await("the short task's end", func() bool { return s.track.job("j-short") != nil && s.running() == 0 })
-		s.workers.setCut(map[string]bool{"n-1": true}, true)
+		s.workers.SetCut(map[string]bool{"n-1": true}, true)
 		if status := s.sendOrder(established, 5, 1, "j-long"); status != 0 {
 			t.Errorf("status %d from a worker that is cut off", status)
 		}
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/hollow"
 	"github.com/wallrack/wallrack/internal/local"
 	"github.com/wallrack/wallrack/internal/standin"
 )
@@ -37,7 +38,7 @@
 	Progress func(phase string, running, starts int) // called once a second; may be nil
 
 	track          *tracker
-	workers        *workers
+	workers        *hollow.Workers
 	users          *users
 	cloud          *standin.Cloud
 	controllers    []*controller
@@ -73,12 +74,12 @@
 	group, groupCtx := errgroup.WithContext(ctx)
 	loadBalancer, err := r.prepare(servicesCtx, group)
 	if err != nil {
-		r.workers.close()
+		r.workers.Close()
 		return nil, err
 	}
 	args, err := r.operatorArgs()
 	if err != nil {
-		r.workers.close()
+		r.workers.Close()
 		return nil, err
 	}
 	controllersCtx, stopControllers := context.WithCancel(context.WithoutCancel(ctx))
@@ -88,7 +89,7 @@
 		defer func() {
 			stopControllers()
 			controllers.Wait()
-			r.workers.close()
+			r.workers.Close()
 			stopServices()
 		}()
 		defer r.beginPhase("end", 0)
--- a/internal/scale/services.go
+++ b/internal/scale/services.go
@@ -12,6 +12,7 @@
 
 	"github.com/wallrack/wallrack/internal/client"
 	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/hollow"
 	"github.com/wallrack/wallrack/internal/local"
 	"github.com/wallrack/wallrack/internal/standin"
 	"github.com/wallrack/wallrack/internal/wire"
@@ -30,7 +31,11 @@
 // controllers' settings. It sets r.workers even if it fails.
 func (r *Run) prepare(ctx context.Context, group *errgroup.Group) (*local.LoadBalancer, error) {
 	s := r.Settings
-	r.workers = &workers{settings: s, track: r.track, byName: map[string]*hollowWorker{}, reportBytes: map[string]*atomic.Int64{}, log: r.Log}
+	reportBytes := map[string]*atomic.Int64{} // of reports and their responses, by controller address
+	r.workers = hollow.New(hollow.Options{
+		ReportInterval: seconds(s.ReportS), Lease: seconds(s.LeaseS), FetchTime: seconds(s.FetchS), Tasks: r.track, Log: r.Log,
+		WrapTransport: func(base *http.Transport) http.RoundTripper { return &countingTransport{base, reportBytes} },
+	})
 	state, err := standin.OpenState(nil, s.StateTxnOps, valueKB)
 	if err != nil {
 		return nil, err
@@ -54,11 +59,13 @@
 	if err != nil {
 		return nil, err
 	}
+	var controllers []worker.Controller
 	for i, c := range r.controllers {
 		c.Controller = files[i]
-		r.workers.reportBytes[c.Addr] = &c.reportBytes
-		r.workers.controllers = append(r.workers.controllers, worker.Controller{Name: c.Name, Addr: c.Addr})
+		reportBytes[c.Addr] = &c.reportBytes
+		controllers = append(controllers, worker.Controller{Name: c.Name, Addr: c.Addr})
 	}
+	r.workers.SetControllers(controllers)
 	loadBalancer := local.NewLoadBalancer(files, r.Dir)
 	addr, err := serve(ctx, group, loadBalancer)
 	if err != nil {
--- a/internal/scale/tracker.go
+++ b/internal/scale/tracker.go
@@ -105,6 +105,14 @@
 	return t
 }
 
+// Job implements hollow.Tasks.
+func (t *tracker) Job(uid string) *wire.Job {
+	if job := t.job(uid); job != nil {
+		return job.Job
+	}
+	return nil
+}
+
 // job returns the job with the given id, or nil.
 func (t *tracker) job(uid string) *job {
 	t.mu.Lock()
@@ -123,9 +131,9 @@
 	}
 }
 
-// taskStarted records that a worker starts a task and returns the duration of the task. If the task
-// has completed already or is unknown, it records nothing and completed is true.
-func (t *tracker) taskStarted(task, worker string) (runTime time.Duration, completed bool) {
+// TaskStarted implements hollow.Tasks. If the task has completed already or is unknown, it records
+// nothing and completed is true.
+func (t *tracker) TaskStarted(task, worker string) (runTime time.Duration, completed bool) {
 	uid, number, err := wire.ParseTask(task)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -175,8 +183,8 @@
 	recordWait(job.phase.urgentWait, wait)
 }
 
-// taskEnded records that a task no longer runs on its worker.
-func (t *tracker) taskEnded(task string, completed bool) {
+// TaskEnded implements hollow.Tasks.
+func (t *tracker) TaskEnded(task, _ string, completed bool) {
 	uid, number, _ := wire.ParseTask(task) // the name was parsed when the task was started
 	t.mu.Lock()
 	defer t.mu.Unlock()
