Refused requests are logged and counted by reason, connections by client

An incident could not be explained from what was kept: nothing said why users got 503, which jobs stayed without an answer, or who held the sockets.

Now a refused request has a typed reason (submission.Refusal), counted in /ops/stats under refusals and logged at most every 10 s; a job of which every request was refused for 20 s is logged once, with the reason. At most 1,000 jobs are tracked, for two minutes. The usage line and /ops/stats count the open connections of workers, users, of those without a request and of stale ones. The lines of a claim and of a failover name token, revision and the time that the reads took.

The line 'requests refused, not known yet whether jobs run' is now 'requests refused' with reason=stage_unknown.

--- a/cmd/wallrack/recorded_ops_test.go
+++ b/cmd/wallrack/recorded_ops_test.go
@@ -58,7 +58,7 @@
 }
 
 var recordedPaths = []recordedPath{
-	{"stats.txt", "/ops/stats", []string{"served.class", "served.team", "served.largest", "recovery"}},
+	{"stats.txt", "/ops/stats", []string{"served.class", "served.team", "served.largest", "recovery", "refusals"}},
 	{"alerts.txt", "/ops/alerts", nil},
 	{"machines.txt", "/ops/machines", nil},
 	{"links.txt", "/ops/links", nil},
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -26,6 +26,9 @@
 	open    atomic.Int64
 	max     int
 	onAdmit func() // called after a connection has been counted
+
+	mu    sync.Mutex
+	conns map[*countedConn]struct{} // the open ones
 }
 
 // New returns a limit for accepted connections, and a sender of commands to workers. Both share the
@@ -77,7 +80,7 @@
 			return nil, err
 		}
 		if l.limit.admit() {
-			return &countedConn{Conn: conn, limit: l.limit}, nil
+			return l.limit.track(conn), nil
 		}
 		usage.CountEvent(usage.RefusedConnections)
 		_ = conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
@@ -91,10 +94,13 @@
 	net.Conn
 	limit *Limit
 	once  sync.Once
+
+	client        atomic.Int32 // a client
+	lastRequestAt atomic.Int64 // time at which the last request began, or else of the accept, in ns since 1970
 }
 
 // Close implements net.Conn.
 func (c *countedConn) Close() error {
-	c.once.Do(func() { c.limit.open.Add(-1) })
+	c.once.Do(func() { c.limit.untrack(c) })
 	return c.Conn.Close()
 }
--- a/internal/controller/assemble.go
+++ b/internal/controller/assemble.go
@@ -77,13 +77,14 @@
 	removedWorkers removedWorkers
 	autoscaler     *autoscaler.Autoscaler
 
-	numbers  *jobid.Allocator    // nil if jobs have no numbers
-	rollouts *rolloutapi.Service // nil if roll-outs are off
-	machines machineList
-	alerts   *slo.Monitor
-	meter    *usage.Meter
-	listener *connlimit.Listener
-	server   *http.Server
+	numbers     *jobid.Allocator    // nil if jobs have no numbers
+	rollouts    *rolloutapi.Service // nil if roll-outs are off
+	machines    machineList
+	submissions *submission.Service
+	alerts      *slo.Monitor
+	meter       *usage.Meter
+	listener    *connlimit.Listener
+	server      *http.Server
 }
 
 // assemble creates the components and connects them to each other; it starts none of them. ctx
@@ -116,8 +117,8 @@
 	c.assembleRollouts(o, mux)
 	c.assembleAutoscaler()
 	c.registerOperatorPaths(mux)
-	mux.HandleFunc("POST /v1/report", c.dispatcher.ServeReport)
-	c.server = newServer(mux, c.log)
+	mux.HandleFunc("POST "+reportPath, c.dispatcher.ServeReport)
+	c.server = newServer(connlimit.CountRequests(reportPath, mux), c.log)
 	return c, nil
 }
 
@@ -193,6 +194,8 @@
 	depths := c.scheduler.QueueDepths()
 	depths["machines"], depths["queued"], depths["orders"] = c.dispatcher.Counts()
 	depths["connections"], depths["order_connections"] = c.connections.Open(), c.commands.Connections()
+	open := c.connections.Count(config.Seconds(missedReportIntervals * c.cfg.Params.Workers.ReportS))
+	depths["worker_connections"], depths["user_connections"], depths["unused_connections"], depths["stale_connections"] = open.Workers, open.Users, open.Unused, open.Stale
 	return depths
 }
 
@@ -267,6 +270,7 @@
 		options.Numbers = c.numbers
 	}
 	submissions := submission.New(options)
+	c.submissions = submissions
 	c.register(&userService{submissions: submissions})
 	submissions.Register(mux)
 	if o.Slurm == nil {
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -10,9 +10,13 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/wallrack/wallrack/internal/connlimit"
 	"github.com/wallrack/wallrack/internal/httpjson"
 )
 
+// reportPath is the path to which workers send their reports.
+const reportPath = "/v1/report"
+
 // shutdownTimeout bounds the wait for requests in flight when the process ends.
 const shutdownTimeout = 2 * time.Second
 
@@ -20,7 +24,7 @@
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 15 * time.Second,
 		WriteTimeout: 15 * time.Second, IdleTimeout: 90 * time.Second, MaxHeaderBytes: 16 << 10,
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ConnContext: connlimit.ConnContext, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 }
 
@@ -41,6 +45,7 @@
 	stats := c.alerts.Stats()
 	stats["counters"], stats["usage"] = c.scheduler.Counters(), c.meter.Read()
 	stats["recovery"], stats["served"] = c.timeline.LastRecovery(), c.scheduler.Served()
+	stats["refusals"] = c.submissions.Refusals()
 	httpjson.Write(w, http.StatusOK, stats)
 }
 
--- a/internal/membership/claim.go
+++ b/internal/membership/claim.go
@@ -55,7 +55,7 @@
 		}
 	}
 	m.mu.Unlock()
-	m.log.Info("claimed shards", "shards", free)
+	m.log.Info("claimed shards", "shards", free, "fencing_token", self.Token, "revision", revision)
 	m.notifyChange()
 	return wait
 }
--- a/internal/scheduler/failover.go
+++ b/internal/scheduler/failover.go
@@ -81,6 +81,8 @@
 	revision uint64      // of the listing of jobs
 	chunks   []wire.Item // of all shards
 	logs     []wire.Item // of all shards
+
+	readTime time.Duration // it took to read all of them
 }
 
 // load makes this controller the acting leader of the shards, whose keys must have the given
@@ -101,7 +103,7 @@
 		chunksByJob[uid] = append(chunksByJob[uid], item)
 	}
 	jobs := s.applyFailover(&f, chunksByJob)
-	s.log.Info("failover complete", "shards", shards, "jobs", jobs, "fencing_token", f.token)
+	s.log.Info("failover complete", "shards", shards, "jobs", jobs, "fencing_token", f.token, "revision", f.revision, "read_s", f.readTime.Seconds())
 	jobstate.Notify(s.state.PlanSignal)
 	jobstate.Notify(s.state.WriteSignal)
 	return nil
@@ -120,6 +122,7 @@
 // shard's key.
 func (s *Scheduler) readShards(ctx context.Context, shards []int, versions map[int]uint64) (f failoverRecords, err error) {
 	f.shards, f.versions = shards, versions
+	start := time.Now()
 	if f.token, err = s.state.Membership.NextToken(ctx); err != nil {
 		return f, fmt.Errorf("obtain a fencing token: %w", err)
 	}
@@ -132,6 +135,7 @@
 	if f.logs, _, err = s.store.List(ctx, jobrecord.LogPrefix); err != nil {
 		return f, fmt.Errorf("list log records: %w", err)
 	}
+	f.readTime = time.Since(start)
 	return f, nil
 }
 
--- a/internal/submission/messages.go
+++ b/internal/submission/messages.go
@@ -37,6 +37,8 @@
 	Reason string        `json:"reason,omitempty"` // of a rejection, for the user
 	Busy   bool          `json:"busy,omitempty"`   // the outcome is unknown because the state service's rate limit is exhausted
 
+	Refusal Refusal `json:"-"` // why the outcome is unknown here
+
 	StageKnown bool `json:"settled,omitempty"` // the stage is certain; the state service alone records every live job as queued
 
 	States       []wire.JobState `json:"states,omitempty"`    // of batched polls, in their order; those of unknown jobs have no UID
@@ -51,4 +53,6 @@
 func (r *Reply) succeeded() bool { return r.Status/100 == 2 }
 
 // unknownOutcome returns the reply for an error that leaves the outcome unknown.
-func unknownOutcome(err error) Reply { return Reply{Busy: errors.Is(err, statestore.ErrBusy)} }
+func unknownOutcome(err error) Reply {
+	return Reply{Busy: errors.Is(err, statestore.ErrBusy), Refusal: refusalOf(err)}
+}
--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -105,17 +105,17 @@
 	cancellations  Cancellations // nil if cancels need no confirmation
 	memoryPressure func() bool   // nil if new jobs are never refused for memory
 
-	cfg             *config.Platform
-	op              *config.Operator
-	store           Store
-	jobs            Jobs
-	stages          StageAuthority // nil if the stored stage of a live job is reported
-	catalog         Catalog
-	peers           Peers
-	log             *slog.Logger
-	submitSlots     chan struct{} // separate, so that a burst of submissions leaves room for polls and cancels
-	otherSlots      chan struct{}
-	stageUnknownLog stageUnknownLog
+	cfg         *config.Platform
+	op          *config.Operator
+	store       Store
+	jobs        Jobs
+	stages      StageAuthority // nil if the stored stage of a live job is reported
+	catalog     Catalog
+	peers       Peers
+	log         *slog.Logger
+	submitSlots chan struct{} // separate, so that a burst of submissions leaves room for polls and cancels
+	otherSlots  chan struct{}
+	refusals    refusals
 
 	mu       sync.Mutex
 	batchers map[string]*pollBatcher // by peer
@@ -148,14 +148,14 @@
 
 // Register registers the HTTP paths for users on mux.
 func (s *Service) Register(mux *http.ServeMux) {
-	mux.HandleFunc("POST /api/jobs", limited(s.submitSlots, s.submit))
-	mux.HandleFunc("GET /api/jobs/{id}", limited(s.otherSlots, s.jobRequest(VerbPoll, pollTimeout, s.poll)))
-	mux.HandleFunc("POST /api/jobs/{id}/cancel", limited(s.otherSlots, s.jobRequest(VerbCancel, writeTimeout, s.cancel)))
+	mux.HandleFunc("POST /api/jobs", s.limited(s.submitSlots, s.submit))
+	mux.HandleFunc("GET /api/jobs/{id}", s.limited(s.otherSlots, s.jobRequest(VerbPoll, pollTimeout, s.poll)))
+	mux.HandleFunc("POST /api/jobs/{id}/cancel", s.limited(s.otherSlots, s.jobRequest(VerbCancel, writeTimeout, s.cancel)))
 	mux.HandleFunc("GET /up", s.serveHealth)
 }
 
 // limited refuses requests while all slots are in use.
-func limited(slots chan struct{}, serve http.HandlerFunc) http.HandlerFunc {
+func (s *Service) limited(slots chan struct{}, serve http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		select {
 		case slots <- struct{}{}:
@@ -164,6 +164,7 @@
 			serve(w, r)
 		default:
 			usage.CountEvent(usage.RefusedRequests)
+			s.refusals.record(s.log, r.PathValue("id"), RefusedTooMany)
 			refuse(w, http.StatusServiceUnavailable, "too many requests at once")
 		}
 	}
@@ -184,9 +185,11 @@
 	httpjson.Write(w, http.StatusOK, struct{}{})
 }
 
-// respond writes a reply as the HTTP response.
-func (s *Service) respond(w http.ResponseWriter, rep Reply) {
-	switch rep = s.requireConfirmedCancel(rep); {
+// respond writes a reply about a job as the HTTP response. uid may be empty.
+func (s *Service) respond(w http.ResponseWriter, uid string, rep Reply) {
+	rep = s.requireConfirmedCancel(rep)
+	s.recordOutcome(uid, &rep)
+	switch {
 	case rep.succeeded():
 		httpjson.Write(w, rep.Status, rep.State)
 	case rep.Status == 0:
@@ -196,6 +199,21 @@
 	}
 }
 
+// recordOutcome records whether a request about a job was answered.
+func (s *Service) recordOutcome(uid string, rep *Reply) {
+	switch {
+	case rep.Status != 0 && rep.Status != http.StatusServiceUnavailable:
+		s.refusals.answered(uid)
+	case rep.Refusal == "":
+		s.refusals.record(s.log, uid, RefusedOther)
+	default:
+		s.refusals.record(s.log, uid, rep.Refusal)
+	}
+}
+
+// Refusals returns how many requests were answered with status 503, by reason.
+func (s *Service) Refusals() map[Refusal]int64 { return s.refusals.counts() }
+
 // requireConfirmedCancel returns rep, or a reply with status 503 if rep reports the job as cancelled
 // and the cancel is not effective at all controllers. Otherwise a poll or a repeated submission could
 // report a job as cancelled while a task of it can still start.
@@ -205,7 +223,7 @@
 	}
 	if err := s.cancellations.Confirm(rep.State.UID); err != nil {
 		s.log.Debug("cancel not confirmed", "job", rep.State.UID, "err", err)
-		return Reply{Status: http.StatusServiceUnavailable, Reason: "can't tell now"}
+		return Reply{Status: http.StatusServiceUnavailable, Reason: "can't tell now", Refusal: RefusedCancelUnconfirmed}
 	}
 	return rep
 }
@@ -220,7 +238,7 @@
 	if rep.Busy {
 		w.Header().Set("Retry-After", strconv.Itoa(busyRetryS+rand.IntN(busyRetryS)))
 	}
-	s.respond(w, rep)
+	s.respond(w, rep.State.UID, rep)
 }
 
 // Submit serves a submission or its check, here or at a peer if the outcome is unknown here.
@@ -245,7 +263,7 @@
 			refuse(w, http.StatusNotFound, "no such job")
 			return
 		}
-		s.respond(w, serve(ctx, req))
+		s.respond(w, req.UID, serve(ctx, req))
 	}
 }
 
@@ -302,8 +320,11 @@
 // outcome is unknown here.
 func (s *Service) serveHereOrAtPeer(ctx context.Context, req Request) Reply {
 	rep := s.Serve(ctx, req)
-	if rep.retriableAtPeer() {
-		rep, _ = s.queryUntilKnown(ctx, s.peers.ServingPeers(), req)
+	if !rep.retriableAtPeer() {
+		return rep
+	}
+	if answered, ok := s.queryUntilKnown(ctx, s.peers.ServingPeers(), req); ok {
+		return answered
 	}
 	return rep
 }
@@ -321,7 +342,7 @@
 	case VerbPoll:
 		rep := s.lookupReply(statestore.WithPriority(ctx, statestore.Lookup), req.UID)
 		if req.AsLeader && s.stages != nil && rep.needsLeader() {
-			return s.stageUnknownReply(req.UID)
+			return stageUnknownReply(RefusedStageUnknown)
 		}
 		return rep
 	case VerbCancel:
--- a/internal/submission/stage.go
+++ b/internal/submission/stage.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"log/slog"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/wallrack/wallrack/internal/scheduler"
@@ -31,16 +29,15 @@
 // leaderReply returns the reply for a state from a job's leader.
 func (s *Service) leaderReply(state wire.JobState) Reply {
 	if state.Stage == stageUnknown {
-		return s.stageUnknownReply(state.UID)
+		return stageUnknownReply(RefusedStageUnknown)
 	}
 	return Reply{Status: http.StatusOK, State: state, StageKnown: true}
 }
 
-// stageUnknownReply returns the reply, with status 503, for a live job if no leader knows yet
-// whether a task of it runs.
-func (s *Service) stageUnknownReply(uid string) Reply {
-	s.stageUnknownLog.record(s.log, uid)
-	return Reply{Status: http.StatusServiceUnavailable, Reason: "can't tell now"}
+// stageUnknownReply returns the reply, with status 503, for a live job if no leader says whether a
+// task of it runs.
+func stageUnknownReply(why Refusal) Reply {
+	return Reply{Status: http.StatusServiceUnavailable, Reason: "can't tell now", Refusal: why}
 }
 
 // storedReply returns the state of a job from the state service, refined by what this controller
@@ -72,12 +69,17 @@
 	}
 	uid := rep.State.UID
 	leaders := s.peers.ShardLeaders()
+	why := RefusedNoLeader
 	for i, leader := range leaders {
 		timeout := timeLeft(ctx) / time.Duration(len(leaders)-i)
 		refined, ok := s.queryWithin(ctx, leader, Request{Verb: VerbPoll, UID: uid, AsLeader: true}, timeout)
 		if ok && refined.Status == http.StatusOK {
 			return refined
 		}
+		why = RefusedLeaderUnreached
+		if ok {
+			why = RefusedStageUnknown
+		}
 		// rep shows that the job has not ended, so a recent late state is still valid.
 		if state, ok := s.batcher(leader).lateState(uid); ok {
 			return s.leaderReply(state)
@@ -86,7 +88,7 @@
 	if s.stages == nil {
 		return rep
 	}
-	return s.stageUnknownReply(uid)
+	return stageUnknownReply(why)
 }
 
 // timeLeft returns the time until the deadline of ctx, which must have one.
@@ -94,25 +96,3 @@
 	deadline, _ := ctx.Deadline()
 	return time.Until(deadline)
 }
-
-// stageUnknownLogInterval is the minimum time between log lines about refused requests.
-const stageUnknownLogInterval = 10 * time.Second
-
-// stageUnknownLog counts the requests that were refused because no leader knew yet whether the
-// job runs, and logs their number. It is safe for concurrent use. The zero value is ready for use.
-type stageUnknownLog struct {
-	mu       sync.Mutex
-	refused  int // since loggedAt
-	loggedAt time.Time
-}
-
-func (u *stageUnknownLog) record(log *slog.Logger, uid string) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.refused++
-	if time.Since(u.loggedAt) < stageUnknownLogInterval {
-		return
-	}
-	log.Info("requests refused, not known yet whether jobs run", "refused", u.refused, "job", uid)
-	u.refused, u.loggedAt = 0, time.Now()
-}
