A lookup that the budget admitted completes: ended jobs are not forgotten

Cause: a new leader does not have the final states that its predecessor had in memory, so each poll for such a job reads the state service: the live record, which is gone, and then the final one. Both reads waited for the budget of lookups (a fifth of the rate), each within the 1.5 s of a poll. Once more polls arrive than the budget has reads, a poll spends its time waiting for the first read, and is refused at the second. The whole budget then goes to first reads, hardly any poll completes, and since users ask again every 5 s this goes on after all trouble is over. Class: work of several steps that can be refused after the first one, so that an overload keeps itself up.

Fix: a context with the priority Lookup is one lookup. Its first read waits for the budget; further reads are counted, so that later lookups wait longer, but are never refused. The rate is the same as before, and each admitted lookup yields an answer. A relayed read tells the peer that it is a further one. An older peer ignores the field and limits it as before.

--- a/internal/statestore/budget.go
+++ b/internal/statestore/budget.go
@@ -70,15 +70,20 @@
 	}
 }
 
-// wait waits until the budget allows a request. An urgent request is counted but does not wait.
-// If ctx ends first, or its deadline is too early, wait returns ErrBusy.
-func (b *budget) wait(ctx context.Context, priority PriorityClass) error {
+// wait waits until the budget allows a request. An urgent request, and one of an admitted lookup, is
+// counted but does not wait. If ctx ends first, or its deadline is too early, wait returns ErrBusy.
+func (b *budget) wait(ctx context.Context, priority *requestPriority) error {
 	b.recoverRate()
-	if priority == Urgent {
+	switch {
+	case priority.class == Urgent:
 		b.requests.Allow()
 		return nil
-	}
-	if priority == Lookup {
+	case priority.isFurtherRead():
+		b.lookups.Reserve()
+		b.requests.Reserve()
+		priority.admittedReads.Add(1)
+		return nil
+	case priority.class == Lookup:
 		if err := b.lookups.Wait(ctx); err != nil {
 			return ErrBusy
 		}
@@ -86,13 +91,16 @@
 	if err := b.requests.Wait(ctx); err != nil {
 		return ErrBusy
 	}
+	if priority.class == Lookup {
+		priority.admittedReads.Add(1)
+	}
 	return nil
 }
 
 // waitWrites waits until the budget allows the given number of writes, as wait does for a request.
-func (b *budget) waitWrites(ctx context.Context, priority PriorityClass, changes int) error {
+func (b *budget) waitWrites(ctx context.Context, priority *requestPriority, changes int) error {
 	changes = min(max(1, changes), b.writes.Burst())
-	if priority == Urgent {
+	if priority.class == Urgent {
 		b.writes.AllowN(time.Now(), changes)
 		return nil
 	}
@@ -104,10 +112,14 @@
 
 // admit waits until the budget allows a request for a peer, and reports whether it did.
 func (b *budget) admit(ctx context.Context, request *RelayedRequest) bool {
-	if b.wait(ctx, request.Priority) != nil {
+	priority := &requestPriority{class: request.Priority}
+	if request.FurtherRead {
+		priority.admittedReads.Add(1)
+	}
+	if b.wait(ctx, priority) != nil {
 		return false
 	}
-	return request.Writes <= 0 || b.waitWrites(ctx, request.Priority, request.Writes) == nil
+	return request.Writes <= 0 || b.waitWrites(ctx, priority, request.Writes) == nil
 }
 
 // cutRate cuts the rate of the first class that is not at its minimum, at most once per
--- a/internal/statestore/client.go
+++ b/internal/statestore/client.go
@@ -70,7 +70,10 @@
 // do sends a call, directly or through a peer, and returns the response's status. Statuses
 // that mean the same for every call are returned as errors.
 func (c *Client) do(ctx context.Context, outgoing call) (status int, err error) {
-	request := RelayedRequest{Method: outgoing.method, Path: outgoing.path, Writes: outgoing.writes, Priority: priorityOf(ctx)}
+	priority := priorityOf(ctx)
+	request := RelayedRequest{
+		Method: outgoing.method, Path: outgoing.path, Writes: outgoing.writes, Priority: priority.class, FurtherRead: priority.admittedReads.Load() > 1,
+	}
 	if outgoing.body != nil {
 		data, err := json.Marshal(outgoing.body)
 		if err != nil {
--- a/internal/statestore/priority.go
+++ b/internal/statestore/priority.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/wallrack/wallrack/internal/wire"
@@ -19,7 +20,8 @@
 	Urgent
 	// Lookup is for reads on behalf of a user whose job's leader can't be queried. They are
 	// limited first: without a leader every poll of every user causes one, and without a limit
-	// they would use up the service's budget, so that no controller could join.
+	// they would use up the service's budget, so that no controller could join. Only the first
+	// read with a context waits for the budget, see WithPriority.
 	Lookup
 )
 
@@ -38,14 +40,34 @@
 
 type priorityKey struct{}
 
-// WithPriority sets the priority of the requests made with ctx; others are Ordinary.
-func WithPriority(ctx context.Context, priority PriorityClass) context.Context {
-	return context.WithValue(ctx, priorityKey{}, priority)
+// requestPriority is the priority of the requests made with a context.
+type requestPriority struct {
+	class PriorityClass
+	// admittedReads is the number of a lookup's reads that the budget has admitted. All but the first
+	// are counted but don't wait: if they could be refused, many lookups at once would use up the
+	// budget, and none would complete.
+	admittedReads atomic.Int32
 }
 
-func priorityOf(ctx context.Context) PriorityClass {
-	priority, _ := ctx.Value(priorityKey{}).(PriorityClass)
-	return priority
+// isFurtherRead reports whether the next read belongs to a lookup that the budget has admitted.
+func (p *requestPriority) isFurtherRead() bool {
+	return p.class == Lookup && p.admittedReads.Load() > 0
+}
+
+// WithPriority sets the priority of the requests made with ctx; others are Ordinary. With the
+// priority Lookup, ctx is one lookup, which may consist of several reads, one after the other.
+func WithPriority(ctx context.Context, class PriorityClass) context.Context {
+	return context.WithValue(ctx, priorityKey{}, &requestPriority{class: class})
+}
+
+// ordinary is the priority of requests without one.
+var ordinary = &requestPriority{class: Ordinary}
+
+func priorityOf(ctx context.Context) *requestPriority {
+	if priority, ok := ctx.Value(priorityKey{}).(*requestPriority); ok {
+		return priority
+	}
+	return ordinary
 }
 
 // UrgentClient is a client whose every request is urgent.
--- a/internal/statestore/relay.go
+++ b/internal/statestore/relay.go
@@ -24,6 +24,8 @@
 	Body     []byte        `json:"body,omitempty"`
 	Writes   int           `json:"writes,omitempty"` // puts and deletes in it
 	Priority PriorityClass `json:"lane,omitempty"`
+
+	FurtherRead bool `json:"further,omitempty"` // of a lookup whose first read was admitted
 }
 
 // RelayedResponse is the service's response to a RelayedRequest.
