Connection count's test waits until the connection is tracked

TestOpenConnectionsAreCountedByClient waited for the number of open connections, which grows just before a connection is tracked; it failed once in a run of the package. It asserts the same as before.

--- a/internal/connlimit/clients_test.go
+++ b/internal/connlimit/clients_test.go
@@ -53,7 +53,7 @@
 		t.Fatal(err)
 	}
 	defer closeOrFail(t, unused)
-	for start := time.Now(); limit.Open() < 5 && time.Since(start) < 5*time.Second; {
+	for start := time.Now(); limit.Count(time.Minute).Unused == 0 && time.Since(start) < 5*time.Second; {
 		time.Sleep(time.Millisecond)
 	}
 	if got, want := limit.Count(time.Minute), (OpenConnections{Unused: 1, Workers: 3, Users: 1}); got != want {
