--- a/cmd/wallrack/main.go
+++ b/cmd/wallrack/main.go
@@ -64,7 +64,7 @@
 	root.Flags().StringVar(&files.rollouts, "rollouts", "", "the settings of roll-outs (S-expressions); without it there are none")
 	root.Flags().StringVar(&files.slurm, "slurm", "", "the settings of Slurm-style clients and accounting (S-expressions); without it there are none")
 	root.PersistentFlags().StringVar(&files.operator, "operator", "", "the operators' settings file (S-expressions)")
-	root.AddCommand(versionCommand(), checkCommand(&files), boundCommand(), workerCommand(), localCommand(), scaleCommand())
+	root.AddCommand(versionCommand(), checkCommand(&files), boundCommand(), workerCommand(), localCommand(), scaleCommand(), soakCommand())
 	return root
 }
 
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -64,7 +64,7 @@
 // SubmitDescribed submits a job whose description was uploaded before. It repeats the request and
 // returns errors as Submit does.
 func (c *Client) SubmitDescribed(ctx context.Context, job *wire.Job) (*wire.JobState, error) {
-	body, err := encodeSubmission(job)
+	body, err := EncodeSubmission(job)
 	if err != nil {
 		return nil, err
 	}
@@ -84,10 +84,10 @@
 	return nil
 }
 
-// encodeSubmission encodes a job with every field that a submission must have, including those that
+// EncodeSubmission encodes a job with every field that a submission must have, including those that
 // the encoding of wire.Job omits when they are zero. It encodes a map, which sorts the keys, as the
 // recorded form of submissions requires.
-func encodeSubmission(job *wire.Job) ([]byte, error) {
+func EncodeSubmission(job *wire.Job) ([]byte, error) {
 	data, err := json.Marshal(job)
 	if err != nil {
 		return nil, fmt.Errorf("encode job: %w", err)
--- a/internal/client/slurm.go
+++ b/internal/client/slurm.go
@@ -62,7 +62,7 @@
 			return nil, err
 		}
 	}
-	data, err := encodeSubmission(job)
+	data, err := EncodeSubmission(job)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,106 @@
+package soak
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// minDelay and maxDelay bound the delay of a link in each direction.
+const (
+	minDelay = 50 * time.Millisecond
+	maxDelay = 1200 * time.Millisecond
+)
+
+// inject begins a fault, waits until its end, and ends it.
+func (p *player) inject(ctx context.Context, f Fault) {
+	node := f.Controller
+	if f.Leader {
+		node = p.site.leader()
+	}
+	process, gate := p.site.processes[node], p.site.gates[node]
+	switch f.Kind {
+	case Kill:
+		p.restart(ctx, node)
+	case KillAll:
+		p.killAll(ctx)
+	case LeaderSeries:
+		p.killLeaders(ctx, f.Duration)
+	case Pause:
+		process.pause()
+		sleep(ctx, f.Duration)
+		process.resume()
+	case HoldLink, ResetLink, DelayLink, LoseAnswers:
+		p.disturbLink(ctx, node, f)
+	case StateRefuses, StateSlow, StateLoses, StateApplyLate:
+		gate.begin(f.Kind)
+		sleep(ctx, f.Duration)
+		gate.end(f.Kind)
+	case StateOutage:
+		p.stopState(ctx, f.Duration)
+	case CutWorkers:
+		p.cutWorkers(ctx, f)
+	case LateReports:
+		p.site.late.setShare(f.Share)
+		sleep(ctx, f.Duration)
+		p.site.late.setShare(0)
+	case CancelBurst:
+		p.users.cancelMany(ctx, f.Share)
+	}
+}
+
+// restart kills a controller and starts it again.
+func (p *player) restart(ctx context.Context, node int) {
+	p.site.processes[node].kill()
+	sleep(ctx, rand.N(2*restartDelay))
+	_ = p.site.processes[node].start() // a process that is missing at the end shows in the violations
+}
+
+func (p *player) killAll(ctx context.Context) {
+	for node := range p.site.processes {
+		p.faults.Go(func() { p.restart(ctx, node) })
+	}
+}
+
+// killLeaders kills the leader again and again.
+func (p *player) killLeaders(ctx context.Context, duration time.Duration) {
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		p.restart(ctx, p.site.leader())
+		sleep(ctx, rand.N(2*leaderKillPeriod))
+	}
+}
+
+func (p *player) disturbLink(ctx context.Context, node int, f Fault) {
+	end := p.site.links[f.Link][node].disturb(linkModes[f.Kind], minDelay+rand.N(maxDelay-minDelay))
+	sleep(ctx, f.Duration)
+	end()
+}
+
+// stopState makes the state service refuse all controllers. Leases do not expire meanwhile, and have their
+// full time afterwards.
+func (p *player) stopState(ctx context.Context, duration time.Duration) {
+	for _, gate := range p.site.gates {
+		gate.begin(StateOutage)
+	}
+	for end := time.Now().Add(duration); time.Now().Before(end) && sleep(ctx, reportInterval); {
+		p.site.state.RestartLeases()
+	}
+	for _, gate := range p.site.gates {
+		gate.end(StateOutage)
+	}
+	p.site.state.RestartLeases()
+}
+
+// cutWorkers cuts off a share of the workers.
+func (p *player) cutWorkers(ctx context.Context, f Fault) {
+	all := slices.Sorted(maps.Keys(p.site.workers.Names(func(string) bool { return true })))
+	cut := map[string]bool{}
+	for _, name := range all[:int(f.Share*float64(len(all)))] {
+		cut[name] = true
+	}
+	p.site.workers.SetCut(cut, true)
+	sleep(ctx, f.Duration)
+	p.site.workers.SetCut(cut, false)
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -100,6 +100,15 @@
 	_ = periodic.Run(ctx, expiryInterval, s.revokeExpiredLeases) // returns when ctx ends
 }
 
+// RestartLeases gives every lease its full TTL again, as at the end of an outage.
+func (s *State) RestartLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.leases {
+		l.expiresAt = time.Now().Add(l.ttl)
+	}
+}
+
 // revokeExpiredLeases revokes the leases that were not renewed in time.
 func (s *State) revokeExpiredLeases() {
 	s.mu.Lock()
