One function waits for a time or the end of a context

periodic.Sleep takes the place of thirteen copies of the same select: in scale, soak, client, statestore, mesh, autoscaler, scheduler, quota, shardlog, worker supervision and the local load balancer. It stops its timer, which time.After left running until it fired. No change of behaviour.

--- a/internal/autoscaler/catalog.go
+++ b/internal/autoscaler/catalog.go
@@ -11,6 +11,7 @@
 	"github.com/goccy/go-json"
 
 	"github.com/wallrack/wallrack/internal/matching"
+	"github.com/wallrack/wallrack/internal/periodic"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/wire"
 )
@@ -108,10 +109,7 @@
 			continue
 		}
 		attempt = 0
-		select {
-		case <-ctx.Done():
-		case <-time.After(refreshInterval):
-		}
+		periodic.Sleep(ctx, refreshInterval)
 	}
 	return ctx.Err()
 }
--- a/internal/autoscaler/provision.go
+++ b/internal/autoscaler/provision.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/periodic"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/wire"
 )
@@ -137,10 +138,7 @@
 		decided = true
 	default:
 		a.log.Info("provision unanswered", "provision", p.req.Name, "err", err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(repeatDelay):
-		}
+		periodic.Sleep(ctx, repeatDelay)
 	}
 }
 
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/goccy/go-json"
 
+	"github.com/wallrack/wallrack/internal/periodic"
 	"github.com/wallrack/wallrack/internal/taskspec"
 	"github.com/wallrack/wallrack/internal/wire"
 )
@@ -128,8 +129,8 @@
 		if err == nil && (state.Stage == wire.StageDone || state.Stage == wire.StageCancelled) {
 			return state, nil
 		}
-		if err := sleep(ctx, pause); err != nil {
-			return nil, err
+		if !periodic.Sleep(ctx, pause) {
+			return nil, ctx.Err()
 		}
 		pause = min(maxWaitPoll, pause*3/2)
 	}
--- a/internal/client/request.go
+++ b/internal/client/request.go
@@ -12,6 +12,7 @@
 
 	"github.com/goccy/go-json"
 
+	"github.com/wallrack/wallrack/internal/periodic"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -148,24 +149,12 @@
 		if last.conclusive || last.err == nil || time.Now().Add(pause).After(end) {
 			return last.err
 		}
-		if err := sleep(ctx, pause); err != nil {
-			return fmt.Errorf("%w: %w", last.err, err)
+		if !periodic.Sleep(ctx, pause) {
+			return fmt.Errorf("%w: %w", last.err, ctx.Err())
 		}
 	}
 }
 
-// sleep waits for the pause, or returns ctx's error if ctx ends earlier.
-func sleep(ctx context.Context, pause time.Duration) error {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // errorReason returns the reason in the body of an unsuccessful response: that of a wire.Problem, or
 // else the first 200 bytes.
 func errorReason(body []byte) string {
--- a/internal/local/controllers.go
+++ b/internal/local/controllers.go
@@ -13,6 +13,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/periodic"
 	"github.com/wallrack/wallrack/internal/subprocess"
 )
 
@@ -94,9 +95,6 @@
 			}
 		}
 		stop()
-		select {
-		case <-ctx.Done():
-		case <-time.After(restartDelay):
-		}
+		periodic.Sleep(ctx, restartDelay)
 	}
 }
--- a/internal/local/load_balancer.go
+++ b/internal/local/load_balancer.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/wallrack/wallrack/internal/httpjson"
+	"github.com/wallrack/wallrack/internal/periodic"
 	"github.com/wallrack/wallrack/internal/wire"
 	"github.com/wallrack/wallrack/internal/worker"
 )
@@ -131,10 +132,7 @@
 				return true
 			}
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(readyPollInterval):
-		}
+		periodic.Sleep(ctx, readyPollInterval)
 	}
 	return false
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -20,6 +20,8 @@
 	"google.golang.org/grpc/encoding"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
+
+	"github.com/wallrack/wallrack/internal/periodic"
 )
 
 const (
@@ -147,10 +149,7 @@
 		if err == nil || ctx.Err() != nil || time.Since(start) > listenTimeout || !errors.Is(err, syscall.EADDRINUSE) {
 			return lis, err
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(listenRetryInterval):
-		}
+		periodic.Sleep(ctx, listenRetryInterval)
 	}
 }
 
--- a/internal/quota/manager.go
+++ b/internal/quota/manager.go
@@ -19,6 +19,7 @@
 	"github.com/wallrack/wallrack/internal/jobrecord"
 	"github.com/wallrack/wallrack/internal/jobstate"
 	"github.com/wallrack/wallrack/internal/matching"
+	"github.com/wallrack/wallrack/internal/periodic"
 	"github.com/wallrack/wallrack/internal/quotalease"
 	"github.com/wallrack/wallrack/internal/wire"
 )
@@ -152,10 +153,7 @@
 		m.round(ctx)
 		// Like scheduling passes, rounds use a small share of the processor, however many teams
 		// there are.
-		select {
-		case <-ctx.Done():
-		case <-time.After(jobstate.PassPauseFactor * time.Since(start)):
-		}
+		periodic.Sleep(ctx, jobstate.PassPauseFactor*time.Since(start))
 	}
 }
 
--- a/internal/scale/failures.go
+++ b/internal/scale/failures.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/wallrack/wallrack/internal/periodic"
 )
 
 const (
@@ -72,7 +74,7 @@
 	start := time.Now()
 	for n := 1; ; n++ {
 		at := start.Add(seconds(float64(n) / ratePerS))
-		if at.Sub(start) >= seconds(s.FailuresS) || !sleep(ctx, time.Until(at)) {
+		if at.Sub(start) >= seconds(s.FailuresS) || !periodic.Sleep(ctx, time.Until(at)) {
 			return
 		}
 		name := r.randomWorker()
@@ -101,7 +103,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if !sleep(ctx, seconds(r.Settings.RestartEveryS)) {
+		if !periodic.Sleep(ctx, seconds(r.Settings.RestartEveryS)) {
 			return
 		}
 	}
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -11,6 +11,7 @@
 
 	"github.com/goccy/go-json"
 
+	"github.com/wallrack/wallrack/internal/periodic"
 	"github.com/wallrack/wallrack/internal/usage"
 )
 
@@ -66,7 +67,7 @@
 func (r *Run) collectSamples(ctx context.Context) {
 	start, client := time.Now(), &http.Client{Timeout: usageTimeout}
 	startsBefore := 0
-	for n := 1; sleep(ctx, time.Until(start.Add(time.Duration(n)*sampleInterval))); n++ {
+	for n := 1; periodic.Sleep(ctx, time.Until(start.Add(time.Duration(n)*sampleInterval))); n++ {
 		running, unfinished := r.track.taskCounts()
 		phase, starts := r.track.phaseAndStarts()
 		sample := Sample{AtS: time.Since(start).Seconds(), Phase: phase, Starts: starts - startsBefore, Running: running, Unfinished: unfinished}
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -17,6 +17,7 @@
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/hollow"
 	"github.com/wallrack/wallrack/internal/local"
+	"github.com/wallrack/wallrack/internal/periodic"
 	"github.com/wallrack/wallrack/internal/standin"
 )
 
@@ -176,7 +177,7 @@
 		if time.Now().After(deadline) {
 			return fmt.Errorf("fill-within-s: %d of %d tasks run after %v s", running, r.Settings.serviceTasks(), r.Settings.FillWithinS)
 		}
-		if !sleep(ctx, conditionPollInterval) {
+		if !periodic.Sleep(ctx, conditionPollInterval) {
 			return ctx.Err()
 		}
 	}
@@ -217,7 +218,7 @@
 	}
 	r.beginPhase("drain", 0)
 	deadline := time.Now().Add(seconds(r.Settings.DrainS))
-	for time.Now().Before(deadline) && sleep(ctx, conditionPollInterval) {
+	for time.Now().Before(deadline) && periodic.Sleep(ctx, conditionPollInterval) {
 		if _, unfinished := r.track.taskCounts(); unfinished == 0 {
 			break
 		}
--- a/internal/scale/users.go
+++ b/internal/scale/users.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wallrack/wallrack/internal/client"
+	"github.com/wallrack/wallrack/internal/periodic"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -66,7 +67,7 @@
 				return
 			}
 		}
-		if !sleep(ctx, userPollInterval) {
+		if !periodic.Sleep(ctx, userPollInterval) {
 			return
 		}
 		state, err = u.client.Status(ctx, job.UID)
@@ -103,20 +104,10 @@
 			break
 		}
 		next[class] = at.Add(interval)
-		if !sleep(ctx, time.Until(at)) {
+		if !periodic.Sleep(ctx, time.Until(at)) {
 			return
 		}
 		u.submitAsync(ctx, u.newJob(class, s.Teams[u.lastNumber%len(s.Teams)].Name, tasks, at))
 	}
-	sleep(ctx, time.Until(start.Add(duration)))
-}
-
-// sleep waits for the given duration. It returns false if ctx ends first.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(duration):
-		return true
-	}
+	periodic.Sleep(ctx, time.Until(start.Add(duration)))
 }
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wallrack/wallrack/internal/jobstate"
+	"github.com/wallrack/wallrack/internal/periodic"
 	"github.com/wallrack/wallrack/internal/usage"
 )
 
@@ -44,10 +45,7 @@
 		took := time.Since(start)
 		usage.AddTime(usage.SchedulingPasses, start)
 		// The pause limits passes to a small share of CPU time, however long they take.
-		select {
-		case <-ctx.Done():
-		case <-time.After(minPassPause + jobstate.PassPauseFactor*took):
-		}
+		periodic.Sleep(ctx, minPassPause+jobstate.PassPauseFactor*took)
 	}
 }
 
--- a/internal/shardlog/write.go
+++ b/internal/shardlog/write.go
@@ -8,6 +8,7 @@
 
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/jobrecord"
+	"github.com/wallrack/wallrack/internal/periodic"
 	"github.com/wallrack/wallrack/internal/statestore"
 	"github.com/wallrack/wallrack/internal/usage"
 )
@@ -37,10 +38,7 @@
 			}
 		}
 		// Changes that arrive during the pause share a log record.
-		select {
-		case <-ctx.Done():
-		case <-time.After(interval - time.Since(start)):
-		}
+		periodic.Sleep(ctx, interval-time.Since(start))
 	}
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/wallrack/wallrack/internal/periodic"
 )
 
 // minDelay and maxDelay bound the delay of a link in each direction.
@@ -30,13 +32,13 @@
 		p.killLeaders(ctx, f.Duration)
 	case Pause:
 		process.pause()
-		sleep(ctx, f.Duration)
+		periodic.Sleep(ctx, f.Duration)
 		process.resume()
 	case HoldLink, ResetLink, DelayLink, LoseAnswers:
 		p.disturbLink(ctx, node, f)
 	case StateRefuses, StateSlow, StateLoses, StateApplyLate:
 		gate.begin(f.Kind)
-		sleep(ctx, f.Duration)
+		periodic.Sleep(ctx, f.Duration)
 		gate.end(f.Kind)
 	case StateOutage:
 		p.stopState(ctx, f.Duration)
@@ -44,7 +46,7 @@
 		p.cutWorkers(ctx, f)
 	case LateReports:
 		p.site.late.setShare(f.Share)
-		sleep(ctx, f.Duration)
+		periodic.Sleep(ctx, f.Duration)
 		p.site.late.setShare(0)
 	case CancelBurst:
 		p.users.cancelMany(ctx, f.Share)
@@ -54,7 +56,7 @@
 // restart kills a controller and starts it again.
 func (p *player) restart(ctx context.Context, node int) {
 	p.site.processes[node].kill()
-	sleep(ctx, rand.N(2*restartDelay))
+	periodic.Sleep(ctx, rand.N(2*restartDelay))
 	_ = p.site.processes[node].start() // a process that is missing at the end shows in the violations
 }
 
@@ -68,13 +70,13 @@
 func (p *player) killLeaders(ctx context.Context, duration time.Duration) {
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		p.restart(ctx, p.site.leader())
-		sleep(ctx, rand.N(2*leaderKillPeriod))
+		periodic.Sleep(ctx, rand.N(2*leaderKillPeriod))
 	}
 }
 
 func (p *player) disturbLink(ctx context.Context, node int, f Fault) {
 	end := p.site.links[f.Link][node].disturb(linkModes[f.Kind], minDelay+rand.N(maxDelay-minDelay))
-	sleep(ctx, f.Duration)
+	periodic.Sleep(ctx, f.Duration)
 	end()
 }
 
@@ -84,7 +86,7 @@
 	for _, gate := range p.site.gates {
 		gate.begin(StateOutage)
 	}
-	for end := time.Now().Add(duration); time.Now().Before(end) && sleep(ctx, reportInterval); {
+	for end := time.Now().Add(duration); time.Now().Before(end) && periodic.Sleep(ctx, reportInterval); {
 		p.site.state.RestartLeases()
 	}
 	for _, gate := range p.site.gates {
@@ -101,6 +103,6 @@
 		cut[name] = true
 	}
 	p.site.workers.SetCut(cut, true)
-	sleep(ctx, f.Duration)
+	periodic.Sleep(ctx, f.Duration)
 	p.site.workers.SetCut(cut, false)
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -21,6 +21,8 @@
 
 	"github.com/goccy/go-json"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/wallrack/wallrack/internal/periodic"
 )
 
 const (
@@ -136,7 +138,7 @@
 	defer stop()
 	p.users.followers.Go(func() { p.users.submitJobs(ctx, p.schedule.JobsPerS, p.schedule.FaultsEnd) })
 	for _, fault := range p.schedule.Faults {
-		if !sleep(ctx, fault.At-p.recorder.now()) {
+		if !periodic.Sleep(ctx, fault.At-p.recorder.now()) {
 			break
 		}
 		p.faults.Go(func() { p.inject(ctx, fault) })
@@ -160,7 +162,7 @@
 				return nil
 			}
 		}
-		if !sleep(ctx, overCheckInterval) {
+		if !periodic.Sleep(ctx, overCheckInterval) {
 			return ctx.Err()
 		}
 	}
@@ -169,10 +171,10 @@
 
 // awaitOver waits until every accepted job is known to be over, or the limits are exceeded.
 func (p *player) awaitOver(ctx context.Context, faultsOver time.Duration) time.Duration {
-	for p.recorder.now()-faultsOver < unfinishedLimit+overCheckInterval && sleep(ctx, overCheckInterval) {
+	for p.recorder.now()-faultsOver < unfinishedLimit+overCheckInterval && periodic.Sleep(ctx, overCheckInterval) {
 		if allOver(p.recorder.snapshot()) {
 			overAfter := p.recorder.now() - faultsOver
-			sleep(ctx, settleTime)
+			periodic.Sleep(ctx, settleTime)
 			return overAfter
 		}
 	}
--- a/internal/soak/users.go
+++ b/internal/soak/users.go
@@ -15,6 +15,7 @@
 	"github.com/goccy/go-json"
 
 	"github.com/wallrack/wallrack/internal/client"
+	"github.com/wallrack/wallrack/internal/periodic"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -71,7 +72,7 @@
 		job, cancelAfter := u.newJob(n)
 		u.recorder.addJob(job)
 		u.followers.Go(func() { u.follow(ctx, job, cancelAfter) })
-		sleep(ctx, pause)
+		periodic.Sleep(ctx, pause)
 	}
 }
 
@@ -120,7 +121,7 @@
 			return
 		}
 		accepted = event.succeeded()
-		if !accepted && !sleep(ctx, retryPause) {
+		if !accepted && !periodic.Sleep(ctx, retryPause) {
 			return
 		}
 	}
@@ -130,7 +131,7 @@
 		time.AfterFunc(cancelAfter, func() { u.startCancel(ctx, job.UID) })
 	}
 	for over := false; ; {
-		if !sleep(ctx, minPause+rand.N(maxPause-minPause)) {
+		if !periodic.Sleep(ctx, minPause+rand.N(maxPause-minPause)) {
 			return
 		}
 		event := u.ask(ctx, job)
@@ -181,7 +182,7 @@
 			u.lookClosely(ctx, uid)
 			return
 		}
-		sleep(ctx, retryPause)
+		periodic.Sleep(ctx, retryPause)
 	}
 }
 
@@ -257,13 +258,3 @@
 	}
 	return response.StatusCode, state, err
 }
-
-// sleep waits for the given duration. It returns false if ctx ends first.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(duration):
-		return true
-	}
-}
--- a/internal/statestore/watch.go
+++ b/internal/statestore/watch.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/periodic"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -60,12 +61,7 @@
 // from first to at most longest; the sleep is a random 0.5 to 1.5 times the delay.
 func Backoff(ctx context.Context, n int, first, longest time.Duration) {
 	delay := min(longest, first<<min(n, 10))
-	timer := time.NewTimer(delay/2 + rand.N(delay))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	periodic.Sleep(ctx, delay/2+rand.N(delay))
 }
 
 // Watch lists the prefix, calls reset with the result, and then change with every later
