Refused requests: ids that can't be a job's are not tracked

The counter of refused requests tracked, for two minutes, whatever id stood in the path of a request beyond the slots: up to 1,000 of up to 16 KB each, on nodes of 54 MB. Now such an id is counted and not kept or logged; TestRefusedRequestWithInvalidIDIsCountedOnly failed before. The constants stand apart from the reasons.

--- a/internal/submission/refusals.go
+++ b/internal/submission/refusals.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wallrack/wallrack/internal/statestore"
+	"github.com/wallrack/wallrack/internal/wire"
 )
 
 // Refusal is the reason why a request was answered with status 503.
@@ -24,10 +25,13 @@
 	RefusedCancelUnconfirmed Refusal = "cancel_unconfirmed" // the job is cancelled, which can't be confirmed now
 	RefusedTooMany           Refusal = "too_many_requests"  // too many requests at once
 	RefusedOther             Refusal = "other"              // any other reason, such as unknown machine types
-	refusalLogInterval               = 10 * time.Second     // minimum time between two log lines about refused requests
-	unansweredAfter                  = 20 * time.Second     // time without an answer after which a job is logged
-	maxUnanswered                    = 1000                 // number of jobs whose unanswered requests are tracked
-	unansweredTTL                    = 2 * time.Minute      // time after the last refused request for which a job is tracked
+)
+
+const (
+	refusalLogInterval = 10 * time.Second // minimum time between two log lines about refused requests
+	unansweredAfter    = 20 * time.Second // time without an answer after which a job is logged
+	maxUnanswered      = 1000             // number of jobs whose unanswered requests are tracked
+	unansweredTTL      = 2 * time.Minute  // time after the last refused request for which a job is tracked
 )
 
 // refusalOf returns the reason for an error of the state service.
@@ -67,9 +71,13 @@
 	return counts
 }
 
-// record counts a refused request about a job. uid is empty if the job is not known.
+// record counts a refused request about a job. A uid that can't be a job's counts as unknown: users
+// choose it, and the tracked ones must be bounded in size too.
 func (r *refusals) record(log *slog.Logger, uid string, reason Refusal) {
 	now := time.Now()
+	if !wire.ValidJobID(uid) {
+		uid = ""
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.byReason == nil {
--- a/internal/submission/refusals_test.go
+++ b/internal/submission/refusals_test.go
@@ -52,3 +52,13 @@
 		}
 	})
 }
+
+// A request's path names its job, at whatever length its user chose.
+func TestRefusedRequestWithInvalidIDIsCountedOnly(t *testing.T) {
+	var out bytes.Buffer
+	var r refusals
+	r.record(slog.New(slog.NewTextHandler(&out, nil)), "j-"+strings.Repeat("x", 10_000), RefusedTooMany)
+	if len(r.unanswered) != 0 || r.counts()[RefusedTooMany] != 1 || out.Len() > 200 {
+		t.Errorf("%d jobs are tracked, %v counted, %d bytes logged", len(r.unanswered), r.counts(), out.Len())
+	}
+}
