One function picks free ports, and one serves on loopback

The soak run had its own choice of ports, below those that the system gives out, since one of these took a controller's port. scale and local have the same gap between choice and use, and at each restart, so subprocess.FreePorts makes that choice for all, tasks' ports of wallrack worker included; its contract is as before. scale and soak each had the same few lines to serve on a loopback address: local.ServeOnLoopback.

In the soak run: a series of leaders' ends stops when the run is interrupted (it went on killing and starting without a pause), and a site that can't be prepared closes its proxies. Schedules and checks are as they were.

--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -269,3 +269,14 @@
 		return server.Close()
 	})
 }
+
+// ServeOnLoopback serves on a loopback address, in goroutines of group, until ctx ends. It returns the
+// address.
+func ServeOnLoopback(ctx context.Context, group *errgroup.Group, handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("no free port: %w", err)
+	}
+	Serve(ctx, group, listener, handler)
+	return listener.Addr().String(), nil
+}
--- a/internal/scale/services.go
+++ b/internal/scale/services.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"path/filepath"
 	"sync/atomic"
@@ -44,7 +43,7 @@
 		return nil, err
 	}
 	cloud := standin.Metered(r.cloud.Handler(), seconds(s.CloudLatencyMs/1000), standin.NewRateLimits(s.CloudRPS, 1), &standin.RequestCounts{})
-	cloudAddr, err := serve(ctx, group, cloud)
+	cloudAddr, err := local.ServeOnLoopback(ctx, group, cloud)
 	if err != nil {
 		return nil, err
 	}
@@ -67,7 +66,7 @@
 	}
 	r.workers.SetControllers(controllers)
 	loadBalancer := local.NewLoadBalancer(files, r.Dir)
-	addr, err := serve(ctx, group, loadBalancer)
+	addr, err := local.ServeOnLoopback(ctx, group, loadBalancer)
 	if err != nil {
 		return nil, err
 	}
@@ -106,7 +105,7 @@
 	for i := range addrs {
 		c := &controller{restart: make(chan struct{})}
 		r.controllers = append(r.controllers, c)
-		addr, err := serve(ctx, group, standin.Metered(handler, seconds(s.StateLatencyMs/1000), limits, &c.counts))
+		addr, err := local.ServeOnLoopback(ctx, group, standin.Metered(handler, seconds(s.StateLatencyMs/1000), limits, &c.counts))
 		if err != nil {
 			return nil, err
 		}
@@ -115,17 +114,6 @@
 	return addrs, nil
 }
 
-// serve serves on a loopback address, in goroutines of group, until ctx ends. It returns the
-// address.
-func serve(ctx context.Context, group *errgroup.Group, handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	local.Serve(ctx, group, listener, handler)
-	return listener.Addr().String(), nil
-}
-
 // controllerParams returns the controllers' parameters.
 func (r *Run) controllerParams() config.Params {
 	s := r.Settings
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -68,7 +68,7 @@
 
 // killLeaders kills the leader again and again.
 func (p *player) killLeaders(ctx context.Context, duration time.Duration) {
-	for end := time.Now().Add(duration); time.Now().Before(end); {
+	for end := time.Now().Add(duration); time.Now().Before(end) && ctx.Err() == nil; {
 		p.restart(ctx, p.site.leader())
 		periodic.Sleep(ctx, rand.N(2*leaderKillPeriod))
 	}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -93,9 +95,5 @@
 func (r *recorder) snapshot() History {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	jobs := make(map[string]*wire.Job, len(r.history.Jobs))
-	for uid, job := range r.history.Jobs {
-		jobs[uid] = job
-	}
-	return History{jobs, append([]Event(nil), r.history.Events...)}
+	return History{maps.Clone(r.history.Jobs), slices.Clone(r.history.Events)}
 }
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -100,6 +100,7 @@
 	fewWorkers       = 24
 )
 
+// faultKinds are the kinds that are drawn; those that stand twice are drawn twice as often.
 var faultKinds = []FaultKind{
 	Kill, Kill, Pause, HoldLink, HoldLink, ResetLink, DelayLink, LoseAnswers, StateOutage, StateRefuses, StateRefuses, StateSlow, StateLoses, StateApplyLate,
 	CutWorkers, LateReports, LeaderSeries, KillAll, CancelBurst, CancelBurst,
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -90,6 +89,7 @@
 		return nil, err
 	}
 	if err := s.prepareControllers(ctx, group, schedule, cloudAddr, exe, dir); err != nil {
+		s.close()
 		return nil, err
 	}
 	return s, nil
@@ -103,17 +103,7 @@
 	if err != nil {
 		return "", err
 	}
-	return serve(ctx, group, standin.Metered(cloud.Handler(), 0, standin.NewRateLimits(cloudRPS, 1), &standin.RequestCounts{}))
-}
-
-// serve serves on a loopback address until ctx ends, and returns the address.
-func serve(ctx context.Context, group *errgroup.Group, handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("no free port: %w", err)
-	}
-	local.Serve(ctx, group, listener, handler)
-	return listener.Addr().String(), nil
+	return local.ServeOnLoopback(ctx, group, standin.Metered(cloud.Handler(), 0, standin.NewRateLimits(cloudRPS, 1), &standin.RequestCounts{}))
 }
 
 // zoneRecorder records the zones of the workers that it launches.
@@ -130,7 +120,7 @@
 
 // prepareControllers writes the settings of the controllers, and puts proxies on their links.
 func (s *site) prepareControllers(ctx context.Context, group *errgroup.Group, schedule *Schedule, cloudAddr, exe, dir string) error {
-	addrs, err := freeAddrs(2 * schedule.Controllers)
+	addrs, err := local.FreeAddrs(2 * schedule.Controllers)
 	if err != nil {
 		return err
 	}
@@ -144,7 +134,7 @@
 		s.names = append(s.names, name)
 		gate := newGate(standin.Metered(s.stateRoutes, 0, limits, &standin.RequestCounts{}))
 		s.gates = append(s.gates, gate)
-		stateAddr, err := serve(ctx, group, gate)
+		stateAddr, err := local.ServeOnLoopback(ctx, group, gate)
 		if err != nil {
 			return err
 		}
--- a/internal/subprocess/subprocess.go
+++ b/internal/subprocess/subprocess.go
@@ -6,9 +6,11 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os/exec"
 	"runtime"
+	"strconv"
 	"sync"
 	"syscall"
 )
@@ -38,19 +40,32 @@
 	return <-result
 }
 
+// The range from which FreePorts chooses lies below the ports that the operating system gives to
+// outgoing connections and to listeners that leave the choice to it: one of those could take a port
+// before it is used, or while its process is being restarted.
+const (
+	firstPort       = 12_000
+	lastPort        = 31_999
+	maxPortAttempts = 1000
+)
+
 // FreePorts returns n different TCP ports on 127.0.0.1 that no process listens on. The ports are
 // not reserved: another process may take one before the caller uses it.
 func FreePorts(n int) ([]int, error) {
 	ports := make([]int, 0, n)
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range maxPortAttempts {
+		if len(ports) == n {
+			return ports, nil
+		}
+		port := firstPort + rand.IntN(lastPort-firstPort+1)
+		listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
 		if err != nil {
-			return nil, fmt.Errorf("no free port: %w", err)
+			continue // in use
 		}
 		defer func() { _ = listener.Close() }() // all stay open until the last is found, so that the ports differ
-		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
+		ports = append(ports, port)
 	}
-	return ports, nil
+	return nil, fmt.Errorf("no free ports: %d of %d found from %d to %d", len(ports), n, firstPort, lastPort)
 }
 
 // SignalGroup sends a signal to the process group of a child that was started by Start. It does
