--- a/internal/statestore/client.go
+++ b/internal/statestore/client.go
@@ -72,7 +72,7 @@
 func (c *Client) do(ctx context.Context, outgoing call) (status int, err error) {
 	priority := priorityOf(ctx)
 	request := RelayedRequest{
-		Method: outgoing.method, Path: outgoing.path, Writes: outgoing.writes, Priority: priority.class, FurtherRead: priority.admittedReads.Load() > 1,
+		Method: outgoing.method, Path: outgoing.path, Writes: outgoing.writes, Priority: priority.class, FurtherRead: priority.wasFurtherRead(),
 	}
 	if outgoing.body != nil {
 		data, err := json.Marshal(outgoing.body)
--- a/internal/statestore/priority.go
+++ b/internal/statestore/priority.go
@@ -54,6 +54,10 @@
 	return p.class == Lookup && p.admittedReads.Load() > 0
 }
 
+// wasFurtherRead reports whether the read that the budget admitted last belongs to a lookup of which
+// an earlier read was admitted.
+func (p *requestPriority) wasFurtherRead() bool { return p.admittedReads.Load() > 1 }
+
 // WithPriority sets the priority of the requests made with ctx; others are Ordinary. With the
 // priority Lookup, ctx is one lookup, which may consist of several reads, one after the other.
 func WithPriority(ctx context.Context, class PriorityClass) context.Context {
