--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -61,6 +61,7 @@
 	group.Go(func() error { return c.scheduler.Run(ctx) })
 	group.Go(func() error { return c.catalog.Run(ctx, c.scheduler.LeadsAutoscaling) })
 	group.Go(func() error { return c.autoscaler.Run(ctx) })
+	group.Go(func() error { return c.submissions.Run(ctx) })
 	group.Go(func() error { return c.alerts.Run(ctx) })
 	group.Go(func() error { return c.meter.Run(ctx) })
 	group.Go(func() error { return c.timeline.Run(ctx) })
--- a/internal/statestore/watch.go
+++ b/internal/statestore/watch.go
@@ -20,6 +20,8 @@
 	followMargin = 5 * time.Second // timeout of a request beyond the time for which the service holds it
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = time.Second
+
+	recentRevisions = 9500 // the service keeps 10,000 changes, and others write meanwhile
 )
 
 // Follow returns the changes under the prefix after a revision. If there are none, the service
@@ -81,6 +83,23 @@
 	}
 }
 
+// WatchRecent calls change with the changes under the prefix that the service still keeps, and then
+// with every later one, until ctx ends. Unlike Watch it lists no keys, so its cost does not grow with
+// their number. If it falls too far behind, it misses changes and starts over. A change may be reported
+// more than once.
+func (c *Client) WatchRecent(ctx context.Context, prefix string, hold time.Duration, change func([]wire.Event)) {
+	w := &watch{client: c, prefix: prefix, hold: hold, change: change, pacer: NewPacer(ctx)}
+	for attempt := 0; ctx.Err() == nil; attempt++ {
+		revision, err := w.reportRecent(ctx)
+		if err != nil {
+			Backoff(ctx, attempt, firstBackoff, maxBackoff)
+			continue
+		}
+		attempt = 0
+		w.follow(ctx, revision)
+	}
+}
+
 type watch struct {
 	client *Client
 	prefix string
@@ -95,6 +114,28 @@
 	return w.client.List(ctx, w.prefix)
 }
 
+// reportRecent reports the changes that the service still keeps, and returns the revision up to which
+// it has done so. A transaction with several changes has one revision, so the service may keep fewer
+// revisions than changes.
+func (w *watch) reportRecent(ctx context.Context) (revision uint64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	page, err := w.client.page(ctx, w.prefix, "", 1)
+	if err != nil {
+		return 0, err
+	}
+	for revisions := uint64(recentRevisions); ; revisions /= 2 {
+		response, err := w.client.Follow(ctx, w.prefix, page.Revision-min(revisions, page.Revision), 0)
+		if errors.Is(err, ErrCompacted) && revisions > 0 {
+			continue
+		}
+		if err == nil && len(response.Events) > 0 {
+			w.change(response.Events)
+		}
+		return response.Revision, err
+	}
+}
+
 // follow reports changes after a revision until the watch has fallen too far behind or ctx
 // ends.
 func (w *watch) follow(ctx context.Context, revision uint64) {
--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -104,6 +104,7 @@
 	numbers        Numbers       // nil if jobs have no numbers and no constraints
 	cancellations  Cancellations // nil if cancels need no confirmation
 	memoryPressure func() bool   // nil if new jobs are never refused for memory
+	endsWatcher    EndsWatcher   // nil if ended jobs are read one by one
 
 	cfg         *config.Platform
 	op          *config.Operator
@@ -135,13 +136,14 @@
 	Numbers        Numbers       // nil if jobs have no numbers and no constraints
 	Cancellations  Cancellations // nil if cancels need no confirmation
 	MemoryPressure func() bool   // reports whether to refuse new jobs; nil if never
+	EndsWatcher    EndsWatcher   // nil if ended jobs are read one by one
 }
 
 // New returns a Service.
 func New(o Options) *Service {
 	stages, _ := o.Jobs.(StageAuthority)
 	return &Service{
-		stages: stages, numbers: o.Numbers, cancellations: o.Cancellations, memoryPressure: o.MemoryPressure,
+		stages: stages, numbers: o.Numbers, cancellations: o.Cancellations, memoryPressure: o.MemoryPressure, endsWatcher: o.EndsWatcher,
 		cfg: o.Platform, op: o.Operator, store: o.Store, jobs: o.Jobs, catalog: o.Catalog, peers: o.Peers, log: o.Log,
 		submitSlots: make(chan struct{}, maxInFlight), otherSlots: make(chan struct{}, maxInFlight), batchers: map[string]*pollBatcher{},
 	}
