A leader keeps half of its rates: its log writes are not starved by reads

Cause: each 429 cuts the rates of the controller that gets it, the leader's as well as the others', down to a twentieth; they come back one class after the other, in some 20 s. The leader's bulk writes were cut to 2 changes a second, below what one transaction of 40 changes needs within its time, so that none was written. While the log stands still nothing starts, users' polls for jobs whose end is not written go to the state service, and the reads cause the next 429. A load whose listing was refused began anew, token included: 45 times in 5 s. Class: retries feed on the limit that recovery needs.

Change: a controller that leads shards keeps half of its full rates, except that of its lookups; one that was cut before it became leader gets them at once. The least rates of a leader and six others together are under half of the service's limits, so the sum holds. A page of a listing that was refused is requested again, not the whole listing.

--- a/internal/controller/assemble.go
+++ b/internal/controller/assemble.go
@@ -257,6 +257,7 @@
 	c.storeRelay = storeRelay{store: c.store, links: &c.links.View, peers: &c.links.Caller, mesh: c.mesh}
 	c.register(&c.storeRelay)
 	c.store.SetRelay(&c.storeRelay, c.log)
+	c.store.SetLeads(c.links.Leaders.Leads)
 }
 
 func (c *controller) assembleUserServices(o Options, mux *http.ServeMux) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -49,6 +49,7 @@
 
 // TestRandomFaultsBreakNoRule is the short form of the command `wallrack soak`.
 func TestRandomFaultsBreakNoRule(t *testing.T) {
+	t.Parallel()
 	exe := buildProgram(t)
 	for _, seed := range []uint64{1, 2, 5} {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
@@ -59,6 +60,7 @@
 }
 
 func TestNoJobWaitsBesideIdleWorkersAfterLeadersEnded(t *testing.T) {
+	t.Parallel()
 	play(t, buildProgram(t), 6)
 }
 
--- a/internal/statestore/budget.go
+++ b/internal/statestore/budget.go
@@ -20,6 +20,7 @@
 	lookupShare = 0.2
 
 	minRateFraction         = 0.05                   // no class is cut below this fraction of its full rate
+	minLeaderRateFraction   = 0.5                    // the same, for all but the lookups of a controller that leads shards
 	rateCutInterval         = 250 * time.Millisecond // between two cuts
 	recoveryPerSecond       = 0.1                    // fraction of the full rate regained in a second without a refusal
 	lookupRecoveryPerSecond = 0.05                   // the same, for lookups: whenever they exceed the limit, submissions may be refused
@@ -51,8 +52,13 @@
 // budget keeps a controller's requests within its part of the service's limits, and cuts its
 // rates when the service refuses a request: controllers don't know how much the others use.
 // Lookups are cut first, then bulk, then ordinary requests; lease requests never are.
+//
+// A leader keeps minLeaderRateFraction of its rates: while its writes wait, users ask again and other
+// controllers read more. The least rates of a leader and of six others are less than half of the
+// service's limits together, which leaves the other half to urgent requests.
 type budget struct {
 	requests, lookups, writes, bulk limiter
+	leads                           func() bool // nil: this controller leads no shard
 
 	mu        sync.Mutex
 	fractions [requestClassCount]float64 // of the full rates
@@ -133,22 +139,44 @@
 	}
 	b.cutAt, b.changedAt = now, now
 	for class, factor := range [requestClassCount]float64{lookupClass: 0.5, bulkClass: 0.7, ordinaryClass: 0.8} {
-		if b.fractions[class] > minRateFraction {
-			b.fractions[class] = max(minRateFraction, b.fractions[class]*factor)
+		if least := b.minFraction(requestClass(class)); b.fractions[class] > least {
+			b.fractions[class] = max(least, b.fractions[class]*factor)
 			break
 		}
 	}
 	b.applyFractionsLocked()
 }
 
+// minFraction returns the fraction of its full rate below which a class is not cut.
+func (b *budget) minFraction(class requestClass) float64 {
+	if class != lookupClass && b.leads != nil && b.leads() {
+		return minLeaderRateFraction
+	}
+	return minRateFraction
+}
+
+// raiseToMinimumLocked raises the rates that were cut before this controller became a leader.
+func (b *budget) raiseToMinimumLocked() {
+	for class := range requestClassCount {
+		if least := b.minFraction(class); b.fractions[class] < least {
+			b.fractions[class] = least
+			b.applyFractionsLocked()
+		}
+	}
+}
+
 // recoverRate raises the rate of one class that was cut, unless a cut or an increase was too
 // recent. Classes recover in the reverse of the order in which they are cut.
 func (b *budget) recoverRate() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.fractions == [requestClassCount]float64{1, 1, 1} {
+		return
+	}
+	b.raiseToMinimumLocked()
 	now := time.Now()
 	since := now.Sub(b.changedAt)
-	if b.fractions == [requestClassCount]float64{1, 1, 1} || now.Sub(b.cutAt) < 2*rateCutInterval || since < rateCutInterval {
+	if now.Sub(b.cutAt) < 2*rateCutInterval || since < rateCutInterval {
 		return
 	}
 	b.changedAt = now
--- a/internal/statestore/client.go
+++ b/internal/statestore/client.go
@@ -49,6 +49,10 @@
 	}
 }
 
+// SetLeads sets the function that reports whether this controller leads shards: a leader keeps a larger
+// part of its budget when the service refuses requests. It must be called before the first request.
+func (c *Client) SetLeads(leads func() bool) { c.budget.leads = leads }
+
 // SinceLastSuccess returns the time since the service last responded, other than by a refusal,
 // to a request that was sent to it directly; an hour if it never did.
 func (c *Client) SinceLastSuccess() time.Duration {
--- a/internal/statestore/read.go
+++ b/internal/statestore/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -34,13 +35,14 @@
 }
 
 // List reads every key with the prefix, in order, and returns with them a revision after which
-// Follow misses no change. Changes made while it reads may be included.
+// Follow misses no change. Changes made while it reads may be included. A page that is refused because
+// of the limits is requested again until ctx ends: a reader that began anew would need more requests.
 func (c *Client) List(ctx context.Context, prefix string) ([]wire.Item, uint64, error) {
 	var all []wire.Item
 	var revision uint64
 	after := ""
 	for {
-		page, err := c.page(ctx, prefix, after, listLimit)
+		page, err := c.pageWhenAllowed(ctx, prefix, after)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -62,6 +64,18 @@
 	return page.Items, page.More, err
 }
 
+// pageWhenAllowed reads a page of a listing, again after a while as long as the limits refuse it and
+// ctx has not ended.
+func (c *Client) pageWhenAllowed(ctx context.Context, prefix, after string) (wire.Items, error) {
+	for attempt := 0; ; attempt++ {
+		page, err := c.page(ctx, prefix, after, listLimit)
+		if !errors.Is(err, ErrBusy) || ctx.Err() != nil {
+			return page, err
+		}
+		Backoff(ctx, attempt, firstBackoff, maxBackoff)
+	}
+}
+
 func (c *Client) page(ctx context.Context, prefix, after string, limit int) (wire.Items, error) {
 	if err := c.budget.wait(ctx, priorityOf(ctx)); err != nil {
 		return wire.Items{}, err
