--- a/internal/controller/assemble.go
+++ b/internal/controller/assemble.go
@@ -263,7 +263,7 @@
 func (c *controller) assembleUserServices(o Options, mux *http.ServeMux) {
 	options := submission.Options{
 		Platform: c.cfg, Operator: c.operator, Store: c.store, Jobs: c.scheduler, Catalog: c.catalog,
-		Peers: &userPeers{Leaders: &c.links.Leaders, member: c.member, links: &c.links.View, peers: &c.links.Caller, timeline: c.timeline}, Log: c.log,
+		Peers: &userPeers{Leaders: &c.links.Leaders, member: c.member, links: &c.links.View, peers: &c.links.Caller, timeline: c.timeline, log: c.log}, Log: c.log,
 		Cancellations: c.cancellations, MemoryPressure: c.meter.MemoryPressure, EndsWatcher: c.store,
 	}
 	if o.Slurm != nil {
--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -75,6 +75,7 @@
 	claimAgain.Stop()
 	defer claimAgain.Stop()
 	var excessSince time.Time
+	var lastFailure error // of a renewal since the last one that succeeded
 	for {
 		m.reclaim(ctx)
 		if wait := m.claim(ctx); wait > 0 {
@@ -100,11 +101,13 @@
 		}
 		switch {
 		case err == nil:
-			m.recordRenewal(ctx, sent)
+			m.recordRenewal(ctx, sent, lastFailure)
+			lastFailure = nil
 		case errors.Is(err, statestore.ErrNotFound):
-			m.log.Info("lease expired", "lease", lease)
+			m.log.Info("lease expired", "lease", lease, "last_failure", lastFailure)
 			return
 		default:
+			lastFailure = err
 			m.log.Debug("lease renewal failed", "lease", lease, "err", err)
 		}
 	}
@@ -117,15 +120,16 @@
 }
 
 // recordRenewal records a successful renewal that was sent at the given time, and reserves a
-// fencing token if that is due. It reports a change if the lease was not certain to hold before.
-func (m *Member) recordRenewal(ctx context.Context, sent time.Time) {
+// fencing token if that is due. It reports a change if the lease was not certain to hold before;
+// lastFailure is the error of the renewal before this one, or nil.
+func (m *Member) recordRenewal(ctx context.Context, sent time.Time, lastFailure error) {
 	m.mu.Lock()
 	before := m.leaseRemainingLocked()
 	m.renewalSentAt = sent
 	m.mu.Unlock()
 	m.reserveToken(ctx)
 	if before <= 0 {
-		m.log.Info("lease regained")
+		m.log.Info("lease regained", "last_failure", lastFailure)
 		m.notifyChange()
 	}
 }
--- a/internal/statestore/budget.go
+++ b/internal/statestore/budget.go
@@ -22,6 +22,7 @@
 	minRateFraction         = 0.05                   // no class is cut below this fraction of its full rate
 	minLeaderRateFraction   = 0.5                    // the same, for all but the lookups of a controller that leads shards
 	rateCutInterval         = 250 * time.Millisecond // between two cuts
+	refusalLogInterval      = 10 * time.Second       // minimum time between two log lines about refusals
 	recoveryPerSecond       = 0.1                    // fraction of the full rate regained in a second without a refusal
 	lookupRecoveryPerSecond = 0.05                   // the same, for lookups: whenever they exceed the limit, submissions may be refused
 )
@@ -64,6 +65,7 @@
 	fractions [requestClassCount]float64 // of the full rates
 	cutAt     time.Time                  // time of the last cut
 	changedAt time.Time                  // time of the last cut or recovery
+	loggedAt  time.Time                  // when a refusal of the service was last logged
 }
 
 func newBudget(rps, writeRPS float64, maxOps int) *budget {
@@ -200,3 +202,26 @@
 	b.requests.setFraction(b.fractions[ordinaryClass])
 	b.writes.setFraction(b.fractions[ordinaryClass])
 }
+
+// fractionsToLog returns the fractions of the full rates, and whether a refusal is to be logged now.
+func (b *budget) fractionsToLog() (fractions [requestClassCount]float64, due bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if time.Since(b.loggedAt) < refusalLogInterval {
+		return b.fractions, false
+	}
+	b.loggedAt = time.Now()
+	return b.fractions, true
+}
+
+// logRefusal logs that the service refused a request over its limits, and the rates left, as fractions
+// of the full ones.
+func (c *Client) logRefusal() {
+	if c.route.log == nil {
+		return
+	}
+	if fractions, due := c.budget.fractionsToLog(); due {
+		c.route.log.Info("state service over its limits",
+			"lookups", fractions[lookupClass], "bulk", fractions[bulkClass], "ordinary", fractions[ordinaryClass])
+	}
+}
--- a/internal/statestore/relay.go
+++ b/internal/statestore/relay.go
@@ -86,6 +86,7 @@
 	switch response.StatusCode {
 	case http.StatusTooManyRequests:
 		c.budget.cutRate()
+		c.logRefusal()
 	case http.StatusServiceUnavailable, http.StatusUnauthorized:
 	default:
 		c.lastSuccess.Store(int64(time.Since(c.start)))
--- a/internal/submission/refusals.go
+++ b/internal/submission/refusals.go
@@ -58,7 +58,7 @@
 	mu         sync.Mutex
 	byReason   map[Refusal]int64
 	unanswered map[string]*unansweredJob
-	unlogged   int // refused requests since loggedAt
+	unlogged   map[Refusal]int // refused requests since loggedAt, by reason
 	loggedAt   time.Time
 }
 
@@ -81,13 +81,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.byReason == nil {
-		r.byReason = map[Refusal]int64{}
+		r.byReason, r.unlogged = map[Refusal]int64{}, map[Refusal]int{}
 	}
 	r.byReason[reason]++
-	r.unlogged++
+	r.unlogged[reason]++
 	if now.Sub(r.loggedAt) >= refusalLogInterval {
-		log.Info("requests refused", "refused", r.unlogged, "job", uid, "reason", reason)
-		r.unlogged, r.loggedAt = 0, now
+		log.Info("requests refused", "job", uid, "reason", reason, "refused", r.unlogged)
+		r.unlogged, r.loggedAt = map[Refusal]int{}, now
 		maps.DeleteFunc(r.unanswered, func(_ string, job *unansweredJob) bool { return now.Sub(job.lastAt) > unansweredTTL })
 	}
 	if uid != "" {
