--- a/cmd/wallrack/soak.go
+++ b/cmd/wallrack/soak.go
@@ -18,10 +18,15 @@
 // maxSoakJobs is the largest number of seeds that are played at the same time.
 const maxSoakJobs = 16
 
+// maxSoakEndedJobs is the largest number of jobs that ended before a run.
+const maxSoakEndedJobs = 10_000
+
 // soakFlags are the flags of the command soak.
 type soakFlags struct {
-	seeds, dir string
-	jobs       int
+	seeds, dir   string
+	jobs         int
+	loadBalancer bool
+	endedJobs    int
 }
 
 // soakCommand returns the command that plays random faults on real controllers.
@@ -45,6 +50,8 @@
 	f.StringVar(&flags.seeds, "seeds", "", "seeds to play, such as 7 or 1-50,60")
 	f.StringVar(&flags.dir, "dir", "", "directory for settings, logs and histories; without it a temporary one, which is kept if a rule is broken")
 	f.IntVar(&flags.jobs, "jobs", 2, "number of seeds that are played at the same time")
+	f.BoolVar(&flags.loadBalancer, "load-balancer", false, "users' requests go through a load balancer, which checks the controllers' health")
+	f.IntVar(&flags.endedJobs, "ended-jobs", 0, "jobs that ended before the run, about which users ask after the faults")
 	return c
 }
 
@@ -57,6 +64,9 @@
 	if flags.jobs < 1 || flags.jobs > maxSoakJobs {
 		return settingsError{fmt.Errorf("--jobs: must be 1 to %d", maxSoakJobs)}
 	}
+	if flags.endedJobs < 0 || flags.endedJobs > maxSoakEndedJobs {
+		return settingsError{fmt.Errorf("--ended-jobs: must be 0 to %d", maxSoakEndedJobs)}
+	}
 	exe, err := os.Executable()
 	if err != nil {
 		return settingsError{fmt.Errorf("this program's file: %w", err)}
@@ -67,7 +77,7 @@
 			return settingsError{fmt.Errorf("--dir: %w", err)}
 		}
 	}
-	broken, err := playSeeds(ctx, seeds, flags.jobs, exe, dir, out)
+	broken, err := playSeeds(ctx, seeds, flags, exe, dir, out)
 	if err != nil {
 		return err
 	}
@@ -83,16 +93,18 @@
 
 // playSeeds plays the seeds, several at the same time, prints their results, and returns the
 // number of seeds on which a rule was broken.
-func playSeeds(ctx context.Context, seeds []uint64, jobs int, exe, dir string, out io.Writer) (broken int, err error) {
+func playSeeds(ctx context.Context, seeds []uint64, flags soakFlags, exe, dir string, out io.Writer) (broken int, err error) {
 	var mu sync.Mutex
 	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(jobs)
+	group.SetLimit(flags.jobs)
 	for _, seed := range seeds {
 		group.Go(func() error {
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
-			run := soak.Run{Schedule: soak.NewSchedule(seed), Exe: exe, Dir: filepath.Join(dir, fmt.Sprintf("seed-%d", seed))}
+			schedule := soak.NewSchedule(seed)
+			schedule.LoadBalancer, schedule.EndedJobs = flags.loadBalancer, flags.endedJobs
+			run := soak.Run{Schedule: schedule, Exe: exe, Dir: filepath.Join(dir, fmt.Sprintf("seed-%d", seed))}
 			result, err := run.Do(ctx)
 			if err != nil {
 				return fmt.Errorf("seed %d: %w", seed, err)
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -31,7 +31,7 @@
 	Began  time.Duration `json:"began"` // since the start of the run; when a request was sent
 	At     time.Duration `json:"at"`    // when the response had arrived, or the event happened
 	Job    string        `json:"job,omitempty"`
-	Node   int           `json:"node"`             // index of the controller that was asked
+	Node   int           `json:"node"`             // index of the controller that was asked, or throughBalancer
 	Status int           `json:"status,omitempty"` // HTTP status; 0: no response
 	Stage  string        `json:"stage,omitempty"`  // of a successful response
 
@@ -41,6 +41,9 @@
 	Completed bool   `json:"completed,omitempty"` // of TaskEnded: the task was not stopped
 }
 
+// throughBalancer stands for the controller that the load balancer chose.
+const throughBalancer = -1
+
 func (e *Event) succeeded() bool { return e.Status/100 == 2 }
 
 // History is what was observed of a run.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -69,6 +69,7 @@
 		return nil, err
 	}
 	tasks.users = newUsers(r.Schedule.Seed, site.userAddrs, zones, recorder)
+	tasks.users.balancer = site.balancerAddr()
 	played := player{site: site, users: tasks.users, recorder: recorder, schedule: r.Schedule}
 	overAfter, err := played.play(ctx)
 	site.close()
@@ -133,6 +134,8 @@
 		return 0, err
 	}
 	p.recorder.restart()
+	ended := endedJobIDs(p.schedule.EndedJobs)
+	p.recorder.addEnded(ended)
 	ctx, stop := context.WithCancel(ctx)
 	defer p.users.followers.Wait()
 	defer stop()
@@ -145,6 +148,7 @@
 	}
 	p.faults.Wait()
 	over := p.recorder.add(Event{Kind: FaultsOver})
+	p.users.askAboutEnded(ctx, ended)
 	overAfter = p.awaitOver(ctx, over.At)
 	p.recorder.add(Event{Kind: RunOver})
 	for _, process := range p.site.processes {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -79,7 +79,7 @@
 	return slices.Contains([]FaultKind{HoldLink, ResetLink, DelayLink, LoseAnswers}, k)
 }
 
-// Schedule is everything about a run that its seed determines.
+// Schedule is what is played in a run.
 type Schedule struct {
 	Seed        uint64
 	Controllers int
@@ -87,6 +87,11 @@
 	JobsPerS    float64
 	Faults      []Fault // in the order of their times
 	FaultsEnd   time.Duration
+
+	// Not determined by the seed.
+
+	LoadBalancer bool // users' ordinary requests go through a load balancer
+	EndedJobs    int  // jobs that ended before the run, about which users ask after the faults
 }
 
 const (
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -53,6 +53,7 @@
 	names       []string           // of the controllers
 	links       map[Link][]proxies // by controller
 	userAddrs   []string           // of the controllers
+	balancer    *loadBalancer      // nil: there is none
 }
 
 // proxies are the proxies of one link of a controller.
@@ -84,6 +85,9 @@
 	}
 	s.state, s.stateRoutes = state, state.Handler()
 	group.Go(func() error { state.ExpireLeases(ctx); return nil })
+	if err := s.recordEnded(endedJobIDs(schedule.EndedJobs)); err != nil {
+		return nil, err
+	}
 	cloudAddr, err := s.serveCloud(ctx, group, schedule.Workers, tasks)
 	if err != nil {
 		return nil, err
@@ -92,9 +96,23 @@
 		s.close()
 		return nil, err
 	}
+	if schedule.LoadBalancer {
+		if s.balancer, err = newLoadBalancer(s.userAddrs); err != nil {
+			s.close()
+			return nil, err
+		}
+	}
 	return s, nil
 }
 
+// balancerAddr returns the address of the load balancer, or "" if there is none.
+func (s *site) balancerAddr() string {
+	if s.balancer == nil {
+		return ""
+	}
+	return s.balancer.addr()
+}
+
 func (s *site) serveCloud(ctx context.Context, group *errgroup.Group, machines int, tasks *tasks) (string, error) {
 	types := []wire.MachineType{{
 		Name: machineType, CPUs: workerCPUs, MemoryGB: 4 * workerCPUs, CacheGB: 100, FetchGBPerS: 100, Price: 1, SpotPrice: 1, BootS: 0.5, Zones: zones,
@@ -228,6 +246,9 @@
 		closing.Go(process.kill)
 	}
 	closing.Wait()
+	if s.balancer != nil {
+		s.balancer.close()
+	}
 	s.workers.Close()
 	s.late.close()
 	for _, byController := range s.links {
--- a/internal/soak/users.go
+++ b/internal/soak/users.go
@@ -35,6 +35,7 @@
 	zonedShare        = 0.2
 	maxResponseBytes  = 1 << 20
 	maxIdleUsersConns = 64
+	endedPollPause    = 5 * time.Second // between two requests about a job that ended before the run
 )
 
 // teams are the teams of the users' jobs, with their limits in CPUs.
@@ -44,6 +45,7 @@
 // cancel. What they see is recorded.
 type users struct {
 	addrs    []string // of the controllers, for users
+	balancer string   // address of the load balancer; empty: there is none
 	zones    []string
 	recorder *recorder
 	client   *http.Client
@@ -64,6 +66,22 @@
 	}
 }
 
+// askAboutEnded asks about jobs that ended before the run, each until its user has had an answer. It
+// starts goroutines of u.followers.
+func (u *users) askAboutEnded(ctx context.Context, uids []string) {
+	for _, uid := range uids {
+		u.followers.Go(func() {
+			pause := rand.N(endedPollPause)
+			for periodic.Sleep(ctx, pause) {
+				if event := u.poll(ctx, uid, u.anyNode()); event.succeeded() {
+					return
+				}
+				pause = endedPollPause
+			}
+		})
+	}
+}
+
 // submitJobs submits jobs at a rate until the given time of the run. Each job is followed by a
 // goroutine of u.followers until ctx ends.
 func (u *users) submitJobs(ctx context.Context, perS float64, until time.Duration) {
@@ -206,7 +224,20 @@
 	return err == nil && status == http.StatusOK
 }
 
-func (u *users) anyNode() int { return rand.IntN(len(u.addrs)) }
+// anyNode returns a random controller, or throughBalancer if there is a load balancer.
+func (u *users) anyNode() int {
+	if u.balancer != "" {
+		return throughBalancer
+	}
+	return rand.IntN(len(u.addrs))
+}
+
+func (u *users) addrOf(node int) string {
+	if node == throughBalancer {
+		return u.balancer
+	}
+	return u.addrs[node]
+}
 
 func (u *users) submit(ctx context.Context, job *wire.Job, node int) Event {
 	body, err := client.EncodeSubmission(job)
@@ -223,7 +254,7 @@
 // request makes a request to event.Node, and records it with its response.
 func (u *users) request(ctx context.Context, event Event, timeout time.Duration, method, path string, body []byte) Event {
 	event.Began = u.recorder.now()
-	status, state, err := u.do(ctx, timeout, method, "http://"+u.addrs[event.Node]+path, body)
+	status, state, err := u.do(ctx, timeout, method, "http://"+u.addrOf(event.Node)+path, body)
 	if err == nil {
 		event.Status = status
 		if event.succeeded() {
