A poll for a live job waits for its leader and reads nothing

Cause: the leader had too little processor time (the collector took 6 of every 10 s) and did not answer peers within the 0.7 s that they waited; how much later was not logged. All users are at the other controllers, since its connections are its workers'. A poll there gave the leader 0.7 s, then read the state service, which records every live job as queued and so can't tell, and asked the leader again; it took a turn for 1.1 to 1.4 s, mostly in vain, and with more than 128 turns in use others were refused. Class: a question is put to the one who can't know the answer, and takes the time of the one who can.

Change: each controller knows from the watch of the live records, which it has anyway, which jobs are live. A poll for one of them waits for the leader for all of its time but 0.2 s, and reads the state service only if a late answer of the leader is at hand, which the read makes valid. Jobs that are cancelled, new, or led here are polled as before. Polls and cancels have 512 turns: some 1,300 live jobs are 260 polls a second, each for 1.5 s at most. Pending polls are sent to a slow leader every 0.25 s, not only when another poll arrives.

--- a/internal/scheduler/watch.go
+++ b/internal/scheduler/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/goccy/go-json"
@@ -45,6 +46,7 @@
 func (s *Scheduler) watch(ctx context.Context) {
 	ctx = statestore.WithPacing(statestore.WithPriority(ctx, statestore.Urgent), statestore.Pacing{Burst: watchBurst, Pause: s.watchInterval})
 	s.store.Watch(ctx, jobrecord.LivePrefix, watchTimeout, func(items []wire.Item) {
+		s.liveJobs.clear()
 		s.state.Mu.Lock()
 		defer s.state.Mu.Unlock()
 		for _, item := range items {
@@ -57,6 +59,8 @@
 		for _, event := range events {
 			if event.Put != "" {
 				s.applyEncodedRecord(event.Put, event.Value, event.Version)
+			} else {
+				s.liveJobs.remove(strings.TrimPrefix(event.Delete, jobrecord.LivePrefix))
 			}
 		}
 	})
@@ -69,6 +73,7 @@
 		s.log.Error("unreadable job record", "key", key, "err", err)
 		return
 	}
+	s.liveJobs.add(&record)
 	s.applyRecord(&record, version)
 }
 
--- a/internal/statestore/many_ended_jobs_test.go
+++ b/internal/statestore/polls_at_size_test.go
@@ -34,6 +34,8 @@
 	siteValueKB  = 16
 
 	endedJobCount  = 3000 // nobody was told that they ended
+	liveJobCount   = 1300
+	leaderDelay    = time.Second // of a leader that is short of processor time
 	userPollPause  = 5 * time.Second
 	userTimeout    = 2 * time.Second
 	forgottenAfter = 75 * time.Second
@@ -72,11 +74,27 @@
 
 // recordEndedJobs records the ends of jobs in the state service.
 func recordEndedJobs(t *testing.T, service http.Handler, jobs int) {
+	t.Helper()
+	record(t, service, jobs, func(job int) wire.Op {
+		return wire.Op{Put: jobrecord.FinalPrefix + testJob(job), Value: jobrecord.FinalRecord{Stage: wire.StageDone, Done: 7}}
+	})
+}
+
+// recordLiveJobs records accepted jobs in the state service.
+func recordLiveJobs(t *testing.T, service http.Handler, jobs int) {
+	t.Helper()
+	record(t, service, jobs, func(job int) wire.Op {
+		return wire.Op{Put: jobrecord.LivePrefix + testJob(job), Value: jobrecord.LiveRecord{Job: wire.Job{UID: testJob(job)}}}
+	})
+}
+
+// record writes a record for each of a number of jobs.
+func record(t *testing.T, service http.Handler, jobs int, op func(job int) wire.Op) {
 	t.Helper()
 	for first := 0; first < jobs; first += siteTxnOps {
 		var txn wire.Txn
 		for job := first; job < min(jobs, first+siteTxnOps); job++ {
-			txn.Then = append(txn.Then, wire.Op{Put: jobrecord.FinalPrefix + endedJob(job), Value: jobrecord.FinalRecord{Stage: wire.StageDone, Done: 7}})
+			txn.Then = append(txn.Then, op(job))
 		}
 		body, err := json.Marshal(txn)
 		if err != nil {
@@ -90,40 +108,127 @@
 	}
 }
 
-func endedJob(n int) string { return fmt.Sprintf("j-%06d", n) }
+func testJob(n int) string { return fmt.Sprintf("j-%06d", n) }
 
 func TestThousandsOfEndedJobsAreNotForgottenAfterAllControllersEnded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		state, err := standin.OpenState(nil, siteTxnOps, siteValueKB)
-		if err != nil {
-			t.Fatal(err)
-		}
+		state := openState(t)
 		recordEndedJobs(t, state.Handler(), endedJobCount)
-		metered := standin.Metered(state.Handler(), 3*time.Millisecond, standin.NewRateLimits(siteRPS, siteWriteRPS), &standin.RequestCounts{})
-		store := statestore.New("state", siteRPS, siteWriteRPS, siteTxnOps)
-		store.SetTransport(handlerTransport{metered})
-		operator, err := config.LoadOperator("")
-		if err != nil {
-			t.Fatal(err)
-		}
-		service := submission.New(submission.Options{
-			Platform: &config.Platform{Node: "a"}, Operator: operator, Store: store, EndsWatcher: store, Jobs: newLeader{}, Catalog: newLeader{}, Peers: newLeader{},
-			Log: slog.New(slog.DiscardHandler),
-		})
-		mux := http.NewServeMux()
-		service.Register(mux)
-		ctx, stop := context.WithTimeout(t.Context(), forgottenAfter-recoveryTime)
-		defer stop()
-		var running sync.WaitGroup
-		running.Go(func() { _ = service.Run(ctx) }) // the error is that of ctx
-		if unanswered := pollUntilDone(ctx, mux); unanswered > 0 {
+		controller := newController(t, state, newLeader{}, newLeader{})
+		if unanswered := controller.pollAll(t, endedJobCount); unanswered > 0 {
 			t.Errorf("%d of %d jobs got no answer", unanswered, endedJobCount)
 		}
-		stop()
-		running.Wait()
 	})
 }
 
+func TestLiveJobsAreNotForgottenWhileTheirLeaderIsSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		state := openState(t)
+		recordLiveJobs(t, state.Handler(), liveJobCount)
+		controller := newController(t, state, follower{}, slowLeader{})
+		if unanswered := controller.pollAll(t, liveJobCount); unanswered > 0 {
+			t.Errorf("%d of %d jobs got no answer", unanswered, liveJobCount)
+		}
+	})
+}
+
+// follower stands for a controller that leads no shard and knows which jobs are live.
+type follower struct{ newLeader }
+
+func (follower) SurelyQueued(string, int) bool { return false }
+func (follower) KnownLive(string) bool         { return true }
+
+// slowLeader is a peer that leads all jobs, which run, and responds late.
+type slowLeader struct{ newLeader }
+
+func (slowLeader) ShardLeaders() []string { return []string{"leader"} }
+
+func (slowLeader) QueryPeer(ctx context.Context, _ string, request submission.Request) (*submission.Reply, error) {
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(leaderDelay):
+	}
+	reply := &submission.Reply{Status: http.StatusOK, State: running(request.UID), StageKnown: true}
+	for _, uid := range request.UIDs {
+		reply.States = append(reply.States, running(uid))
+	}
+	return reply, nil
+}
+
+func running(uid string) wire.JobState {
+	return wire.JobState{UID: uid, Stage: wire.StageRunning, Running: 7}
+}
+
+func openState(t *testing.T) *standin.State {
+	t.Helper()
+	state, err := standin.OpenState(nil, siteTxnOps, siteValueKB)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return state
+}
+
+// controller is the part of a controller that serves users.
+type controller struct {
+	service *submission.Service
+	handler http.Handler
+}
+
+func newController(t *testing.T, state *standin.State, jobs submission.Jobs, peers submission.Peers) *controller {
+	t.Helper()
+	metered := standin.Metered(state.Handler(), 3*time.Millisecond, standin.NewRateLimits(siteRPS, siteWriteRPS), &standin.RequestCounts{})
+	store := statestore.New("state", siteRPS, siteWriteRPS, siteTxnOps)
+	store.SetTransport(handlerTransport{metered})
+	operator, err := config.LoadOperator("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	service := submission.New(submission.Options{
+		Platform: &config.Platform{Node: "a"}, Operator: operator, Store: store, EndsWatcher: store, Jobs: jobs, Catalog: newLeader{}, Peers: peers,
+		Log: slog.New(slog.DiscardHandler),
+	})
+	mux := http.NewServeMux()
+	service.Register(mux)
+	return &controller{service, mux}
+}
+
+// pollAll polls for jobs as users do, until each has had an answer or their time is over, and returns the
+// number of those that got none.
+func (c *controller) pollAll(t *testing.T, jobs int) int {
+	t.Helper()
+	ctx, stop := context.WithTimeout(t.Context(), forgottenAfter-recoveryTime)
+	defer stop()
+	var serving, polling sync.WaitGroup
+	serving.Go(func() { _ = c.service.Run(ctx) }) // the error is that of ctx
+	var answered atomic.Int64
+	for job := range jobs {
+		polling.Go(func() {
+			time.Sleep(rand.N(userPollPause))
+			for ctx.Err() == nil {
+				if c.poll(ctx, testJob(job)) {
+					answered.Add(1)
+					return
+				}
+				time.Sleep(userPollPause)
+			}
+		})
+	}
+	polling.Wait()
+	stop()
+	serving.Wait()
+	return jobs - int(answered.Load())
+}
+
+// poll reports whether a poll is answered in time.
+func (c *controller) poll(ctx context.Context, uid string) bool {
+	ctx, cancel := context.WithTimeout(ctx, userTimeout)
+	defer cancel()
+	answer := httptest.NewRecorder()
+	c.handler.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/api/jobs/"+uid, nil).WithContext(ctx))
+	return answer.Code == http.StatusOK && ctx.Err() == nil
+}
+
 // A transaction changes up to siteTxnOps keys at one revision, and the service keeps a number of changes.
 func TestRecentChangesAreReportedThoughEachRevisionHasMany(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -147,40 +252,9 @@
 			}
 		})
 		for job := jobs - mostRecent; job < jobs; job++ {
-			if !reported[jobrecord.FinalPrefix+endedJob(job)] {
-				t.Fatalf("%s is not reported, %d others are", endedJob(job), len(reported))
+			if !reported[jobrecord.FinalPrefix+testJob(job)] {
+				t.Fatalf("%s is not reported, %d others are", testJob(job), len(reported))
 			}
 		}
 	})
 }
-
-// pollUntilDone polls for all ended jobs as users do, and returns the number of those that got no
-// answer before ctx ends.
-func pollUntilDone(ctx context.Context, controller http.Handler) int {
-	var polling sync.WaitGroup
-	var answered atomic.Int64
-	for job := range endedJobCount {
-		polling.Go(func() {
-			time.Sleep(rand.N(userPollPause))
-			for ctx.Err() == nil {
-				if poll(ctx, controller, endedJob(job)) {
-					answered.Add(1)
-					return
-				}
-				time.Sleep(userPollPause)
-			}
-		})
-	}
-	polling.Wait()
-	return endedJobCount - int(answered.Load())
-}
-
-// poll reports whether a job is called done in time.
-func poll(ctx context.Context, controller http.Handler, uid string) bool {
-	ctx, cancel := context.WithTimeout(ctx, userTimeout)
-	defer cancel()
-	answer := httptest.NewRecorder()
-	controller.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/api/jobs/"+uid, nil).WithContext(ctx))
-	var state wire.JobState
-	return answer.Code == http.StatusOK && json.Unmarshal(answer.Body.Bytes(), &state) == nil && state.Stage == wire.StageDone && ctx.Err() == nil
-}
--- a/internal/submission/batched_polls.go
+++ b/internal/submission/batched_polls.go
@@ -29,46 +29,77 @@
 type pollBatcher struct {
 	query func(ctx context.Context, r Request) (Reply, bool)
 
-	mu         sync.Mutex
-	inFlight   int       // goroutines that run sendBatches
-	lastSentAt time.Time // of the last batch
-	pending    []*pendingPoll
-	lateStates map[string]lateState // states that arrived after their polls had timed out, by job
+	mu             sync.Mutex
+	inFlight       int       // goroutines that run sendBatches
+	lastSentAt     time.Time // of the last batch
+	pending        []*pendingPoll
+	startScheduled bool                 // a further sender is to be started
+	lateStates     map[string]lateState // states that arrived after their polls had timed out, by job
 }
 
 type pendingPoll struct {
 	uid     string
-	state   chan wire.JobState // receives one state, without a UID if the peer does not know the job
-	expired bool               // the poll has timed out
+	answer  chan peerAnswer // receives one answer
+	expired bool            // the poll has timed out
 }
 
+// peerAnswer is what a peer says of a job.
+type peerAnswer struct {
+	outcome pollOutcome
+	state   wire.JobState // if outcome is pollAnswered
+}
+
+// pollOutcome is the outcome of a poll at a peer.
+type pollOutcome int
+
+const (
+	pollUnanswered pollOutcome = iota // the peer did not respond in time
+	pollJobUnknown                    // the peer does not know the job
+	pollAnswered
+)
+
 // lateState is a state that arrived after its poll had timed out.
 type lateState struct {
 	state      wire.JobState
 	receivedAt time.Time
 }
 
-// poll reads a job's state from the peer. It returns false if the peer does not know the job or
-// does not respond before ctx ends.
-func (b *pollBatcher) poll(ctx context.Context, uid string) (wire.JobState, bool) {
-	p := &pendingPoll{uid: uid, state: make(chan wire.JobState, 1)}
+// poll reads a job's state from the peer, which has to respond before ctx ends.
+func (b *pollBatcher) poll(ctx context.Context, uid string) peerAnswer {
+	p := &pendingPoll{uid: uid, answer: make(chan peerAnswer, 1)}
 	b.mu.Lock()
 	b.pending = append(b.pending, p)
-	if b.inFlight < maxBatchesInFlight || b.inFlight < maxSlowBatchesInFlight && time.Since(b.lastSentAt) > slowBatchAfter {
-		b.inFlight++
-		// The goroutine serves other users' polls too, so it must outlive this poll's
-		// context. It ends on its own, since each query has a timeout.
-		go b.sendBatches(context.WithoutCancel(ctx))
-	}
+	// The senders serve other users' polls too, so they must outlive this poll's context.
+	b.startSenderLocked(context.WithoutCancel(ctx))
 	b.mu.Unlock()
 	select {
-	case state := <-p.state:
-		return state, state.UID != ""
+	case answer := <-p.answer:
+		return answer
 	case <-ctx.Done():
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		p.expired = true
-		return wire.JobState{}, false
+		return peerAnswer{}
+	}
+}
+
+// startSenderLocked starts a goroutine that sends the pending polls, now or as soon as a further batch
+// may be in flight. The goroutine ends on its own, since each query has a timeout.
+func (b *pollBatcher) startSenderLocked(ctx context.Context) {
+	sinceLast := time.Since(b.lastSentAt)
+	switch {
+	case len(b.pending) == 0 || b.inFlight == maxSlowBatchesInFlight:
+	case b.inFlight < maxBatchesInFlight || sinceLast > slowBatchAfter:
+		b.inFlight++
+		go b.sendBatches(ctx)
+	case !b.startScheduled:
+		b.startScheduled = true
+		time.AfterFunc(slowBatchAfter-sinceLast+time.Millisecond, func() {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.startScheduled = false
+			b.startSenderLocked(ctx)
+		})
 	}
 }
 
@@ -91,10 +122,10 @@
 		b.lateStates = map[string]lateState{}
 	}
 	for i, p := range batch {
-		state := stateInBatch(rep, ok, i, p.uid)
-		p.state <- state // does not block: the channel has capacity 1
-		if p.expired && state.UID != "" {
-			b.lateStates[p.uid] = lateState{state, time.Now()}
+		answer := answerInBatch(rep, ok, i, p.uid)
+		p.answer <- answer // does not block: the channel has capacity 1
+		if p.expired && answer.outcome == pollAnswered {
+			b.lateStates[p.uid] = lateState{answer.state, time.Now()}
 		}
 	}
 }
@@ -111,18 +142,18 @@
 	}
 }
 
-// stateInBatch returns the state of the i-th job of a batch, without a UID if the peer does not
-// know the job.
-func stateInBatch(rep *Reply, ok bool, i int, uid string) wire.JobState {
+// answerInBatch returns the answer about the i-th job of a batch. ok reports whether the peer
+// responded.
+func answerInBatch(rep *Reply, ok bool, i int, uid string) peerAnswer {
 	switch {
 	case !ok:
-		return wire.JobState{}
+		return peerAnswer{}
 	case slices.Contains(rep.StageUnknown, uid):
-		return wire.JobState{UID: uid, Stage: stageUnknown}
+		return peerAnswer{pollAnswered, wire.JobState{UID: uid, Stage: stageUnknown}}
 	case i < len(rep.States) && rep.States[i].UID == uid:
-		return rep.States[i]
+		return peerAnswer{pollAnswered, rep.States[i]}
 	}
-	return wire.JobState{}
+	return peerAnswer{outcome: pollJobUnknown}
 }
 
 // nextBatch removes a batch from the pending polls. If none are pending, it returns nil, and the
@@ -141,9 +172,9 @@
 	return batch
 }
 
-// pollBatched reads a job's state from a peer, within peerTimeout.
-func (s *Service) pollBatched(ctx context.Context, peer, uid string) (wire.JobState, bool) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+// pollBatched reads a job's state from a peer within a timeout.
+func (s *Service) pollBatched(ctx context.Context, peer, uid string, timeout time.Duration) peerAnswer {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return s.batcher(peer).poll(ctx, uid)
 }
--- a/internal/submission/batched_polls_test.go
+++ b/internal/submission/batched_polls_test.go
@@ -51,8 +51,9 @@
 				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 				defer cancel()
 				uid := fmt.Sprintf("j-%d", i)
-				if s, ok := b.poll(ctx, uid); ok != want || ok && s.UID != uid {
-					t.Errorf("%s: %+v, %v", uid, s, ok)
+				answer := b.poll(ctx, uid)
+				if ok := answer.outcome == pollAnswered; ok != want || ok && answer.state.UID != uid {
+					t.Errorf("%s: %+v", uid, answer)
 				}
 			})
 		}
--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -31,8 +31,14 @@
 	writeTimeout = 3500 * time.Millisecond // of submissions and cancels; users wait 5 s
 	pollTimeout  = 1500 * time.Millisecond // users wait 2 s
 	peerTimeout  = 700 * time.Millisecond
-	busyRetryS   = 2   // minimum Retry-After in seconds while the state service is busy; the maximum is nearly twice as long
-	maxInFlight  = 128 // submissions in flight, and as many polls and cancels together; more are refused
+	// lookupReserve is the part of pollTimeout that is left for a read of the state service if the leader
+	// is slow.
+	lookupReserve = 200 * time.Millisecond
+	busyRetryS    = 2   // minimum Retry-After in seconds while the state service is busy; the maximum is nearly twice as long
+	maxInFlight   = 128 // submissions in flight; more are refused
+	// maxPollsInFlight bounds the polls and cancels in flight. At 4,000 machines some 1,300 jobs are
+	// live, whose 260 polls a second may each wait pollTimeout for a leader.
+	maxPollsInFlight = 512
 )
 
 // Store is the part of the state service that a Service uses.
@@ -63,6 +69,14 @@
 	SurelyQueued(uid string, shard int) bool
 }
 
+// LiveJobs may be implemented by Jobs with a StageAuthority. The state service does not say of a live
+// job whether its tasks run, so that only the job's leader can answer a poll for it.
+type LiveJobs interface {
+	// KnownLive reports whether another controller's job was live and not cancelled when the state service
+	// last reported a change, and was not accepted just now.
+	KnownLive(uid string) bool
+}
+
 // Catalog returns the machine types.
 type Catalog interface {
 	// All returns every machine type, or none while they are unknown.
@@ -111,6 +125,7 @@
 	store       Store
 	jobs        Jobs
 	stages      StageAuthority // nil if the stored stage of a live job is reported
+	live        LiveJobs       // nil if it is not known which jobs are live
 	catalog     Catalog
 	peers       Peers
 	log         *slog.Logger
@@ -142,10 +157,11 @@
 // New returns a Service.
 func New(o Options) *Service {
 	stages, _ := o.Jobs.(StageAuthority)
+	live, _ := o.Jobs.(LiveJobs)
 	return &Service{
-		stages: stages, numbers: o.Numbers, cancellations: o.Cancellations, memoryPressure: o.MemoryPressure, endsWatcher: o.EndsWatcher,
+		stages: stages, live: live, numbers: o.Numbers, cancellations: o.Cancellations, memoryPressure: o.MemoryPressure, endsWatcher: o.EndsWatcher,
 		cfg: o.Platform, op: o.Operator, store: o.Store, jobs: o.Jobs, catalog: o.Catalog, peers: o.Peers, log: o.Log,
-		submitSlots: make(chan struct{}, maxInFlight), otherSlots: make(chan struct{}, maxInFlight), batchers: map[string]*pollBatcher{},
+		submitSlots: make(chan struct{}, maxInFlight), otherSlots: make(chan struct{}, maxPollsInFlight), batchers: map[string]*pollBatcher{},
 	}
 }
 
@@ -276,10 +292,24 @@
 	if rep, ok := s.localReply(req.UID); ok {
 		return rep
 	}
-	for _, peer := range s.peers.ShardLeaders() {
-		if state, ok := s.pollBatched(ctx, peer, req.UID); ok {
-			return s.leaderReply(state)
+	leaders := s.peers.ShardLeaders()
+	waitsForLeader := s.onlyLeaderKnows(req.UID, leaders)
+	unanswered := len(leaders) == 0
+	for i, leader := range leaders {
+		timeout := peerTimeout
+		if waitsForLeader {
+			timeout = (timeLeft(ctx) - lookupReserve) / time.Duration(len(leaders)-i)
 		}
+		switch answer := s.pollBatched(ctx, leader, req.UID, timeout); answer.outcome {
+		case pollAnswered:
+			return s.leaderReply(answer.state)
+		case pollUnanswered:
+			unanswered = true
+		case pollJobUnknown:
+		}
+	}
+	if waitsForLeader && unanswered && s.onlyLeaderKnows(req.UID, leaders) {
+		return liveJobUnanswered(leaders)
 	}
 	return s.refineByLeader(ctx, s.serveHereOrAtPeer(ctx, req))
 }
