--- a/internal/soak/load_balancer.go
+++ b/internal/soak/load_balancer.go
@@ -41,8 +41,8 @@
 }
 
 // newLoadBalancer returns a load balancer on a free loopback port that checks the controllers' health
-// until it is closed.
-func newLoadBalancer(addrs []string) (*loadBalancer, error) {
+// until it is closed or ctx ends.
+func newLoadBalancer(ctx context.Context, addrs []string) (*loadBalancer, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("load balancer: %w", err)
@@ -54,7 +54,7 @@
 	for _, addr := range addrs {
 		b.nodes = append(b.nodes, &balancedNode{addr: addr, conns: map[net.Conn]struct{}{}})
 	}
-	ctx, stop := context.WithCancel(context.Background())
+	ctx, stop := context.WithCancel(ctx)
 	for _, node := range b.nodes {
 		b.running.Go(func() { b.checkHealth(ctx, node) })
 	}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -97,7 +97,7 @@
 		return nil, err
 	}
 	if schedule.LoadBalancer {
-		if s.balancer, err = newLoadBalancer(s.userAddrs); err != nil {
+		if s.balancer, err = newLoadBalancer(ctx, s.userAddrs); err != nil {
 			s.close()
 			return nil, err
 		}
--- a/internal/submission/recovery_budget_test.go
+++ b/internal/submission/recovery_budget_test.go
@@ -35,7 +35,9 @@
 	for name, steps := range map[string][]recoveryStep{
 		"load balancer": {{"removal", removalPause}, {"readmission", readmission}},
 		"failover": {
-			{"restart", restartDelay}, {"lease of the last leader", config.Seconds(operator.LeaseS)}, {"load", shardLoadTimeout},
+			{"restart", restartDelay},
+			{"lease of the last leader", config.Seconds(operator.LeaseS)},
+			{"load", shardLoadTimeout},
 			{"stages unknown until all workers reported or lost their leases", workerLease},
 		},
 	} {
--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -286,34 +286,6 @@
 	}
 }
 
-// poll reads a job's state, preferably from the memory of the controller that leads it, which
-// saves the state service a request.
-func (s *Service) poll(ctx context.Context, req Request) Reply {
-	if rep, ok := s.localReply(req.UID); ok {
-		return rep
-	}
-	leaders := s.peers.ShardLeaders()
-	waitsForLeader := s.onlyLeaderKnows(req.UID, leaders)
-	unanswered := len(leaders) == 0
-	for i, leader := range leaders {
-		timeout := peerTimeout
-		if waitsForLeader {
-			timeout = (timeLeft(ctx) - lookupReserve) / time.Duration(len(leaders)-i)
-		}
-		switch answer := s.pollBatched(ctx, leader, req.UID, timeout); answer.outcome {
-		case pollAnswered:
-			return s.leaderReply(answer.state)
-		case pollUnanswered:
-			unanswered = true
-		case pollJobUnknown:
-		}
-	}
-	if waitsForLeader && unanswered && s.onlyLeaderKnows(req.UID, leaders) {
-		return liveJobUnanswered(leaders)
-	}
-	return s.refineByLeader(ctx, s.serveHereOrAtPeer(ctx, req))
-}
-
 // cancel cancels a job, preferably at the controller that leads it.
 func (s *Service) cancel(ctx context.Context, req Request) Reply {
 	if rep, ok := s.queryUntilKnown(ctx, s.peers.ShardLeaders(), req); ok {
--- a/internal/submission/stage.go
+++ b/internal/submission/stage.go
@@ -43,29 +43,6 @@
 	return Reply{Status: http.StatusServiceUnavailable, Reason: "can't tell now", Refusal: why}
 }
 
-// onlyLeaderKnows reports whether a job is live and its stage is known to its leader alone: a read of the
-// state service would not help to answer a poll.
-func (s *Service) onlyLeaderKnows(uid string, leaders []string) bool {
-	if s.live == nil || s.stages == nil || !s.live.KnownLive(uid) {
-		return false
-	}
-	for _, leader := range leaders {
-		if _, late := s.batcher(leader).lateState(uid); late {
-			return false // valid if a read shows that the job has not ended
-		}
-	}
-	return true
-}
-
-// liveJobUnanswered returns the reply, with status 503, for a live job of which none of the leaders said
-// anything in time.
-func liveJobUnanswered(leaders []string) Reply {
-	if len(leaders) == 0 {
-		return stageUnknownReply(RefusedNoLeader)
-	}
-	return stageUnknownReply(RefusedLeaderUnreached)
-}
-
 // storedReply returns the state of a job from the state service, refined by what this controller
 // knows of the job's tasks.
 func (s *Service) storedReply(ctx context.Context, uid string) Reply {
