--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -25,14 +25,14 @@
 	return exe
 }
 
-// play plays a seed and fails the test if a rule was broken.
-func play(t *testing.T, exe string, seed uint64) {
+// play plays a schedule and fails the test if a rule was broken.
+func play(t *testing.T, exe string, schedule *soak.Schedule) {
 	t.Helper()
 	dir, err := os.MkdirTemp("", "wallrack-soak-")
 	if err != nil {
 		t.Fatal(err)
 	}
-	run := soak.Run{Schedule: soak.NewSchedule(seed), Exe: exe, Dir: dir}
+	run := soak.Run{Schedule: schedule, Exe: exe, Dir: dir}
 	result, err := run.Do(t.Context())
 	if err != nil {
 		t.Fatalf("%v; logs: %s", err, dir)
@@ -54,14 +54,21 @@
 	for _, seed := range []uint64{1, 2, 5} {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
-			play(t, exe, seed)
+			play(t, exe, soak.NewSchedule(seed))
 		})
 	}
 }
 
 func TestNoJobWaitsBesideIdleWorkersAfterLeadersEnded(t *testing.T) {
 	t.Parallel()
-	play(t, buildProgram(t), 6)
+	play(t, buildProgram(t), soak.NewSchedule(6))
+}
+
+func TestThousandsOfEndedJobsAreNotForgottenBehindALoadBalancer(t *testing.T) {
+	t.Parallel()
+	schedule := soak.NewSchedule(1)
+	schedule.LoadBalancer, schedule.EndedJobs = true, 2000
+	play(t, buildProgram(t), schedule)
 }
 
 func TestRunWithoutProgramSaysSo(t *testing.T) {
