An answer that denies an accepted job is held back, counted and logged

The decision whether a job may be called unknown or its submission invalid stands in one place now: every response to a user's request about a job passes neverDenyAccepted. If the watches of live and final records have shown the job as accepted, 404, 400 and 422 become 503, `accepted job denied` is logged as an error and counted under `denial`.

--- a/internal/submission/accept.go
+++ b/internal/submission/accept.go
@@ -48,7 +48,8 @@
 	}
 	rep := s.lookupReply(ctx, job.UID)
 	if rep.Status == http.StatusNotFound {
-		return rejected.reply()
+		rep = rejected.reply()
+		rep.State.UID = job.UID
 	}
 	return rep
 }
@@ -68,7 +69,7 @@
 		case errors.As(err, &conflict):
 			// If the job has constraints, the third guard is on the key of its number.
 			if constraints != nil && len(conflict.Keys) == 1 && conflict.Keys[0] == guards[2].Key {
-				return Reply{Status: http.StatusUnprocessableEntity, Reason: "number: belongs to another job"}
+				return Reply{Status: http.StatusUnprocessableEntity, State: wire.JobState{UID: job.UID}, Reason: "number: belongs to another job"}
 			}
 			// The job was recorded before, or an earlier attempt recorded it and its response was lost.
 			return s.storedReply(ctx, job.UID)
--- a/internal/submission/messages.go
+++ b/internal/submission/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 
 	"github.com/wallrack/wallrack/internal/jobspec"
 	"github.com/wallrack/wallrack/internal/statestore"
@@ -52,6 +53,11 @@
 // succeeded reports whether the reply contains a state.
 func (r *Reply) succeeded() bool { return r.Status/100 == 2 }
 
+// deniesJob reports whether the reply says that a job does not exist, or rejects its submission.
+func (r *Reply) deniesJob() bool {
+	return r.Status == http.StatusNotFound || r.Status == http.StatusBadRequest || r.Status == http.StatusUnprocessableEntity
+}
+
 // unknownOutcome returns the reply for an error that leaves the outcome unknown.
 func unknownOutcome(err error) Reply {
 	return Reply{Busy: errors.Is(err, statestore.ErrBusy), Refusal: refusalOf(err)}
--- a/internal/submission/refusals.go
+++ b/internal/submission/refusals.go
@@ -23,10 +23,14 @@
 	RefusedStoreUnavailable  Refusal = "store_unavailable"  // the state service refused the request
 	RefusedStoreUnknown      Refusal = "store_unknown"      // the state service did not answer in time, or not as expected
 	RefusedCancelUnconfirmed Refusal = "cancel_unconfirmed" // the job is cancelled, which can't be confirmed now
+	RefusedDenial            Refusal = "denial"             // the answer would have denied a job that is known to be accepted
 	RefusedTooMany           Refusal = "too_many_requests"  // too many requests at once
 	RefusedOther             Refusal = "other"              // any other reason, such as unknown machine types
 )
 
+// DeniedJobMessage is the log message when an answer would have denied an accepted job.
+const DeniedJobMessage = "accepted job denied"
+
 const (
 	refusalLogInterval = 10 * time.Second // minimum time between two log lines about refused requests
 	unansweredAfter    = 20 * time.Second // time without an answer after which a job is logged
--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -206,7 +206,7 @@
 
 // respond writes a reply about a job as the HTTP response. uid may be empty.
 func (s *Service) respond(w http.ResponseWriter, uid string, rep Reply) {
-	rep = s.requireConfirmedCancel(rep)
+	rep = s.neverDenyAccepted(uid, s.requireConfirmedCancel(rep))
 	s.recordOutcome(uid, &rep)
 	switch {
 	case rep.succeeded():
@@ -247,6 +247,23 @@
 	return rep
 }
 
+// neverDenyAccepted returns rep, or a reply with status 503 if rep denies a job that the state service has
+// reported as accepted. Every response to a user's HTTP request about a job passes it, and it should never
+// have to change one.
+func (s *Service) neverDenyAccepted(uid string, rep Reply) Reply {
+	if !rep.deniesJob() || !s.knownAccepted(uid) {
+		return rep
+	}
+	s.log.Error(DeniedJobMessage, "job", uid, "status", rep.Status, "reason", rep.Reason)
+	return Reply{Status: http.StatusServiceUnavailable, Reason: "can't tell now", Refusal: RefusedDenial}
+}
+
+// knownAccepted reports whether the state service has reported a job as live or ended.
+func (s *Service) knownAccepted(uid string) bool {
+	_, ended := s.ended.get(uid)
+	return ended || s.live != nil && s.live.KnownLive(uid)
+}
+
 func (s *Service) submit(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBodyBytes))
 	if err != nil {
--- a/internal/submission/service_test.go
+++ b/internal/submission/service_test.go
@@ -57,8 +57,13 @@
 
 // serveWith serves users from the stub's state with the options o.
 func serveWith(t testing.TB, s *stub, o submission.Options) (request func(method, path, body string) (int, http.Header, wire.JobState)) {
+	return requestTo(newService(t, s, o))
+}
+
+// requestTo returns a function that makes a user's request to a service.
+func requestTo(service *submission.Service) (request func(method, path, body string) (int, http.Header, wire.JobState)) {
 	mux := http.NewServeMux()
-	newService(t, s, o).Register(mux)
+	service.Register(mux)
 	return func(method, path, body string) (int, http.Header, wire.JobState) {
 		w := httptest.NewRecorder()
 		mux.ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
@@ -70,6 +75,11 @@
 
 // newService returns a service over the stub's state.
 func newService(t testing.TB, s *stub, o submission.Options) *submission.Service {
+	return newServiceWith(t, s, s, o)
+}
+
+// newServiceWith is newService with other jobs than the stub's.
+func newServiceWith(t testing.TB, s *stub, jobs submission.Jobs, o submission.Options) *submission.Service {
 	cfg := &config.Platform{Node: "a", Params: config.Params{Teams: []config.Team{{Name: "t", CPUsMax: 8}}}}
 	op, err := config.LoadOperator("")
 	if err != nil {
@@ -78,7 +88,7 @@
 	if o.Peers == nil {
 		o.Peers = s
 	}
-	o.Platform, o.Operator, o.Store, o.Jobs, o.Catalog, o.Log = cfg, op, s, s, s, slog.New(slog.NewTextHandler(io.Discard, nil))
+	o.Platform, o.Operator, o.Store, o.Jobs, o.Catalog, o.Log = cfg, op, s, jobs, s, slog.New(slog.NewTextHandler(io.Discard, nil))
 	return submission.New(o)
 }
 
