Retained ids are copies: they don't keep whole responses in memory

The JSON decoder's strings share the memory of what was decoded, so the id of one ended job kept the response that had brought it, and that of a live job its record. By reading; the effect is not measured.

--- a/internal/scheduler/live_jobs.go
+++ b/internal/scheduler/live_jobs.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"strings"
 	"sync"
 
 	"github.com/wallrack/wallrack/internal/jobrecord"
@@ -30,7 +31,7 @@
 	if l.acceptedMs == nil {
 		l.acceptedMs = map[string]int64{}
 	}
-	l.acceptedMs[record.Job.UID] = record.AcceptedMs
+	l.acceptedMs[strings.Clone(record.Job.UID)] = record.AcceptedMs // the record's strings share its memory
 }
 
 func (l *liveJobs) remove(uid string) {
--- a/internal/submission/ended_jobs.go
+++ b/internal/submission/ended_jobs.go
@@ -63,7 +63,8 @@
 		log.Error("unreadable record of an ended job", "job", uid, "err", err)
 		return wire.JobState{}, false
 	}
-	return wire.JobState{UID: uid, Stage: final.Stage, Done: final.Done}, true
+	// Copies, since the strings share memory with the whole response.
+	return wire.JobState{UID: strings.Clone(uid), Stage: strings.Clone(final.Stage), Done: final.Done}, true
 }
 
 // endedJobs retains final states from the state service. A final state never
