--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -59,8 +59,9 @@
 	remoteJobs  RemoteJobs
 	log         *slog.Logger
 
+	liveJobs liveJobs // has a lock of its own
+
 	// Guarded by state.Mu.
-	liveJobs        liveJobs
 	listedRevision  map[int]uint64   // shard -> revision of the listing of live jobs from which the shard was loaded
 	leadershipEpoch uint64           // incremented each time this scheduler begins to lead shards after leading none
 	loading         bool             // shards are being loaded
--- a/internal/statestore/polls_at_size_test.go
+++ b/internal/statestore/polls_at_size_test.go
@@ -236,10 +236,7 @@
 			jobs       = 12_000
 			mostRecent = 5000
 		)
-		state, err := standin.OpenState(nil, siteTxnOps, siteValueKB)
-		if err != nil {
-			t.Fatal(err)
-		}
+		state := openState(t)
 		recordEndedJobs(t, state.Handler(), jobs)
 		store := statestore.New("state", siteRPS, siteWriteRPS, siteTxnOps)
 		store.SetTransport(handlerTransport{state.Handler()})
--- a/internal/submission/poll.go
+++ b/internal/submission/poll.go
@@ -60,7 +60,7 @@
 // anything in time.
 func liveJobUnanswered(leaders []string) Reply {
 	if len(leaders) == 0 {
-		return stageUnknownReply(RefusedNoLeader)
+		return undecidedReply(RefusedNoLeader)
 	}
-	return stageUnknownReply(RefusedLeaderUnreached)
+	return undecidedReply(RefusedLeaderUnreached)
 }
--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -242,7 +242,7 @@
 	}
 	if err := s.cancellations.Confirm(rep.State.UID); err != nil {
 		s.log.Debug("cancel not confirmed", "job", rep.State.UID, "err", err)
-		return Reply{Status: http.StatusServiceUnavailable, Reason: "can't tell now", Refusal: RefusedCancelUnconfirmed}
+		return undecidedReply(RefusedCancelUnconfirmed)
 	}
 	return rep
 }
@@ -255,7 +255,7 @@
 		return rep
 	}
 	s.log.Error(DeniedJobMessage, "job", uid, "status", rep.Status, "reason", rep.Reason)
-	return Reply{Status: http.StatusServiceUnavailable, Reason: "can't tell now", Refusal: RefusedDenial}
+	return undecidedReply(RefusedDenial)
 }
 
 // knownAccepted reports whether the state service has reported a job as live or ended.
@@ -364,7 +364,7 @@
 	case VerbPoll:
 		rep := s.lookupReply(statestore.WithPriority(ctx, statestore.Lookup), req.UID)
 		if req.AsLeader && s.stages != nil && rep.needsLeader() {
-			return stageUnknownReply(RefusedStageUnknown)
+			return undecidedReply(RefusedStageUnknown)
 		}
 		return rep
 	case VerbCancel:
--- a/internal/submission/stage.go
+++ b/internal/submission/stage.go
@@ -32,14 +32,13 @@
 // leaderReply returns the reply for a state from a job's leader.
 func (s *Service) leaderReply(state wire.JobState) Reply {
 	if state.Stage == stageUnknown {
-		return stageUnknownReply(RefusedStageUnknown)
+		return undecidedReply(RefusedStageUnknown)
 	}
 	return Reply{Status: http.StatusOK, State: state, StageKnown: true}
 }
 
-// stageUnknownReply returns the reply, with status 503, for a live job if no leader says whether a
-// task of it runs.
-func stageUnknownReply(why Refusal) Reply {
+// undecidedReply returns the reply, with status 503, to a request that can't be answered now.
+func undecidedReply(why Refusal) Reply {
 	return Reply{Status: http.StatusServiceUnavailable, Reason: "can't tell now", Refusal: why}
 }
 
@@ -94,7 +93,7 @@
 	if s.stages == nil {
 		return rep
 	}
-	return stageUnknownReply(why)
+	return undecidedReply(why)
 }
 
 // timeLeft returns the time until the deadline of ctx, which must have one.
