A lease is not lost because this controller or a peer is slow

What callers saw: polls without an answer after the last trouble, while leaders followed each other without a fault, each with a worker's lease of stage_unknown.

Cause: slowness taken for loss. 0.6 s without a response counted as a lost link to the state service, also when the controller itself was short of processor time; all direct requests were aborted, renewals too, and sent again through a peer as slow as itself. Besides, a renewal shared its goroutine with claims and reads, which may wait for seconds, and was given up after a quarter of the lease's time.

Fix: a route is judged by comparing both. The direct link counts as lost only if the service answers through a peer before it answers directly. A renewal is always sent directly, on connections of its own, and through a peer too if no response arrives in 0.3 s; the first success counts. It has a goroutine of its own, does not wait for earlier renewals, and its response counts for as long as the renewed lease holds. So a lease is lost only if no renewal of five seconds got an answer by either way.

--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"sync"
 	"time"
 
 	"github.com/wallrack/wallrack/internal/statestore"
@@ -12,7 +12,6 @@
 	clockDriftRate      = 0.002                 // four times the largest relative drift between two monotonic clocks
 	timerLatency        = 60 * time.Millisecond // how late timers may fire
 	renewalsPerTTL      = 5
-	retriesPerTTL       = 20 // after the state service refused a renewal
 	watchHold           = 20 * time.Second
 	minRemainingToClaim = time.Second // remaining time of the lease below which no shard is claimed
 )
@@ -66,17 +65,28 @@
 	return ctx.Err()
 }
 
-// runIncarnation renews the lease and claims and releases shards until the lease is lost or
-// ctx ends.
+// runIncarnation renews the lease, and claims and releases shards, until the lease is lost or ctx
+// ends. The renewal has a goroutine of its own: the requests about shards may wait for seconds.
 func (m *Member) runIncarnation(ctx context.Context) {
-	renewal := time.NewTimer(m.ttl / renewalsPerTTL)
-	defer renewal.Stop()
+	ctx, cancel := context.WithCancel(ctx)
+	var renewing sync.WaitGroup
+	renewing.Go(func() {
+		defer cancel()
+		newLeaseKeeper(m).run(ctx)
+	})
+	m.maintainShards(ctx)
+	renewing.Wait()
+}
+
+// maintainShards claims and releases shards until ctx ends.
+func (m *Member) maintainShards(ctx context.Context) {
 	claimAgain := time.NewTimer(m.ttl)
 	claimAgain.Stop()
 	defer claimAgain.Stop()
+	checkAgain := time.NewTicker(m.ttl / renewalsPerTTL)
+	defer checkAgain.Stop()
 	var excessSince time.Time
-	var lastFailure error // of a renewal since the last one that succeeded
-	for {
+	for ctx.Err() == nil {
 		m.reclaim(ctx)
 		if wait := m.claim(ctx); wait > 0 {
 			claimAgain.Reset(wait)
@@ -84,56 +94,38 @@
 		excessSince = m.releaseExcess(ctx, excessSince)
 		select {
 		case <-ctx.Done():
-			return
 		case <-m.wake:
-			continue
 		case <-claimAgain.C:
-			continue
-		case <-renewal.C:
-		}
-		lease := m.currentLease()
-		sent := time.Now()
-		err := m.renew(ctx, lease)
-		if errors.Is(err, statestore.ErrUnavailable) {
-			renewal.Reset(m.ttl / retriesPerTTL) // refused at once, perhaps by a rate limit
-		} else {
-			renewal.Reset(m.ttl / renewalsPerTTL)
-		}
-		switch {
-		case err == nil:
-			m.recordRenewal(ctx, sent, lastFailure)
-			lastFailure = nil
-		case errors.Is(err, statestore.ErrNotFound):
-			m.log.Info("lease expired", "lease", lease, "last_failure", lastFailure)
-			return
-		default:
-			lastFailure = err
-			m.log.Debug("lease renewal failed", "lease", lease, "err", err)
+		case <-checkAgain.C:
 		}
 	}
 }
 
-func (m *Member) renew(ctx context.Context, lease uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, m.ttl/4)
-	defer cancel()
-	return m.store.RenewLease(ctx, lease)
-}
-
 // recordRenewal records a successful renewal that was sent at the given time, and reserves a
 // fencing token if that is due. It reports a change if the lease was not certain to hold before;
-// lastFailure is the error of the renewal before this one, or nil.
+// lastFailure is the last error of a renewal since the previous success, or nil.
 func (m *Member) recordRenewal(ctx context.Context, sent time.Time, lastFailure error) {
 	m.mu.Lock()
 	before := m.leaseRemainingLocked()
-	m.renewalSentAt = sent
+	if sent.After(m.renewalSentAt) { // the responses may arrive in another order
+		m.renewalSentAt = sent
+	}
+	after := m.leaseRemainingLocked()
 	m.mu.Unlock()
 	m.reserveToken(ctx)
-	if before <= 0 {
+	if before <= 0 && after > 0 {
 		m.log.Info("lease regained", "last_failure", lastFailure)
 		m.notifyChange()
 	}
 }
 
+// sinceRenewal returns the time since the last successful renewal was sent.
+func (m *Member) sinceRenewal() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.renewalSentAt)
+}
+
 // endIncarnation clears the state that was held under a lost lease.
 func (m *Member) endIncarnation() {
 	m.mu.Lock()
--- a/internal/statestore/client.go
+++ b/internal/statestore/client.go
@@ -40,7 +40,10 @@
 // New returns a client of the service at addr (host and port) whose limits are rps
 // requests and writeRPS writes a second, and maxOps operations in a transaction.
 func New(addr string, rps, writeRPS float64, maxOps int) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 12, MaxConnsPerHost: 24, IdleConnTimeout: time.Minute}
+	transport := renewalTransport{
+		renewals: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute},
+		others:   &http.Transport{MaxIdleConnsPerHost: 12, MaxConnsPerHost: 24, IdleConnTimeout: time.Minute},
+	}
 	return &Client{
 		MaxOps: maxOps,
 		base:   "http://" + addr, http: &http.Client{Transport: transport},
--- a/internal/statestore/lease.go
+++ b/internal/statestore/lease.go
@@ -27,19 +27,15 @@
 	return response.Lease, nil
 }
 
-// RenewLease renews a lease. If the lease has ended, the error is ErrNotFound.
-func (c *Client) RenewLease(ctx context.Context, lease uint64) error {
-	return c.callLease(ctx, http.MethodPost, "/grants/"+strconv.FormatUint(lease, 10)+"/touch")
-}
-
 // RevokeLease ends a lease. If the lease has ended already, the error is ErrNotFound.
 func (c *Client) RevokeLease(ctx context.Context, lease uint64) error {
-	return c.callLease(ctx, http.MethodDelete, "/grants/"+strconv.FormatUint(lease, 10))
+	c.budget.requests.Allow()
+	status, err := c.do(ctx, call{method: http.MethodDelete, path: "/grants/" + strconv.FormatUint(lease, 10)})
+	return leaseError(status, err)
 }
 
-func (c *Client) callLease(ctx context.Context, method, path string) error {
-	c.budget.requests.Allow()
-	status, err := c.do(ctx, call{method: method, path: path})
+// leaseError returns the error for the response to a request about a lease, or nil.
+func leaseError(status int, err error) error {
 	switch {
 	case err != nil:
 		return err
--- a/internal/statestore/relay.go
+++ b/internal/statestore/relay.go
@@ -109,8 +109,8 @@
 	case err == nil || ctx.Err() != nil:
 		return status, data, err
 	}
-	if c.SinceLastSuccess() >= stallTimeout {
-		c.route.switchToRelay("no connection")
+	if silence := c.SinceLastSuccess(); silence >= stallTimeout {
+		c.route.switchToRelay("no connection", silence)
 	}
 	if !c.UsesRelay() || !idempotent(&r) {
 		return status, data, err
@@ -136,14 +136,14 @@
 	}
 	status, data, err := c.sendViaPeer(ctx, r)
 	if err == nil && status != http.StatusServiceUnavailable {
-		c.route.switchToRelay("refused")
+		c.route.switchToRelay("refused", c.SinceLastSuccess())
 	}
 	return status, data, err // after an error it may have been executed
 }
 
 // idempotent reports whether sending a request twice has the same effect as sending it once.
 func idempotent(r *RelayedRequest) bool {
-	return r.Method == http.MethodGet || strings.HasSuffix(r.Path, "/touch")
+	return r.Method == http.MethodGet || isRenewal(r.Path)
 }
 
 // sendViaPeer has a peer send a request.
--- a/internal/statestore/route.go
+++ b/internal/statestore/route.go
@@ -11,9 +11,8 @@
 )
 
 const (
-	// stallTimeout is the time without a response to any request after which the direct link
-	// counts as lost, if a peer reaches the service. Responses usually take under 10 ms, and
-	// now and then a few hundred.
+	// stallTimeout is the time without a response to any request after which the direct link is
+	// compared with a peer's. Responses usually take under 10 ms, and now and then a few hundred.
 	stallTimeout = 600 * time.Millisecond
 	// probeInterval is the time between probes of a lost link.
 	probeInterval = time.Second
@@ -30,8 +29,9 @@
 // route determines whether requests are sent to the service directly or through a peer. The
 // zero value always sends them directly.
 type route struct {
-	relay Relay // nil: requests are always sent directly
-	log   *slog.Logger
+	relay     Relay // nil: requests are always sent directly
+	log       *slog.Logger
+	unchecked chan struct{} // receives a value if Run is to compare the direct link with a peer's, unless it is doing so
 
 	mu             sync.Mutex
 	directLost     bool                        // the direct link is lost
@@ -49,6 +49,7 @@
 func (c *Client) SetRelay(relay Relay, log *slog.Logger) {
 	c.route.relay, c.route.log = relay, log
 	c.route.directRequests = map[*directRequest]struct{}{}
+	c.route.unchecked = make(chan struct{})
 }
 
 // UsesRelay reports whether requests are currently sent through a peer.
@@ -95,16 +96,16 @@
 	return time.Since(r.relayRefusedAt) >= probeInterval
 }
 
-// switchToRelay sends requests through a peer from now on and aborts the direct ones. It returns
-// false and changes nothing if relayUsable is false.
-func (r *route) switchToRelay(reason string) bool {
+// switchToRelay sends requests through a peer from now on and aborts the direct ones. It changes
+// nothing if relayUsable is false. silence is the time since the last direct response.
+func (r *route) switchToRelay(reason string, silence time.Duration) {
 	if !r.relayUsable() {
-		return false
+		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.directLost {
-		return true
+		return
 	}
 	r.probesRequired = min(maxProbes, 2*max(1, r.probesRequired))
 	if time.Since(r.changedAt) > flapWindow {
@@ -114,8 +115,15 @@
 	for request := range r.directRequests {
 		request.cancel()
 	}
-	r.log.Info("state service relayed by peer", "reason", reason)
-	return true
+	r.log.Info("state service relayed by peer", "reason", reason, "silent_s", silence.Seconds())
+}
+
+// requestComparison makes Run compare the direct link with a peer's, unless it is doing so.
+func (r *route) requestComparison() {
+	select {
+	case r.unchecked <- struct{}{}:
+	default:
+	}
 }
 
 // switchToDirect sends requests directly from now on.
@@ -135,8 +143,12 @@
 	return r.probesRequired
 }
 
-// Run probes the direct link while it is lost, until ctx ends, and returns ctx's error.
+// Run compares the direct link with a peer's while it is silent, and probes it while it is lost, until
+// ctx ends. It returns ctx's error.
 func (c *Client) Run(ctx context.Context) error {
+	var comparisons sync.WaitGroup
+	defer comparisons.Wait()
+	comparisons.Go(func() { c.compareWhenSilent(ctx) })
 	succeeded := 0 // consecutive
 	return periodic.Run(ctx, probeInterval, func() {
 		if !c.UsesRelay() || !c.probe(ctx) {
@@ -150,16 +162,55 @@
 	})
 }
 
+// compareWhenSilent compares the direct link with a peer's whenever a stallDetector asks for it, until ctx ends.
+func (c *Client) compareWhenSilent(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.route.unchecked:
+			c.compareRoutes(ctx)
+		}
+	}
+}
+
+// compareRoutes switches to a peer if the service responds through the peer before it responds directly.
+// Silence alone does not show that the direct link is lost: the service, or this process, may be slow.
+func (c *Client) compareRoutes(ctx context.Context) {
+	if c.UsesRelay() || !c.route.relayUsable() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeInterval)
+	defer cancel()
+	status, _, err := c.sendViaPeer(ctx, RelayedRequest{Method: http.MethodGet, Path: probePath, Priority: Urgent})
+	if err == nil && responds(status) {
+		c.switchToFasterPeer()
+	}
+}
+
+// switchToFasterPeer is called when the service has responded through a peer. If it has not responded
+// directly for stallTimeout, requests are sent through a peer from now on.
+func (c *Client) switchToFasterPeer() {
+	if silence := c.SinceLastSuccess(); silence >= stallTimeout {
+		c.route.switchToRelay("no response", silence)
+	}
+}
+
 // probe reports whether the service responds directly.
 func (c *Client) probe(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeInterval)
 	defer cancel()
 	status, _, err := c.roundTrip(ctx, RelayedRequest{Method: http.MethodGet, Path: probePath})
-	return err == nil && status < http.StatusInternalServerError && status != http.StatusTooManyRequests
+	return err == nil && responds(status)
+}
+
+// responds reports whether a status is that of a service that executes requests.
+func responds(status int) bool {
+	return status < http.StatusInternalServerError && status != http.StatusTooManyRequests
 }
 
-// stallDetector switches to a peer when neither its request nor any other one has got a response
-// for stallTimeout, if a peer can relay. Stop it when the request ends.
+// stallDetector compares the direct link with a peer's when neither its request nor any other one has
+// got a response for stallTimeout, if a peer can relay. Stop it when the request ends.
 type stallDetector struct {
 	client *Client
 	sent   time.Time
@@ -184,11 +235,11 @@
 		return
 	}
 	silence := min(time.Since(d.sent), d.client.SinceLastSuccess())
-	if silence < stallTimeout || !d.client.route.switchToRelay("no response") {
-		// Check again later: the service may stop responding, or a peer that can relay may
-		// appear.
-		d.timer.Reset(stallTimeout - min(silence, stallTimeout/2))
+	if silence >= stallTimeout {
+		d.client.route.requestComparison()
 	}
+	// Check again later: the service may stop responding, or a peer that can relay may appear.
+	d.timer.Reset(stallTimeout - min(silence, stallTimeout/2))
 }
 
 // stop stops the detector, even if check is about to run: otherwise check would set the timer
