A job stays answerable while leaders end in series

What callers saw: 503 (stage_unknown) about a job for a worker's lease (11 to 44 s) after each failover, if a worker that may run it is silent. Two failovers within a lease make over 75 s: the job counts as forgotten.

Cause: a right to be uncertain that each leader takes anew. A leader answered about such a job only once each worker that may run it had reported or its lease had ended, counted from its own load; so leaders in series, each shorter than a lease, never answered.

Fix: the uncertainty is bounded by the time in which a live worker reports: 1.25 heartbeat intervals, 4 s without a response, 1 s to the next controller; 10 s at most. After that the job is reported as running until a heartbeat or the end of the worker's lease shows otherwise: the later of the two stages, so no user hears an older one than before, and done and cancelled are as before.

The budget's row of one failover names the new bound in place of a worker's lease; two failovers and failed polls are added.

--- a/internal/scheduler/job_state.go
+++ b/internal/scheduler/job_state.go
@@ -25,7 +25,17 @@
 	if job == nil || !s.isCurrent(job) {
 		return wire.JobState{}, false
 	}
-	return job.PublicState(), true
+	return s.publicState(job), true
+}
+
+// publicState returns the state of a job that this controller leads, as reported to users. The caller
+// must hold the state's lock.
+func (s *Scheduler) publicState(job *jobstate.Job) wire.JobState {
+	state := job.PublicState()
+	if state.Stage == wire.StageQueued && s.state.PresumedRunning(job, time.Now()) {
+		state.Stage = wire.StageRunning
+	}
+	return state
 }
 
 // RefineState returns the state that ReadStoredState has just returned for a job, refined by what
@@ -45,7 +55,7 @@
 	if job == nil || !s.state.LeadsJob(job) {
 		return stored
 	}
-	return job.PublicState()
+	return s.publicState(job)
 }
 
 // SurelyQueued reports whether this controller leads the shard of a live job and knows that
--- a/internal/submission/recovery_budget_test.go
+++ b/internal/submission/recovery_budget_test.go
@@ -1,20 +1,22 @@
 package submission
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/wallrack/wallrack/internal/config"
+	"github.com/wallrack/wallrack/internal/jobstate"
 )
 
-// The rule, the users, the load balancer and the largest worker lease, from the operators' protocol and settings.
+// The rule, the users, the load balancer and the workers' heartbeats, from the operators' protocol and settings.
 const (
 	forgottenAfter   = 75 * time.Second
 	userPollPause    = 5 * time.Second
 	removalPause     = time.Minute     // the longest
 	readmission      = 2 * time.Second // two health checks
 	restartDelay     = 4 * time.Second
-	workerLease      = 44 * time.Second
+	reportInterval   = 4 * time.Second // mean, the longest of the deployments
 	shardLoadTimeout = 8 * time.Second // of package scheduler
 	siteLiveJobs     = 1300            // of 4,000 machines
 	siteEndedJobs    = 3000            // whose users were not told during the faults
@@ -26,32 +28,50 @@
 	longest time.Duration
 }
 
-func TestRecoveryOfAnswersIsShorterThanTheTimeAfterWhichAJobIsForgotten(t *testing.T) {
+// failover returns the steps from the end of a leader until its successor answers polls for every job.
+func failover(t *testing.T) []recoveryStep {
+	t.Helper()
 	operator, err := config.LoadOperator("")
 	if err != nil {
 		t.Fatal(err)
 	}
-	answer := []recoveryStep{{"the user's next poll", userPollPause}, {"its answer", pollTimeout}}
-	for name, steps := range map[string][]recoveryStep{
-		"load balancer": {{"removal", removalPause}, {"readmission", readmission}},
-		"failover": {
-			{"restart", restartDelay},
-			{"lease of the last leader", config.Seconds(operator.LeaseS)},
-			{"load", shardLoadTimeout},
-			{"stages unknown until all workers reported or lost their leases", workerLease},
-		},
-	} {
-		sum := time.Duration(0)
-		for _, step := range append(steps, answer...) {
-			sum += step.longest
-		}
-		t.Logf("%s: %v", name, sum)
-		if sum >= forgottenAfter {
-			t.Errorf("%s: %v: %v", name, sum, steps)
-		}
+	successor := jobstate.State{Platform: &config.Platform{Params: config.Params{Workers: config.Workers{ReportS: reportInterval.Seconds()}}}}
+	return []recoveryStep{
+		{"lease of the last leader", config.Seconds(operator.LeaseS)},
+		{"load", shardLoadTimeout},
+		{"stages unknown until workers had the time to report", successor.MaxStageUnknown()},
+	}
+}
+
+// checkFits fails the test unless the steps, failed polls and an answered poll take less than forgottenAfter.
+func checkFits(t *testing.T, failedPolls int, steps ...recoveryStep) {
+	t.Helper()
+	steps = append(steps, recoveryStep{"failed polls", time.Duration(failedPolls) * userPollPause},
+		recoveryStep{"the user's next poll", userPollPause}, recoveryStep{"its answer", pollTimeout})
+	sum := time.Duration(0)
+	for _, step := range steps {
+		sum += step.longest
+	}
+	t.Logf("%d failed polls: %v", failedPolls, sum)
+	if sum >= forgottenAfter {
+		t.Errorf("%d failed polls: %v: %v", failedPolls, sum, steps)
 	}
 }
 
+var longestRemoval = []recoveryStep{{"removal by the load balancer", removalPause}, {"readmission", readmission}}
+
+func TestRecoveryOfAnswersIsShorterThanTheTimeAfterWhichAJobIsForgotten(t *testing.T) {
+	restart := recoveryStep{"restart", restartDelay}
+	t.Run("load balancer", func(t *testing.T) {
+		checkFits(t, 0, longestRemoval...)
+		checkFits(t, 1, longestRemoval...)
+	})
+	t.Run("one failover", func(t *testing.T) { checkFits(t, 2, append([]recoveryStep{restart}, failover(t)...)...) })
+	t.Run("two failovers", func(t *testing.T) {
+		checkFits(t, 2, slices.Concat([]recoveryStep{restart}, failover(t), failover(t))...)
+	})
+}
+
 func TestOneControllerAnswersAllUsersOfALargeSite(t *testing.T) {
 	pollsPerS := siteLiveJobs / userPollPause.Seconds()
 	if turns := maxPollsInFlight / pollTimeout.Seconds(); turns < pollsPerS {
