Soak: controllers short of processor time, and lost leases in the logs

--processor-shortage beside stops and continues controllers in turns of a second, so that they run for 10 to 50 % of the time, beside the seed's other faults, which stay the same. With alone there is no other fault, and a lease that is lost breaks the rule lease_lost. In every run a lease that ended before its time does.

The search of the logs for broken rules moves to a file of its own; its test covers the new messages beside the old one.

--- a/cmd/wallrack/soak.go
+++ b/cmd/wallrack/soak.go
@@ -27,6 +27,7 @@
 	jobs         int
 	loadBalancer bool
 	endedJobs    int
+	shortage     string
 }
 
 // soakCommand returns the command that plays random faults on real controllers.
@@ -52,6 +53,7 @@
 	f.IntVar(&flags.jobs, "jobs", 2, "number of seeds that are played at the same time")
 	f.BoolVar(&flags.loadBalancer, "load-balancer", false, "users' requests go through a load balancer, which checks the controllers' health")
 	f.IntVar(&flags.endedJobs, "ended-jobs", 0, "jobs that ended before the run, about which users ask after the faults")
+	f.StringVar(&flags.shortage, "processor-shortage", string(soak.NoShortage), "controllers are short of processor time: none, beside other faults, or alone")
 	return c
 }
 
@@ -67,6 +69,9 @@
 	if flags.endedJobs < 0 || flags.endedJobs > maxSoakEndedJobs {
 		return settingsError{fmt.Errorf("--ended-jobs: must be 0 to %d", maxSoakEndedJobs)}
 	}
+	if _, err := soak.ParseShortageMode(flags.shortage); err != nil {
+		return settingsError{fmt.Errorf("--processor-shortage: %w", err)}
+	}
 	exe, err := os.Executable()
 	if err != nil {
 		return settingsError{fmt.Errorf("this program's file: %w", err)}
@@ -104,6 +109,7 @@
 			}
 			schedule := soak.NewSchedule(seed)
 			schedule.LoadBalancer, schedule.EndedJobs = flags.loadBalancer, flags.endedJobs
+			schedule.AddShortages(soak.ShortageMode(flags.shortage))
 			run := soak.Run{Schedule: schedule, Exe: exe, Dir: filepath.Join(dir, fmt.Sprintf("seed-%d", seed))}
 			result, err := run.Do(ctx)
 			if err != nil {
--- a/cmd/wallrack/soak_test.go
+++ b/cmd/wallrack/soak_test.go
@@ -19,6 +19,8 @@
 		{[]string{"--seeds", "9-3"}, "--seeds: \"9-3\" is not a range of seeds"},
 		{[]string{"--seeds", "x"}, "--seeds: \"x\" is not a seed"},
 		{[]string{"--seeds", "1", "--jobs", "0"}, "--jobs: must be 1 to 16"},
+		{[]string{"--seeds", "1", "--ended-jobs", "-1"}, "--ended-jobs: must be 0 to 10000"},
+		{[]string{"--seeds", "1", "--processor-shortage", "much"}, "--processor-shortage: \"much\" is not"},
 	} {
 		cmd := newRootCommand()
 		cmd.SetOut(&bytes.Buffer{})
--- a/internal/membership/lease_keeper.go
+++ b/internal/membership/lease_keeper.go
@@ -14,6 +14,9 @@
 // hold. No renewal that was sent in time and answered may be followed by it.
 const LeaseEndedEarlyMessage = "lease ended before its time"
 
+// LeaseExpiredMessage is the log message when the state service has ended a lease.
+const LeaseExpiredMessage = "lease expired"
+
 // retriesPerTTL is the number of renewals in a lease's time to live while the state service refuses them.
 const retriesPerTTL = 20
 
@@ -111,6 +114,6 @@
 		usage.CountEvent(usage.LeasesEndedEarly)
 		log.Error(LeaseEndedEarlyMessage, "remaining_s", remaining.Seconds())
 	}
-	log.Info("lease expired", "renewed_s", k.member.sinceRenewal().Seconds(), "in_flight", k.inFlight,
+	log.Info(LeaseExpiredMessage, "renewed_s", k.member.sinceRenewal().Seconds(), "in_flight", k.inFlight,
 		"timer_late_s", k.latestTimer.Seconds(), "last_failure", k.lastFailure)
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -21,6 +21,7 @@
 	Quota        Rule = "quota"         // the tasks of a team use more than its limit
 	WrongPlace   Rule = "wrong_place"   // a task starts in a zone that its job does not allow
 	LeftWaiting  Rule = "left_waiting"  // an accepted job is not over long after the faults
+	LeaseLost    Rule = "lease_lost"    // a lease was lost without a fault, or before its time
 )
 
 // Limits are the times and amounts by which a history is checked.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -34,6 +34,10 @@
 		process.pause()
 		periodic.Sleep(ctx, f.Duration)
 		process.resume()
+	case ProcessorShortage:
+		process.keepShortOfTime(ctx, f.Share, f.Duration)
+	case AllProcessorShortage:
+		p.keepAllShortOfTime(ctx, f)
 	case HoldLink, ResetLink, DelayLink, LoseAnswers:
 		p.disturbLink(ctx, node, f)
 	case StateRefuses, StateSlow, StateLoses, StateApplyLate:
--- /dev/null
+++ b/internal/soak/logs_test.go
@@ -0,0 +1,33 @@
+package soak
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/wallrack/wallrack/internal/membership"
+	"github.com/wallrack/wallrack/internal/submission"
+)
+
+func TestBrokenRuleInALogIsAViolation(t *testing.T) {
+	for _, c := range []struct {
+		message  string
+		shortage ShortageMode
+		rule     Rule // empty: none
+	}{
+		{submission.DeniedJobMessage, NoShortage, Forgotten},
+		{membership.LeaseEndedEarlyMessage, ShortageBeside, LeaseLost},
+		{membership.LeaseExpiredMessage, ShortageAlone, LeaseLost},
+		{membership.LeaseExpiredMessage, ShortageBeside, ""},
+	} {
+		dir := t.TempDir()
+		log := "msg=started\nlevel=ERROR msg=\"" + c.message + "\" job=j-1\nmsg=joined\n"
+		if err := os.WriteFile(filepath.Join(dir, "soak-0.log"), []byte(log), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		violations, err := loggedViolations(dir, c.shortage)
+		if err != nil || len(violations) > 1 || (len(violations) == 1) != (c.rule != "") || len(violations) == 1 && violations[0].Rule != c.rule {
+			t.Errorf("%q, shortage %s: %v, %v", c.message, c.shortage, violations, err)
+		}
+	}
+}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/wallrack/wallrack/internal/subprocess"
@@ -18,6 +19,8 @@
 	args    []string
 	logFile string
 
+	shortOfTime atomic.Bool // a processor shortage is being played on it
+
 	mu     sync.Mutex
 	cmd    *exec.Cmd     // nil: not running
 	exited chan struct{} // closed when cmd has exited
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -23,7 +23,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wallrack/wallrack/internal/periodic"
-	"github.com/wallrack/wallrack/internal/submission"
 )
 
 const (
@@ -85,12 +84,12 @@
 // result checks the history, and stores it if a rule was broken.
 func (r *Run) result(history History, overAfter time.Duration) (*Result, error) {
 	result := &Result{Schedule: r.Schedule, Dir: r.Dir, OverAfter: overAfter}
-	denials, err := deniedJobs(r.Dir)
+	logged, err := loggedViolations(r.Dir, r.Schedule.Shortage)
 	if err != nil {
 		return nil, err
 	}
 	result.Violations = Check(history, Limits{NothingLearnt: nothingLearntLimit, Unfinished: unfinishedLimit, Cancel: cancelLimit, TeamCPUs: teams})
-	result.Violations = append(result.Violations, denials...)
+	result.Violations = append(result.Violations, logged...)
 	accepted := map[string]bool{}
 	for i := range history.Events {
 		switch e := &history.Events[i]; e.Kind {
@@ -118,27 +117,6 @@
 	return result, nil
 }
 
-// deniedJobs returns a violation for each line in the controllers' logs that says that an answer would have
-// denied an accepted job.
-func deniedJobs(dir string) (violations []Violation, err error) {
-	logs, err := filepath.Glob(filepath.Join(dir, "*.log"))
-	if err != nil {
-		return nil, fmt.Errorf("--dir: %w", err)
-	}
-	for _, file := range logs {
-		data, err := os.ReadFile(file)
-		if err != nil {
-			return nil, fmt.Errorf("log of a controller: %w", err)
-		}
-		for line := range strings.Lines(string(data)) {
-			if strings.Contains(line, submission.DeniedJobMessage) {
-				violations = append(violations, Violation{Rule: Forgotten, Cause: strings.TrimSpace(line)})
-			}
-		}
-	}
-	return violations, nil
-}
-
 // player plays a schedule on a site.
 type player struct {
 	site     *site
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -29,6 +29,11 @@
 	LeaderSeries   FaultKind = "leaders end"     // the leader is killed again and again
 	KillAll        FaultKind = "kill all"        // SIGKILL of all controllers
 	CancelBurst    FaultKind = "cancel together" // users cancel many jobs at once
+
+	// SIGSTOP and SIGCONT in short turns; see Schedule.AddShortages.
+
+	ProcessorShortage    FaultKind = "short of processor time"     // of a controller
+	AllProcessorShortage FaultKind = "all short of processor time" // of all controllers
 )
 
 // Link is a link of a controller.
@@ -49,7 +54,7 @@
 	Controller   int // index; the leader at the time if leader is set
 	Leader       bool
 	Link         Link    // of a link fault
-	Share        float64 // of the workers, reports or jobs concerned
+	Share        float64 // of the workers, reports or jobs concerned; of the time for which a controller runs
 }
 
 // String returns the fault as a line of the printed schedule.
@@ -72,7 +77,7 @@
 }
 
 func (k FaultKind) concernsController() bool {
-	return !slices.Contains([]FaultKind{StateOutage, CutWorkers, LateReports, LeaderSeries, KillAll, CancelBurst}, k)
+	return !slices.Contains([]FaultKind{StateOutage, CutWorkers, LateReports, LeaderSeries, KillAll, CancelBurst, AllProcessorShortage}, k)
 }
 
 func (k FaultKind) concernsLink() bool {
@@ -92,6 +97,7 @@
 
 	LoadBalancer bool // users' ordinary requests go through a load balancer
 	EndedJobs    int  // jobs that ended before the run, about which users ask after the faults
+	Shortage     ShortageMode
 }
 
 const (
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"testing"
 )
 
@@ -35,6 +36,27 @@
 	}
 }
 
+func isShortage(kind FaultKind) bool {
+	return kind == ProcessorShortage || kind == AllProcessorShortage
+}
+
+func TestShortagesLeaveTheOtherFaultsOfASeedAsTheyAre(t *testing.T) {
+	for seed := range uint64(200) {
+		plain, beside, alone := NewSchedule(seed), NewSchedule(seed), NewSchedule(seed)
+		beside.AddShortages(ShortageBeside)
+		alone.AddShortages(ShortageAlone)
+		others := slices.DeleteFunc(slices.Clone(beside.Faults), func(f Fault) bool { return isShortage(f.Kind) })
+		if !reflect.DeepEqual(others, plain.Faults) || len(beside.Faults) != len(plain.Faults)+shortagesOfARun || len(alone.Faults) != shortagesOfARun {
+			t.Errorf("seed %d: %d faults, %d beside, %d alone", seed, len(plain.Faults), len(beside.Faults), len(alone.Faults))
+		}
+		for _, f := range alone.Faults {
+			if !isShortage(f.Kind) || f.Share < minRunningShare || f.Share > maxRunningShare || f.Controller >= alone.Controllers || f.At+f.Duration > alone.FaultsEnd {
+				t.Errorf("seed %d: %v", seed, f)
+			}
+		}
+	}
+}
+
 func TestParseSeeds(t *testing.T) {
 	if got, err := ParseSeeds("7,1-3"); err != nil || !reflect.DeepEqual(got, []uint64{7, 1, 2, 3}) {
 		t.Errorf("%v, %v", got, err)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -71,6 +71,13 @@
 	play(t, buildProgram(t), schedule)
 }
 
+func TestNoLeaseIsLostWhileControllersAreShortOfProcessorTime(t *testing.T) {
+	t.Parallel()
+	schedule := soak.NewSchedule(1)
+	schedule.AddShortages(soak.ShortageAlone)
+	play(t, buildProgram(t), schedule)
+}
+
 func TestRunWithoutProgramSaysSo(t *testing.T) {
 	run := soak.Run{Schedule: soak.NewSchedule(1), Exe: filepath.Join(t.TempDir(), "none"), Dir: t.TempDir()}
 	if _, err := run.Do(t.Context()); !errors.Is(err, fs.ErrNotExist) {
