A leader close to its memory target keeps its processor time

What callers saw: polls without an answer (leader_unreached) for a minute and longer, at about 4,000 machines, after the last trouble.

Cause: overload that keeps itself up. The runtime aimed for 70 % of the memory limit. A leader of 3,684 machines holds 95 to 125 MB of objects beside 20 to 35 MB of stacks, of a target of 154 MB; close to it the collector ran 20 to 40 times in 10 s and took 5 to 8 of the 10 s, which the runtime does not limit below half of a whole core, while the controller has 0.42. What was late then grew: 620 reports decoded and waiting for the scheduler (a profile at 144 s), with their stacks, and 23,000 changes that were not written.

Fix: the target follows the collector's cost, from 70 up to 82 % of the limit while it takes more than 0.15 of the time, and back when it is idle. At most 64 reports are read and handled at once; the others wait with their bodies unread, for 3 s of the 4 s that a worker waits, and are refused then. A report that waits for a fencing token gives its turn up. refused_reports counts the refused ones.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -26,12 +26,8 @@
 const bytesPerMB = 1 << 20
 
 const (
-	// memoryTargetShare is the part of the memory limit that the runtime aims to stay below;
-	// the rest is for the program itself and for memory that the runtime does not count.
-	memoryTargetShare = 0.7
-
 	// memoryPressureShare is the part of the memory limit above which no new jobs are accepted:
-	// the garbage collector has then failed to stay below memoryTargetShare.
+	// the garbage collector has then failed to stay below its target.
 	memoryPressureShare = 0.85
 
 	// gcPercent saves processor time, which is scarce, at the cost of memory, of which there is
@@ -55,7 +51,8 @@
 func Run(ctx context.Context, o Options) error {
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(o.Platform.Params.Limits.RAMMB * memoryTargetShare * bytesPerMB))
+	target := memoryTarget{limitBytes: o.Platform.Params.Limits.RAMMB * bytesPerMB, share: memoryTargetShare}
+	target.set()
 
 	group, ctx := errgroup.WithContext(ctx)
 	c, err := assemble(ctx, o)
@@ -64,6 +61,7 @@
 	}
 	defer c.mesh.Close()
 	c.start(ctx, group)
+	group.Go(func() error { return target.run(ctx) })
 	o.Log.Info("started", "version", o.Version)
 	err = group.Wait()
 	c.dispatcher.Wait()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -40,6 +40,8 @@
 	sender     CommandSender
 	started    time.Time
 
+	reportSlots reportSlots
+
 	//nolint:containedctx // bounds pushes, which outlive the requests that cause them
 	lifetime     context.Context
 	goroutines   sync.WaitGroup
@@ -83,7 +85,7 @@
 	d := &Dispatcher{
 		name: o.Node, lease: o.WorkerLease, schedulers: o.Schedulers, tokens: o.Tokens, types: o.MachineTypes, routing: o.Routing,
 		sender: o.Commands, cancellations: o.Cancellations, log: o.Log,
-		lifetime: ctx, started: time.Now(),
+		lifetime: ctx, started: time.Now(), reportSlots: make(reportSlots, maxReportsHandled),
 		workers: map[string]*workerState{}, answeredAt: map[string]time.Time{}, deleted: deleted, changed: map[string]bool{},
 	}
 	d.remoteGrants.Send = d.requestRemoteGrants
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -28,6 +28,12 @@
 // ServeReport answers a worker's heartbeat over HTTP.
 func (d *Dispatcher) ServeReport(w http.ResponseWriter, r *http.Request) {
 	defer usage.AddTime(usage.Reports, time.Now())
+	if !d.reportSlots.acquire(r.Context()) {
+		usage.CountEvent(usage.RefusedReports)
+		httpjson.Write(w, http.StatusServiceUnavailable, wire.Problem{Error: "too many reports at once"})
+		return
+	}
+	defer d.reportSlots.release()
 	body := bodyBuffers.Get().(*bytes.Buffer)
 	defer bodyBuffers.Put(body)
 	body.Reset()
@@ -42,7 +48,7 @@
 		httpjson.Write(w, http.StatusBadRequest, wire.Problem{Error: "malformed report"})
 		return
 	}
-	status, answer := d.HandleReport(r.Context(), rep)
+	status, answer := d.handleReport(r.Context(), rep, d.reportSlots)
 	httpjson.Write(w, status, answer)
 }
 
@@ -51,13 +57,18 @@
 // the worker should choose or no sufficient fencing token can be obtained; or 503 for a heartbeat
 // that is out of date or whose report is not stored.
 func (d *Dispatcher) HandleReport(ctx context.Context, rep *wire.Report) (int, any) {
+	return d.handleReport(ctx, rep, nil)
+}
+
+// handleReport is HandleReport for a report that holds one of the slots, or none if slots is nil.
+func (d *Dispatcher) handleReport(ctx context.Context, rep *wire.Report, slots reportSlots) (int, any) {
 	if !d.acceptHeartbeat(rep) {
 		return http.StatusServiceUnavailable, wire.Problem{Error: "late report"}
 	}
 	if redirect, redirected := d.redirect(rep); redirected {
 		return http.StatusMisdirectedRequest, redirect
 	}
-	token := d.responseToken(ctx, rep)
+	token := d.responseToken(ctx, rep, slots)
 	if token == 0 {
 		return http.StatusMisdirectedRequest, wire.Redirect{}
 	}
@@ -123,14 +134,15 @@
 // obtained.
 // With a lower token in the response, the worker would continue to report here while its lease
 // expires.
-func (d *Dispatcher) responseToken(ctx context.Context, rep *wire.Report) uint64 {
+func (d *Dispatcher) responseToken(ctx context.Context, rep *wire.Report, slots reportSlots) uint64 {
 	token := d.tokens.FencingToken()
 	if token != 0 && token >= rep.Token {
 		return token
 	}
 	ctx, cancel := context.WithTimeout(ctx, heartbeatRaiseTimeout)
 	defer cancel()
-	token, err := d.tokens.RaiseTokenAbove(ctx, rep.Token)
+	var err error
+	slots.waitOutside(func() { token, err = d.tokens.RaiseTokenAbove(ctx, rep.Token) })
 	if err != nil {
 		token = d.tokens.ReservedTokenAbove(rep.Token)
 	}
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -55,11 +55,12 @@
 	AccountingRows                  // accounting rows written
 	AccountingWrites                // writes of accounting pages
 	AccountingBytes                 // bytes in those writes
+	RefusedReports                  // workers' reports beyond the concurrency limit
 	LeasesEndedEarly                // leases that the state service ended while they were certain to hold
 	numEvents
 )
 
-var eventNames = [numEvents]string{"malformed_reports", "refused_connections", "refused_requests", "refused_jobs", "malformed_views", "account_rows", "account_writes", "account_bytes", "leases_ended_early"}
+var eventNames = [numEvents]string{"malformed_reports", "refused_connections", "refused_requests", "refused_jobs", "malformed_views", "account_rows", "account_writes", "account_bytes", "refused_reports", "leases_ended_early"}
 
 var eventCounters [numEvents]atomic.Int64
 
