--- a/internal/membership/late_response_test.go
+++ b/internal/membership/late_response_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,15 +22,15 @@
 // claim and its response.
 type takeoverStore struct {
 	*testkit.View
-	takenOver bool
+	takenOver atomic.Bool
 }
 
 func (l *takeoverStore) Txn(ctx context.Context, guards []wire.Guard, ops ...wire.Op) (uint64, error) {
 	revision, err := l.View.Txn(ctx, guards, ops...)
-	if l.takenOver || err != nil || !strings.HasPrefix(ops[0].Put, "c/shard/") {
+	if l.takenOver.Load() || err != nil || !strings.HasPrefix(ops[0].Put, "c/shard/") {
 		return revision, err
 	}
-	l.takenOver = true
+	l.takenOver.Store(true)
 	clean := &testkit.View{Store: l.Store}
 	for _, op := range ops {
 		record := map[string]any{}
@@ -63,7 +64,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		done := startMember(ctx, member)
 		time.Sleep(3 * time.Second)
-		if !store.takenOver {
+		if !store.takenOver.Load() {
 			t.Error("nothing was claimed")
 		}
 		if leaders := member.ShardLeaders(); !slices.Equal(leaders, []string{"b"}) || len(member.LedShards()) > 0 {
--- a/internal/membership/slow_responses_test.go
+++ b/internal/membership/slow_responses_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,7 +19,7 @@
 	*testkit.View
 	renewalDelay time.Duration
 	claimsHang   bool // claims get no response, nor do the reads that follow them
-	hangs        bool
+	hangs        atomic.Bool
 }
 
 func (s *slowStore) RenewLease(ctx context.Context, lease uint64) error {
@@ -35,7 +36,7 @@
 
 func (s *slowStore) Txn(ctx context.Context, guards []wire.Guard, ops ...wire.Op) (uint64, error) {
 	if s.claimsHang && strings.HasPrefix(ops[0].Put, "c/shard/") {
-		s.hangs = true
+		s.hangs.Store(true)
 		<-ctx.Done()
 		return 0, ctx.Err()
 	}
@@ -43,7 +44,7 @@
 }
 
 func (s *slowStore) Get(ctx context.Context, key string) (wire.Item, error) {
-	if s.hangs && strings.HasPrefix(key, "c/shard/") {
+	if s.hangs.Load() && strings.HasPrefix(key, "c/shard/") {
 		<-ctx.Done()
 		return wire.Item{}, ctx.Err()
 	}
