Reports wait for their turn by the dispatcher's acquireSlot

The wait for a report's turn had a select of its own beside acquireSlot, which commands and polls use.

--- a/internal/dispatch/report_slots.go
+++ b/internal/dispatch/report_slots.go
@@ -24,15 +24,9 @@
 		return true
 	default:
 	}
-	timeout := time.NewTimer(reportSlotTimeout)
-	defer timeout.Stop()
-	select {
-	case s <- struct{}{}:
-		return true
-	case <-timeout.C:
-	case <-ctx.Done():
-	}
-	return false
+	ctx, cancel := context.WithTimeout(ctx, reportSlotTimeout)
+	defer cancel()
+	return acquireSlot(ctx, s) == nil
 }
 
 func (s reportSlots) release() { <-s }
