--- a/internal/membership/lease_keeper.go
+++ b/internal/membership/lease_keeper.go
@@ -52,6 +52,10 @@
 	due := time.Now().Add(k.member.ttl / renewalsPerTTL)
 	timer := time.NewTimer(time.Until(due))
 	defer timer.Stop()
+	scheduleNext := func(perTTL int) {
+		due = time.Now().Add(k.member.ttl / time.Duration(perTTL))
+		timer.Reset(time.Until(due))
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -62,17 +66,14 @@
 				k.inFlight++
 				renewals.Go(func() { k.renew(ctx) })
 			}
-			due = time.Now().Add(k.member.ttl / renewalsPerTTL)
-			timer.Reset(time.Until(due))
+			scheduleNext(renewalsPerTTL)
 		case result := <-k.results:
 			k.inFlight--
 			if !k.handle(ctx, result) {
 				return
 			}
 			if errors.Is(result.err, statestore.ErrUnavailable) {
-				// It was refused at once, perhaps by a rate limit.
-				due = time.Now().Add(k.member.ttl / retriesPerTTL)
-				timer.Reset(time.Until(due))
+				scheduleNext(retriesPerTTL) // it was refused at once, perhaps by a rate limit
 			}
 		}
 	}
