A worker forgets an attempt only once every start command of it is fenced off

What callers saw: a task ran on two machines at once (ran_twice). Seven seconds after its answer a copy of the first command arrived, and attempt 7 ran again beside attempt 11.

Cause: a delivery was taken for the only one. Forget commands waited while a direct command was in flight or had no answer, but an answered command counted as one that can't come again.

Evidence: the records of the incident; TestCopyOfExecutedStartDoesNotRunForgottenTaskAgain (done, error, moved, cancelled; each failed where the command had been answered: 2 starts) and, with real controllers, TestCopiesOfExecutedCommandsStartNothingAgain (tasks on two workers at once, starts after done, before the change; none after it).

Change: an attempt is forgotten only after its worker has reported a higher token than any start command of the attempt may carry. The leader already sends that bound with each instruction; it is compared in one place (forgets.go) for answered, unanswered and foreign commands alike, so unknownOutcome is gone, and with it its loss when a dispatcher drops a worker. The token is raised when tasks wait to be forgotten, at most once in 10 s for all workers of a dispatcher, once a second if over 150 wait at one worker. With 300 exited tasks in its report a worker gets no starts, so that the report stays below 64 KiB while the state service is out. A bound below the token of a start that was sent from here is logged, counted and not followed; the soak fails on it, and the test workers report every forget under the token of the start.

Why it works: a worker rejects direct commands with a lower token than the highest it has seen, and drops late responses to heartbeats, so nothing that could start the attempt is left when it is forgotten.

--- a/internal/dispatch/commands.go
+++ b/internal/dispatch/commands.go
@@ -22,7 +22,7 @@
 	}
 	commands = worker.appendStops(commands)
 	if inResponse {
-		commands = worker.appendForgets(commands)
+		commands = d.appendForgetsLocked(commands, worker, token)
 	}
 	return d.appendStartsLocked(commands, worker, token)
 }
@@ -36,29 +36,12 @@
 	return commands
 }
 
-// appendForgets adds commands to forget exited tasks. Once a worker has forgotten a task, a late
-// copy of its start command would run it again. So appendForgets adds none while a direct command
-// is in flight or has an unknown outcome. Forget commands are sent only in responses to heartbeats:
-// a direct one could overtake a start command in such a response. The worker drops late copies of
-// these responses.
-func (w *workerState) appendForgets(commands []wire.Command) []wire.Command {
-	if w.unknownOutcome != 0 || w.pushInFlight {
-		return commands
-	}
-	for ref := range w.clears {
-		if len(commands) < maxCommands {
-			commands = append(commands, wire.Command{Verb: wire.VerbForget, Task: ref.Task, Attempt: ref.Attempt})
-		}
-	}
-	return commands
-}
-
 // appendStartsLocked adds start commands for the queued tasks that fit and are granted. It
 // requests missing grants and removes the tasks that their leader drops. It does nothing while the
-// worker is draining or its capacity is unknown.
+// worker is draining, its capacity is unknown or its reports are long.
 func (d *Dispatcher) appendStartsLocked(commands []wire.Command, worker *workerState, token uint64) []wire.Command {
 	total, known := d.capacityOf(worker)
-	if !known || worker.draining || len(worker.queue) == 0 {
+	if !known || worker.draining || len(worker.queue) == 0 || worker.countExited() >= maxExitedTasks {
 		return commands
 	}
 	pass := startPass{dispatcher: d, worker: worker, token: token, free: total, commands: commands}
@@ -113,6 +96,7 @@
 	starts := fits && !dropped
 	if starts && queued.granted && len(p.commands) < maxCommands {
 		queued.startSent, queued.startSentSeq, queued.startNotReported = true, p.worker.report.Seq, false
+		queued.startToken = p.token
 		p.commands = append(p.commands, wire.Command{Verb: wire.VerbStart, Task: queued.Task, Attempt: queued.Attempt})
 	}
 	if allocated || starts && (queued.granted || queued.grantRequested) {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -58,6 +58,7 @@
 	changed        map[string]bool              // workers that changed or were removed since the last call of ChangedViews
 	lastExpiry     time.Time                    // last call of removeExpiredWorkersLocked
 	raisingToken   bool                         // a background raise of the token is running
+	forgetRaiseAt  time.Time                    // start of the last raise of the token for tasks to be forgotten
 	stopped        bool                         // Wait was called after lifetime ended: no goroutine may start
 	allocations    []matching.Allocation        // buffer reused by allocatedLocked
 	heartbeatCount heartbeatCounter
--- a/internal/dispatch/instructions.go
+++ b/internal/dispatch/instructions.go
@@ -23,8 +23,8 @@
 			out.Refs = append(out.Refs, halt.TaskRef)
 		}
 	}
-	for _, done := range instructions.Clear {
-		d.clearLocked(done)
+	for _, exited := range instructions.Clear {
+		d.forgetLocked(exited)
 	}
 	if instructions.RaiseTokenAbove > 0 {
 		d.raiseTokenLocked(instructions.RaiseTokenAbove)
@@ -81,19 +81,3 @@
 	worker.halts[halt.TaskRef] = halt.GraceS
 	return false
 }
-
-// clearLocked has the worker forget an exited task. The command waits for the next heartbeat: an
-// exited task costs the worker only an entry in its reports.
-func (d *Dispatcher) clearLocked(done Clear) {
-	worker := d.workers[done.Worker]
-	if worker == nil || worker.tasks[done.TaskRef] == nil {
-		return
-	}
-	worker.clears[done.TaskRef] = true
-	if done.Token > d.tokens.FencingToken() {
-		worker.unknownOutcome = max(worker.unknownOutcome, done.Token)
-	}
-	if worker.unknownOutcome != 0 {
-		d.raiseTokenLocked(worker.unknownOutcome)
-	}
-}
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -35,8 +35,7 @@
 type Clear struct {
 	TaskRef
 	// Token is the highest token that a start command for the attempt may carry, from any
-	// dispatcher. If it is higher than this dispatcher's, a late start command of another dispatcher
-	// could run the task again, and the token is raised first.
+	// dispatcher. The worker forgets the task only once it has seen a higher one.
 	Token uint64 `json:"k,omitempty"`
 }
 
--- a/internal/dispatch/push.go
+++ b/internal/dispatch/push.go
@@ -101,8 +101,7 @@
 	case err != nil && !errors.Is(err, ErrNotSent) && len(orders.Commands) > 0:
 		// The commands may still arrive, minutes later, and are valid as long as their token and
 		// session match: only a newer token invalidates them.
-		worker.unknownOutcome = max(worker.unknownOutcome, orders.Token)
-		d.raiseTokenLocked(worker.unknownOutcome)
+		d.raiseTokenLocked(orders.Token)
 		return true, false
 	case errors.Is(err, errOutdated):
 		return true, true // the remaining commands still have to be sent
@@ -133,13 +132,14 @@
 }
 
 // raiseTokenLocked raises the fencing token above the given one in the background. It does nothing
-// if the token is already higher or another raise is running.
-func (d *Dispatcher) raiseTokenLocked(above uint64) {
+// and returns false if the token is already higher or another raise is running.
+func (d *Dispatcher) raiseTokenLocked(above uint64) (started bool) {
 	if d.raisingToken || d.tokens.FencingToken() > above {
-		return
+		return false
 	}
 	d.raisingToken = true
 	d.startGoroutineLocked(func() { d.raiseToken(above) })
+	return true
 }
 
 func (d *Dispatcher) raiseToken(above uint64) {
--- a/internal/dispatch/worker_state.go
+++ b/internal/dispatch/worker_state.go
@@ -16,6 +16,7 @@
 	grantSession     uint64 // session of the worker for which the start was granted
 	startSent        bool   // a start command may have left this process
 	startSentSeq     uint64 // sequence number of the worker's newest report when the start command was last sent
+	startToken       uint64 // fencing token of the start command that was last sent
 	startNotReported bool   // a report newer than the start command does not list the task
 }
 
@@ -26,9 +27,10 @@
 
 // reportedTask is a task that the worker reported.
 type reportedTask struct {
-	state string
-	since time.Time
-	entry *QueueEntry // nil until its leader has sent it
+	state      string
+	since      time.Time
+	entry      *QueueEntry // nil until its leader has sent it
+	startToken uint64      // highest fencing token of the start commands sent from here; 0 if none is known
 }
 
 // workerState is the state of one worker, guarded by Dispatcher.mu.
@@ -41,13 +43,10 @@
 	queue        []*queuedTask
 	tasks        map[TaskRef]*reportedTask
 	halts        map[TaskRef]float64 // tasks to stop, with their grace periods in s
-	clears       map[TaskRef]bool    // exited tasks that the worker may forget
+	forgets      map[TaskRef]uint64  // exited tasks to forget, with the highest token that a start command may carry
 	draining     bool
 	pushInFlight bool // a push was sent, and its result is not known yet
 	pushPending  bool // another push follows after the one in flight
-	// unknownOutcome is the highest token of pushed commands that may still arrive, 0 if there are
-	// none.
-	unknownOutcome uint64
 
 	noRedirectUntil         time.Time // the worker is not redirected before this time
 	redirectedAt            time.Time // time of the last redirect; zero after the worker has returned from it
@@ -59,7 +58,7 @@
 }
 
 func newWorkerState() *workerState {
-	return &workerState{tasks: map[TaskRef]*reportedTask{}, halts: map[TaskRef]float64{}, clears: map[TaskRef]bool{}}
+	return &workerState{tasks: map[TaskRef]*reportedTask{}, halts: map[TaskRef]float64{}, forgets: map[TaskRef]uint64{}}
 }
 
 // reportVersion orders the reports of a worker.
@@ -84,6 +83,16 @@
 	return true
 }
 
+// countExited returns the number of reported tasks that have exited.
+func (w *workerState) countExited() (exited int) {
+	for _, task := range w.tasks {
+		if task.state == wire.TaskExited {
+			exited++
+		}
+	}
+	return exited
+}
+
 // unchanged reports whether a heartbeat differs from the stored report only in its sequence number.
 // It returns false while tasks are queued or if either report has a preemption notice.
 func (w *workerState) unchanged(rep *wire.Report, sameTasks bool) bool {
@@ -111,13 +120,12 @@
 }
 
 // reconcile removes what the newest report shows to be completed: queued tasks that are now
-// reported, halts and clears that took effect, and commands that the worker's newer token
-// invalidates.
+// reported, and halts and forgets that took effect.
 func (w *workerState) reconcile() {
 	kept := w.queue[:0]
 	for _, queued := range w.queue {
 		if task := w.tasks[queued.TaskRef]; task != nil {
-			task.entry = &queued.QueueEntry
+			task.entry, task.startToken = &queued.QueueEntry, queued.startToken
 			continue
 		}
 		if queued.startSent && (w.report.Session > queued.grantSession || w.report.Seq > queued.startSentSeq) {
@@ -128,9 +136,9 @@
 	}
 	clear(w.queue[len(kept):])
 	w.queue = kept
-	for ref := range w.clears {
+	for ref := range w.forgets {
 		if w.tasks[ref] == nil {
-			delete(w.clears, ref)
+			delete(w.forgets, ref)
 		}
 	}
 	for ref := range w.halts {
@@ -138,9 +146,6 @@
 			delete(w.halts, ref)
 		}
 	}
-	if w.report.Token > w.unknownOutcome {
-		w.unknownOutcome = 0
-	}
 }
 
 // dequeue removes a task from the queue and returns it, or nil if it is not queued.
--- a/internal/soak/logs.go
+++ b/internal/soak/logs.go
@@ -6,13 +6,16 @@
 	"path/filepath"
 	"strings"
 
+	"github.com/wallrack/wallrack/internal/dispatch"
 	"github.com/wallrack/wallrack/internal/membership"
 	"github.com/wallrack/wallrack/internal/submission"
 )
 
 // loggedViolations returns a violation for each line in the controllers' logs that reports a broken rule.
 func loggedViolations(dir string, shortage ShortageMode) (violations []Violation, err error) {
-	rules := map[string]Rule{submission.DeniedJobMessage: Forgotten, membership.LeaseEndedEarlyMessage: LeaseLost}
+	rules := map[string]Rule{
+		submission.DeniedJobMessage: Forgotten, membership.LeaseEndedEarlyMessage: LeaseLost, dispatch.UnfencedForgetMessage: RanTwice,
+	}
 	if shortage == ShortageAlone {
 		rules[membership.LeaseExpiredMessage] = LeaseLost
 	}
--- a/internal/soak/logs_test.go
+++ b/internal/soak/logs_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"testing"
 
+	"github.com/wallrack/wallrack/internal/dispatch"
 	"github.com/wallrack/wallrack/internal/membership"
 	"github.com/wallrack/wallrack/internal/submission"
 )
@@ -17,6 +18,7 @@
 	}{
 		{submission.DeniedJobMessage, NoShortage, Forgotten},
 		{membership.LeaseEndedEarlyMessage, ShortageBeside, LeaseLost},
+		{dispatch.UnfencedForgetMessage, NoShortage, RanTwice},
 		{membership.LeaseExpiredMessage, ShortageAlone, LeaseLost},
 		{membership.LeaseExpiredMessage, ShortageBeside, ""},
 	} {
--- a/internal/testkit/cluster_test.go
+++ b/internal/testkit/cluster_test.go
@@ -76,6 +76,7 @@
 	holdsCommand      func() bool                      // whether a command is held back; nil: some are, at random
 	watchLag          func() time.Duration             // delay of watch events; nil: 0
 	transitTime       func() time.Duration             // one-way delay of messages except commands and views; nil: 0
+	repeatDelay       func() time.Duration             // time after which a copy of an executed direct command arrives; nil: none arrives
 	connectDelay      func() time.Duration             // time until a direct command has its connection; nil: 0
 	outdatedCommands  int                              // direct commands that were no longer valid once they had a connection
 	fail              func(format string, args ...any) // reports a violated invariant
@@ -269,6 +270,9 @@
 	k.OnForget = func(task string, attempt uint64) {
 		w.forgottenTasks[task] = fmt.Sprintf("%s as attempt %d", k.Name, attempt)
 	}
+	k.OnUnfencedForget = func(task string, attempt, token uint64) {
+		w.fail("%s forgets attempt %d of %s under token %d, that of its start", k.Name, attempt, task, token)
+	}
 	w.workers = append(w.workers, k)
 	w.byName[k.Name] = k
 	w.dispatcherOf[k] = i
--- a/internal/testkit/messages_test.go
+++ b/internal/testkit/messages_test.go
@@ -110,11 +110,24 @@
 	}
 	n.cluster.checks.setSender(n, sent)
 	executed := worker.HandleCommands(o)
+	if executed && n.cluster.repeatDelay != nil {
+		go n.repeatCommands(worker, o, sent, n.cluster.repeatDelay())
+	}
 	r := worker.Report()
 	r.Endpoint = endpoint
 	return r, executed, nil
 }
 
+// repeatCommands delivers a copy of a direct message that was executed and answered.
+func (n *node) repeatCommands(to *testkit.Worker, o wire.PushedCommands, sent time.Time, after time.Duration) {
+	time.Sleep(after)
+	n.cluster.mu.Lock()
+	n.cluster.checks.setSender(n, sent)
+	to.HandleCommands(o)
+	n.cluster.mu.Unlock()
+	n.cluster.checkInvariants()
+}
+
 // holdCommands keeps a direct message until deliverHeldCommands is called.
 func (w *cluster) holdCommands(from *node, to *testkit.Worker, o wire.PushedCommands, sent time.Time) {
 	w.heldCommands = append(w.heldCommands, func() { w.checks.setSender(from, sent); to.HandleCommands(o) })
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -57,10 +57,11 @@
 	AccountingBytes                 // bytes in those writes
 	RefusedReports                  // workers' reports beyond the concurrency limit
 	LeasesEndedEarly                // leases that the state service ended while they were certain to hold
+	UnfencedForgets                 // instructions to forget a task whose start command could still be executed
 	numEvents
 )
 
-var eventNames = [numEvents]string{"malformed_reports", "refused_connections", "refused_requests", "refused_jobs", "malformed_views", "account_rows", "account_writes", "account_bytes", "refused_reports", "leases_ended_early"}
+var eventNames = [numEvents]string{"malformed_reports", "refused_connections", "refused_requests", "refused_jobs", "malformed_views", "account_rows", "account_writes", "account_bytes", "refused_reports", "leases_ended_early", "unfenced_forgets"}
 
 var eventCounters [numEvents]atomic.Int64
 
