A worker's next process begins a later session

What callers would see: a task runs on two machines at once, or a cancelled task runs again. A worker's process ends and is started again on the same machine (a restart of `wallrack local`, a machine that is back within a second).

The session is the right that a start command carries; the process dropped its memory of sessions and attempts while commands for session 1 could still arrive.

Change: the session is stored in the worker's directory, before the first report and at each expired lease; a new process begins the next one. Controllers take its reports at once, since the session is later, where they had ignored them for a lease. An unreadable file stops the worker with a message that names it.

A later session tells controllers that all earlier tasks are gone, so the new process now reports only once the processes that it killed have exited.

Why it works: commands for an earlier session are rejected, and no two processes with one directory share a session. What stays: a directory that is lost, or a disk that refuses the write at an expired lease (logged as an error).

--- a/cmd/wallrack/worker.go
+++ b/cmd/wallrack/worker.go
@@ -108,6 +108,10 @@
 	}
 	procs.WorkerName = s.id.Name
 	defer procs.Close()
+	if s.id.Sessions, err = worker.OpenSessionFile(s.dir); err != nil {
+		_ = lis.Close()
+		return fmt.Errorf("--dir: %w", err)
+	}
 	s.id.Endpoint, s.id.Lease = lis.Addr().String(), config.Seconds(s.leaseS)
 	agent := &worker.Agent{Processes: procs, Controllers: controllers, ReportInterval: config.Seconds(s.reportS), Log: log}
 	agent.State = worker.New(s.id, taskspec.NewClient(s.descriptions), procs, agent.ReportSoon, log)
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -138,7 +138,9 @@
 	}
 	slices.Sort(dirs) // machine names ascend in the order of creation
 	for i, dir := range dirs {
-		worker.KillOrphanedProcesses(dir, s.Log)
+		if err := worker.KillOrphanedProcesses(dir, s.Log); err != nil {
+			return fmt.Errorf("--dir: %w", err)
+		}
 		if i < len(dirs)-maxMachineDirs {
 			if err := os.RemoveAll(dir); err != nil {
 				return fmt.Errorf("--dir: %w", err)
--- a/internal/worker/orphans.go
+++ b/internal/worker/orphans.go
@@ -20,11 +20,19 @@
 	taskDirVar = "WALLRACK_TASK_DIR"
 )
 
+const (
+	orphanExitTimeout  = 10 * time.Second
+	orphanExitInterval = 5 * time.Millisecond
+)
+
 // KillOrphanedProcesses kills the process groups that an earlier worker with its tasks in dir
 // left behind when it was killed: the kernel kills only each task's first process. Processes
-// whose /proc files can't be read are skipped. It does not wait for the processes to exit.
-func KillOrphanedProcesses(dir string, log *slog.Logger) {
+// whose /proc files can't be read are skipped. It returns once the killed processes have exited: a
+// report without their tasks lets controllers start these elsewhere. It returns an error if some
+// still run after orphanExitTimeout.
+func KillOrphanedProcesses(dir string, log *slog.Logger) error {
 	pidFiles, _ := filepath.Glob(filepath.Join(dir, "*", pidFile)) // the pattern is well formed
+	deadline := time.Now().Add(orphanExitTimeout)
 	for _, file := range pidFiles {
 		groups, err := orphanedGroups(file)
 		if err != nil {
@@ -35,8 +43,27 @@
 				log.Info("orphaned process group killed", "group", group)
 			}
 		}
+		if len(groups) > 0 && !awaitOrphans(file, deadline) {
+			return fmt.Errorf("orphaned processes of %s still run %v after they were killed", filepath.Dir(file), orphanExitTimeout)
+		}
 		_ = os.Remove(file) // if this fails, retried at the next start of a worker
 	}
+	return nil
+}
+
+// awaitOrphans waits until the task that a pid file belongs to has no process left, or until the
+// deadline, and reports whether it has none.
+func awaitOrphans(file string, deadline time.Time) bool {
+	for {
+		groups, err := orphanedGroups(file)
+		if err != nil || len(groups) == 0 {
+			return true
+		}
+		if time.Now().After(deadline) {
+			return false
+		}
+		time.Sleep(orphanExitInterval)
+	}
 }
 
 // orphanedGroups returns the process groups of the task that a pid file belongs to. An empty pid
--- a/internal/worker/processes.go
+++ b/internal/worker/processes.go
@@ -40,7 +40,8 @@
 	watchers sync.WaitGroup
 }
 
-// NewProcesses creates dir and kills the processes that an earlier worker left there. Standard
+// NewProcesses creates dir, kills the processes that an earlier worker left there and waits for their
+// exit. Standard
 // output and standard error of a task are cut off after maxLog bytes each, with a note of how
 // much was dropped.
 func NewProcesses(dir string, maxLog int64, log *slog.Logger) (*Processes, error) {
@@ -48,7 +49,9 @@
 		return nil, fmt.Errorf("tasks' directory: %w", err)
 	}
 	p := &Processes{dir: dir, maxLog: maxLog, log: log, groups: map[int]*process{}}
-	KillOrphanedProcesses(dir, log)
+	if err := KillOrphanedProcesses(dir, log); err != nil {
+		return nil, err
+	}
 	return p, nil
 }
 
--- a/internal/worker/processes_test.go
+++ b/internal/worker/processes_test.go
@@ -161,10 +161,19 @@
 		t.Fatal(err)
 	}
 	var ended strings.Builder
-	worker.KillOrphanedProcesses(other, slog.New(slog.NewTextHandler(&ended, nil)))
-	if ended.Len() > 0 {
-		t.Errorf("a worker killed another worker's task: %s", &ended)
+	err := worker.KillOrphanedProcesses(other, slog.New(slog.NewTextHandler(&ended, nil)))
+	if err != nil || ended.Len() > 0 {
+		t.Errorf("a worker killed another worker's task: %s, error %v", &ended, err)
 	}
 	newProcesses(t, dir)
 	expectProcessEnds(t, child, "the next worker started")
 }
+
+// Controllers start the tasks of a killed worker elsewhere once the next worker reports.
+func TestNextWorkerReportsNothingBeforeOrphansExited(t *testing.T) {
+	dir, first, child := startAndKillWorker(t)
+	newProcesses(t, dir)
+	if isRunning(first) || isRunning(child) {
+		t.Errorf("running beside the next worker: first process %v, its child %v", isRunning(first), isRunning(child))
+	}
+}
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -3,9 +3,10 @@
 // tasks when its lease expires.
 //
 // State holds the protocol state, Agent is its HTTP client and server, and Processes is a Runner
-// of real processes. The protocol state is lost when the process exits; only the files of
-// Processes remain, and the next worker uses them to kill orphaned processes. The package does
-// not decide which tasks run on which worker, and does not isolate tasks from each other.
+// of real processes. The protocol state is lost when the process exits, but for the number of its
+// session; the files of Processes remain too, and the next worker uses them to kill orphaned
+// processes. The package does not decide which tasks run on which worker, and does not isolate tasks
+// from each other.
 package worker
 
 import (
@@ -51,6 +52,7 @@
 	Spot                       bool
 	Size                       matching.Resources
 	Lease                      time.Duration
+	Sessions                   *SessionFile // nil: the first session is 1, and none is stored
 }
 
 // attemptKey identifies an attempt of a task.
@@ -86,12 +88,16 @@
 	launches  sync.WaitGroup               // goroutines that fetch descriptions and start tasks
 }
 
-// New returns the state of a worker that has just started, with session 1 and a lease that begins
+// New returns the state of a worker that has just started, with a new session and a lease that begins
 // now. onChange is called in a new goroutine whenever the reported state changes.
 func New(id Identity, descriptions Descriptions, runner Runner, onChange func(), log *slog.Logger) *State {
 	completed, _ := lru.New[string, struct{}](maxStoredResults) // fails only for sizes below 1
+	session := uint64(1)
+	if id.Sessions != nil {
+		session = id.Sessions.first
+	}
 	return &State{
-		id: id, descriptions: descriptions, runner: runner, onChange: onChange, log: log, session: 1, renewedAt: time.Now(),
+		id: id, descriptions: descriptions, runner: runner, onChange: onChange, log: log, session: session, renewedAt: time.Now(),
 		attempts: map[attemptKey]*attempt{}, completed: completed,
 	}
 }
@@ -160,6 +166,11 @@
 	s.log.Info("lease expired", "session", s.session, "tasks", len(s.attempts))
 	s.terminateAllLocked()
 	s.session++
+	if s.id.Sessions != nil {
+		if err := s.id.Sessions.store(s.session); err != nil {
+			s.log.Error("session not stored, the next process may begin it again", "session", s.session, "err", err)
+		}
+	}
 	s.renewedAt = time.Now()
 	go s.onChange()
 }
