--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -78,7 +78,7 @@
 		return http.StatusServiceUnavailable, wire.Problem{Error: "late report"}
 	}
 	d.mu.Lock()
-	commands := d.commandsLocked(rep.Machine, token, true)
+	commands := d.commandsLocked(rep.Machine, token, true) //nolint:contextcheck // a raise of the token outlives the heartbeat
 	d.mu.Unlock()
 	return http.StatusOK, wire.ReportResponse{Token: token, Commands: commands}
 }
