Soak: copies of answered calls on every link, controllers and workers back within a second

Hollow workers can restart at their address with a later session. An attempt that a worker starts again counts as ran_twice.

--- a/cmd/wallrack/soak.go
+++ b/cmd/wallrack/soak.go
@@ -28,6 +28,7 @@
 	loadBalancer bool
 	endedJobs    int
 	shortage     string
+	repeats      string
 }
 
 // soakCommand returns the command that plays random faults on real controllers.
@@ -54,6 +55,7 @@
 	f.BoolVar(&flags.loadBalancer, "load-balancer", false, "users' requests go through a load balancer, which checks the controllers' health")
 	f.IntVar(&flags.endedJobs, "ended-jobs", 0, "jobs that ended before the run, about which users ask after the faults")
 	f.StringVar(&flags.shortage, "processor-shortage", string(soak.NoShortage), "controllers are short of processor time: none, beside other faults, or alone")
+	f.StringVar(&flags.repeats, "repeat-calls", string(soak.NoRepeats), "copies of answered calls arrive, controllers and workers are back within a second: none, beside other faults, or alone")
 	return c
 }
 
@@ -72,6 +74,12 @@
 	if _, err := soak.ParseShortageMode(flags.shortage); err != nil {
 		return settingsError{fmt.Errorf("--processor-shortage: %w", err)}
 	}
+	if _, err := soak.ParseRepeatMode(flags.repeats); err != nil {
+		return settingsError{fmt.Errorf("--repeat-calls: %w", err)}
+	}
+	if flags.shortage == string(soak.ShortageAlone) && flags.repeats != string(soak.NoRepeats) {
+		return settingsError{errors.New("--repeat-calls: can't be played where --processor-shortage is alone")}
+	}
 	exe, err := os.Executable()
 	if err != nil {
 		return settingsError{fmt.Errorf("this program's file: %w", err)}
@@ -109,6 +117,7 @@
 			}
 			schedule := soak.NewSchedule(seed)
 			schedule.LoadBalancer, schedule.EndedJobs = flags.loadBalancer, flags.endedJobs
+			schedule.AddRepeats(soak.RepeatMode(flags.repeats))
 			schedule.AddShortages(soak.ShortageMode(flags.shortage))
 			run := soak.Run{Schedule: schedule, Exe: exe, Dir: filepath.Join(dir, fmt.Sprintf("seed-%d", seed))}
 			result, err := run.Do(ctx)
--- a/cmd/wallrack/soak_test.go
+++ b/cmd/wallrack/soak_test.go
@@ -21,6 +21,8 @@
 		{[]string{"--seeds", "1", "--jobs", "0"}, "--jobs: must be 1 to 16"},
 		{[]string{"--seeds", "1", "--ended-jobs", "-1"}, "--ended-jobs: must be 0 to 10000"},
 		{[]string{"--seeds", "1", "--processor-shortage", "much"}, "--processor-shortage: \"much\" is not"},
+		{[]string{"--seeds", "1", "--repeat-calls", "often"}, "--repeat-calls: \"often\" is not"},
+		{[]string{"--seeds", "1", "--repeat-calls", "beside", "--processor-shortage", "alone"}, "--repeat-calls: can't be played"},
 	} {
 		cmd := newRootCommand()
 		cmd.SetOut(&bytes.Buffer{})
--- a/internal/hollow/workers.go
+++ b/internal/hollow/workers.go
@@ -9,13 +9,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"sync"
 	"time"
 
-	"github.com/wallrack/wallrack/internal/matching"
+	"github.com/wallrack/wallrack/internal/periodic"
 	"github.com/wallrack/wallrack/internal/wire"
 	"github.com/wallrack/wallrack/internal/worker"
 )
@@ -28,7 +30,7 @@
 	Job(uid string) *wire.Job
 	// TaskStarted is called when a worker starts a task, and returns the task's run time; 0: until
 	// it is stopped. If completed is true, the task exits at once and TaskEnded is not called.
-	TaskStarted(task, worker string) (runTime time.Duration, completed bool)
+	TaskStarted(task string, attempt uint64, worker string) (runTime time.Duration, completed bool)
 	// TaskEnded is called when a task no longer runs on a worker. completed is false if the task
 	// was stopped.
 	TaskEnded(task, worker string, completed bool)
@@ -42,6 +44,14 @@
 	Tasks          Tasks
 	Log            *slog.Logger
 
+	// SessionDir is the directory in which each worker stores its session, so that a restarted worker
+	// begins a later one; "" if none is restarted.
+	SessionDir string
+
+	// WrapHandler returns the handler of the requests that a worker serves at an address, which passes
+	// them to base; nil: base itself.
+	WrapHandler func(addr string, base http.Handler) http.Handler
+
 	// WrapTransport returns the transport for the reports of a worker, which sends them with base;
 	// nil: base itself.
 	WrapTransport func(base *http.Transport) http.RoundTripper
@@ -67,41 +77,45 @@
 
 // Launch implements standin.Launcher.
 func (w *Workers) Launch(m wire.ListedMachine, t wire.MachineType) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	h := &hollowWorker{machine: m, machineType: t}
+	if err := h.start(w, "127.0.0.1:0"); err != nil {
 		return "", err
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.closed {
-		_ = listener.Close() // nothing was accepted
+		go h.shutDown()
 		return "", errors.New("the workers are shutting down")
 	}
-	o := &w.options
-	h := &hollowWorker{name: m.Name, zone: m.Zone, reportsDone: make(chan struct{})}
-	base := &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}
-	agent := &worker.Agent{
-		Controllers: w.controllers, ReportInterval: o.ReportInterval, Log: o.Log,
-		Transport: &linkTransport{&h.link, o.wrapTransport(base)},
+	w.byName[m.Name] = h
+	return h.addr, nil
+}
+
+// Restart ends a worker and its tasks, and starts it again after a pause at the same address. The worker
+// loses its state but for its session. It returns without a restart if the worker's machine is deleted
+// meanwhile, or ctx ends.
+func (w *Workers) Restart(ctx context.Context, name string, pause time.Duration) {
+	w.mu.Lock()
+	h := w.byName[name]
+	w.mu.Unlock()
+	if h == nil {
+		return
 	}
-	id := worker.Identity{
-		Name: m.Name, Endpoint: listener.Addr().String(), Type: m.Type, Zone: m.Zone, Spot: m.Spot,
-		Size: matching.Resources{CPUs: t.CPUs, MemoryGB: t.MemoryGB}, Lease: o.Lease,
+	h.shutDown()
+	if !periodic.Sleep(ctx, pause) {
+		return
 	}
-	taskRunner := &runner{worker: m.Name, tasks: o.Tasks, fetchTime: o.FetchTime, cachedImages: map[string]bool{}}
-	h.state = worker.New(id, taskRunner, taskRunner, agent.ReportSoon, o.Log)
-	agent.State = h.state
-	h.server = &http.Server{ReadHeaderTimeout: readHeaderTimeout, Handler: h.holdRequests(agent.Handler())}
-	ctx, stop := context.WithCancel(context.Background())
-	h.stopReports = stop
-	go func() { _ = h.server.Serve(&linkListener{listener, &h.link}) }() // returns when shutDown closes the server
-	go func() {
-		defer close(h.reportsDone)
-		_ = agent.Run(ctx) // returns when shutDown cancels ctx
-		base.CloseIdleConnections()
-	}()
-	w.byName[m.Name] = h
-	return listener.Addr().String(), nil
+	next := &hollowWorker{machine: h.machine, machineType: h.machineType}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed || w.byName[name] != h {
+		return
+	}
+	if err := next.start(w, h.addr); err != nil { //nolint:contextcheck // the worker outlives the restart
+		w.options.Log.Error("worker not restarted", "worker", name, "err", err)
+		return
+	}
+	w.byName[name] = next
 }
 
 func (o *Options) wrapTransport(base *http.Transport) http.RoundTripper {
@@ -111,6 +125,25 @@
 	return o.WrapTransport(base)
 }
 
+func (o *Options) wrapHandler(addr string, base http.Handler) http.Handler {
+	if o.WrapHandler == nil {
+		return base
+	}
+	return o.WrapHandler(addr, base)
+}
+
+// sessions returns the stored sessions of a worker, or nil if there are none.
+func (o *Options) sessions(name string) (*worker.SessionFile, error) {
+	if o.SessionDir == "" {
+		return nil, nil
+	}
+	dir := filepath.Join(o.SessionDir, name)
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, fmt.Errorf("worker's directory: %w", err)
+	}
+	return worker.OpenSessionFile(dir)
+}
+
 // End implements standin.Launcher.
 func (w *Workers) End(name string) {
 	w.mu.Lock()
@@ -128,7 +161,7 @@
 	defer w.mu.Unlock()
 	names := map[string]bool{}
 	for name, h := range w.byName {
-		if include(h.zone) {
+		if include(h.machine.Zone) {
 			names[name] = true
 		}
 	}
--- a/internal/scale/tracker.go
+++ b/internal/scale/tracker.go
@@ -133,7 +133,7 @@
 
 // TaskStarted implements hollow.Tasks. If the task has completed already or is unknown, it records
 // nothing and completed is true.
-func (t *tracker) TaskStarted(task, worker string) (runTime time.Duration, completed bool) {
+func (t *tracker) TaskStarted(task string, _ uint64, worker string) (runTime time.Duration, completed bool) {
 	uid, number, err := wire.ParseTask(task)
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -59,11 +59,18 @@
 
 const never = time.Duration(-1)
 
+// startedAttempt is an attempt that a worker started.
+type startedAttempt struct {
+	task, worker string
+	attempt      uint64
+}
+
 // checker checks the events of a history one after the other.
 type checker struct {
 	limits       Limits
 	jobs         map[string]*jobHistory
 	workerOf     map[string]string // the worker that a task is on
+	started      map[startedAttempt]bool
 	teamCPUs     map[string]float64
 	faultsOverAt time.Duration
 	violations   []Violation
@@ -72,7 +79,7 @@
 // Check returns the violations of the rules in a history.
 func Check(history History, limits Limits) []Violation {
 	c := &checker{
-		limits: limits, jobs: map[string]*jobHistory{}, workerOf: map[string]string{}, teamCPUs: map[string]float64{}, faultsOverAt: never,
+		limits: limits, jobs: map[string]*jobHistory{}, workerOf: map[string]string{}, started: map[startedAttempt]bool{}, teamCPUs: map[string]float64{}, faultsOverAt: never,
 	}
 	for uid, spec := range history.Jobs {
 		c.jobs[uid] = &jobHistory{spec: spec, acceptedAt: never, finalAt: never, cancelAskedAt: never, cancelledAt: never, completedTasks: map[string]bool{}}
@@ -173,6 +180,11 @@
 		c.report(RanTwice, e.At, e.Job, "task %s starts on %s while it is on %s", e.Task, e.Worker, other)
 	}
 	c.workerOf[e.Task] = e.Worker
+	attempt := startedAttempt{e.Task, e.Worker, e.Attempt}
+	if c.started[attempt] {
+		c.report(RanTwice, e.At, e.Job, "attempt %d of task %s starts again on %s", e.Attempt, e.Task, e.Worker)
+	}
+	c.started[attempt] = true
 	if job.cancelledAt != never && e.At-job.cancelledAt > c.limits.Cancel {
 		c.report(RanCancelled, e.At, e.Job, "task %s starts, cancelled at %.3f s", e.Task, job.cancelledAt.Seconds())
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -43,6 +43,11 @@
 	return h.add(Event{Kind: TaskStarted, Task: task, Worker: worker, Zone: "a"})
 }
 
+// attempt starts an attempt of the first task.
+func (h *historyBuilder) attempt(number uint64) *historyBuilder {
+	return h.add(Event{Kind: TaskStarted, Task: "j-1/0", Attempt: number, Worker: "n-1", Zone: "a"})
+}
+
 func (h *historyBuilder) end(task, worker string) *historyBuilder {
 	return h.add(Event{Kind: TaskEnded, Task: task, Worker: worker, Completed: true})
 }
@@ -78,6 +83,7 @@
 		"done before the tasks":                   {accepted().start("j-1/0", "n-1").end("j-1/0", "n-1").respond(Poll, 200, wire.StageDone), NotDone},
 		"an unknown job is known":                 {accepted().add(Event{Kind: Poll, Job: "j-2", Status: 200, Stage: wire.StageQueued}), Invented},
 		"a task starts twice":                     {accepted().start("j-1/0", "n-1").start("j-1/0", "n-2"), RanTwice},
+		"an attempt starts again":                 {accepted().attempt(1).end("j-1/0", "n-1").attempt(1), RanTwice},
 		"a task starts long after a cancel":       {cancelled().wait(11*time.Second).start("j-1/1", "n-2"), RanCancelled},
 		"a task ends long after a cancel":         {cancelled().wait(11*time.Second).end("j-1/0", "n-1"), RanCancelled},
 		"a task is there long after a cancel":     {cancelled().wait(11 * time.Second).add(Event{Kind: RunOver}), RanCancelled},
@@ -94,13 +100,14 @@
 
 func TestCheckPassesCleanHistories(t *testing.T) {
 	for name, h := range map[string]*historyBuilder{
-		"done":                    done().respond(Poll, 200, wire.StageDone).respond(Submit, 200, wire.StageDone).add(Event{Kind: FaultsOver}).respond(Poll, 200, wire.StageDone).add(Event{Kind: RunOver}),
-		"cancelled":               cancelled().wait(9*time.Second).end("j-1/0", "n-1").respond(Poll, 200, wire.StageCancelled).add(Event{Kind: FaultsOver}).add(Event{Kind: RunOver}),
-		"cancelled when done":     done().add(Event{Kind: CancelSent}).respond(Cancel, 200, wire.StageDone),
-		"not accepted":            newHistory().respond(Submit, 503, "").respond(Poll, 404, "").add(Event{Kind: FaultsOver}).wait(200 * time.Second).add(Event{Kind: RunOver}),
-		"a long trouble":          accepted().wait(200*time.Second).add(Event{Kind: FaultsOver}).wait(70*time.Second).respond(Poll, 200, wire.StageQueued).add(Event{Kind: RunOver}),
-		"stopped and started":     accepted().start("j-1/0", "n-1").add(Event{Kind: TaskEnded, Task: "j-1/0", Worker: "n-1"}).start("j-1/0", "n-2"),
-		"an unknown job gets 404": accepted().add(Event{Kind: Poll, Job: "j-2", Status: 404}),
+		"done":                             done().respond(Poll, 200, wire.StageDone).respond(Submit, 200, wire.StageDone).add(Event{Kind: FaultsOver}).respond(Poll, 200, wire.StageDone).add(Event{Kind: RunOver}),
+		"cancelled":                        cancelled().wait(9*time.Second).end("j-1/0", "n-1").respond(Poll, 200, wire.StageCancelled).add(Event{Kind: FaultsOver}).add(Event{Kind: RunOver}),
+		"cancelled when done":              done().add(Event{Kind: CancelSent}).respond(Cancel, 200, wire.StageDone),
+		"not accepted":                     newHistory().respond(Submit, 503, "").respond(Poll, 404, "").add(Event{Kind: FaultsOver}).wait(200 * time.Second).add(Event{Kind: RunOver}),
+		"a long trouble":                   accepted().wait(200*time.Second).add(Event{Kind: FaultsOver}).wait(70*time.Second).respond(Poll, 200, wire.StageQueued).add(Event{Kind: RunOver}),
+		"stopped and started":              accepted().start("j-1/0", "n-1").add(Event{Kind: TaskEnded, Task: "j-1/0", Worker: "n-1"}).start("j-1/0", "n-2"),
+		"started again as another attempt": accepted().attempt(1).end("j-1/0", "n-1").attempt(2),
+		"an unknown job gets 404":          accepted().add(Event{Kind: Poll, Job: "j-2", Status: 404}),
 	} {
 		if violations := Check(h.History, testLimits); len(violations) > 0 {
 			t.Errorf("%s: %v", name, violations)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -52,6 +52,12 @@
 		p.site.late.setShare(f.Share)
 		periodic.Sleep(ctx, f.Duration)
 		p.site.late.setShare(0)
+	case RepeatCalls:
+		p.repeatCalls(ctx, f)
+	case RestartAll:
+		p.restartAll(ctx, f)
+	case RestartWorkers:
+		p.restartWorkers(ctx, f)
 	case CancelBurst:
 		p.users.cancelMany(ctx, f.Share)
 	}
--- a/internal/soak/gate.go
+++ b/internal/soak/gate.go
@@ -26,6 +26,7 @@
 // the fault to the controller's requests. It is safe for concurrent use.
 type gate struct {
 	service http.Handler
+	served  http.Handler // service, or a wrapper of it that repeats requests
 
 	mu     sync.Mutex
 	active map[FaultKind]int // number of active faults by kind
@@ -33,7 +34,25 @@
 }
 
 func newGate(service http.Handler) *gate {
-	return &gate{service: service, active: map[FaultKind]int{}}
+	return &gate{service: service, served: service, active: map[FaultKind]int{}}
+}
+
+// repeatRequests has some of the answered requests repeated, except watches. Call it before the first
+// request.
+func (g *gate) repeatRequests(r *repeater) {
+	g.served = http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		body, err := io.ReadAll(io.LimitReader(request.Body, maxGateBodyBytes))
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		request.Body = io.NopCloser(bytes.NewReader(body))
+		g.service.ServeHTTP(w, request)
+		r.answered(func() { //nolint:contextcheck // the copy outlives the request
+			again := request.Clone(context.WithoutCancel(request.Context()))
+			again.Body = io.NopCloser(bytes.NewReader(body))
+			g.service.ServeHTTP(httptest.NewRecorder(), again)
+		})
+	})
 }
 
 // begin begins a fault, and end ends it. Faults of one kind may overlap.
@@ -73,7 +92,7 @@
 		g.service.ServeHTTP(httptest.NewRecorder(), r)
 		panic(http.ErrAbortHandler) // closes the connection without an answer
 	default:
-		g.service.ServeHTTP(w, r)
+		g.served.ServeHTTP(w, r)
 	}
 }
 
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -36,6 +36,7 @@
 	Stage  string        `json:"stage,omitempty"`  // of a successful response
 
 	Task      string `json:"task,omitempty"`
+	Attempt   uint64 `json:"attempt,omitempty"` // of TaskStarted
 	Worker    string `json:"worker,omitempty"`
 	Zone      string `json:"zone,omitempty"`      // of Worker
 	Completed bool   `json:"completed,omitempty"` // of TaskEnded: the task was not stopped
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -49,6 +49,7 @@
 	Jobs       int // accepted
 	Requests   int // of users, about jobs
 	Starts     int // of tasks
+	Copies     int // of calls that were answered
 	Took       time.Duration
 	OverAfter  time.Duration // time from the end of the faults until every job was known to be over; 0: not all were
 }
@@ -70,6 +71,9 @@
 	}
 	tasks.users = newUsers(r.Schedule.Seed, site.userAddrs, zones, recorder)
 	tasks.users.balancer = site.balancerAddr()
+	if site.repeater != nil {
+		tasks.users.client.Transport = site.repeater.wrapTransport(tasks.users.client.Transport)
+	}
 	played := player{site: site, users: tasks.users, recorder: recorder, schedule: r.Schedule}
 	overAfter, err := played.play(ctx)
 	site.close()
@@ -78,7 +82,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return r.result(recorder.snapshot(), overAfter)
+	result, err := r.result(recorder.snapshot(), overAfter)
+	if err != nil {
+		return nil, err
+	}
+	result.Copies = site.repeater.count()
+	return result, nil
 }
 
 // result checks the history, and stores it if a rule was broken.
@@ -197,8 +206,11 @@
 // schedule too.
 func (r *Result) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "seed %d: %d controllers, %d workers, %d jobs, %d requests, %d starts, %.0f s, over %.1f s after the faults, %d violations\n",
-		r.Schedule.Seed, r.Schedule.Controllers, r.Schedule.Workers, r.Jobs, r.Requests, r.Starts, r.Took.Seconds(), r.OverAfter.Seconds(), len(r.Violations))
+	fmt.Fprintf(&b, "seed %d: %d controllers, %d workers, %d jobs, %d requests, %d starts, ", r.Schedule.Seed, r.Schedule.Controllers, r.Schedule.Workers, r.Jobs, r.Requests, r.Starts)
+	if r.Copies > 0 {
+		fmt.Fprintf(&b, "%d copies of calls, ", r.Copies)
+	}
+	fmt.Fprintf(&b, "%.0f s, over %.1f s after the faults, %d violations\n", r.Took.Seconds(), r.OverAfter.Seconds(), len(r.Violations))
 	if len(r.Violations) == 0 {
 		return b.String()
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -30,6 +30,12 @@
 	KillAll        FaultKind = "kill all"        // SIGKILL of all controllers
 	CancelBurst    FaultKind = "cancel together" // users cancel many jobs at once
 
+	// See Schedule.AddRepeats.
+
+	RepeatCalls    FaultKind = "repeat calls"        // copies of calls that were answered arrive, on every link
+	RestartAll     FaultKind = "all restart at once" // SIGKILL of all controllers, which are back within a second
+	RestartWorkers FaultKind = "workers restart"     // a part of the workers lose their state, and are back within a second
+
 	// SIGSTOP and SIGCONT in short turns; see Schedule.AddShortages.
 
 	ProcessorShortage    FaultKind = "short of processor time"     // of a controller
@@ -77,7 +83,7 @@
 }
 
 func (k FaultKind) concernsController() bool {
-	return !slices.Contains([]FaultKind{StateOutage, CutWorkers, LateReports, LeaderSeries, KillAll, CancelBurst, AllProcessorShortage}, k)
+	return !slices.Contains([]FaultKind{StateOutage, CutWorkers, LateReports, LeaderSeries, KillAll, CancelBurst, AllProcessorShortage, RepeatCalls, RestartAll, RestartWorkers}, k)
 }
 
 func (k FaultKind) concernsLink() bool {
@@ -98,6 +104,7 @@
 	LoadBalancer bool // users' ordinary requests go through a load balancer
 	EndedJobs    int  // jobs that ended before the run, about which users ask after the faults
 	Shortage     ShortageMode
+	Repeats      RepeatMode
 }
 
 const (
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -57,6 +57,29 @@
 	}
 }
 
+func isRepeat(kind FaultKind) bool {
+	return kind == RepeatCalls || kind == RestartAll || kind == RestartWorkers
+}
+
+func TestRepeatsLeaveTheOtherFaultsOfASeedAsTheyAre(t *testing.T) {
+	const added = quickRestartsOfARun + workerRestartsOfARun + 1
+	for seed := range uint64(200) {
+		plain, beside, alone := NewSchedule(seed), NewSchedule(seed), NewSchedule(seed)
+		beside.AddRepeats(RepeatsBeside)
+		alone.AddRepeats(RepeatsAlone)
+		others := slices.DeleteFunc(slices.Clone(beside.Faults), func(f Fault) bool { return isRepeat(f.Kind) })
+		if !reflect.DeepEqual(others, plain.Faults) || len(beside.Faults) != len(plain.Faults)+added || len(alone.Faults) != added {
+			t.Errorf("seed %d: %d faults, %d beside, %d alone", seed, len(plain.Faults), len(beside.Faults), len(alone.Faults))
+		}
+		for _, f := range alone.Faults {
+			quick := f.Kind == RepeatCalls || f.Duration >= minQuickRestart && f.Duration <= maxQuickRestart
+			if !isRepeat(f.Kind) || !quick || f.At < warmUp || f.At+f.Duration > alone.FaultsEnd {
+				t.Errorf("seed %d: %v", seed, f)
+			}
+		}
+	}
+}
+
 func TestParseSeeds(t *testing.T) {
 	if got, err := ParseSeeds("7,1-3"); err != nil || !reflect.DeepEqual(got, []uint64{7, 1, 2, 3}) {
 		t.Errorf("%v, %v", got, err)
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -48,6 +48,8 @@
 	stateRoutes http.Handler
 	gates       []*gate // by controller
 	late        *lateReports
+	repeater    *repeater    // nil: no call is repeated
+	relays      []*peerRelay // by controller; none without a repeater
 	workers     *hollow.Workers
 	processes   []*process         // by controller
 	names       []string           // of the controllers
@@ -76,9 +78,15 @@
 // start. dir is for their settings and logs.
 func newSite(ctx context.Context, group *errgroup.Group, schedule *Schedule, exe, dir string, tasks *tasks) (*site, error) {
 	s := &site{late: &lateReports{}, links: map[Link][]proxies{}}
-	s.workers = hollow.New(hollow.Options{
+	workerOptions := hollow.Options{
 		ReportInterval: reportInterval, Lease: workerLease, Tasks: tasks, Log: slog.New(slog.DiscardHandler), WrapTransport: s.late.wrap,
-	})
+	}
+	if schedule.Repeats.enabled() {
+		s.repeater = newRepeater()
+		workerOptions.SessionDir, workerOptions.WrapHandler = filepath.Join(dir, "workers"), s.repeater.wrapHandler
+		workerOptions.WrapTransport = func(base *http.Transport) http.RoundTripper { return s.repeater.wrapTransport(s.late.wrap(base)) }
+	}
+	s.workers = hollow.New(workerOptions)
 	state, err := standin.OpenState(nil, stateTxnOps, stateValueKB)
 	if err != nil {
 		return nil, err
@@ -156,6 +164,9 @@
 		if err != nil {
 			return err
 		}
+		if s.repeater != nil {
+			gate.repeatRequests(s.repeater)
+		}
 		for link, target := range map[Link]string{UserLink: addrs[2*i], WorkerLink: addrs[2*i], StateLink: stateAddr} {
 			proxy, err := newProxy(target)
 			if err != nil {
@@ -174,6 +185,10 @@
 // writeSettings writes the settings file of each controller. addrs are their addresses for clients and
 // peers, alternately.
 func (s *site) writeSettings(addrs []string, cloudAddr, exe, dir string) error {
+	peerAddrs, err := s.peerAddrs(addrs)
+	if err != nil {
+		return err
+	}
 	s.links[PeerLink] = make([]proxies, len(s.names))
 	for i, name := range s.names {
 		platform := config.Platform{
@@ -184,7 +199,7 @@
 			if k == i {
 				continue
 			}
-			proxy, err := newProxy(addrs[2*k+1])
+			proxy, err := newProxy(peerAddrs[k])
 			if err != nil {
 				return err
 			}
@@ -205,6 +220,25 @@
 	return nil
 }
 
+// peerAddrs returns the addresses at which calls of peers reach the controllers, given the controllers'
+// addresses for clients and peers, alternately: those of relays if calls are repeated.
+func (s *site) peerAddrs(addrs []string) ([]string, error) {
+	peerAddrs := make([]string, len(s.names))
+	for i := range s.names {
+		peerAddrs[i] = addrs[2*i+1]
+		if s.repeater == nil {
+			continue
+		}
+		relay, err := newPeerRelay(peerAddrs[i], s.repeater)
+		if err != nil {
+			return nil, err
+		}
+		s.relays = append(s.relays, relay)
+		peerAddrs[i] = relay.addr
+	}
+	return peerAddrs, nil
+}
+
 func siteParams() config.Params {
 	params := config.Params{
 		Zones:   zones,
@@ -249,6 +283,7 @@
 	if s.balancer != nil {
 		s.balancer.close()
 	}
+	s.repeater.close()
 	s.workers.Close()
 	s.late.close()
 	for _, byController := range s.links {
@@ -259,6 +294,9 @@
 		}
 	}
 	closing.Wait()
+	for _, relay := range s.relays {
+		relay.close()
+	}
 	for _, gate := range s.gates {
 		gate.close()
 	}
--- a/internal/soak/tasks.go
+++ b/internal/soak/tasks.go
@@ -31,14 +31,14 @@
 func (t *tasks) Job(uid string) *wire.Job { return t.recorder.job(uid) }
 
 // TaskStarted implements hollow.Tasks.
-func (t *tasks) TaskStarted(task, worker string) (runTime time.Duration, completed bool) {
+func (t *tasks) TaskStarted(task string, attempt uint64, worker string) (runTime time.Duration, completed bool) {
 	uid, _, err := wire.ParseTask(task)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if err != nil || t.recorder.job(uid) == nil || t.completed[task] {
 		return 0, true
 	}
-	t.recorder.add(Event{Kind: TaskStarted, Job: uid, Task: task, Worker: worker, Zone: t.zones[worker]})
+	t.recorder.add(Event{Kind: TaskStarted, Job: uid, Task: task, Attempt: attempt, Worker: worker, Zone: t.zones[worker]})
 	return t.users.runTime(uid), false
 }
 
