--- a/cmd/wallrack/soak.go
+++ b/cmd/wallrack/soak.go
@@ -54,8 +54,8 @@
 	f.IntVar(&flags.jobs, "jobs", 2, "number of seeds that are played at the same time")
 	f.BoolVar(&flags.loadBalancer, "load-balancer", false, "users' requests go through a load balancer, which checks the controllers' health")
 	f.IntVar(&flags.endedJobs, "ended-jobs", 0, "jobs that ended before the run, about which users ask after the faults")
-	f.StringVar(&flags.shortage, "processor-shortage", string(soak.NoShortage), "controllers are short of processor time: none, beside other faults, or alone")
-	f.StringVar(&flags.repeats, "repeat-calls", string(soak.NoRepeats), "copies of answered calls arrive, controllers and workers are back within a second: none, beside other faults, or alone")
+	f.StringVar(&flags.shortage, "processor-shortage", string(soak.ModeNone), "controllers are short of processor time: none, beside other faults, or alone")
+	f.StringVar(&flags.repeats, "repeat-calls", string(soak.ModeNone), "copies of answered calls arrive, controllers and workers are back within a second: none, beside other faults, or alone")
 	return c
 }
 
@@ -71,13 +71,13 @@
 	if flags.endedJobs < 0 || flags.endedJobs > maxSoakEndedJobs {
 		return settingsError{fmt.Errorf("--ended-jobs: must be 0 to %d", maxSoakEndedJobs)}
 	}
-	if _, err := soak.ParseShortageMode(flags.shortage); err != nil {
+	if _, err := soak.ParseFaultMode(flags.shortage); err != nil {
 		return settingsError{fmt.Errorf("--processor-shortage: %w", err)}
 	}
-	if _, err := soak.ParseRepeatMode(flags.repeats); err != nil {
+	if _, err := soak.ParseFaultMode(flags.repeats); err != nil {
 		return settingsError{fmt.Errorf("--repeat-calls: %w", err)}
 	}
-	if flags.shortage == string(soak.ShortageAlone) && flags.repeats != string(soak.NoRepeats) {
+	if flags.shortage == string(soak.ModeAlone) && flags.repeats != string(soak.ModeNone) {
 		return settingsError{errors.New("--repeat-calls: can't be played where --processor-shortage is alone")}
 	}
 	exe, err := os.Executable()
@@ -117,8 +117,8 @@
 			}
 			schedule := soak.NewSchedule(seed)
 			schedule.LoadBalancer, schedule.EndedJobs = flags.loadBalancer, flags.endedJobs
-			schedule.AddRepeats(soak.RepeatMode(flags.repeats))
-			schedule.AddShortages(soak.ShortageMode(flags.shortage))
+			schedule.AddRepeats(soak.FaultMode(flags.repeats))
+			schedule.AddShortages(soak.FaultMode(flags.shortage))
 			run := soak.Run{Schedule: schedule, Exe: exe, Dir: filepath.Join(dir, fmt.Sprintf("seed-%d", seed))}
 			result, err := run.Do(ctx)
 			if err != nil {
--- a/internal/soak/logs.go
+++ b/internal/soak/logs.go
@@ -12,11 +12,11 @@
 )
 
 // loggedViolations returns a violation for each line in the controllers' logs that reports a broken rule.
-func loggedViolations(dir string, shortage ShortageMode) (violations []Violation, err error) {
+func loggedViolations(dir string, shortage FaultMode) (violations []Violation, err error) {
 	rules := map[string]Rule{
 		submission.DeniedJobMessage: Forgotten, membership.LeaseEndedEarlyMessage: LeaseLost, dispatch.UnfencedForgetMessage: RanTwice,
 	}
-	if shortage == ShortageAlone {
+	if shortage == ModeAlone {
 		rules[membership.LeaseExpiredMessage] = LeaseLost
 	}
 	logs, err := filepath.Glob(filepath.Join(dir, "*.log"))
--- a/internal/soak/logs_test.go
+++ b/internal/soak/logs_test.go
@@ -13,14 +13,14 @@
 func TestBrokenRuleInALogIsAViolation(t *testing.T) {
 	for _, c := range []struct {
 		message  string
-		shortage ShortageMode
+		shortage FaultMode
 		rule     Rule // empty: none
 	}{
-		{submission.DeniedJobMessage, NoShortage, Forgotten},
-		{membership.LeaseEndedEarlyMessage, ShortageBeside, LeaseLost},
-		{dispatch.UnfencedForgetMessage, NoShortage, RanTwice},
-		{membership.LeaseExpiredMessage, ShortageAlone, LeaseLost},
-		{membership.LeaseExpiredMessage, ShortageBeside, ""},
+		{submission.DeniedJobMessage, ModeNone, Forgotten},
+		{membership.LeaseEndedEarlyMessage, ModeBeside, LeaseLost},
+		{dispatch.UnfencedForgetMessage, ModeNone, RanTwice},
+		{membership.LeaseExpiredMessage, ModeAlone, LeaseLost},
+		{membership.LeaseExpiredMessage, ModeBeside, ""},
 	} {
 		dir := t.TempDir()
 		log := "msg=started\nlevel=ERROR msg=\"" + c.message + "\" job=j-1\nmsg=joined\n"
--- a/internal/soak/repeats.go
+++ b/internal/soak/repeats.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -11,20 +10,6 @@
 	"github.com/wallrack/wallrack/internal/periodic"
 )
 
-// RepeatMode determines whether copies of answered calls arrive in a run, and controllers and workers
-// restart at once.
-type RepeatMode string
-
-// The modes. In RepeatsAlone no other fault is played.
-const (
-	NoRepeats     RepeatMode = "none"
-	RepeatsBeside RepeatMode = "beside"
-	RepeatsAlone  RepeatMode = "alone"
-)
-
-// enabled reports whether copies of calls arrive; the zero value does not.
-func (m RepeatMode) enabled() bool { return m == RepeatsBeside || m == RepeatsAlone }
-
 const (
 	minRepeatShare       = 0.2 // of the calls of which a copy arrives
 	minQuickRestart      = 10 * time.Millisecond
@@ -36,24 +21,15 @@
 	repeatSeedWord       = 2 // the second word of the seed, so that the other faults of a seed stay the same
 )
 
-// ParseRepeatMode returns the mode with a name.
-func ParseRepeatMode(name string) (RepeatMode, error) {
-	mode := RepeatMode(name)
-	if !slices.Contains([]RepeatMode{NoRepeats, RepeatsBeside, RepeatsAlone}, mode) {
-		return NoRepeats, fmt.Errorf("%q is not %q, %q or %q", name, NoRepeats, RepeatsBeside, RepeatsAlone)
-	}
-	return mode, nil
-}
-
 // AddRepeats adds faults drawn from the schedule's seed: copies of calls arrive until the last fault ends,
-// and all controllers, or a share of the workers, restart at once. In RepeatsAlone they replace the other
+// and all controllers, or a share of the workers, restart at once. In ModeAlone they replace the other
 // faults. Call it at most once.
-func (s *Schedule) AddRepeats(mode RepeatMode) {
-	if mode == NoRepeats {
+func (s *Schedule) AddRepeats(mode FaultMode) {
+	if mode == ModeNone {
 		return
 	}
 	s.Repeats = mode
-	if mode == RepeatsAlone {
+	if mode == ModeAlone {
 		s.Faults, s.FaultsEnd = nil, warmUp+faultPeriod
 	}
 	r := rand.New(rand.NewPCG(s.Seed, repeatSeedWord))
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -103,8 +103,8 @@
 
 	LoadBalancer bool // users' ordinary requests go through a load balancer
 	EndedJobs    int  // jobs that ended before the run, about which users ask after the faults
-	Shortage     ShortageMode
-	Repeats      RepeatMode
+	Shortage     FaultMode
+	Repeats      FaultMode
 }
 
 const (
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -43,8 +43,8 @@
 func TestShortagesLeaveTheOtherFaultsOfASeedAsTheyAre(t *testing.T) {
 	for seed := range uint64(200) {
 		plain, beside, alone := NewSchedule(seed), NewSchedule(seed), NewSchedule(seed)
-		beside.AddShortages(ShortageBeside)
-		alone.AddShortages(ShortageAlone)
+		beside.AddShortages(ModeBeside)
+		alone.AddShortages(ModeAlone)
 		others := slices.DeleteFunc(slices.Clone(beside.Faults), func(f Fault) bool { return isShortage(f.Kind) })
 		if !reflect.DeepEqual(others, plain.Faults) || len(beside.Faults) != len(plain.Faults)+shortagesOfARun || len(alone.Faults) != shortagesOfARun {
 			t.Errorf("seed %d: %d faults, %d beside, %d alone", seed, len(plain.Faults), len(beside.Faults), len(alone.Faults))
@@ -65,8 +65,8 @@
 	const added = quickRestartsOfARun + workerRestartsOfARun + 1
 	for seed := range uint64(200) {
 		plain, beside, alone := NewSchedule(seed), NewSchedule(seed), NewSchedule(seed)
-		beside.AddRepeats(RepeatsBeside)
-		alone.AddRepeats(RepeatsAlone)
+		beside.AddRepeats(ModeBeside)
+		alone.AddRepeats(ModeAlone)
 		others := slices.DeleteFunc(slices.Clone(beside.Faults), func(f Fault) bool { return isRepeat(f.Kind) })
 		if !reflect.DeepEqual(others, plain.Faults) || len(beside.Faults) != len(plain.Faults)+added || len(alone.Faults) != added {
 			t.Errorf("seed %d: %d faults, %d beside, %d alone", seed, len(plain.Faults), len(beside.Faults), len(alone.Faults))
--- a/internal/soak/shortage.go
+++ b/internal/soak/shortage.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -11,16 +10,6 @@
 	"github.com/wallrack/wallrack/internal/periodic"
 )
 
-// ShortageMode determines whether controllers are short of processor time in a run.
-type ShortageMode string
-
-// The modes. In ShortageAlone no other fault is played, so that no lease may be lost.
-const (
-	NoShortage     ShortageMode = "none"
-	ShortageBeside ShortageMode = "beside"
-	ShortageAlone  ShortageMode = "alone"
-)
-
 const (
 	shortagePeriod    = time.Second // of one stop and one continuation
 	minRunningShare   = 0.1
@@ -31,23 +20,14 @@
 	shortageSeedShift = 1 // the second word of the seed, so that the other faults of a seed stay the same
 )
 
-// ParseShortageMode returns the mode with a name.
-func ParseShortageMode(name string) (ShortageMode, error) {
-	mode := ShortageMode(name)
-	if !slices.Contains([]ShortageMode{NoShortage, ShortageBeside, ShortageAlone}, mode) {
-		return NoShortage, fmt.Errorf("%q is not %q, %q or %q", name, NoShortage, ShortageBeside, ShortageAlone)
-	}
-	return mode, nil
-}
-
 // AddShortages adds faults that keep processor time from controllers, drawn from the schedule's seed. In
-// ShortageAlone they replace the other faults. Call it at most once.
-func (s *Schedule) AddShortages(mode ShortageMode) {
-	if mode == NoShortage {
+// ModeAlone they replace the other faults. Call it at most once.
+func (s *Schedule) AddShortages(mode FaultMode) {
+	if mode == ModeNone {
 		return
 	}
 	s.Shortage = mode
-	if mode == ShortageAlone {
+	if mode == ModeAlone {
 		s.Faults, s.FaultsEnd = nil, 0
 	}
 	r := rand.New(rand.NewPCG(s.Seed, shortageSeedShift))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -74,14 +74,14 @@
 func TestNoLeaseIsLostWhileControllersAreShortOfProcessorTime(t *testing.T) {
 	t.Parallel()
 	schedule := soak.NewSchedule(1)
-	schedule.AddShortages(soak.ShortageAlone)
+	schedule.AddShortages(soak.ModeAlone)
 	play(t, buildProgram(t), schedule)
 }
 
 func TestCopiesOfAnsweredCallsBreakNoRule(t *testing.T) {
 	t.Parallel()
 	schedule := soak.NewSchedule(1)
-	schedule.AddRepeats(soak.RepeatsAlone)
+	schedule.AddRepeats(soak.ModeAlone)
 	play(t, buildProgram(t), schedule)
 }
 
