Names: instructions to forget a task bear the name of the worker's command

dispatch.Clear, Instructions.Clear and State.ClearTask are Forget and ForgetTask, and the token in them is MaxStartToken, the bound that it is. Names on the wire (clear, k) stay; no behaviour changes.

--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -155,7 +155,7 @@
 		}
 		exited := wire.Task{Task: "j-1/0", Attempt: 1, State: wire.TaskExited, Cause: wire.CauseNoRoom}
 		d.HandleReport(ctx, report(2, 5, exited))
-		d.ApplyInstructions(dispatch.Instructions{From: "a", Clear: []dispatch.Clear{{TaskRef: entry(1).TaskRef, Token: 5}}})
+		d.ApplyInstructions(dispatch.Instructions{From: "a", Forget: []dispatch.Forget{{TaskRef: entry(1).TaskRef, MaxStartToken: 5}}})
 		synctest.Wait()
 		if _, body := d.HandleReport(ctx, report(3, 5, exited)); countVerb(body, wire.VerbForget) != 0 {
 			t.Error("cleared while the commands may still arrive")
@@ -180,7 +180,7 @@
 		d := newDispatcher(ctx, s)
 		exited := wire.Task{Task: "j-1/0", Attempt: 1, State: wire.TaskExited, Cause: wire.CauseDone}
 		d.HandleReport(ctx, report(1, 5, exited))
-		d.ApplyInstructions(dispatch.Instructions{From: "a", Clear: []dispatch.Clear{{TaskRef: entry(1).TaskRef, Token: 9}}})
+		d.ApplyInstructions(dispatch.Instructions{From: "a", Forget: []dispatch.Forget{{TaskRef: entry(1).TaskRef, MaxStartToken: 9}}})
 		if _, body := d.HandleReport(ctx, report(2, 5, exited)); countVerb(body, wire.VerbForget) != 0 {
 			t.Error("cleared while the other dispatcher's commands may still start it")
 		}
@@ -328,7 +328,7 @@
 	exited := wire.Task{Task: "j-1/0", Attempt: 1, State: wire.TaskExited, Cause: wire.CauseNoRoom}
 	d.HandleReport(t.Context(), report(1, 6, exited))
 	next := entry(2)
-	d.ApplyInstructions(dispatch.Instructions{From: "a", Clear: []dispatch.Clear{{TaskRef: entry(1).TaskRef, Token: 5}}, Assign: []dispatch.QueueEntry{next}})
+	d.ApplyInstructions(dispatch.Instructions{From: "a", Forget: []dispatch.Forget{{TaskRef: entry(1).TaskRef, MaxStartToken: 5}}, Assign: []dispatch.QueueEntry{next}})
 	d.Wait()
 	if len(s.sent) != 1 || len(s.sent[0].Commands) != 1 || s.sent[0].Commands[0].Verb != wire.VerbStart {
 		t.Errorf("sent %+v", s.sent)
--- a/internal/dispatch/forgets.go
+++ b/internal/dispatch/forgets.go
@@ -27,14 +27,14 @@
 // forgetLocked has the worker forget an exited task. The command waits for a heartbeat: an exited
 // task costs the worker only an entry in its reports. The tokens of repeated instructions may
 // differ; each is an upper bound, so the lowest one applies.
-func (d *Dispatcher) forgetLocked(exited Clear) {
+func (d *Dispatcher) forgetLocked(exited Forget) {
 	worker := d.workers[exited.Worker]
 	if worker == nil || worker.tasks[exited.TaskRef] == nil {
 		return
 	}
 	bound, known := worker.forgets[exited.TaskRef]
-	if !known || exited.Token < bound {
-		bound = exited.Token
+	if !known || exited.MaxStartToken < bound {
+		bound = exited.MaxStartToken
 	}
 	if sent := worker.tasks[exited.TaskRef].startToken; sent > bound {
 		usage.CountEvent(usage.UnfencedForgets)
--- a/internal/dispatch/instructions.go
+++ b/internal/dispatch/instructions.go
@@ -23,7 +23,7 @@
 			out.Refs = append(out.Refs, halt.TaskRef)
 		}
 	}
-	for _, exited := range instructions.Clear {
+	for _, exited := range instructions.Forget {
 		d.forgetLocked(exited)
 	}
 	if instructions.RaiseTokenAbove > 0 {
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -31,12 +31,12 @@
 	GraceS float64 `json:"g"`
 }
 
-// Clear lets a worker forget an exited task.
-type Clear struct {
+// Forget has a worker forget an exited task.
+type Forget struct {
 	TaskRef
-	// Token is the highest token that a start command for the attempt may carry, from any
+	// MaxStartToken is the highest token that a start command for the attempt may carry, from any
 	// dispatcher. The worker forgets the task only once it has seen a higher one.
-	Token uint64 `json:"k,omitempty"`
+	MaxStartToken uint64 `json:"k,omitempty"`
 }
 
 // Instructions is sent by a leader to a dispatcher. Applying it again has no further effect.
@@ -44,7 +44,7 @@
 	From   string       `json:"from"`
 	Assign []QueueEntry `json:"assign,omitempty"`
 	Halt   []Halt       `json:"halt,omitempty"`
-	Clear  []Clear      `json:"clear,omitempty"`
+	Forget []Forget     `json:"clear,omitempty"`
 	// RaiseTokenAbove, if not 0, has the dispatcher answer workers with a token above it. The
 	// workers' reports then show that commands with lower tokens can no longer be executed.
 	RaiseTokenAbove uint64 `json:"raise,omitempty"`
--- a/internal/dispatch/recorded_test.go
+++ b/internal/dispatch/recorded_test.go
@@ -19,13 +19,13 @@
 		From:            "c1",
 		Assign:          []dispatch.QueueEntry{{TaskRef: ref, Leader: "c1", Resources: shape, RunS: 900.5, FetchS: 18.25, Rank: 2, DueAt: 1234.5, Reported: true}},
 		Halt:            []dispatch.Halt{{TaskRef: ref, GraceS: 12.5}},
-		Clear:           []dispatch.Clear{{TaskRef: ref, Token: 41}},
+		Forget:          []dispatch.Forget{{TaskRef: ref, MaxStartToken: 41}},
 		RaiseTokenAbove: 42,
 	})
 	recorded.Check(t, "direction_empty", dispatch.Instructions{})
 	recorded.Check(t, "entry_empty", dispatch.QueueEntry{})
 	recorded.Check(t, "halt_empty", dispatch.Halt{})
-	recorded.Check(t, "clear_empty", dispatch.Clear{})
+	recorded.Check(t, "clear_empty", dispatch.Forget{})
 	recorded.Check(t, "unlaunched_full", dispatch.Unlaunched{Refs: []dispatch.TaskRef{ref}, Token: 41})
 	recorded.Check(t, "unlaunched_empty", dispatch.Unlaunched{})
 	recorded.Check(t, "grant_requests_full", []dispatch.GrantRequest{{TaskRef: ref, Dispatcher: "c2", Token: 41, Session: 2}})
--- a/internal/dispatch/repeated_start_test.go
+++ b/internal/dispatch/repeated_start_test.go
@@ -74,7 +74,7 @@
 		if task.State == wire.TaskExited {
 			exited++
 			ref := dispatch.TaskRef{Worker: k.Name, Task: task.Task, Attempt: task.Attempt}
-			instructions.Clear = append(instructions.Clear, dispatch.Clear{TaskRef: ref, Token: startToken})
+			instructions.Forget = append(instructions.Forget, dispatch.Forget{TaskRef: ref, MaxStartToken: startToken})
 		}
 	}
 	d.ApplyInstructions(instructions)
@@ -152,7 +152,7 @@
 		s := &stub{token: 5, canRaiseToken: true}
 		d := newDispatcher(t.Context(), s)
 		exited := wire.Task{Task: "j-1/0", Attempt: 1, State: wire.TaskExited, Cause: cause}
-		clearTask := dispatch.Instructions{From: "a", Clear: []dispatch.Clear{{TaskRef: entry(1).TaskRef, Token: 5}}}
+		clearTask := dispatch.Instructions{From: "a", Forget: []dispatch.Forget{{TaskRef: entry(1).TaskRef, MaxStartToken: 5}}}
 		d.HandleReport(t.Context(), report(1, 5, exited))
 		d.ApplyInstructions(clearTask)
 		if _, body := d.HandleReport(t.Context(), report(2, 5, exited)); countVerb(body, wire.VerbForget) != 0 {
@@ -172,7 +172,7 @@
 	exited := wire.Task{Task: "j-1/0", Attempt: 1, State: wire.TaskExited, Cause: wire.CauseDone}
 	d.HandleReport(t.Context(), report(1, 6, exited))
 	for _, token := range []uint64{5, 6, 7} {
-		d.ApplyInstructions(dispatch.Instructions{From: "a", Clear: []dispatch.Clear{{TaskRef: entry(1).TaskRef, Token: token}}})
+		d.ApplyInstructions(dispatch.Instructions{From: "a", Forget: []dispatch.Forget{{TaskRef: entry(1).TaskRef, MaxStartToken: token}}})
 	}
 	if _, body := d.HandleReport(t.Context(), report(2, 6, exited)); countVerb(body, wire.VerbForget) != 1 {
 		t.Error("not forgotten although the start is fenced off")
--- a/internal/jobstate/cancel.go
+++ b/internal/jobstate/cancel.go
@@ -70,7 +70,7 @@
 	for _, placements := range job.Placements {
 		for _, placement := range slices.Clone(placements) {
 			if placement.Exited {
-				s.ClearTask(placement) // the record of its exit is not needed: no task of the job starts again
+				s.ForgetTask(placement) // the record of its exit is not needed: no task of the job starts again
 			} else {
 				s.HaltTask(placement, 0)
 			}
--- a/internal/jobstate/completion.go
+++ b/internal/jobstate/completion.go
@@ -80,10 +80,10 @@
 	Notify(s.WriteSignal)
 }
 
-// ClearTask ends the placement of an exited task and instructs the worker to forget the task.
-func (s *State) ClearTask(placement *Placement) {
+// ForgetTask ends the placement of an exited task and instructs the worker to forget the task.
+func (s *State) ForgetTask(placement *Placement) {
 	s.EndPlacement(placement)
 	instructions := s.InstructionsFor(placement.Worker.View.Dispatcher)
-	instructions.Clear = append(instructions.Clear, dispatch.Clear{TaskRef: placement.Ref, Token: placement.MaxToken})
+	instructions.Forget = append(instructions.Forget, dispatch.Forget{TaskRef: placement.Ref, MaxStartToken: placement.MaxToken})
 	Notify(s.SendSignal)
 }
--- a/internal/jobstate/state_test.go
+++ b/internal/jobstate/state_test.go
@@ -147,7 +147,7 @@
 	last.Chunk.SetOver(1)
 	job.Done++
 	s.FinishTask(last)
-	s.ClearTask(last)
+	s.ForgetTask(last)
 	if end := s.EndStateOf(job); end.State != jobspec.Cancelled || end.Failed != 2 || job.EndStage != wire.StageCancelled {
 		t.Errorf("ended as %+v, stage %q", end, job.EndStage)
 	}
--- a/internal/reconcile/task_reported.go
+++ b/internal/reconcile/task_reported.go
@@ -131,14 +131,13 @@
 	return ended || time.Since(r.state.LoadedAt) >= acceptanceDelay
 }
 
-// endUnknownTask stops or clears a task without a placement in the state.
+// endUnknownTask stops a task without a placement in the state, or has it forgotten if it has exited.
 func (r *Reconciler) endUnknownTask(worker *jobstate.Worker, ref dispatch.TaskRef, view *dispatch.TaskView) {
 	instructions := r.state.InstructionsFor(worker.View.Dispatcher)
 	if view.State == wire.TaskExited {
-		// The placement is gone, so the tokens of its start commands are unknown. An earlier clear
-		// may have been lost. The token of this one is at least as high as that of every start
-		// command that may still be delayed, so that none takes effect after the clear.
-		instructions.Clear = append(instructions.Clear, dispatch.Clear{TaskRef: ref, Token: max(worker.MaxToken, r.state.PredecessorToken)})
+		// The placement is gone, so the tokens of its start commands are unknown: the bound is one
+		// for all starts on the worker. An earlier instruction may have been lost.
+		instructions.Forget = append(instructions.Forget, dispatch.Forget{TaskRef: ref, MaxStartToken: max(worker.MaxToken, r.state.PredecessorToken)})
 	} else {
 		instructions.Halt = append(instructions.Halt, dispatch.Halt{TaskRef: ref})
 	}
@@ -165,7 +164,7 @@
 		return
 	}
 	r.delayRetry(job, worker, view.Cause)
-	r.state.ClearTask(placement)
+	r.state.ForgetTask(placement)
 }
 
 // recordSuccess counts a completed attempt in favor of its worker and its job, and updates the
--- a/internal/scheduler/export_test.go
+++ b/internal/scheduler/export_test.go
@@ -84,7 +84,7 @@
 	defer s.state.Mu.Unlock()
 	for _, instructions := range s.state.Outbox {
 		halts += len(instructions.Halt)
-		clears += len(instructions.Clear)
+		clears += len(instructions.Forget)
 	}
 	return halts, clears
 }
--- a/internal/scheduler/instructions.go
+++ b/internal/scheduler/instructions.go
@@ -53,7 +53,7 @@
 	for _, instructions := range batch[1:] {
 		all.Assign = append(all.Assign, instructions.Assign...)
 		all.Halt = append(all.Halt, instructions.Halt...)
-		all.Clear = append(all.Clear, instructions.Clear...)
+		all.Forget = append(all.Forget, instructions.Forget...)
 		all.RaiseTokenAbove = max(all.RaiseTokenAbove, instructions.RaiseTokenAbove)
 	}
 	return &all
--- a/internal/shardlog/end_job.go
+++ b/internal/shardlog/end_job.go
@@ -14,7 +14,7 @@
 const maxCachedFinalRecords = 20_000
 
 // removeEndedJob removes from the state a job whose end is recorded, and instructs the
-// dispatchers to clear or halt its remaining tasks on workers.
+// dispatchers to have its remaining tasks on workers forgotten or halted.
 func (w *Writer) removeEndedJob(job *jobstate.Job) {
 	w.reportEnd(job)
 	w.cacheFinalRecord(job)
@@ -23,7 +23,7 @@
 		for _, placement := range placements {
 			instructions := w.state.InstructionsFor(placement.Worker.View.Dispatcher)
 			if placement.Exited {
-				instructions.Clear = append(instructions.Clear, dispatch.Clear{TaskRef: placement.Ref, Token: placement.MaxToken})
+				instructions.Forget = append(instructions.Forget, dispatch.Forget{TaskRef: placement.Ref, MaxStartToken: placement.MaxToken})
 			} else {
 				instructions.Halt = append(instructions.Halt, dispatch.Halt{TaskRef: placement.Ref})
 			}
--- a/internal/shardlog/outcome.go
+++ b/internal/shardlog/outcome.go
@@ -54,7 +54,7 @@
 }
 
 // applyRecordedChange carries out a change that has just been written. A placement is sent to
-// its worker, and a finished task is cleared there, only after the change is recorded.
+// its worker, and a finished task is forgotten there, only after the change is recorded.
 func (w *Writer) applyRecordedChange(change jobstate.Change) {
 	placement := change.Placement
 	if _, attached := placement.Worker.Placements[placement]; !attached {
@@ -62,7 +62,7 @@
 	}
 	switch {
 	case change.Kind == jobstate.TaskFinished:
-		w.state.ClearTask(placement)
+		w.state.ForgetTask(placement)
 	case change.Kind == jobstate.PlacementAdded && placement.State == jobstate.PlacementRecording && !placement.Exited:
 		placement.State = jobstate.PlacementRecorded
 		w.state.AssignPlacement(placement, false)
