--- a/internal/scheduler/placement_test.go
+++ b/internal/scheduler/placement_test.go
@@ -113,16 +113,34 @@
 // Jobs with equal requirements share the candidate workers that a pass finds for them. A job
 // that fits no worker must not hide the candidates from other jobs of the same size.
 func TestJobsShareCandidatesOnlyIfRequirementsAreEqual(t *testing.T) {
-	cluster := newCluster(t, 90, 0)
-	elsewhere := "y"
-	for i, job := range []wire.Job{{Types: []string{"x"}}, {Zone: &elsewhere}, {Spot: false}, {Spot: true}, {Types: []string{"m"}, Spot: true}} {
-		job.UID, job.Class, job.Team, job.Kind, job.Priority = fmt.Sprintf("j-%d", i), "c", "t", wire.KindArray, "normal"
-		job.Tasks, job.CPUs, job.MemoryGB, job.Image, job.EstimateS = 5, 2, 1, "i", 30
-		cluster.scheduler.JobAccepted(&job, nil, 0, int64(i), uint64(i+1))
-	}
-	cluster.scheduler.Pass()
-	if pending := cluster.scheduler.QueueDepths()["pending"]; pending != 10 {
-		t.Errorf("%d tasks wait, want only the 10 that fit no worker", pending)
+	const tasks = 5 // of each job
+	for _, c := range []struct {
+		name    string
+		workers int
+		passes  int // until all tasks that fit are placed
+	}{
+		{"all workers are candidates", 60, 1},
+		// The jobs' samples may overlap; each pass places at least one more task of a job.
+		{"sampled workers are candidates", 90, tasks},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			cluster := newCluster(t, c.workers, 0)
+			elsewhere := "y"
+			for i, job := range []wire.Job{{Types: []string{"x"}}, {Zone: &elsewhere}, {Spot: false}, {Spot: true}, {Types: []string{"m"}, Spot: true}} {
+				job.UID, job.Class, job.Team, job.Kind, job.Priority = fmt.Sprintf("j-%d", i), "c", "t", wire.KindArray, "normal"
+				job.Tasks, job.CPUs, job.MemoryGB, job.Image, job.EstimateS = tasks, 2, 1, "i", 30
+				cluster.scheduler.JobAccepted(&job, nil, 0, int64(i), uint64(i+1))
+			}
+			for range c.passes {
+				cluster.scheduler.Pass()
+				if pending := cluster.scheduler.QueueDepths()["pending"]; pending < 2*tasks {
+					t.Fatalf("%d tasks wait, want the %d that fit no worker", pending, 2*tasks)
+				}
+			}
+			if pending := cluster.scheduler.QueueDepths()["pending"]; pending != 2*tasks {
+				t.Errorf("%d tasks wait after %d passes, want only the %d that fit no worker", pending, c.passes, 2*tasks)
+			}
+		})
 	}
 }
 
