--- a/internal/dispatch/repeated_start_test.go
+++ b/internal/dispatch/repeated_start_test.go
@@ -90,6 +90,27 @@
 	synctest.Wait()
 }
 
+// playWithRepeatingWorker plays with a worker whose tasks exit for the given cause, its dispatcher, and the
+// dispatcher's dependencies. The leader's token is 5.
+func playWithRepeatingWorker(t *testing.T, cause string, canRaiseToken bool, play func(t *testing.T, k *repeatingWorker, d *dispatch.Dispatcher, s *stub)) {
+	synctest.Test(t, func(t *testing.T) {
+		k := newRepeatingWorker(cause)
+		s := &stub{token: 5, canRaiseToken: canRaiseToken, respond: k.handle}
+		ctx, cancel := context.WithCancel(context.Background())
+		d := newDispatcher(ctx, s)
+		play(t, k, d, s)
+		cancel()
+		d.Wait()
+	})
+}
+
+// allowRaises ends an outage of the state service, in which no token can be raised.
+func (s *stub) allowRaises() {
+	s.tokenMu.Lock()
+	defer s.tokenMu.Unlock()
+	s.canRaiseToken = true
+}
+
 // startsOfForgottenTask returns how often a task started of which a copy of the start command arrives
 // after its worker has forgotten it.
 func startsOfForgottenTask(t *testing.T, reason string, answered bool) (starts int) {
@@ -181,11 +202,7 @@
 
 // An instruction whose token is lower than that of the dispatcher's own start is not followed.
 func TestForgetBelowTokenOfOwnStartIsRefused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		k := newRepeatingWorker(wire.CauseDone)
-		s := &stub{token: 5, canRaiseToken: true, respond: k.handle}
-		ctx, cancel := context.WithCancel(context.Background())
-		d := newDispatcher(ctx, s)
+	playWithRepeatingWorker(t, wire.CauseDone, true, func(t *testing.T, k *repeatingWorker, d *dispatch.Dispatcher, _ *stub) {
 		k.heartbeat(d, 0)
 		startTask(d, "j-1/0")
 		before := usage.EventCount(usage.UnfencedForgets)
@@ -201,18 +218,12 @@
 		if k.starts != 1 {
 			t.Errorf("the task started %d times", k.starts)
 		}
-		cancel()
-		d.Wait()
 	})
 }
 
 // A raise withdraws the grants of all queued tasks, so that one for each exit would hold up starts.
 func TestTokenIsRaisedSeldomForForgets(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		k := newRepeatingWorker(wire.CauseDone)
-		s := &stub{token: 5, canRaiseToken: true, respond: k.handle}
-		ctx, cancel := context.WithCancel(context.Background())
-		d := newDispatcher(ctx, s)
+	playWithRepeatingWorker(t, wire.CauseDone, true, func(t *testing.T, k *repeatingWorker, d *dispatch.Dispatcher, s *stub) {
 		const duration = time.Minute
 		for began := time.Now(); time.Since(began) < duration; time.Sleep(heartbeatPeriod) {
 			startTask(d, wire.TaskName("j-1", int(time.Since(began)/heartbeatPeriod)))
@@ -221,17 +232,11 @@
 		if raises, limit := s.FencingToken()-5, uint64(duration/minRaiseInterval); raises > limit {
 			t.Errorf("%d raises in %v", raises, duration)
 		}
-		cancel()
-		d.Wait()
 	})
 }
 
 func TestForgetsFollowOutageOfStateService(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		k := newRepeatingWorker(wire.CauseDone)
-		s := &stub{token: 5, respond: k.handle}
-		ctx, cancel := context.WithCancel(context.Background())
-		d := newDispatcher(ctx, s)
+	playWithRepeatingWorker(t, wire.CauseDone, false, func(t *testing.T, k *repeatingWorker, d *dispatch.Dispatcher, s *stub) {
 		k.heartbeat(d, 5)
 		const outage = 120 * time.Second
 		tasks := 0
@@ -243,9 +248,7 @@
 		if k.starts != tasks || len(k.longest) < tasks-1 {
 			t.Errorf("%d of %d tasks started during the outage, %d of them in the longest report", k.starts, tasks, len(k.longest))
 		}
-		s.tokenMu.Lock()
-		s.canRaiseToken = true
-		s.tokenMu.Unlock()
+		s.allowRaises()
 		for range int(maxForgetDelay / heartbeatPeriod) {
 			time.Sleep(heartbeatPeriod)
 			k.heartbeat(d, 5)
@@ -253,19 +256,13 @@
 		if exited := k.heartbeat(d, 5); exited > 0 {
 			t.Errorf("%d exited tasks are not forgotten %v after the outage", exited, maxForgetDelay)
 		}
-		cancel()
-		d.Wait()
 	})
 }
 
 // A worker whose reports exceed the limit of request bodies can't report, and loses its lease.
 func TestReportsOfExitedTasksStayWithinBodyLimit(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		k := newRepeatingWorker(wire.CauseError)
+	playWithRepeatingWorker(t, wire.CauseError, false, func(t *testing.T, k *repeatingWorker, d *dispatch.Dispatcher, s *stub) {
 		k.RunTime = func(string) time.Duration { return time.Millisecond }
-		s := &stub{token: 5, respond: k.handle}
-		ctx, cancel := context.WithCancel(context.Background())
-		d := newDispatcher(ctx, s)
 		k.heartbeat(d, 5)
 		const tasks = 500
 		for i := range tasks {
@@ -283,16 +280,12 @@
 		if err != nil || len(encoded) > wire.MaxBodyBytes {
 			t.Errorf("%d tasks make a report of %d bytes (%v)", len(k.longest), len(encoded), err)
 		}
-		s.tokenMu.Lock()
-		s.canRaiseToken = true
-		s.tokenMu.Unlock()
+		s.allowRaises()
 		for began := time.Now(); k.starts < tasks && time.Since(began) < time.Minute; time.Sleep(heartbeatPeriod) {
 			k.heartbeat(d, s.FencingToken())
 		}
 		if k.starts < tasks {
 			t.Errorf("%d of %d tasks started after the token could be raised", k.starts, tasks)
 		}
-		cancel()
-		d.Wait()
 	})
 }
