--- a/internal/soak/repeater_test.go
+++ b/internal/soak/repeater_test.go
@@ -60,6 +60,7 @@
 }
 
 func TestServedRequestsArriveAgain(t *testing.T) {
+	t.Parallel()
 	r := newCertainRepeater(t)
 	url, bodies := newRecordingServer(t, r.wrapHandler)
 	response, err := http.Post(url+"/orders", "application/json", strings.NewReader("start"))
@@ -76,6 +77,7 @@
 }
 
 func TestSentRequestsArriveAgain(t *testing.T) {
+	t.Parallel()
 	r := newCertainRepeater(t)
 	url, bodies := newRecordingServer(t, func(_ string, next http.Handler) http.Handler { return next })
 	client := &http.Client{Transport: r.wrapTransport(&http.Transport{})}
@@ -88,6 +90,7 @@
 }
 
 func TestRequestsToTheStateServiceArriveAgain(t *testing.T) {
+	t.Parallel()
 	r := newCertainRepeater(t)
 	g, url, applied := newGateServer(t)
 	g.repeatRequests(r)
@@ -103,6 +106,7 @@
 }
 
 func TestCallsBetweenControllersArriveAgain(t *testing.T) {
+	t.Parallel()
 	bodies := make(chan string, 100)
 	server := grpc.NewServer(grpc.ForceServerCodecV2(rawCodec{}), grpc.UnknownServiceHandler(func(_ any, stream grpc.ServerStream) error {
 		var request []byte
