--- a/internal/controller/cancellation_reads_test.go
+++ b/internal/controller/cancellation_reads_test.go
@@ -20,7 +20,7 @@
 	)
 	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(responseTime)
-		_, _ = w.Write([]byte(`{"rows":[],"truncated":false,"ledger":1}`)) // the client gives up only after its timeout
+		_, _ = w.Write([]byte(`{"rows":[],"truncated":false,"ledger":1}`)) // fails only if the client has gone
 	}))
 	defer service.Close()
 	registry := cancellation.New(cancellation.Options{Limit: time.Minute, LeaseRemaining: func() time.Duration { return time.Minute }})
--- a/internal/dispatch/forgets.go
+++ b/internal/dispatch/forgets.go
@@ -74,7 +74,7 @@
 	if waiting > manyForgets {
 		interval = shortForgetRaiseInterval
 	}
-	if !d.forgetRaiseAt.IsZero() && time.Since(d.forgetRaiseAt) < interval {
+	if time.Since(d.forgetRaiseAt) < interval {
 		return
 	}
 	above := uint64(0)
--- a/internal/dispatch/repeated_start_test.go
+++ b/internal/dispatch/repeated_start_test.go
@@ -82,6 +82,22 @@
 	return exited
 }
 
+// startsAfterForgetAndCopies sends heartbeats until all tasks are forgotten, delivers copies of the executed
+// commands, and returns the number of starts. It fails the test if a task is not forgotten in time.
+func (k *repeatingWorker) startsAfterForgetAndCopies(t *testing.T, d *dispatch.Dispatcher, startToken uint64) (starts int) {
+	t.Helper()
+	for began := time.Now(); len(k.Report().Tasks) > 0 && time.Since(began) < maxForgetDelay; time.Sleep(heartbeatPeriod) {
+		k.heartbeat(d, startToken)
+	}
+	if tasks := k.Report().Tasks; len(tasks) > 0 {
+		t.Errorf("not forgotten within %v: %+v", maxForgetDelay, tasks)
+	}
+	for _, commands := range k.executed {
+		k.HandleCommands(commands)
+	}
+	return k.starts
+}
+
 // startTask has the dispatcher start a task by a direct command.
 func startTask(d *dispatch.Dispatcher, task string) {
 	e := entry(1)
@@ -139,16 +155,7 @@
 			d.HaltCancelledTasks()
 		}
 		synctest.Wait()
-		for began := time.Now(); len(k.Report().Tasks) > 0 && time.Since(began) < maxForgetDelay; time.Sleep(heartbeatPeriod) {
-			k.heartbeat(d, 5)
-		}
-		if tasks := k.Report().Tasks; len(tasks) > 0 {
-			t.Errorf("not forgotten within %v: %+v", maxForgetDelay, tasks)
-		}
-		for _, commands := range k.executed {
-			k.HandleCommands(commands)
-		}
-		starts = k.starts
+		starts = k.startsAfterForgetAndCopies(t, d, 5)
 		cancel()
 		d.Wait()
 	})
@@ -173,9 +180,9 @@
 		s := &stub{token: 5, canRaiseToken: true}
 		d := newDispatcher(t.Context(), s)
 		exited := wire.Task{Task: "j-1/0", Attempt: 1, State: wire.TaskExited, Cause: cause}
-		clearTask := dispatch.Instructions{From: "a", Forget: []dispatch.Forget{{TaskRef: entry(1).TaskRef, MaxStartToken: 5}}}
+		forgetTask := dispatch.Instructions{From: "a", Forget: []dispatch.Forget{{TaskRef: entry(1).TaskRef, MaxStartToken: 5}}}
 		d.HandleReport(t.Context(), report(1, 5, exited))
-		d.ApplyInstructions(clearTask)
+		d.ApplyInstructions(forgetTask)
 		if _, body := d.HandleReport(t.Context(), report(2, 5, exited)); countVerb(body, wire.VerbForget) != 0 {
 			t.Errorf("%s: forgotten under the token of the start", cause)
 		}
@@ -206,18 +213,12 @@
 		k.heartbeat(d, 0)
 		startTask(d, "j-1/0")
 		before := usage.EventCount(usage.UnfencedForgets)
-		for began := time.Now(); len(k.Report().Tasks) > 0 && time.Since(began) < maxForgetDelay; time.Sleep(heartbeatPeriod) {
-			k.heartbeat(d, 0)
+		if starts := k.startsAfterForgetAndCopies(t, d, 0); starts != 1 {
+			t.Errorf("the task started %d times", starts)
 		}
 		if usage.EventCount(usage.UnfencedForgets) == before {
 			t.Error("not counted")
 		}
-		for _, commands := range k.executed {
-			k.HandleCommands(commands)
-		}
-		if k.starts != 1 {
-			t.Errorf("the task started %d times", k.starts)
-		}
 	})
 }
 
--- a/internal/hollow/worker.go
+++ b/internal/hollow/worker.go
@@ -23,7 +23,7 @@
 	server      *http.Server
 	stopReports context.CancelFunc // stops the agent that sends reports
 	reportsDone chan struct{}      // closed when the agent has stopped
-	shutDownOne sync.Once
+	endOnce     sync.Once
 
 	serving sync.RWMutex // held for reading while a request is served
 	ended   bool         // the process has ended: held requests have no effect
@@ -67,7 +67,7 @@
 
 // shutDown ends the worker and its tasks, and waits until they have ended. Further calls have no
 // effect.
-func (h *hollowWorker) shutDown() { h.shutDownOne.Do(h.end) }
+func (h *hollowWorker) shutDown() { h.endOnce.Do(h.end) }
 
 func (h *hollowWorker) end() {
 	h.stopReports()
--- a/internal/hollow/workers.go
+++ b/internal/hollow/workers.go
@@ -77,16 +77,15 @@
 
 // Launch implements standin.Launcher.
 func (w *Workers) Launch(m wire.ListedMachine, t wire.MachineType) (string, error) {
-	h := &hollowWorker{machine: m, machineType: t}
-	if err := h.start(w, "127.0.0.1:0"); err != nil {
-		return "", err
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.closed {
-		go h.shutDown()
 		return "", errors.New("the workers are shutting down")
 	}
+	h := &hollowWorker{machine: m, machineType: t}
+	if err := h.start(w, "127.0.0.1:0"); err != nil {
+		return "", err
+	}
 	w.byName[m.Name] = h
 	return h.addr, nil
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -105,11 +105,16 @@
 	p.site.state.RestartLeases()
 }
 
+// firstWorkers returns a share of the workers, the first ones by name.
+func (s *site) firstWorkers(share float64) []string {
+	all := slices.Sorted(maps.Keys(s.workers.Names(func(string) bool { return true })))
+	return all[:int(share*float64(len(all)))]
+}
+
 // cutWorkers cuts off a share of the workers.
 func (p *player) cutWorkers(ctx context.Context, f Fault) {
-	all := slices.Sorted(maps.Keys(p.site.workers.Names(func(string) bool { return true })))
 	cut := map[string]bool{}
-	for _, name := range all[:int(f.Share*float64(len(all)))] {
+	for _, name := range p.site.firstWorkers(f.Share) {
 		cut[name] = true
 	}
 	p.site.workers.SetCut(cut, true)
--- a/internal/soak/gate.go
+++ b/internal/soak/gate.go
@@ -41,20 +41,28 @@
 // request.
 func (g *gate) repeatRequests(r *repeater) {
 	g.served = http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
-		body, err := io.ReadAll(io.LimitReader(request.Body, maxGateBodyBytes))
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
-		request.Body = io.NopCloser(bytes.NewReader(body))
+		serveCopy := g.copyOf(request)
 		g.service.ServeHTTP(w, request)
-		r.answered(func() { //nolint:contextcheck // the copy outlives the request
-			again := request.Clone(context.WithoutCancel(request.Context()))
-			again.Body = io.NopCloser(bytes.NewReader(body))
-			g.service.ServeHTTP(httptest.NewRecorder(), again)
-		})
+		r.answered(serveCopy)
 	})
 }
 
+// copyOf reads a request's body, which it replaces, and returns a function that has the service carry
+// out a copy of the request without an answer.
+func (g *gate) copyOf(request *http.Request) (serve func()) {
+	body, err := io.ReadAll(io.LimitReader(request.Body, maxGateBodyBytes))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	request.Body = io.NopCloser(bytes.NewReader(body))
+	ctx := context.WithoutCancel(request.Context())
+	return func() {
+		again := request.Clone(ctx)
+		again.Body = io.NopCloser(bytes.NewReader(body))
+		g.service.ServeHTTP(httptest.NewRecorder(), again)
+	}
+}
+
 // begin begins a fault, and end ends it. Faults of one kind may overlap.
 func (g *gate) begin(kind FaultKind) { g.add(kind, 1) }
 func (g *gate) end(kind FaultKind)   { g.add(kind, -1) }
@@ -111,15 +119,10 @@
 // applyLate has a transaction applied later, and closes the connection without an answer after the
 // controller has given up, or after maxLateWrite.
 func (g *gate) applyLate(r *http.Request) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxGateBodyBytes))
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	late := r.Clone(context.WithoutCancel(r.Context()))
-	late.Body = io.NopCloser(bytes.NewReader(body))
+	serveCopy := g.copyOf(r)
 	g.late.Go(func() {
 		time.Sleep(minLateWrite + rand.N(maxLateWrite-minLateWrite))
-		g.service.ServeHTTP(httptest.NewRecorder(), late)
+		serveCopy()
 	})
 	select {
 	case <-r.Context().Done():
--- a/internal/soak/repeater.go
+++ b/internal/soak/repeater.go
@@ -21,8 +21,8 @@
 	copyHeaderValue = "1"
 )
 
-// repeater delivers copies of calls that were carried out and answered. It is safe for concurrent use; a
-// nil repeater delivers none.
+// repeater delivers copies of calls that were carried out and answered. It is safe for concurrent use. A
+// nil repeater has delivered none, and may be closed.
 type repeater struct {
 	closing chan struct{} // closed by close
 
--- a/internal/soak/repeats.go
+++ b/internal/soak/repeats.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -25,7 +24,7 @@
 // and all controllers, or a share of the workers, restart at once. In ModeAlone they replace the other
 // faults. Call it at most once.
 func (s *Schedule) AddRepeats(mode FaultMode) {
-	if mode == ModeNone {
+	if !mode.enabled() {
 		return
 	}
 	s.Repeats = mode
@@ -74,8 +73,7 @@
 // restartWorkers restarts a share of the workers at once. Copies of calls to their predecessors arrive
 // right afterwards.
 func (p *player) restartWorkers(ctx context.Context, f Fault) {
-	all := slices.Sorted(maps.Keys(p.site.workers.Names(func(string) bool { return true })))
-	for _, name := range all[:int(f.Share*float64(len(all)))] {
+	for _, name := range p.site.firstWorkers(f.Share) {
 		p.faults.Go(func() { p.site.workers.Restart(ctx, name, minQuickRestart+rand.N(f.Duration)) })
 	}
 	periodic.Sleep(ctx, minQuickRestart+f.Duration)
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -36,19 +36,27 @@
 	}
 }
 
+// checkAddedFaults checks that a schedule without other faults has as many faults of a kind as one that has
+// them beside the seed's own, which stay as they are. It returns the former.
+func checkAddedFaults(t *testing.T, seed uint64, count int, add func(s *Schedule, mode FaultMode), isAdded func(kind FaultKind) bool) (alone *Schedule) {
+	t.Helper()
+	plain, beside, alone := NewSchedule(seed), NewSchedule(seed), NewSchedule(seed)
+	add(beside, ModeBeside)
+	add(alone, ModeAlone)
+	others := slices.DeleteFunc(slices.Clone(beside.Faults), func(f Fault) bool { return isAdded(f.Kind) })
+	if !reflect.DeepEqual(others, plain.Faults) || len(beside.Faults) != len(plain.Faults)+count || len(alone.Faults) != count {
+		t.Errorf("seed %d: %d faults, %d beside, %d alone", seed, len(plain.Faults), len(beside.Faults), len(alone.Faults))
+	}
+	return alone
+}
+
 func isShortage(kind FaultKind) bool {
 	return kind == ProcessorShortage || kind == AllProcessorShortage
 }
 
 func TestShortagesLeaveTheOtherFaultsOfASeedAsTheyAre(t *testing.T) {
 	for seed := range uint64(200) {
-		plain, beside, alone := NewSchedule(seed), NewSchedule(seed), NewSchedule(seed)
-		beside.AddShortages(ModeBeside)
-		alone.AddShortages(ModeAlone)
-		others := slices.DeleteFunc(slices.Clone(beside.Faults), func(f Fault) bool { return isShortage(f.Kind) })
-		if !reflect.DeepEqual(others, plain.Faults) || len(beside.Faults) != len(plain.Faults)+shortagesOfARun || len(alone.Faults) != shortagesOfARun {
-			t.Errorf("seed %d: %d faults, %d beside, %d alone", seed, len(plain.Faults), len(beside.Faults), len(alone.Faults))
-		}
+		alone := checkAddedFaults(t, seed, shortagesOfARun, (*Schedule).AddShortages, isShortage)
 		for _, f := range alone.Faults {
 			if !isShortage(f.Kind) || f.Share < minRunningShare || f.Share > maxRunningShare || f.Controller >= alone.Controllers || f.At+f.Duration > alone.FaultsEnd {
 				t.Errorf("seed %d: %v", seed, f)
@@ -62,15 +70,8 @@
 }
 
 func TestRepeatsLeaveTheOtherFaultsOfASeedAsTheyAre(t *testing.T) {
-	const added = quickRestartsOfARun + workerRestartsOfARun + 1
 	for seed := range uint64(200) {
-		plain, beside, alone := NewSchedule(seed), NewSchedule(seed), NewSchedule(seed)
-		beside.AddRepeats(ModeBeside)
-		alone.AddRepeats(ModeAlone)
-		others := slices.DeleteFunc(slices.Clone(beside.Faults), func(f Fault) bool { return isRepeat(f.Kind) })
-		if !reflect.DeepEqual(others, plain.Faults) || len(beside.Faults) != len(plain.Faults)+added || len(alone.Faults) != added {
-			t.Errorf("seed %d: %d faults, %d beside, %d alone", seed, len(plain.Faults), len(beside.Faults), len(alone.Faults))
-		}
+		alone := checkAddedFaults(t, seed, quickRestartsOfARun+workerRestartsOfARun+1, (*Schedule).AddRepeats, isRepeat)
 		for _, f := range alone.Faults {
 			quick := f.Kind == RepeatCalls || f.Duration >= minQuickRestart && f.Duration <= maxQuickRestart
 			if !isRepeat(f.Kind) || !quick || f.At < warmUp || f.At+f.Duration > alone.FaultsEnd {
--- a/internal/soak/shortage.go
+++ b/internal/soak/shortage.go
@@ -23,7 +23,7 @@
 // AddShortages adds faults that keep processor time from controllers, drawn from the schedule's seed. In
 // ModeAlone they replace the other faults. Call it at most once.
 func (s *Schedule) AddShortages(mode FaultMode) {
-	if mode == ModeNone {
+	if !mode.enabled() {
 		return
 	}
 	s.Shortage = mode
