The stage of a loaded job is never a reason for 503

Cause: an uncertainty that each successor begins anew. A leader said whether a job is queued or running only once every worker that may run it had reported or a worker's lease (11 to 44 s) had passed since its own load, so leaders that follow each other sooner never answered.

Change: jobstate.State.PublicState says "running" if a recorded placement may be running, else "queued", from the load on; it is the only place that weighs a stage. A grace of some seconds would begin anew too. done and cancelled are as before: while an end or a cancel may be known elsewhere, or the lease has ended, nothing is said from memory (a test for each). A task starts only after its placement is recorded, so a job called running before stays running. A poll that waited for an earlier leader is answered by this controller if it leads by then. Leaders of earlier versions list such jobs as "unsettled": they are called running too. The remaining refusals of the old name came from processes that had just restarted and were still taken for the leader: now not_loaded.

--- a/internal/jobstate/job.go
+++ b/internal/jobstate/job.go
@@ -96,15 +96,3 @@
 	}
 	return n
 }
-
-// PublicState returns the job's state as reported to clients.
-func (j *Job) PublicState() wire.JobState {
-	state := wire.JobState{UID: j.Spec.UID, Stage: wire.StageQueued, Done: j.Done, Running: j.Running}
-	switch {
-	case j.Cancelled:
-		state.Stage, state.Running = wire.StageCancelled, 0
-	case j.Running > 0:
-		state.Stage = wire.StageRunning
-	}
-	return state
-}
--- a/internal/scheduler/export_test.go
+++ b/internal/scheduler/export_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/wallrack/wallrack/internal/dispatch"
 	"github.com/wallrack/wallrack/internal/jobrecord"
+	"github.com/wallrack/wallrack/internal/jobstate"
 	"github.com/wallrack/wallrack/internal/shardlog"
 	"github.com/wallrack/wallrack/internal/wire"
 )
@@ -156,3 +157,17 @@
 	defer s.state.Mu.Unlock()
 	return time.Since(s.state.Workers[worker].LastHeartbeat)
 }
+
+// SetCancellations sets the cancelled jobs known to this controller.
+func (s *Scheduler) SetCancellations(cancellations jobstate.Cancellations) {
+	s.state.Mu.Lock()
+	defer s.state.Mu.Unlock()
+	s.state.Cancellations = cancellations
+}
+
+// SetEndWriteSent sets that the write of a job's end is in flight.
+func (s *Scheduler) SetEndWriteSent(uid string) {
+	s.state.Mu.Lock()
+	defer s.state.Mu.Unlock()
+	s.state.Jobs[uid].EndWriteSent = true
+}
--- a/internal/scheduler/failover.go
+++ b/internal/scheduler/failover.go
@@ -16,7 +16,8 @@
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
-const loadTimeout = 8 * time.Second
+// LoadTimeout bounds one attempt to load shards at a failover.
+const LoadTimeout = 8 * time.Second
 
 // syncShards unloads the shards that this controller no longer leads and loads the ones it has
 // gained.
@@ -26,7 +27,7 @@
 	if len(gained) == 0 || s.state.Membership.LeaseRemaining() <= 0 {
 		return
 	}
-	loadCtx, cancel := context.WithTimeout(statestore.WithPriority(ctx, statestore.Urgent), loadTimeout)
+	loadCtx, cancel := context.WithTimeout(statestore.WithPriority(ctx, statestore.Urgent), LoadTimeout)
 	defer cancel()
 	if err := s.load(loadCtx, gained, claimed); err != nil {
 		s.log.Info("loading shards failed", "shards", gained, "err", err)
--- a/internal/scheduler/job_state.go
+++ b/internal/scheduler/job_state.go
@@ -25,7 +25,7 @@
 	if job == nil || !s.isCurrent(job) {
 		return wire.JobState{}, false
 	}
-	return job.PublicState(), true
+	return s.state.PublicState(job, time.Now()), true
 }
 
 // RefineState returns the state that ReadStoredState has just returned for a job, refined by what
@@ -45,7 +45,7 @@
 	if job == nil || !s.state.LeadsJob(job) {
 		return stored
 	}
-	return job.PublicState()
+	return s.state.PublicState(job, time.Now())
 }
 
 // SurelyQueued reports whether this controller leads the shard of a live job and knows that
--- a/internal/scheduler/listing.go
+++ b/internal/scheduler/listing.go
@@ -131,7 +131,7 @@
 func (s *Scheduler) snapshot(job, first *jobstate.Job, firstTask int) jobSnapshot {
 	constraints := *job.Constraints.Constraints
 	snapshot := jobSnapshot{Info: jobquery.Info{
-		Job: *job.Spec, Constraints: &constraints, AcceptedMs: job.AcceptedMs, Stage: job.PublicState().Stage,
+		Job: *job.Spec, Constraints: &constraints, AcceptedMs: job.AcceptedMs, Stage: s.state.PublicState(job, time.Now()).Stage,
 		EligibleMs: job.Constraints.EligibleMs, StartMs: job.Constraints.StartMs,
 		Running: job.Running, Done: job.Done, Failed: job.Finished - job.Done,
 	}}
--- a/internal/submission/batched_polls.go
+++ b/internal/submission/batched_polls.go
@@ -148,8 +148,8 @@
 	switch {
 	case !ok:
 		return peerAnswer{}
-	case slices.Contains(rep.StageUnknown, uid):
-		return peerAnswer{pollAnswered, wire.JobState{UID: uid, Stage: stageUnknown}}
+	case slices.Contains(rep.MayRun, uid):
+		return peerAnswer{pollAnswered, wire.JobState{UID: uid, Stage: wire.StageRunning}}
 	case i < len(rep.States) && rep.States[i].UID == uid:
 		return peerAnswer{pollAnswered, rep.States[i]}
 	}
@@ -195,13 +195,8 @@
 func (s *Service) localStates(uids []string) Reply {
 	rep := Reply{Status: http.StatusOK, States: make([]wire.JobState, len(uids))}
 	for i, uid := range uids {
-		known, ok := s.localReply(uid)
-		switch {
-		case !ok: // unknown: the state has no UID
-		case known.succeeded():
+		if known, ok := s.localReply(uid); ok { // otherwise unknown: the state has no UID
 			rep.States[i] = known.State
-		default:
-			rep.StageUnknown = append(rep.StageUnknown, uid)
 		}
 	}
 	return rep
--- a/internal/submission/batched_polls_test.go
+++ b/internal/submission/batched_polls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"sync"
 	"testing"
@@ -75,3 +76,20 @@
 		}
 	})
 }
+
+// A leader of an earlier version lists live jobs whose tasks may be running as "unsettled", without a state.
+func TestJobsThatEarlierVersionsReportAsUnsettledAreAnswered(t *testing.T) {
+	var reply Reply
+	if err := json.Unmarshal([]byte(`{"status":200,"states":[{},{"uid":"j-2","stage":"queued"},{}],"unsettled":["j-1"]}`), &reply); err != nil {
+		t.Fatal(err)
+	}
+	for i, want := range []peerAnswer{
+		{pollAnswered, wire.JobState{UID: "j-1", Stage: wire.StageRunning}},
+		{pollAnswered, wire.JobState{UID: "j-2", Stage: wire.StageQueued}},
+		{outcome: pollJobUnknown},
+	} {
+		if got := answerInBatch(&reply, true, i, fmt.Sprintf("j-%d", i+1)); got != want {
+			t.Errorf("poll %d: %+v, want %+v", i, got, want)
+		}
+	}
+}
--- a/internal/submission/messages.go
+++ b/internal/submission/messages.go
@@ -42,8 +42,8 @@
 
 	StageKnown bool `json:"settled,omitempty"` // the stage is certain; the state service alone records every live job as queued
 
-	States       []wire.JobState `json:"states,omitempty"`    // of batched polls, in their order; those of unknown jobs have no UID
-	StageUnknown []string        `json:"unsettled,omitempty"` // of batched polls: live jobs whose leader does not know if a task runs
+	States []wire.JobState `json:"states,omitempty"`    // of batched polls, in their order; those of unknown jobs have no UID
+	MayRun []string        `json:"unsettled,omitempty"` // of batched polls to earlier versions: live jobs of which a task may be running
 }
 
 // retriableAtPeer reports whether the outcome is unknown but a peer may know it. If the state
--- a/internal/submission/poll.go
+++ b/internal/submission/poll.go
@@ -14,7 +14,14 @@
 	if rep, ok := s.pollLeaders(ctx, req.UID); ok {
 		return rep
 	}
-	return s.refineByLeader(ctx, s.serveHereOrAtPeer(ctx, req))
+	rep := s.refineByLeader(ctx, s.serveHereOrAtPeer(ctx, req))
+	if rep.succeeded() || rep.deniesJob() {
+		return rep
+	}
+	if loaded, ok := s.localReply(req.UID); ok { // this controller has become the leader meanwhile
+		return loaded
+	}
+	return rep
 }
 
 // pollLeaders asks the other leaders about a job. It returns false if the state service may help: if no
@@ -30,7 +37,7 @@
 		}
 		switch answer := s.pollBatched(ctx, leader, uid, timeout); answer.outcome {
 		case pollAnswered:
-			return s.leaderReply(answer.state), true
+			return leaderReply(answer.state), true
 		case pollUnanswered:
 			unanswered = true
 		case pollJobUnknown:
--- a/internal/submission/refusals.go
+++ b/internal/submission/refusals.go
@@ -18,7 +18,7 @@
 const (
 	RefusedNoLeader          Refusal = "no_leader"          // the stored stage needs the leader's word, and no leader is known
 	RefusedLeaderUnreached   Refusal = "leader_unreached"   // the same, and no leader answered in time
-	RefusedStageUnknown      Refusal = "stage_unknown"      // the job's leader does not know yet whether a task runs
+	RefusedNotLoaded         Refusal = "not_loaded"         // the controller taken for the leader does not lead the job, or has not loaded it yet
 	RefusedStoreBusy         Refusal = "store_busy"         // the budget of requests to the state service is used up
 	RefusedStoreUnavailable  Refusal = "store_unavailable"  // the state service refused the request
 	RefusedStoreUnknown      Refusal = "store_unknown"      // the state service did not answer in time, or not as expected
--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -61,8 +61,8 @@
 }
 
 // StageAuthority may be implemented by Jobs. The state service records every live job as
-// queued, running or not. With a StageAuthority, "queued" is reported only by a leader that is
-// certain of it, and the response is 503 otherwise; without one, the stored stage is reported.
+// queued, running or not. With a StageAuthority, only the job's leader reports a job as queued, and
+// the response is 503 if no leader answers; without one, the stored stage is reported.
 type StageAuthority interface {
 	// SurelyQueued reports whether this controller leads the shard of a live job and knows
 	// that no task of the job runs.
@@ -364,7 +364,7 @@
 	case VerbPoll:
 		rep := s.lookupReply(statestore.WithPriority(ctx, statestore.Lookup), req.UID)
 		if req.AsLeader && s.stages != nil && rep.needsLeader() {
-			return undecidedReply(RefusedStageUnknown)
+			return undecidedReply(RefusedNotLoaded)
 		}
 		return rep
 	case VerbCancel:
--- a/internal/submission/stage.go
+++ b/internal/submission/stage.go
@@ -9,31 +9,21 @@
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
-// stageUnknown is the stage of a live job whose leader does not know yet whether a task runs.
-// It is never reported to users.
-const stageUnknown = "unsettled"
-
 // localReply returns the state of a job that this controller leads, or of an ended one whose final
 // state it has read. It returns false if this controller knows neither, or is not certain of the state.
 func (s *Service) localReply(uid string) (Reply, bool) {
 	if final, ok := s.ended.get(uid); ok {
-		return s.leaderReply(final), true
+		return leaderReply(final), true
 	}
 	state, ok := s.jobs.LocalState(uid)
 	if !ok {
 		return Reply{}, false
 	}
-	if state.Stage == wire.StageQueued && s.stages != nil && !s.stages.SurelyQueued(uid, 0) {
-		state.Stage = stageUnknown
-	}
-	return s.leaderReply(state), true
+	return leaderReply(state), true
 }
 
 // leaderReply returns the reply for a state from a job's leader.
-func (s *Service) leaderReply(state wire.JobState) Reply {
-	if state.Stage == stageUnknown {
-		return undecidedReply(RefusedStageUnknown)
-	}
+func leaderReply(state wire.JobState) Reply {
 	return Reply{Status: http.StatusOK, State: state, StageKnown: true}
 }
 
@@ -83,11 +73,11 @@
 		}
 		why = RefusedLeaderUnreached
 		if ok {
-			why = RefusedStageUnknown
+			why = RefusedNotLoaded
 		}
 		// rep shows that the job has not ended, so a recent late state is still valid.
 		if state, ok := s.batcher(leader).lateState(uid); ok {
-			return s.leaderReply(state)
+			return leaderReply(state)
 		}
 	}
 	if s.stages == nil {
--- a/internal/testkit/stage_after_failover_test.go
+++ b/internal/testkit/stage_after_failover_test.go
@@ -180,3 +180,34 @@
 		})
 	}
 }
+
+// Guards against controllers that answer 503 about a job of silent workers once its new leader has loaded it.
+func TestJobOfSilentWorkersIsAnsweredFromTheLoadOn(t *testing.T) {
+	for i, c := range leaderChanges[:5] {
+		t.Run(c.name, func(t *testing.T) {
+			runOnCluster(t, 4880+uint64(i), 3, 2, func(w *cluster) {
+				w.submit("j-80", 2)
+				w.runFor(8)
+				for _, worker := range w.workers {
+					w.breakLinks(worker.Name, w.controllerNames...)
+				}
+				before := w.nodes[w.leader()].member.FencingToken()
+				c.change(w)
+				if !w.runUntil(20, func() bool {
+					leader := w.leader()
+					return leader != "" && w.nodes[leader].member.FencingToken() > before && w.loaded(leader)
+				}) {
+					t.Fatal("no controller loaded the shards")
+				}
+				asked := w.newStageAnswers("j-80")
+				asked.queryFor(3, false)
+				if asked.refused > 0 || asked.wronglyQueued > 0 || asked.stages[wire.StageRunning] == 0 {
+					t.Errorf("answers by stage %v, %d refused", asked.stages, asked.refused)
+				}
+			})
+		})
+	}
+}
+
+// loaded reports whether a controller has loaded the shards that it claimed.
+func (w *cluster) loaded(name string) bool { return w.nodes[name].scheduler.ShardsLoaded() }
