The pause between reads of the cancels is bounded by the workers' grace

What callers saw: no start for 50 s after the faults, jobs left waiting beside idle workers, and workers that lose their leases and tasks: a leader that can't know all cancels answers no worker, then has no heartbeats and transfers its shards.

Cause: the next read of the cancels followed 20 times the last one's duration later, without a bound: 30 s after a read of 1.5 s, 100 s after one of 5 s. Controllers that restart meanwhile make a new read necessary at once. Class: a retry whose pause grows with the slowness that it is to overcome, without regard to how long its result is valid.

Reads of a fast state service are as before. Paging does not shorten a read that waits for refused requests; one reader for all peers would be as old as its link; a watch of live/ is there already and proves nothing while it lags.

--- a/internal/controller/assemble.go
+++ b/internal/controller/assemble.go
@@ -207,7 +207,7 @@
 func (c *controller) assembleCancellationExchange() {
 	c.cancellationExchange = cancellationExchange{
 		cfg: c.cfg, registry: c.cancellations, updates: c.cancelUpdates, scheduler: c.scheduler, dispatcher: c.dispatcher, router: &c.workerRouter, peers: &c.links.Caller,
-		reader: cancellationReader{registry: c.cancellations, store: c.store, log: c.log}, log: c.log,
+		reader: cancellationReader{registry: c.cancellations, store: c.store, grace: c.workerRouter.grace, log: c.log}, log: c.log,
 	}
 	c.register(&c.cancellationExchange)
 }
--- a/internal/controller/cancellation_reads.go
+++ b/internal/controller/cancellation_reads.go
@@ -12,7 +12,8 @@
 
 const (
 	storeReadInterval      = 2500 * time.Millisecond // minimum pause between reads of the state service
-	storeReadPauseFactor   = 20                      // minimum pause as a multiple of the read's duration, to bound the load
+	storeReadPauseFactor   = 20                      // pause as a multiple of the read's duration, to bound the load
+	storeReadsInGrace      = 3                       // pauses that fit into responseGrace, so that one read may fail
 	storeReadTimeout       = 5 * time.Second
 	storeReadCheckInterval = exchangeInterval / 2 // between checks whether a read is needed
 )
@@ -22,6 +23,7 @@
 type cancellationReader struct {
 	registry *cancellation.Registry
 	store    *statestore.Client
+	grace    time.Duration // see responseGrace
 	log      *slog.Logger
 }
 
@@ -50,5 +52,11 @@
 		return exchangeInterval
 	}
 	r.registry.RecordStoreRead(sent, jobs)
-	return max(storeReadInterval, storeReadPauseFactor*time.Since(sent))
+	return r.pauseAfter(time.Since(sent))
+}
+
+// pauseAfter returns the pause after a successful read of the given duration. However slow the state service
+// is, the next read comes while this controller may still respond to workers.
+func (r *cancellationReader) pauseAfter(duration time.Duration) time.Duration {
+	return max(storeReadInterval, min(storeReadPauseFactor*duration, r.grace/storeReadsInGrace))
 }
