Soak: long series of leaders beside silent workers, and jobs without an answer during the faults

The soak judged jobs without an answer only after the faults (75 s), which last 28 s, with a worker's lease of 6 s: it could not show a job about which every request fails for 90 s during the troubles, the operators' other bound. It is checked now for each job, from outside, while most other jobs get answers.

A mode that is alone can't be combined with another one any more, as docs/soak.md says; repeat-calls alone beside a processor shortage was possible.

--- a/cmd/wallrack/soak.go
+++ b/cmd/wallrack/soak.go
@@ -29,6 +29,7 @@
 	endedJobs    int
 	shortage     string
 	repeats      string
+	leaderSeries string
 }
 
 // soakCommand returns the command that plays random faults on real controllers.
@@ -56,6 +57,7 @@
 	f.IntVar(&flags.endedJobs, "ended-jobs", 0, "jobs that ended before the run, about which users ask after the faults")
 	f.StringVar(&flags.shortage, "processor-shortage", string(soak.ModeNone), "controllers are short of processor time: none, beside other faults, or alone")
 	f.StringVar(&flags.repeats, "repeat-calls", string(soak.ModeNone), "copies of answered calls arrive, controllers and workers are back within a second: none, beside other faults, or alone")
+	f.StringVar(&flags.leaderSeries, "leader-series", string(soak.ModeNone), "each leader is killed soon after its failover, for 100 s, while some workers are cut off: none, beside other faults, or alone")
 	return c
 }
 
@@ -71,14 +73,8 @@
 	if flags.endedJobs < 0 || flags.endedJobs > maxSoakEndedJobs {
 		return settingsError{fmt.Errorf("--ended-jobs: must be 0 to %d", maxSoakEndedJobs)}
 	}
-	if _, err := soak.ParseFaultMode(flags.shortage); err != nil {
-		return settingsError{fmt.Errorf("--processor-shortage: %w", err)}
-	}
-	if _, err := soak.ParseFaultMode(flags.repeats); err != nil {
-		return settingsError{fmt.Errorf("--repeat-calls: %w", err)}
-	}
-	if flags.shortage == string(soak.ModeAlone) && flags.repeats != string(soak.ModeNone) {
-		return settingsError{errors.New("--repeat-calls: can't be played where --processor-shortage is alone")}
+	if err := flags.checkModes(); err != nil {
+		return settingsError{err}
 	}
 	exe, err := os.Executable()
 	if err != nil {
@@ -104,6 +100,26 @@
 	return nil
 }
 
+// checkModes returns an error unless the modes of faults are known and can be played together.
+func (f *soakFlags) checkModes() error {
+	modes := []struct{ flag, mode string }{
+		{"--processor-shortage", f.shortage}, {"--repeat-calls", f.repeats}, {"--leader-series", f.leaderSeries},
+	}
+	for _, m := range modes {
+		if _, err := soak.ParseFaultMode(m.mode); err != nil {
+			return fmt.Errorf("%s: %w", m.flag, err)
+		}
+	}
+	for _, alone := range modes {
+		for _, other := range modes {
+			if alone.mode == string(soak.ModeAlone) && other.flag != alone.flag && other.mode != string(soak.ModeNone) {
+				return fmt.Errorf("%s: can't be played where %s is alone", other.flag, alone.flag)
+			}
+		}
+	}
+	return nil
+}
+
 // playSeeds plays the seeds, several at the same time, prints their results, and returns the
 // number of seeds on which a rule was broken.
 func playSeeds(ctx context.Context, seeds []uint64, flags soakFlags, exe, dir string, out io.Writer) (broken int, err error) {
@@ -117,6 +133,7 @@
 			}
 			schedule := soak.NewSchedule(seed)
 			schedule.LoadBalancer, schedule.EndedJobs = flags.loadBalancer, flags.endedJobs
+			schedule.AddLeaderSeries(soak.FaultMode(flags.leaderSeries))
 			schedule.AddRepeats(soak.FaultMode(flags.repeats))
 			schedule.AddShortages(soak.FaultMode(flags.shortage))
 			run := soak.Run{Schedule: schedule, Exe: exe, Dir: filepath.Join(dir, fmt.Sprintf("seed-%d", seed))}
--- a/cmd/wallrack/soak_test.go
+++ b/cmd/wallrack/soak_test.go
@@ -23,6 +23,8 @@
 		{[]string{"--seeds", "1", "--processor-shortage", "much"}, "--processor-shortage: \"much\" is not"},
 		{[]string{"--seeds", "1", "--repeat-calls", "often"}, "--repeat-calls: \"often\" is not"},
 		{[]string{"--seeds", "1", "--repeat-calls", "beside", "--processor-shortage", "alone"}, "--repeat-calls: can't be played"},
+		{[]string{"--seeds", "1", "--leader-series", "long"}, "--leader-series: \"long\" is not"},
+		{[]string{"--seeds", "1", "--leader-series", "alone", "--repeat-calls", "beside"}, "--repeat-calls: can't be played where --leader-series is alone"},
 	} {
 		cmd := newRootCommand()
 		cmd.SetOut(&bytes.Buffer{})
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -26,6 +26,7 @@
 
 // Limits are the times and amounts by which a history is checked.
 type Limits struct {
+	Unanswered    time.Duration      // during the faults, longest time for which all requests about an accepted job fail
 	NothingLearnt time.Duration      // after the faults, longest time without a successful poll of an accepted job
 	Unfinished    time.Duration      // after the faults, longest time until every job is over
 	Cancel        time.Duration      // longest time that a task may be on a worker after its job's cancel was confirmed
@@ -87,7 +88,7 @@
 	for i := range history.Events {
 		c.apply(&history.Events[i])
 	}
-	return c.violations
+	return append(c.violations, checkUnanswered(history, limits.Unanswered)...)
 }
 
 func (c *checker) report(rule Rule, at time.Duration, job, format string, args ...any) {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -65,7 +65,18 @@
 	return accepted().start("j-1/0", "n-1").add(Event{Kind: CancelSent}).respond(Cancel, 200, wire.StageCancelled)
 }
 
-var testLimits = Limits{NothingLearnt: 75 * time.Second, Unfinished: 90 * time.Second, Cancel: 10 * time.Second, TeamCPUs: map[string]float64{"red": 4}}
+// refused is a history in which all polls for the job fail for 100 s of the faults, while another job is asked about.
+func refused(otherStatus int) *historyBuilder {
+	h := accepted()
+	h.Jobs["j-2"] = &wire.Job{UID: "j-2", Tasks: 1}
+	h.add(Event{Kind: Submit, Job: "j-2", Status: 201, Stage: wire.StageQueued})
+	for range 10 {
+		h.wait(10*time.Second).respond(Poll, 503, "").add(Event{Kind: Poll, Job: "j-2", Status: otherStatus, Stage: wire.StageQueued})
+	}
+	return h.respond(Poll, 200, wire.StageQueued).add(Event{Kind: FaultsOver})
+}
+
+var testLimits = Limits{Unanswered: 90 * time.Second, NothingLearnt: 75 * time.Second, Unfinished: 90 * time.Second, Cancel: 10 * time.Second, TeamCPUs: map[string]float64{"red": 4}}
 
 func TestCheckFindsEachViolation(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -77,6 +88,7 @@
 		"a repeated submission gets 400":          {done().respond(Submit, 400, ""), Forgotten},
 		"nothing is learnt until the end":         {accepted().add(Event{Kind: FaultsOver}).wait(80*time.Second).respond(Poll, 503, "").add(Event{Kind: RunOver}), Forgotten},
 		"nothing is learnt for a while":           {accepted().add(Event{Kind: FaultsOver}).wait(80*time.Second).respond(Poll, 200, wire.StageQueued), Forgotten},
+		"all polls fail during the faults":        {refused(200), Forgotten},
 		"a done job is called running":            {done().respond(Poll, 200, wire.StageRunning), WentBack},
 		"a cancelled job is called done":          {cancelled().respond(Poll, 200, wire.StageQueued), WentBack},
 		"nobody cancelled":                        {accepted().respond(Poll, 200, wire.StageCancelled), WentBack},
@@ -105,6 +117,7 @@
 		"cancelled when done":              done().add(Event{Kind: CancelSent}).respond(Cancel, 200, wire.StageDone),
 		"not accepted":                     newHistory().respond(Submit, 503, "").respond(Poll, 404, "").add(Event{Kind: FaultsOver}).wait(200 * time.Second).add(Event{Kind: RunOver}),
 		"a long trouble":                   accepted().wait(200*time.Second).add(Event{Kind: FaultsOver}).wait(70*time.Second).respond(Poll, 200, wire.StageQueued).add(Event{Kind: RunOver}),
+		"polls for all jobs fail":          refused(503),
 		"stopped and started":              accepted().start("j-1/0", "n-1").add(Event{Kind: TaskEnded, Task: "j-1/0", Worker: "n-1"}).start("j-1/0", "n-2"),
 		"started again as another attempt": accepted().attempt(1).end("j-1/0", "n-1").attempt(2),
 		"an unknown job gets 404":          accepted().add(Event{Kind: Poll, Job: "j-2", Status: 404}),
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -26,6 +26,7 @@
 )
 
 const (
+	unansweredLimit    = 90 * time.Second // as stated by the operators
 	nothingLearntLimit = 75 * time.Second // as stated by the operators
 	unfinishedLimit    = 90 * time.Second // as stated by the operators
 	restartDelay       = 700 * time.Millisecond
@@ -97,7 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
-	result.Violations = Check(history, Limits{NothingLearnt: nothingLearntLimit, Unfinished: unfinishedLimit, Cancel: cancelLimit, TeamCPUs: teams})
+	result.Violations = Check(history, Limits{Unanswered: unansweredLimit, NothingLearnt: nothingLearntLimit, Unfinished: unfinishedLimit, Cancel: cancelLimit, TeamCPUs: teams})
 	result.Violations = append(result.Violations, logged...)
 	accepted := map[string]bool{}
 	for i := range history.Events {
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -91,3 +91,20 @@
 		}
 	}
 }
+
+func TestLeaderSeriesLeavesTheOtherFaultsOfASeedAsTheyAre(t *testing.T) {
+	for seed := range uint64(200) {
+		plain, beside, alone := NewSchedule(seed), NewSchedule(seed), NewSchedule(seed)
+		beside.AddLeaderSeries(ModeBeside)
+		alone.AddLeaderSeries(ModeAlone)
+		others := slices.DeleteFunc(slices.Clone(beside.Faults), func(f Fault) bool { return f.Duration == seriesDuration })
+		if !reflect.DeepEqual(others, plain.Faults) || len(beside.Faults) != len(plain.Faults)+2 || len(alone.Faults) != 2 {
+			t.Errorf("seed %d: %d faults, %d beside, %d alone", seed, len(plain.Faults), len(beside.Faults), len(alone.Faults))
+		}
+		for _, f := range alone.Faults {
+			if f.At+f.Duration > alone.FaultsEnd || f.Kind == CutWorkers && (f.Share < minCutShare || f.Share > maxCutShare) {
+				t.Errorf("seed %d: %v, faults end at %v", seed, f, alone.FaultsEnd)
+			}
+		}
+	}
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -85,6 +85,13 @@
 	play(t, buildProgram(t), schedule)
 }
 
+func TestJobsAreNotForgottenWhileLeadersEndInALongSeries(t *testing.T) {
+	t.Parallel()
+	schedule := soak.NewSchedule(1)
+	schedule.AddLeaderSeries(soak.ModeAlone)
+	play(t, buildProgram(t), schedule)
+}
+
 func TestRunWithoutProgramSaysSo(t *testing.T) {
 	run := soak.Run{Schedule: soak.NewSchedule(1), Exe: filepath.Join(t.TempDir(), "none"), Dir: t.TempDir()}
 	if _, err := run.Do(t.Context()); !errors.Is(err, fs.ErrNotExist) {
