Submission: dependencies, handlers and the checks of each answer in files of their own

service.go held the interfaces, the HTTP handlers, the checks that every answer passes and the service itself. Code is moved; one method says whether a reply is an answer, where two places spelled it out, and the tests of silent workers cut them off by connectWorkersOnlyTo.

--- a/internal/submission/messages.go
+++ b/internal/submission/messages.go
@@ -50,6 +50,11 @@
 // service is busy, it is busy for all controllers.
 func (r *Reply) retriableAtPeer() bool { return r.Status == 0 && !r.Busy }
 
+// answered reports whether the outcome is known: the reply contains a state or denies the job.
+func (r *Reply) answered() bool {
+	return r.Status != 0 && r.Status != http.StatusServiceUnavailable
+}
+
 // succeeded reports whether the reply contains a state.
 func (r *Reply) succeeded() bool { return r.Status/100 == 2 }
 
--- a/internal/submission/poll.go
+++ b/internal/submission/poll.go
@@ -15,7 +15,7 @@
 		return rep
 	}
 	rep := s.refineByLeader(ctx, s.serveHereOrAtPeer(ctx, req))
-	if rep.succeeded() || rep.deniesJob() {
+	if rep.answered() {
 		return rep
 	}
 	if loaded, ok := s.localReply(req.UID); ok { // this controller has become the leader meanwhile
--- a/internal/submission/refusals.go
+++ b/internal/submission/refusals.go
@@ -126,3 +126,18 @@
 	defer r.mu.Unlock()
 	delete(r.unanswered, uid)
 }
+
+// recordOutcome records whether a request about a job was answered.
+func (s *Service) recordOutcome(uid string, rep *Reply) {
+	switch {
+	case rep.answered():
+		s.refusals.answered(uid)
+	case rep.Refusal == "":
+		s.refusals.record(s.log, uid, RefusedOther)
+	default:
+		s.refusals.record(s.log, uid, rep.Refusal)
+	}
+}
+
+// Refusals returns how many requests were answered with status 503, by reason.
+func (s *Service) Refusals() map[Refusal]int64 { return s.refusals.counts() }
--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -10,20 +10,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/wallrack/wallrack/internal/config"
-	"github.com/wallrack/wallrack/internal/httpjson"
-	"github.com/wallrack/wallrack/internal/jobid"
-	"github.com/wallrack/wallrack/internal/jobspec"
 	"github.com/wallrack/wallrack/internal/statestore"
-	"github.com/wallrack/wallrack/internal/usage"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -41,78 +34,6 @@
 	maxPollsInFlight = 512
 )
 
-// Store is the part of the state service that a Service uses.
-type Store interface {
-	Get(ctx context.Context, key string) (wire.Item, error)
-	Txn(ctx context.Context, guards []wire.Guard, ops ...wire.Op) (uint64, error)
-}
-
-// Jobs is the scheduler in this process. It knows the jobs of the shards that this controller
-// leads.
-type Jobs interface {
-	// LocalState returns the state of a job that this controller leads.
-	LocalState(uid string) (wire.JobState, bool)
-	// RefineState adds to a stored state what this controller knows of the job's tasks.
-	RefineState(stored wire.JobState) wire.JobState
-	// JobAccepted notifies the scheduler of a job that was recorded.
-	JobAccepted(job *wire.Job, t *jobspec.Constraints, shard int, atMs int64, version uint64)
-	// Cancel cancels a job permanently and returns its state.
-	Cancel(ctx context.Context, uid string) (wire.JobState, error)
-}
-
-// StageAuthority may be implemented by Jobs. The state service records every live job as
-// queued, running or not. With a StageAuthority, only the job's leader reports a job as queued, and
-// the response is 503 if no leader answers; without one, the stored stage is reported.
-type StageAuthority interface {
-	// SurelyQueued reports whether this controller leads the shard of a live job and knows
-	// that no task of the job runs.
-	SurelyQueued(uid string, shard int) bool
-}
-
-// LiveJobs may be implemented by Jobs with a StageAuthority. The state service does not say of a live
-// job whether its tasks run, so that only the job's leader can answer a poll for it.
-type LiveJobs interface {
-	// KnownLive reports whether another controller's job was live and not cancelled when the state service
-	// last reported a change, and was not accepted just now.
-	KnownLive(uid string) bool
-}
-
-// Catalog returns the machine types.
-type Catalog interface {
-	// All returns every machine type, or none while they are unknown.
-	All() []wire.MachineType
-}
-
-// Peers are the other controllers.
-type Peers interface {
-	// ShardLeaders returns the names of the other controllers that lead shards.
-	ShardLeaders() []string
-	// ServingPeers returns the names of the other controllers that reach the state service.
-	ServingPeers() []string
-	// QueryPeer makes a peer serve a request.
-	QueryPeer(ctx context.Context, peer string, r Request) (*Reply, error)
-	// Healthy reports whether this controller should receive users' requests.
-	Healthy() bool
-}
-
-// Cancellations reports which cancels are effective at all controllers.
-type Cancellations interface {
-	// Confirm returns nil if every controller knows of the job's cancel, or stops responding to
-	// workers before it could start tasks of the job. After an error the job must not be
-	// reported as cancelled.
-	Confirm(uid string) error
-}
-
-// Numbers allocates job numbers and finds jobs by number.
-type Numbers interface {
-	// Take allocates count consecutive numbers and returns the first.
-	Take(ctx context.Context, count int) (uint64, error)
-	// Allocated reports whether count numbers from first on were allocated.
-	Allocated(ctx context.Context, first uint64, count int) (bool, error)
-	// Find returns the job with a number, or statestore.ErrNotFound.
-	Find(ctx context.Context, n uint64) (jobid.Job, error)
-}
-
 // Service serves users. It is safe for concurrent use after Register.
 type Service struct {
 	numbers        Numbers       // nil if jobs have no numbers and no constraints
@@ -165,118 +86,6 @@
 	}
 }
 
-// Register registers the HTTP paths for users on mux.
-func (s *Service) Register(mux *http.ServeMux) {
-	mux.HandleFunc("POST /api/jobs", s.limited(s.submitSlots, s.submit))
-	mux.HandleFunc("GET /api/jobs/{id}", s.limited(s.otherSlots, s.jobRequest(VerbPoll, pollTimeout, s.poll)))
-	mux.HandleFunc("POST /api/jobs/{id}/cancel", s.limited(s.otherSlots, s.jobRequest(VerbCancel, writeTimeout, s.cancel)))
-	mux.HandleFunc("GET /up", s.serveHealth)
-}
-
-// limited refuses requests while all slots are in use.
-func (s *Service) limited(slots chan struct{}, serve http.HandlerFunc) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		select {
-		case slots <- struct{}{}:
-			defer func() { <-slots }()
-			defer usage.AddTime(usage.UserRequests, time.Now())
-			serve(w, r)
-		default:
-			usage.CountEvent(usage.RefusedRequests)
-			s.refusals.record(s.log, r.PathValue("id"), RefusedTooMany)
-			refuse(w, http.StatusServiceUnavailable, "too many requests at once")
-		}
-	}
-}
-
-func refuse(w http.ResponseWriter, status int, reason string) {
-	if status == http.StatusServiceUnavailable && w.Header().Get("Retry-After") == "" {
-		w.Header().Set("Retry-After", "1")
-	}
-	httpjson.Write(w, status, wire.Problem{Error: reason})
-}
-
-func (s *Service) serveHealth(w http.ResponseWriter, _ *http.Request) {
-	if !s.peers.Healthy() {
-		refuse(w, http.StatusServiceUnavailable, "another controller serves better")
-		return
-	}
-	httpjson.Write(w, http.StatusOK, struct{}{})
-}
-
-// respond writes a reply about a job as the HTTP response. uid may be empty.
-func (s *Service) respond(w http.ResponseWriter, uid string, rep Reply) {
-	rep = s.neverDenyAccepted(uid, s.requireConfirmedCancel(rep))
-	s.recordOutcome(uid, &rep)
-	switch {
-	case rep.succeeded():
-		httpjson.Write(w, rep.Status, rep.State)
-	case rep.Status == 0:
-		refuse(w, http.StatusServiceUnavailable, "can't tell now")
-	default:
-		refuse(w, rep.Status, rep.Reason)
-	}
-}
-
-// recordOutcome records whether a request about a job was answered.
-func (s *Service) recordOutcome(uid string, rep *Reply) {
-	switch {
-	case rep.Status != 0 && rep.Status != http.StatusServiceUnavailable:
-		s.refusals.answered(uid)
-	case rep.Refusal == "":
-		s.refusals.record(s.log, uid, RefusedOther)
-	default:
-		s.refusals.record(s.log, uid, rep.Refusal)
-	}
-}
-
-// Refusals returns how many requests were answered with status 503, by reason.
-func (s *Service) Refusals() map[Refusal]int64 { return s.refusals.counts() }
-
-// requireConfirmedCancel returns rep, or a reply with status 503 if rep reports the job as cancelled
-// and the cancel is not effective at all controllers. Otherwise a poll or a repeated submission could
-// report a job as cancelled while a task of it can still start.
-func (s *Service) requireConfirmedCancel(rep Reply) Reply {
-	if s.cancellations == nil || !rep.succeeded() || rep.State.Stage != wire.StageCancelled {
-		return rep
-	}
-	if err := s.cancellations.Confirm(rep.State.UID); err != nil {
-		s.log.Debug("cancel not confirmed", "job", rep.State.UID, "err", err)
-		return undecidedReply(RefusedCancelUnconfirmed)
-	}
-	return rep
-}
-
-// neverDenyAccepted returns rep, or a reply with status 503 if rep denies a job that the state service has
-// reported as accepted. Every response to a user's HTTP request about a job passes it, and it should never
-// have to change one.
-func (s *Service) neverDenyAccepted(uid string, rep Reply) Reply {
-	if !rep.deniesJob() || !s.knownAccepted(uid) {
-		return rep
-	}
-	s.log.Error(DeniedJobMessage, "job", uid, "status", rep.Status, "reason", rep.Reason)
-	return undecidedReply(RefusedDenial)
-}
-
-// knownAccepted reports whether the state service has reported a job as live or ended.
-func (s *Service) knownAccepted(uid string) bool {
-	_, ended := s.ended.get(uid)
-	return ended || s.live != nil && s.live.KnownLive(uid)
-}
-
-func (s *Service) submit(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBodyBytes))
-	if err != nil {
-		refuse(w, http.StatusBadRequest, "body unreadable or over 64 KiB")
-		return
-	}
-	rep := s.Submit(r.Context(), Request{Verb: VerbSubmit, Body: body})
-	if rep.Busy {
-		w.Header().Set("Retry-After", strconv.Itoa(busyRetryS+rand.IntN(busyRetryS)))
-	}
-	s.respond(w, rep.State.UID, rep)
-}
-
 // Submit serves a submission or its check, here or at a peer if the outcome is unknown here.
 // It takes 3.5 s at most.
 func (s *Service) Submit(ctx context.Context, req Request) Reply {
@@ -289,20 +98,6 @@
 	return s.requireConfirmedCancel(rep)
 }
 
-// jobRequest returns a handler for requests about the job in the path, bounded by timeout.
-func (s *Service) jobRequest(verb string, timeout time.Duration, serve func(ctx context.Context, req Request) Reply) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		ctx, cancel := context.WithTimeout(r.Context(), timeout)
-		defer cancel()
-		req := Request{Verb: verb, UID: r.PathValue("id")}
-		if !wire.ValidJobID(req.UID) {
-			refuse(w, http.StatusNotFound, "no such job")
-			return
-		}
-		s.respond(w, req.UID, serve(ctx, req))
-	}
-}
-
 // cancel cancels a job, preferably at the controller that leads it.
 func (s *Service) cancel(ctx context.Context, req Request) Reply {
 	if rep, ok := s.queryUntilKnown(ctx, s.peers.ShardLeaders(), req); ok {
--- a/internal/testkit/leaders_in_series_test.go
+++ b/internal/testkit/leaders_in_series_test.go
@@ -53,9 +53,7 @@
 			runOnPreparedCluster(t, 4870+uint64(i), 3, 2, setLease, func(w *cluster) {
 				w.submit("j-80", 2)
 				w.runFor(8)
-				for _, worker := range w.workers {
-					w.breakLinks(worker.Name, w.controllerNames...)
-				}
+				w.connectWorkersOnlyTo()
 				gap := &answerGap{cluster: w, job: "j-80", answeredAt: time.Now()}
 				for began := time.Now(); time.Since(began) < seriesDuration; {
 					gap.restartLeaderAfter(interval)
--- a/internal/testkit/stage_after_failover_test.go
+++ b/internal/testkit/stage_after_failover_test.go
@@ -163,9 +163,7 @@
 			runOnCluster(t, 4850+uint64(i), 3, 2, func(w *cluster) {
 				w.submit("j-80", 2)
 				w.runFor(8)
-				for _, k := range w.workers {
-					w.breakLinks(k.Name, w.controllerNames...)
-				}
+				w.connectWorkersOnlyTo()
 				before := w.leader()
 				c.change(w)
 				w.submit("j-90", 1)
@@ -188,9 +186,7 @@
 			runOnCluster(t, 4880+uint64(i), 3, 2, func(w *cluster) {
 				w.submit("j-80", 2)
 				w.runFor(8)
-				for _, worker := range w.workers {
-					w.breakLinks(worker.Name, w.controllerNames...)
-				}
+				w.connectWorkersOnlyTo()
 				before := w.nodes[w.leader()].member.FencingToken()
 				c.change(w)
 				if !w.runUntil(20, func() bool {
