A live job has a stage while no leader answers

What callers saw: 503 (no_leader, leader_unreached, not_loaded) for a poll or a repeated submission of a job, although the controller had just read that the job is accepted, neither ended nor cancelled.

Only the leader knows the stage, so the answer waited for it; each change of leader begins that wait anew.

Change: refineByLeader asks the leaders as before, and says "running" if none knows: a recorded placement may be running, as far as this controller can tell. The read was sent after the request arrived, so the answer is not older than any that was given before. The stage that is told in place of an unknown one stands once, jobstate.StageIfTaskMayRun.

--- a/internal/scheduler/stage_after_load_test.go
+++ b/internal/scheduler/stage_after_load_test.go
@@ -33,9 +33,15 @@
 		if state, ok := leader.LocalState("j-1"); !ok || state.Stage != wire.StageRunning {
 			t.Fatalf("%s: the loaded job is %+v, %v", name, state, ok)
 		}
+		if info, ok := leader.LocalJobInfo("j-1"); !ok || info.Stage != wire.StageRunning {
+			t.Errorf("%s: the loaded job is listed as %s, %v", name, info.Stage, ok)
+		}
 		change(leader, store)
 		if state, ok := leader.LocalState("j-1"); ok {
 			t.Errorf("%s: the job is called %s from memory", name, state.Stage)
 		}
+		if info, ok := leader.LocalJobInfo("j-1"); ok {
+			t.Errorf("%s: the job is listed as %s from memory", name, info.Stage)
+		}
 	}
 }
--- a/internal/submission/batched_polls.go
+++ b/internal/submission/batched_polls.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/jobstate"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -149,7 +150,7 @@
 	case !ok:
 		return peerAnswer{}
 	case slices.Contains(rep.MayRun, uid):
-		return peerAnswer{pollAnswered, wire.JobState{UID: uid, Stage: wire.StageRunning}}
+		return peerAnswer{pollAnswered, wire.JobState{UID: uid, Stage: jobstate.StageIfTaskMayRun}}
 	case i < len(rep.States) && rep.States[i].UID == uid:
 		return peerAnswer{pollAnswered, rep.States[i]}
 	}
--- a/internal/submission/dependencies.go
+++ b/internal/submission/dependencies.go
@@ -28,8 +28,8 @@
 }
 
 // StageAuthority may be implemented by Jobs. The state service records every live job as
-// queued, running or not. With a StageAuthority, only the job's leader reports a job as queued, and
-// the response is 503 if no leader answers; without one, the stored stage is reported.
+// queued, running or not. With a StageAuthority, a job that was not accepted just now is reported as
+// queued only on its leader's word; without one, the stored stage is reported.
 type StageAuthority interface {
 	// SurelyQueued reports whether this controller leads the shard of a live job and knows
 	// that no task of the job runs.
--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -159,7 +159,7 @@
 	case VerbPoll:
 		rep := s.lookupReply(statestore.WithPriority(ctx, statestore.Lookup), req.UID)
 		if req.AsLeader && s.stages != nil && rep.needsLeader() {
-			return undecidedReply(RefusedNotLoaded)
+			return undecidedReply(RefusedOther)
 		}
 		return rep
 	case VerbCancel:
--- a/internal/submission/stage.go
+++ b/internal/submission/stage.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/jobstate"
 	"github.com/wallrack/wallrack/internal/scheduler"
 	"github.com/wallrack/wallrack/internal/wire"
 )
@@ -57,33 +58,29 @@
 
 // refineByLeader returns the reply of the job's leader if rep needs it, otherwise rep. Without
 // this query a running job would be reported as queued in the second after a transfer of
-// shards, during a pending cancel, or to a user that repeats a submission.
+// shards, during a pending cancel, or to a user that repeats a submission. If no leader knows the
+// stage, the job, which rep shows to be live and not cancelled, is reported as running.
 func (s *Service) refineByLeader(ctx context.Context, rep Reply) Reply {
 	if !rep.needsLeader() {
 		return rep
 	}
 	uid := rep.State.UID
 	leaders := s.peers.ShardLeaders()
-	why := RefusedNoLeader
 	for i, leader := range leaders {
 		timeout := timeLeft(ctx) / time.Duration(len(leaders)-i)
 		refined, ok := s.queryWithin(ctx, leader, Request{Verb: VerbPoll, UID: uid, AsLeader: true}, timeout)
 		if ok && refined.Status == http.StatusOK {
 			return refined
 		}
-		why = RefusedLeaderUnreached
-		if ok {
-			why = RefusedNotLoaded
-		}
 		// rep shows that the job has not ended, so a recent late state is still valid.
 		if state, ok := s.batcher(leader).lateState(uid); ok {
 			return leaderReply(state)
 		}
 	}
-	if s.stages == nil {
-		return rep
+	if s.stages != nil {
+		rep.State.Stage, rep.StageKnown = jobstate.StageIfTaskMayRun, true
 	}
-	return undecidedReply(why)
+	return rep
 }
 
 // timeLeft returns the time until the deadline of ctx, which must have one.
