A poll for a live job is answered by a read while its leader is silent

What callers saw: 503 (leader_unreached, no_leader) at every controller but the leader for as long as the controllers don't reach each other, or the leader is slow or absent; at a size at which the leader has no connections left for users, that is every answer.

A poll for a job that the watch shows as live waited for its leader and then gave up without a read, since a read could not tell whether a task runs. The stage is no reason for 503 any more, so a read answers it: live, or ended.

Change: pollLeaders gives the leader the same time as before, all but 200 ms, and then the job is looked up like any other, within the lookups' budget, a fifth of a controller's rate. The reasons no_leader and leader_unreached have no use any more: what withholds an answer is the state service, or its budget.

--- a/internal/submission/poll.go
+++ b/internal/submission/poll.go
@@ -24,34 +24,26 @@
 	return rep
 }
 
-// pollLeaders asks the other leaders about a job. It returns false if the state service may help: if no
-// leader knows the job, or if none responds and the job is not known to be live.
+// pollLeaders asks the other leaders about a job. It returns false if none of them responds or knows the job;
+// the state service may then show whether it is live or has ended.
 func (s *Service) pollLeaders(ctx context.Context, uid string) (Reply, bool) {
 	leaders := s.peers.ShardLeaders()
-	waitsForLeader := s.onlyLeaderKnows(uid, leaders)
-	unanswered := len(leaders) == 0
+	waitsForLeader := s.onlyLeaderKnowsStage(uid, leaders)
 	for i, leader := range leaders {
 		timeout := peerTimeout
 		if waitsForLeader {
 			timeout = (timeLeft(ctx) - lookupReserve) / time.Duration(len(leaders)-i)
 		}
-		switch answer := s.pollBatched(ctx, leader, uid, timeout); answer.outcome {
-		case pollAnswered:
+		if answer := s.pollBatched(ctx, leader, uid, timeout); answer.outcome == pollAnswered {
 			return leaderReply(answer.state), true
-		case pollUnanswered:
-			unanswered = true
-		case pollJobUnknown:
 		}
 	}
-	if waitsForLeader && unanswered && s.onlyLeaderKnows(uid, leaders) {
-		return liveJobUnanswered(leaders), true
-	}
 	return Reply{}, false
 }
 
-// onlyLeaderKnows reports whether a job is live and its stage is known to its leader alone: a read of the
-// state service would not help to answer a poll.
-func (s *Service) onlyLeaderKnows(uid string, leaders []string) bool {
+// onlyLeaderKnowsStage reports whether a job is live, so that a read of the state service would not show
+// whether a task of it is running.
+func (s *Service) onlyLeaderKnowsStage(uid string, leaders []string) bool {
 	if s.live == nil || s.stages == nil || !s.live.KnownLive(uid) {
 		return false
 	}
@@ -62,12 +54,3 @@
 	}
 	return true
 }
-
-// liveJobUnanswered returns the reply, with status 503, for a live job of which none of the leaders said
-// anything in time.
-func liveJobUnanswered(leaders []string) Reply {
-	if len(leaders) == 0 {
-		return undecidedReply(RefusedNoLeader)
-	}
-	return undecidedReply(RefusedLeaderUnreached)
-}
--- a/internal/submission/refusals.go
+++ b/internal/submission/refusals.go
@@ -16,8 +16,6 @@
 
 // The reasons.
 const (
-	RefusedNoLeader          Refusal = "no_leader"          // no leader is known that can tell whether a live job has ended
-	RefusedLeaderUnreached   Refusal = "leader_unreached"   // the leader, which can tell that, did not answer in time
 	RefusedStoreBusy         Refusal = "store_busy"         // the budget of requests to the state service is used up
 	RefusedStoreUnavailable  Refusal = "store_unavailable"  // the state service refused the request
 	RefusedStoreUnknown      Refusal = "store_unknown"      // the state service did not answer in time, or not as expected
--- a/internal/submission/service.go
+++ b/internal/submission/service.go
@@ -25,7 +25,7 @@
 	pollTimeout  = 1500 * time.Millisecond // users wait 2 s
 	peerTimeout  = 700 * time.Millisecond
 	// lookupReserve is the part of pollTimeout that is left for a read of the state service if the leader
-	// is slow.
+	// does not respond.
 	lookupReserve = 200 * time.Millisecond
 	busyRetryS    = 2   // minimum Retry-After in seconds while the state service is busy; the maximum is nearly twice as long
 	maxInFlight   = 128 // submissions in flight; more are refused
