--- a/internal/soak/leader_series.go
+++ b/internal/soak/leader_series.go
@@ -10,6 +10,7 @@
 	seriesDuration   = 100 * time.Second // longer than the time after which a job without an answer is forgotten
 	minCutShare      = 0.1               // of the workers, which are silent during the whole series
 	maxCutShare      = 0.4
+	seriesJobsPerS   = 2 // more would exceed the teams' limits for the whole series
 	seriesSeedStream = 3 // the second word of the seed, so that the other faults of a seed stay the same
 )
 
@@ -29,5 +30,6 @@
 		Fault{At: warmUp, Duration: seriesDuration, Kind: LeaderSeries},
 		Fault{At: warmUp, Duration: seriesDuration, Kind: CutWorkers, Share: share})
 	s.FaultsEnd = max(s.FaultsEnd, warmUp+seriesDuration)
+	s.JobsPerS = min(s.JobsPerS, seriesJobsPerS)
 	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 }
