--- a/internal/soak/unanswered.go
+++ b/internal/soak/unanswered.go
@@ -43,10 +43,10 @@
 // the limit while faults were played, although most other jobs got an answer meanwhile.
 func checkUnanswered(history History, limit time.Duration) (violations []Violation) {
 	jobs := answersByJob(history)
-	faultsOver := timeOf(history, FaultsOver)
+	faultsOver, runOver := timeOf(history, FaultsOver), timeOf(history, RunOver)
 	for _, job := range jobs {
 		for i, from := range job.answered {
-			to := timeOf(history, RunOver)
+			to := runOver
 			if i+1 < len(job.answered) {
 				to = job.answered[i+1]
 			}
--- a/internal/submission/dependencies.go
+++ b/internal/submission/dependencies.go
@@ -37,7 +37,7 @@
 }
 
 // LiveJobs may be implemented by Jobs with a StageAuthority. The state service does not say of a live
-// job whether its tasks run, so that only the job's leader can answer a poll for it.
+// job whether its tasks run, so that a poll for it waits for the job's leader before it is looked up.
 type LiveJobs interface {
 	// KnownLive reports whether another controller's job was live and not cancelled when the state service
 	// last reported a change, and was not accepted just now.
