--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -78,12 +79,14 @@
 	processesMu sync.Mutex
 	processes   []*exec.Cmd
 	folders     []string
+	ending      bool // no process is started any more
 )
 
 // endProcesses ends every process that was started.
 func endProcesses() {
 	processesMu.Lock()
 	defer processesMu.Unlock()
+	ending = true
 	for _, cmd := range processes {
 		_ = cmd.Process.Kill()
 	}
@@ -216,6 +219,9 @@
 	cmd.Stderr = n.log
 	processesMu.Lock()
 	defer processesMu.Unlock()
+	if ending {
+		return errors.New("the case ends")
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
