Review: the controllers' ports are below those of outgoing connections

Claimed: a case could not run when an outgoing connection held the port of a controller that was about to listen on it.

The ports are now drawn from 12000 to 31999.

--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -124,10 +124,10 @@
 	s.cloud = newCloud(cfg, rec, s, types, room)
 	stateAddr, cloudAddr := s.state.listen(), s.cloud.listen()
 	for i := range cfg.Nodes {
-		serve, mesh := mustListen(), mustListen()
+		serve, mesh := lowPort(), lowPort()
+		defer serve.Close()
+		defer mesh.Close()
 		s.nodes = append(s.nodes, &node{site: s, name: fmt.Sprintf("racker-%d", i), serve: serve.Addr().String(), mesh: mesh.Addr().String()})
-		_ = serve.Close()
-		_ = mesh.Close()
 	}
 	for i, n := range s.nodes {
 		n.config = filepath.Join(dir, n.name+".toml")
--- a/review/standin/state.go
+++ b/review/standin/state.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sort"
@@ -398,3 +399,14 @@
 	}
 	return lis
 }
+
+// lowPort opens a free loopback port below those that the system gives to outgoing connections, so
+// that none of these holds it when a controller that starts (again) wants to listen on it.
+func lowPort() net.Listener {
+	for range 1000 {
+		if lis, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(20000))); err == nil {
+			return lis
+		}
+	}
+	return mustListen()
+}
