The autoscaler's line in the log shows what the plan makes of the waiting work

A line said how many CPUs wait, not whether the plan counts on existing machines for them, wants to rent some, or has no offer to rent. The line now has the CPUs of tasks without machine or offer (unplaced) and the number of machines to be rented (wanted_machines). The sum over the demand stood in two places and is one function.

--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -292,9 +292,10 @@
 	a.observe(now, loads, unwanted)
 	a.updateArrivals(now, a.scheduler.AdmittedWork())
 	a.collectUnwanted(now, unwanted)
-	a.logState(now, demand, loads)
+	waitingCPUs := demandedCPUs(demand)
 	var todo decisions
 	todo.wanted, todo.order = a.plan(now, demand)
+	a.logState(now, loads, waitingCPUs, demandedCPUs(demand), todo.wanted)
 	todo.cordoned = a.cordon(now, demand)
 	a.drainIdle(now, todo.wanted)
 	for _, p := range a.provisions {
@@ -341,17 +342,24 @@
 	a.usedCPUs += usedSmoothing * (used - a.usedCPUs)
 }
 
-// logState logs the state at most once in logInterval. Called with mu held.
-func (a *Autoscaler) logState(now time.Time, demand []planner.Demand, loads []planner.WorkerLoad) {
+// demandedCPUs returns the CPUs of all tasks of a demand.
+func demandedCPUs(demand []planner.Demand) float64 {
+	total := 0.0
+	for i := range demand {
+		total += demand[i].Resources.CPUs * float64(demand[i].Count)
+	}
+	return total
+}
+
+// logState logs the state at most once in logInterval: among others the CPUs of the waiting work,
+// and of the part of it for which the plan found neither a machine nor an offer. Called with mu held.
+func (a *Autoscaler) logState(now time.Time, loads []planner.WorkerLoad, waiting, unplaced float64, wanted map[offer]int) {
 	if now.Sub(a.stateLoggedAt) < logInterval {
 		return
 	}
 	a.stateLoggedAt = now
-	var waiting, total, used, spot float64
-	up := 0
-	for i := range demand {
-		waiting += demand[i].Resources.CPUs * float64(demand[i].Count)
-	}
+	var total, used, spot float64
+	up, wantedMachines := 0, 0
 	for i := range loads {
 		t, ok := a.catalog.Type(loads[i].Type)
 		if !ok || loads[i].LastHeartbeat.IsZero() {
@@ -364,7 +372,11 @@
 			spot += t.CPUs
 		}
 	}
-	a.log.Info("autoscaler", "machines", len(a.instances), "up", up, "cpus", total, "spot_cpus", spot, "used", used, "waiting", waiting, "arriving", math.Round(a.arrivalCPUs))
+	for _, n := range wanted {
+		wantedMachines += n
+	}
+	a.log.Info("autoscaler", "machines", len(a.instances), "up", up, "cpus", total, "spot_cpus", spot, "used", used, "waiting", waiting,
+		"unplaced", unplaced, "wanted_machines", wantedMachines, "arriving", math.Round(a.arrivalCPUs))
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/autoscaler/scale_in.go
+++ b/internal/autoscaler/scale_in.go
@@ -43,10 +43,7 @@
 // cordonCandidates returns the on-demand workers, and by how many CPUs the workers that are not
 // cordoned exceed the running and pending work, the headroom and the reserve.
 func (a *Autoscaler) cordonCandidates(now time.Time, demand []planner.Demand) (candidates []*instance, spareCPUs float64) {
-	spareCPUs = -a.onDemandTargetCPUs() - a.reservedCPUs()
-	for i := range demand {
-		spareCPUs -= demand[i].Resources.CPUs * float64(demand[i].Count)
-	}
+	spareCPUs = -a.onDemandTargetCPUs() - a.reservedCPUs() - demandedCPUs(demand)
 	for name, inst := range a.instances {
 		t, ok := a.catalog.Type(inst.offer.Type)
 		if !ok || inst.load == nil || a.isDeleting(name) || inst.load.Notice || a.unresponsive(inst, now) {
