Requirements and zone rules of a job stand once

The scheduler's pass, the matching of gangs, the grant and the autoscaler's plan each had their own form of the requirements (zone, type, spot), and three of them of the zone rules (one zone, spread). wire.Job.AllowsMachine and jobstate.ZoneUse.Room are the only ones now. No change of behaviour, but for a queued placement on a worker whose zone is not known yet: it counts in every zone, as the grant counts it.

--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -88,6 +88,9 @@
 	return t.Price
 }
 
+// suits reports whether a job's requirements admit machines of the offer.
+func (o offer) suits(job *wire.Job) bool { return job.AllowsMachine(o.Type, o.Zone, o.Spot) }
+
 // instance is a machine as the autoscaler knows it.
 type instance struct {
 	name          string
--- a/internal/autoscaler/offers.go
+++ b/internal/autoscaler/offers.go
@@ -62,7 +62,7 @@
 	lowest := math.Inf(1)
 	for _, o := range sim.offers {
 		t, ok := sim.autoscaler.catalog.Type(o.Type)
-		if !ok || o.Spot != spot || sim.exhausted(o) || !allows(d.Job, o) || !d.Resources.Fits(ResourcesOf(t)) {
+		if !ok || o.Spot != spot || sim.exhausted(o) || !o.suits(d.Job) || !d.Resources.Fits(ResourcesOf(t)) {
 			continue
 		}
 		if cost := costPerTask(d, n, o, t, sim.wanted[o]); cost < lowest {
--- a/internal/autoscaler/plan.go
+++ b/internal/autoscaler/plan.go
@@ -1,7 +1,6 @@
 package autoscaler
 
 import (
-	"slices"
 	"time"
 
 	"github.com/wallrack/wallrack/internal/matching"
@@ -52,14 +51,6 @@
 	return n
 }
 
-// allows reports whether a job's constraints allow machines of an offer.
-func allows(job *wire.Job, o offer) bool {
-	if o.Spot && !job.Spot || job.Zone != nil && *job.Zone != o.Zone {
-		return false
-	}
-	return job.Types == nil || slices.Contains(job.Types, o.Type)
-}
-
 // simulation is a plan in progress.
 type simulation struct {
 	autoscaler *Autoscaler
@@ -152,7 +143,7 @@
 		if n == 0 {
 			break
 		}
-		if !allows(d.Job, s.offer) {
+		if !s.offer.suits(d.Job) {
 			continue
 		}
 		limitS := maxWaitS
@@ -170,7 +161,7 @@
 	n := d.Count
 	var remaining []*simulatedMachine
 	for _, s := range sim.cordoned {
-		if n > 0 && allows(d.Job, s.offer) {
+		if n > 0 && s.offer.suits(d.Job) {
 			if left := s.fill(d, n, maxWaitS); left < n {
 				n, s.instance.cordoned = left, false
 				sim.machines = append(sim.machines, s)
--- a/internal/jobstate/index.go
+++ b/internal/jobstate/index.go
@@ -69,9 +69,5 @@
 	if leased := job.Team.Leased; leased != nil {
 		leased.Count(job.Shard, job.Resources, float64(sign))
 	}
-	if zone := placement.Worker.View.Zone; zone != "" {
-		job.Zones[zone] += sign
-	} else {
-		job.Unzoned += sign
-	}
+	job.ZoneUse.Add(placement.Worker.View.Zone, sign)
 }
--- a/internal/jobstate/job.go
+++ b/internal/jobstate/job.go
@@ -35,8 +35,7 @@
 	Running        int                  // number of placements that are running, by heartbeats
 	ObservedStarts int                  // number of times that a placement was first seen to run
 	StartedAt      time.Time            // when the first task (for a gang: the last) was seen to run; zero if none was
-	Zones          map[string]int       // number of placements whose task may be running, by zone
-	Unzoned        int                  // number of such placements on workers whose zone is unknown
+	ZoneUse        ZoneUse              // counts the placements whose task may be running
 	RunTimes       Average              // run times of its tasks, in seconds
 
 	Errors     int               // number of attempts that ended with an error or for an unknown cause
--- a/internal/jobstate/state_test.go
+++ b/internal/jobstate/state_test.go
@@ -43,7 +43,7 @@
 func addJob(s *jobstate.State, tasks int) *jobstate.Job {
 	job := &jobstate.Job{
 		Spec: &wire.Job{UID: "j-1", Tasks: tasks}, AcceptedAt: time.Now(), Class: s.ClassOf("batch"), Team: &jobstate.Team{},
-		Resources: matching.Resources{CPUs: 2}, Placements: map[int][]*jobstate.Placement{}, Zones: map[string]int{},
+		Resources: matching.Resources{CPUs: 2}, Placements: map[int][]*jobstate.Placement{},
 	}
 	for first := 0; first < tasks; first += jobrecord.ChunkSize {
 		job.Chunks = append(job.Chunks, &jobstate.Chunk{Number: len(job.Chunks), DoneBits: make([]byte, jobrecord.ChunkSize/8), Job: job})
@@ -81,16 +81,16 @@
 	s := newState()
 	job := addJob(s, 1)
 	placement := place(s, job, "n-1", jobstate.PlacementGranted)
-	if job.Team.Used.CPUs != 2 || job.Zones["zone-a"] != 1 {
-		t.Fatalf("use after the grant: %v, in zones %v", job.Team.Used, job.Zones)
+	if job.Team.Used.CPUs != 2 || job.ZoneUse.Zones["zone-a"] != 1 {
+		t.Fatalf("use after the grant: %v, in zones %v", job.Team.Used, job.ZoneUse.Zones)
 	}
 	s.EndPlacement(placement)
 	s.EndPlacement(placement) // as for a repeated report of the loss
 	if len(job.Pending) != 1 || len(job.Placements) != 0 || len(placement.Worker.Placements) != 0 {
 		t.Errorf("pending %v, placements %v", job.Pending, job.Placements)
 	}
-	if job.Team.Used.CPUs != 0 || job.Zones["zone-a"] != 0 {
-		t.Errorf("use after the end: %v, in zones %v", job.Team.Used, job.Zones)
+	if job.Team.Used.CPUs != 0 || job.ZoneUse.Zones["zone-a"] != 0 {
+		t.Errorf("use after the end: %v, in zones %v", job.Team.Used, job.ZoneUse.Zones)
 	}
 	if changes := s.UnwrittenChanges[0]; len(changes) != 1 || changes[0].Kind != jobstate.PlacementRemoved {
 		t.Errorf("changes to record: %v", changes)
@@ -218,7 +218,7 @@
 		{"spread, half here", false, true, 2, 0, false, true},
 		{"spread, unknown zones may be any", false, true, 1, 1, false, true},
 	} {
-		job := &jobstate.Job{Spec: &wire.Job{Tasks: 4, OneZone: c.oneZone, Spread: c.spread}, Zones: map[string]int{"zone-a": c.inZoneA}, Unzoned: c.unzoned}
+		job := &jobstate.Job{Spec: &wire.Job{Tasks: 4, OneZone: c.oneZone, Spread: c.spread}, ZoneUse: jobstate.ZoneUse{Zones: map[string]int{"zone-a": c.inZoneA}, Unzoned: c.unzoned}}
 		if a, b := s.FitsZone(job, here), s.FitsZone(job, elsewhere); a != c.here || b != c.elsewhere {
 			t.Errorf("%s: fits here %v, elsewhere %v", c.name, a, b)
 		}
--- a/internal/planner/batch.go
+++ b/internal/planner/batch.go
@@ -72,27 +72,26 @@
 // placementFitsZone reports whether one more placement on the worker satisfies the job's zone
 // rules, given its other placements, granted or not.
 func (p *Planner) placementFitsZone(job *jobstate.Job, worker *jobstate.Worker) bool {
-	if !job.Spec.OneZone && !job.Spec.Spread {
+	if !job.Spec.HasZoneRule() {
 		return true
 	}
-	inZone := 1
+	use := zoneUseOf(job)
+	return use.Room(job.Spec, worker.View.Zone) > 0
+}
+
+// zoneUseOf counts the job's placements that have not exited, granted or not.
+func zoneUseOf(job *jobstate.Job) jobstate.ZoneUse {
+	var use jobstate.ZoneUse
 	for _, placements := range job.Placements {
 		for _, placement := range placements {
-			same := placement.Worker.View.Zone == worker.View.Zone
-			if job.Spec.OneZone && !same && !placement.Exited {
-				return false
-			}
-			if same && !placement.Exited {
-				inZone++
+			if !placement.Exited {
+				use.Add(placement.Worker.View.Zone, 1)
 			}
 		}
 	}
-	return !job.Spec.Spread || inZone <= maxTasksInZone(job)
+	return use
 }
 
-// maxTasksInZone returns how many tasks of a job that is spread over zones may run in one zone.
-func maxTasksInZone(job *jobstate.Job) int { return (job.Spec.Tasks + 1) / 2 }
-
 // fitsLimitWithQueued reports whether the job's team stays within its limit with n more tasks of
 // the job. Queued placements count as use: otherwise tasks that cannot be granted yet would block
 // the queues.
--- a/internal/planner/gang.go
+++ b/internal/planner/gang.go
@@ -66,15 +66,10 @@
 			worker.Matrix = matrix
 		}
 	}()
-	inZone := map[string]int{}
-	for _, placements := range job.Placements {
-		for _, placement := range placements {
-			inZone[placement.Worker.View.Zone]++
-		}
-	}
+	use := zoneUseOf(job)
 	var members []gangMember
 	for len(members) < n {
-		worker, e := p.bestGangWorker(job, schedulable, zone, inZone)
+		worker, e := p.bestGangWorker(job, schedulable, zone, &use)
 		if worker == nil {
 			return nil
 		}
@@ -82,7 +77,7 @@
 			saved[worker] = worker.Matrix
 		}
 		worker.Matrix = worker.Matrix.Reserve(job.Resources, e.waitS, job.RunEstimate()+e.fetchS)
-		inZone[worker.View.Zone]++
+		use.Add(worker.View.Zone, 1)
 		members = append(members, gangMember{worker, e.waitS})
 	}
 	return members
@@ -90,14 +85,12 @@
 
 // bestGangWorker returns the worker with the lowest cost for one more task of a gang, among
 // those in the given zone, or in any if it is "", that can start it within QueueHorizonS; nil if
-// there is none. inZone is the number of
-// the gang's tasks by zone.
-func (p *Planner) bestGangWorker(job *jobstate.Job, schedulable []*jobstate.Worker, zone string, inZone map[string]int) (*jobstate.Worker, estimate) {
+// there is none. use counts the gang's tasks for which a worker is selected.
+func (p *Planner) bestGangWorker(job *jobstate.Job, schedulable []*jobstate.Worker, zone string, use *jobstate.ZoneUse) (*jobstate.Worker, estimate) {
 	var best *jobstate.Worker
 	bestEstimate := estimate{cost: math.Inf(1)}
 	for _, worker := range schedulable {
-		workerZone := worker.View.Zone
-		if zone != "" && workerZone != zone || job.Spec.Spread && inZone[workerZone]+1 > maxTasksInZone(job) || job.Spec.OneZone && !p.placementFitsZone(job, worker) {
+		if zone != "" && worker.View.Zone != zone || use.Room(job.Spec, worker.View.Zone) == 0 {
 			continue
 		}
 		if e, ok := p.estimate(job, worker); ok && e.waitS <= p.state.Operator.QueueHorizonS && e.cost < bestEstimate.cost {
--- a/internal/reconcile/grant_test.go
+++ b/internal/reconcile/grant_test.go
@@ -52,7 +52,7 @@
 	g.state.Loaded[0] = 7
 	g.reconciler = reconcile.New(g.state, log)
 	spec := &wire.Job{UID: "j-1", Class: "c", Team: "t", Kind: wire.KindArray, Tasks: 2, CPUs: 2, EstimateS: 5}
-	g.job = &jobstate.Job{Spec: spec, Class: g.state.ClassOf("c"), Team: g.state.Teams["t"], Placements: map[int][]*jobstate.Placement{}, Zones: map[string]int{}}
+	g.job = &jobstate.Job{Spec: spec, Class: g.state.ClassOf("c"), Team: g.state.Teams["t"], Placements: map[int][]*jobstate.Placement{}}
 	g.job.Resources.CPUs = 2
 	g.job.Chunks = []*jobstate.Chunk{{Job: g.job, DoneBits: make([]byte, 128)}}
 	g.state.Jobs["j-1"] = g.job
@@ -111,7 +111,7 @@
 		{"the user holds the job", func(g *grantCase) { g.job.Constraints = jobstate.NewConstraintState(&jobspec.Constraints{Held: true}) }, retryLater},
 		{"the team's limit is reached", func(g *grantCase) { g.job.Team.Used.CPUs = 3 }, retryLater},
 		{"the team's limit has just enough room", func(g *grantCase) { g.job.Team.Used.CPUs = 2 }, granted},
-		{"the gang is in another zone", func(g *grantCase) { g.job.Spec.OneZone = true; g.job.Zones["y"] = 1 }, retryLater},
+		{"the gang is in another zone", func(g *grantCase) { g.job.Spec.OneZone = true; g.job.ZoneUse.Add("y", 1) }, retryLater},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := newGrantCase()
@@ -138,8 +138,8 @@
 	if p.State != jobstate.PlacementGranted || p.MinToken != 9 || p.MaxToken != 12 || p.Worker.MaxToken != 12 || p.Session != 3 {
 		t.Errorf("granted as %+v", p)
 	}
-	if g.state.Stats.Granted != 1 || g.job.Team.Used.CPUs != 2 || g.job.Zones["z"] != 1 {
-		t.Errorf("%d grants, %v CPUs in use, zones %v", g.state.Stats.Granted, g.job.Team.Used.CPUs, g.job.Zones)
+	if g.state.Stats.Granted != 1 || g.job.Team.Used.CPUs != 2 || g.job.ZoneUse.Zones["z"] != 1 {
+		t.Errorf("%d grants, %v CPUs in use, zones %v", g.state.Stats.Granted, g.job.Team.Used.CPUs, g.job.ZoneUse.Zones)
 	}
 	if placements := g.job.Placements[0]; len(placements) != 1 || placements[0] != p {
 		t.Errorf("the task has %d placements", len(placements))
--- a/internal/shardlog/admit.go
+++ b/internal/shardlog/admit.go
@@ -52,7 +52,7 @@
 	job := &jobstate.Job{
 		Spec: &spec, Shard: record.Shard, Version: version, AcceptedMs: record.AcceptedMs, Cancelled: record.Cancelled,
 		AcceptedAt: time.Now().Add(-max(0, time.Since(time.UnixMilli(record.AcceptedMs)))),
-		Placements: map[int][]*jobstate.Placement{}, AvoidUntil: map[int]time.Time{}, Zones: map[string]int{},
+		Placements: map[int][]*jobstate.Placement{}, AvoidUntil: map[int]time.Time{},
 		Resources: matching.Resources{CPUs: spec.CPUs, GPUs: spec.GPUs, MemoryGB: spec.MemoryGB},
 		Class:     w.state.ClassOf(spec.Class), Team: w.state.Teams[spec.Team],
 	}
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -46,6 +47,21 @@
 // Gang reports whether the job's tasks must all run at the same time.
 func (j *Job) Gang() bool { return j.Kind == KindGang }
 
+// AllowsMachine reports whether the job's requirements for zone, machine type and spot machines
+// admit a machine, regardless of resources and of where the job's other tasks run.
+func (j *Job) AllowsMachine(machineType, zone string, spot bool) bool {
+	if spot && !j.Spot || j.Zone != nil && *j.Zone != zone {
+		return false
+	}
+	return j.Types == nil || slices.Contains(j.Types, machineType)
+}
+
+// HasZoneRule reports whether the zones of some of the job's tasks restrict those of the others.
+func (j *Job) HasZoneRule() bool { return (j.OneZone || j.Spread) && j.Tasks > 1 }
+
+// MaxSpreadTasks returns how many tasks may run in one zone if the job is spread over zones.
+func (j *Job) MaxSpreadTasks() int { return (j.Tasks + 1) / 2 }
+
 // decodedJob holds the fields of a submission before validation; nil: missing, null or of a wrong type.
 type decodedJob struct {
 	UID, Class, Team, Kind, Priority, Image, Zone                                     *string
