The autoscaler's plan keeps the zone rules of a job

Nothing was rented, and nothing would have changed later.

Cause: plan judged a machine by the zone, type and kind that the job asks for, not by where its other tasks run. It placed the lost replica into the free room beside the other one, in the only zone where the scheduler may not start it (State.FitsZone), so it wanted no machine. The same held for jobs of one zone (`together`): the plan counted on room in several zones and provisioned in several.

Evidence: the `autoscaler` line of the case's leader has waiting=3 unplaced=0 wanted_machines=0 for the whole wait. So the demand had the replica, the plan placed it, and no request was refused.

Change: a demand tells how many of its job's tasks may run in each zone. The plan counts these and the tasks that it has placed itself (zoneRoom, by the rule of the grant), on machines that are up or booting, on cordoned ones and for offers. A job of one zone is planned in the zone where the machines for the rest cost least. Arrays with a zone rule are not merged into one demand any more, as the rule is of each job.

Why it works: a task for which no machine in an allowed zone has room is left over and gets a machine in such a zone.

--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -89,7 +89,7 @@
 }
 
 // suits reports whether a job's requirements admit machines of the offer.
-func (o offer) suits(job *wire.Job) bool { return job.AllowsMachine(o.Type, o.Zone, o.Spot) }
+func (o *offer) suits(job *wire.Job) bool { return job.AllowsMachine(o.Type, o.Zone, o.Spot) }
 
 // instance is a machine as the autoscaler knows it.
 type instance struct {
--- a/internal/autoscaler/offers.go
+++ b/internal/autoscaler/offers.go
@@ -55,17 +55,18 @@
 }
 
 // cheapestOffer returns the offer with the lowest cost per task for n pending tasks of a demand,
-// see costPerTask. It returns false if no offer suits.
-func (sim *simulation) cheapestOffer(d *planner.Demand, n int, spot bool) (offer, wire.MachineType, bool) {
+// see costPerTask, in the zones that have room for them. It returns false if no offer suits.
+func (sim *simulation) cheapestOffer(d *planner.Demand, zones *zoneRoom, n int, spot bool) (offer, wire.MachineType, bool) {
 	var best offer
 	var bestType wire.MachineType
 	lowest := math.Inf(1)
 	for _, o := range sim.offers {
 		t, ok := sim.autoscaler.catalog.Type(o.Type)
-		if !ok || o.Spot != spot || sim.exhausted(o) || !o.suits(d.Job) || !d.Resources.Fits(ResourcesOf(t)) {
+		allowed := min(n, zones.left(o.Zone))
+		if !ok || o.Spot != spot || allowed == 0 || sim.exhausted(o) || !o.suits(d.Job) || !d.Resources.Fits(ResourcesOf(t)) {
 			continue
 		}
-		if cost := costPerTask(d, n, o, t, sim.wanted[o]); cost < lowest {
+		if cost := costPerTask(d, allowed, o, t, sim.wanted[o]); cost < lowest {
 			best, bestType, lowest = o, t, cost
 		}
 	}
--- a/internal/autoscaler/plan.go
+++ b/internal/autoscaler/plan.go
@@ -40,8 +40,8 @@
 // occupies a small controller's processor for two seconds of every plan.
 func (s *simulatedMachine) fill(d *planner.Demand, n int, maxWaitS float64) int {
 	for n > 0 {
-		waitS := s.matrix.WaitWithin(d.Resources, d.RunS, maxWaitS-s.bootS)
-		if s.bootS+waitS > maxWaitS {
+		waitS, fits := s.wait(d, maxWaitS)
+		if !fits {
 			break
 		}
 		k := max(1, s.matrix.CountFitting(d.Resources, waitS, d.RunS, n))
@@ -51,6 +51,31 @@
 	return n
 }
 
+// wait returns how many seconds after its boot the machine can start a task of a demand. fits is
+// false if the task would wait for more than maxWaitS in all.
+func (s *simulatedMachine) wait(d *planner.Demand, maxWaitS float64) (waitS float64, fits bool) {
+	waitS = s.matrix.WaitWithin(d.Resources, d.RunS, maxWaitS-s.bootS)
+	return waitS, s.bootS+waitS <= maxWaitS
+}
+
+// place places up to n tasks of a demand within the wait time, as far as the requirements and the
+// zone rules of the job allow. It returns how many of the n tasks are left.
+func (s *simulatedMachine) place(d *planner.Demand, zones *zoneRoom, n int, maxWaitS float64) int {
+	if !s.offer.suits(d.Job) {
+		return n
+	}
+	if zones == nil {
+		return s.fill(d, n, maxWaitS)
+	}
+	if _, fits := s.wait(d, maxWaitS); !fits {
+		return n // most machines are full, and the room in the zone takes longer to look up
+	}
+	allowed := min(n, zones.left(s.offer.Zone))
+	placed := allowed - s.fill(d, allowed, maxWaitS)
+	zones.take(s.offer.Zone, placed)
+	return n - placed
+}
+
 // simulation is a plan in progress.
 type simulation struct {
 	autoscaler *Autoscaler
@@ -124,49 +149,45 @@
 	// Spot machines are provisioned for tasks that would wait at least about as long as a machine
 	// takes to boot, on-demand machines only for tasks that would otherwise be late.
 	maxWaitS := min(bootS, d.SlackS)
-	d.Count = sim.fill(d, maxWaitS, true)
-	d.Count = sim.provision(d, true, maxWaitS)
+	zones := sim.zoneRoomFor(d, maxWaitS)
+	d.Count = sim.fill(d, zones, maxWaitS, true)
+	d.Count = sim.provision(d, zones, true, maxWaitS)
 	if d.Count == 0 {
 		return
 	}
 	maxWaitS = max(bootS, d.SlackS/2)
-	d.Count = sim.fill(d, maxWaitS, false)
-	d.Count = sim.uncordon(d, maxWaitS)
-	d.Count = sim.provision(d, false, maxWaitS)
+	d.Count = sim.fill(d, zones, maxWaitS, false)
+	d.Count = sim.uncordon(d, zones, maxWaitS)
+	d.Count = sim.provision(d, zones, false, maxWaitS)
 }
 
 // fill places pending tasks on the machines and returns how many are left. With untilBoot, tasks
 // may exceed maxWaitS to wait for a booting machine.
-func (sim *simulation) fill(d *planner.Demand, maxWaitS float64, untilBoot bool) int {
+func (sim *simulation) fill(d *planner.Demand, zones *zoneRoom, maxWaitS float64, untilBoot bool) int {
 	n := d.Count
 	for _, s := range sim.machines {
 		if n == 0 {
 			break
 		}
-		if !s.offer.suits(d.Job) {
-			continue
-		}
 		limitS := maxWaitS
 		if untilBoot {
 			limitS = max(limitS, s.bootS+bootGraceS)
 		}
-		n = s.fill(d, n, limitS)
+		n = s.place(d, zones, n, limitS)
 	}
 	return n
 }
 
 // uncordon places tasks on cordoned workers, which it uncordons, and returns how many tasks are
 // left.
-func (sim *simulation) uncordon(d *planner.Demand, maxWaitS float64) int {
+func (sim *simulation) uncordon(d *planner.Demand, zones *zoneRoom, maxWaitS float64) int {
 	n := d.Count
 	var remaining []*simulatedMachine
 	for _, s := range sim.cordoned {
-		if n > 0 && s.offer.suits(d.Job) {
-			if left := s.fill(d, n, maxWaitS); left < n {
-				n, s.instance.cordoned = left, false
-				sim.machines = append(sim.machines, s)
-				continue
-			}
+		if left := s.place(d, zones, n, maxWaitS); left < n {
+			n, s.instance.cordoned = left, false
+			sim.machines = append(sim.machines, s)
+			continue
 		}
 		remaining = append(remaining, s)
 	}
@@ -176,17 +197,17 @@
 
 // provision adds machines for a demand as long as an offer suits, and returns how many tasks are
 // left.
-func (sim *simulation) provision(d *planner.Demand, spot bool, maxWaitS float64) int {
+func (sim *simulation) provision(d *planner.Demand, zones *zoneRoom, spot bool, maxWaitS float64) int {
 	n := d.Count
 	for n > 0 {
-		o, t, ok := sim.cheapestOffer(d, n, spot)
+		o, t, ok := sim.cheapestOffer(d, zones, n, spot)
 		if !ok {
 			break
 		}
 		sim.addWanted(o)
 		s := newSimulated(o, t, t.BootS)
 		sim.machines = append(sim.machines, s)
-		left := s.fill(d, n, maxWaitS+t.BootS)
+		left := s.place(d, zones, n, maxWaitS+t.BootS)
 		if left == n {
 			break
 		}
--- a/internal/planner/demand.go
+++ b/internal/planner/demand.go
@@ -19,6 +19,9 @@
 	RunS      float64            `json:"Run"`   // expected run time of a task in seconds, on average
 	Rank      int                `json:"Rank"`
 	SlackS    float64            `json:"Slack"` // seconds that a task may still wait without missing an objective, see Planner.slack
+	// ZoneUse counts the job's tasks that may be running, so that the zone rules of the job can be
+	// applied to the waiting ones; nil if it has none.
+	ZoneUse *jobstate.ZoneUse `json:"ZoneUse,omitempty"`
 }
 
 // WorkerLoad is a worker as the autoscaler sees it.
@@ -85,9 +88,9 @@
 // a tenth share one.
 func logBucket(s float64) int { return int(math.Log(max(s, 1)) / math.Log(1.1)) }
 
-// groupDemand returns the demand of the jobs in their order. Equivalent jobs, except gangs and
-// services, are merged into one entry: planning many small jobs one by one would occupy a small
-// controller's processor for seconds.
+// groupDemand returns the demand of the jobs in their order. Equivalent jobs, except gangs,
+// services and jobs with a zone rule, are merged into one entry: planning many small jobs one by one
+// would occupy a small controller's processor for seconds.
 func (p *Planner) groupDemand(jobs []*jobstate.Job, tasks map[*jobstate.Job]int, bootS float64) []Demand {
 	groups := make([]Demand, 0, len(jobs))
 	indexOf := map[demandKey]int{}
@@ -95,7 +98,11 @@
 		demand := Demand{
 			Resources: job.Resources, Job: job.Spec, Count: tasks[job], RunS: job.RunEstimate(), Rank: job.Spec.Rank(), SlackS: p.slack(job, bootS),
 		}
-		if job.Spec.Gang() || job.Spec.Service() {
+		if job.Spec.HasZoneRule() {
+			use := job.ZoneUse.Clone()
+			demand.ZoneUse = &use
+		}
+		if job.Spec.Gang() || job.Spec.Service() || job.Spec.HasZoneRule() {
 			groups = append(groups, demand)
 			continue
 		}
--- a/internal/testkit/autoscaled_cluster_test.go
+++ b/internal/testkit/autoscaled_cluster_test.go
@@ -18,7 +18,6 @@
 
 	"github.com/wallrack/wallrack/internal/autoscaler"
 	"github.com/wallrack/wallrack/internal/config"
-	"github.com/wallrack/wallrack/internal/jobrecord"
 	"github.com/wallrack/wallrack/internal/scheduler"
 	"github.com/wallrack/wallrack/internal/standin"
 	"github.com/wallrack/wallrack/internal/testkit"
@@ -37,6 +36,8 @@
 	*cluster
 	handler http.Handler
 
+	taskDuration func(task string) time.Duration // run time of a task
+
 	boot        time.Duration // from the provisioning of a machine to its first heartbeat
 	listAge     time.Duration // age of the machine list that the cloud returns
 	listLatency time.Duration // duration of a list request
@@ -80,7 +81,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = db.Close() })
-	c := &cloudCluster{cluster: newCluster(t, seed), boot: boot, listAge: listLag, endedMachines: map[string]bool{}, requestCounts: map[string]int{}, provisioned: map[string][]string{}, answeredRequests: map[string]bool{}}
+	c := &cloudCluster{cluster: newCluster(t, seed), taskDuration: variedTaskDuration, boot: boot, listAge: listLag, endedMachines: map[string]bool{}, requestCounts: map[string]int{}, provisioned: map[string][]string{}, answeredRequests: map[string]bool{}}
 	c.reliableStore = true
 	c.workers, c.byName = nil, map[string]*testkit.Worker{}
 	c.cfg.Params.Cloud = config.Cloud{RPS: 4, ListLagS: listLag.Seconds()}
@@ -99,7 +100,9 @@
 func (c *cloudCluster) Launch(m wire.ListedMachine, _ wire.MachineType) (string, error) {
 	c.cloudMu.Lock()
 	defer c.cloudMu.Unlock()
-	c.booting = append(c.booting, bootingMachine{testkit.NewWorker(m.Name, workerLease, variedTaskDuration), time.Now().Add(c.boot)})
+	worker := testkit.NewWorker(m.Name, workerLease, c.taskDuration)
+	worker.Zone = m.Zone
+	c.booting = append(c.booting, bootingMachine{worker, time.Now().Add(c.boot)})
 	return m.Name, nil
 }
 
@@ -346,16 +349,17 @@
 	return c.requestCounts[name]
 }
 
-// submitOnDemandJob submits a job that may not run on spot machines.
+// submitOnDemandJob submits an array that may not run on spot machines.
 func (c *cloudCluster) submitOnDemandJob(uid string, tasks int) {
-	job := &wire.Job{
-		UID: uid, Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: tasks,
-		CPUs: 2, MemoryGB: 1, Image: "i", ImageGB: 0.1, EstimateS: 6,
-	}
-	guards, ops := jobrecord.AcceptanceTxn(job, nil, jobrecord.HashShard(job, nil, 4), time.Now().UnixMilli())
-	if _, err := (&testkit.View{Store: c.store}).Txn(context.Background(), guards, ops...); err != nil {
-		c.t.Fatal(err)
-	}
+	c.submitToCloud(&wire.Job{UID: uid, Kind: wire.KindArray, Tasks: tasks, CPUs: 2, EstimateS: 6})
+}
+
+// submitToCloud submits a job that may not run on spot machines. The job names its kind, tasks, CPUs
+// and constraints.
+func (c *cloudCluster) submitToCloud(job *wire.Job) {
+	job.Class, job.Team, job.Priority = "c", "t", "normal"
+	job.MemoryGB, job.Image, job.ImageGB = 1, "i", 0.1
+	c.recordAcceptedJob(job)
 }
 
 // startAndSettle starts the controllers and lets 3 s pass.
