No room is reserved for a task where its job's zone rule forbids it

Cause: earliestRoom judged workers without the job's zone rule. It now counts the tasks that are placed or for which room is reserved, by the rule of the grant.

TestNoRoomIsReservedWhereZoneRuleForbidsTheTask failed before (spread and one zone: the job of lower priority is not placed).

--- a/internal/planner/batch.go
+++ b/internal/planner/batch.go
@@ -72,16 +72,17 @@
 // placementFitsZone reports whether one more placement on the worker satisfies the job's zone
 // rules, given its other placements, granted or not.
 func (p *Planner) placementFitsZone(job *jobstate.Job, worker *jobstate.Worker) bool {
-	if !job.Spec.HasZoneRule() {
-		return true
-	}
 	use := zoneUseOf(job)
 	return use.Room(job.Spec, worker.View.Zone) > 0
 }
 
-// zoneUseOf counts the job's placements that have not exited, granted or not.
+// zoneUseOf counts the job's placements that have not exited, granted or not; none if the job has no
+// zone rule.
 func zoneUseOf(job *jobstate.Job) jobstate.ZoneUse {
 	var use jobstate.ZoneUse
+	if !job.Spec.HasZoneRule() {
+		return use
+	}
 	for _, placements := range job.Placements {
 		for _, placement := range placements {
 			if !placement.Exited {
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -17,11 +17,13 @@
 func (p *Planner) reserveRoom(jobs []*jobstate.Job, schedulable []*jobstate.Worker) {
 	budget := maxReservedTasks
 	for _, job := range jobs {
+		use := zoneUseOf(job)
 		for n := min(p.state.PlaceableTasks(job), budget); n > 0; n-- {
-			worker, waitS := p.earliestRoom(job, schedulable)
+			worker, waitS := p.earliestRoom(job, &use, schedulable)
 			if worker == nil {
 				break
 			}
+			use.Add(worker.View.Zone, 1)
 			worker.Matrix = worker.Matrix.Reserve(job.Resources, waitS, job.RunEstimate())
 			worker.RoomReserved = true
 			budget--
@@ -30,12 +32,14 @@
 }
 
 // earliestRoom returns the worker that has room for a task of the job first, and the seconds
-// until then; nil if there is none within reservationWindowS.
-func (p *Planner) earliestRoom(job *jobstate.Job, schedulable []*jobstate.Worker) (earliest *jobstate.Worker, waitS float64) {
+// until then; nil if there is none within reservationWindowS. use counts the job's tasks that are
+// placed or for which room is reserved: where its zone rule forbids the task, the room would only
+// be kept from other jobs.
+func (p *Planner) earliestRoom(job *jobstate.Job, use *jobstate.ZoneUse, schedulable []*jobstate.Worker) (earliest *jobstate.Worker, waitS float64) {
 	waitS = math.Inf(1)
 	runS := job.RunEstimate()
 	for _, worker := range schedulable {
-		if worker.Cordoned || !p.state.AllowedOn(job, worker) || !p.state.FitsLease(job, worker) {
+		if worker.Cordoned || !p.state.AllowedOn(job, worker) || !p.state.FitsLease(job, worker) || use.Room(job.Spec, worker.View.Zone) == 0 {
 			continue
 		}
 		if s := worker.Matrix.WaitWithin(job.Resources, runS, min(waitS, reservationWindowS)); s < waitS && s <= reservationWindowS {
--- /dev/null
+++ b/internal/scheduler/zone_rule_test.go
@@ -0,0 +1,71 @@
+package scheduler_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wallrack/wallrack/internal/dispatch"
+	"github.com/wallrack/wallrack/internal/matching"
+	"github.com/wallrack/wallrack/internal/wire"
+)
+
+// sendRunning makes the scheduler observe a heartbeat of the first worker, on which the given tasks
+// have been running and have the given total of CPUs in use for 300 s. Each has attempt 1 + its index.
+func (c *fakeCluster) sendRunning(cpus float64, tasks ...string) {
+	var uses []matching.Allocation
+	if cpus > 0 {
+		uses = []matching.Allocation{{Resources: matching.Resources{CPUs: cpus, MemoryGB: 1}, RemainingS: 300}}
+	}
+	view := &c.views[0]
+	view.Seq++
+	view.Matrix = matching.NewWaitMatrix(matching.Resources{CPUs: machineType.CPUs, MemoryGB: machineType.MemoryGB}, uses, nil)
+	view.Tasks = nil
+	for i, task := range tasks {
+		view.Tasks = append(view.Tasks, dispatch.TaskView{Task: wire.Task{Task: task, Attempt: uint64(i + 1), State: wire.TaskRunning}})
+	}
+	c.scheduler.ObserveWorker(*view)
+}
+
+// grant grants the start of a task's attempt on the first worker.
+func (c *fakeCluster) grant(task string, attempt uint64) {
+	ref := dispatch.TaskRef{Worker: c.views[0].Name, Task: task, Attempt: attempt}
+	c.scheduler.GrantLocal(dispatch.GrantRequest{TaskRef: ref, Token: 7, Session: 1})
+}
+
+// While a replica waits for a machine in another zone, no room may be reserved for it where the zone
+// rule of its service forbids it: work of lower priority would wait beside free room for as long.
+func TestNoRoomIsReservedWhereZoneRuleForbidsTheTask(t *testing.T) {
+	for name, rule := range map[string]wire.Job{"spread": {Spread: true}, "one zone": {OneZone: true}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cluster := newCluster(t, 1, 0)
+				cluster.sendRunning(0)
+				now := time.Now().UnixMilli()
+				service := rule
+				service.UID, service.Class, service.Team, service.Kind, service.Priority = "j-1", "c", "t", wire.KindService, "urgent"
+				service.Tasks, service.CPUs, service.Spot = 2, 8, true
+				if service.OneZone {
+					service.CPUs = 9
+				}
+				cluster.scheduler.JobAccepted(&service, nil, 0, now, 1)
+				cluster.scheduler.Pass()
+				ref := cluster.scheduler.PlacementsOf("j-1")[0]
+				cluster.grant(ref.Task, ref.Attempt)
+				cluster.sendRunning(service.CPUs, ref.Task)
+				if service.OneZone { // the free worker is in another zone
+					cluster.views = append(cluster.views, dispatch.WorkerView{Name: "n-000009", Type: "m", Zone: "y", Spot: true, Session: 1, Token: 7, Dispatcher: "a"})
+					cluster.sendHeartbeat(1, 0)
+				}
+				cluster.scheduler.JobAccepted(&wire.Job{UID: "j-2", Class: "c", Team: "t", Kind: wire.KindArray, Priority: "low", Tasks: 1, CPUs: 8, EstimateS: 30, Spot: true}, nil, 0, now, 2)
+				cluster.scheduler.Pass()
+				if n := cluster.scheduler.PlacedTasks("j-1"); n != 1 {
+					t.Errorf("%d replicas are placed", n)
+				}
+				if cluster.scheduler.PlacedTasks("j-2") != 1 {
+					t.Error("the job of lower priority is not placed although a worker has room")
+				}
+			})
+		})
+	}
+}
