Preemption places only tasks that the zone rule of their job allows

The grants of the others were refused; the work was stopped for nothing.

Cause: preemptOnWorker asked once whether one more task fits the zone and then placed all that fit the worker. The number is now bounded by the room that the rule leaves in the zone.

TestPreemptionPlacesOnlyTasksThatZoneRuleAllows failed before (2 tasks placed and 2 stopped in the only zone, where one may run).

--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -55,7 +55,9 @@
 	if fetchS := p.state.FetchTime(job, worker); fetchS > 0 && p.missesStartObjective(job, fetchS) && !p.missesStartObjective(job, 0) {
 		return 0 // the image fetch would miss a start objective; prefer a worker that caches the image
 	}
-	stopped, starts := p.selectPreemptions(job, worker, limit)
+	use := zoneUseOf(job)
+	maxStarts := min(p.state.PlaceableTasks(job), use.Room(job.Spec, worker.View.Zone))
+	stopped, starts := p.selectPreemptions(job, worker, maxStarts, limit)
 	if starts == 0 {
 		return 0
 	}
@@ -78,18 +80,18 @@
 
 // selectPreemptions selects up to limit tasks to stop on a worker, as long as they waste little
 // work compared with the work of the job that can then start. It also returns how many tasks of
-// the job can start.
-func (p *Planner) selectPreemptions(job *jobstate.Job, worker *jobstate.Worker, limit int) (picked []preemptionCandidate, starts int) {
+// the job can start, at most maxStarts.
+func (p *Planner) selectPreemptions(job *jobstate.Job, worker *jobstate.Worker, maxStarts, limit int) (picked []preemptionCandidate, starts int) {
 	free := worker.Matrix[0].Free
 	runS := job.RunEstimate()
 	loss := 0.0 // CPU-seconds
 	for _, candidate := range p.preemptionCandidates(job, worker) {
-		if starts >= p.state.PlaceableTasks(job) || len(picked) >= limit {
+		if starts >= maxStarts || len(picked) >= limit {
 			break
 		}
 		victim := candidate.placement.Job
 		freed := free.Add(victim.Resources, 1)
-		n := p.startableTasks(job, freed, starts)
+		n := startableTasks(job, freed, starts, maxStarts)
 		newLoss := loss + candidate.lossS*max(victim.Resources.CPUs, minLossCPUs)
 		if n > 0 && newLoss > maxPreemptionLoss*runS*job.Resources.CPUs*float64(n) {
 			break
@@ -100,10 +102,10 @@
 	return picked, starts
 }
 
-// startableTasks returns how many placeable tasks of the job fit into free together, given that at
-// least n of them do.
-func (p *Planner) startableTasks(job *jobstate.Job, free matching.Resources, n int) int {
-	for n < p.state.PlaceableTasks(job) && job.Resources.Scale(float64(n+1)).Fits(free) {
+// startableTasks returns how many of at most maxStarts tasks of the job fit into free together, given
+// that at least n of them do.
+func startableTasks(job *jobstate.Job, free matching.Resources, n, maxStarts int) int {
+	for n < maxStarts && job.Resources.Scale(float64(n+1)).Fits(free) {
 		n++
 	}
 	return n
--- a/internal/scheduler/zone_rule_test.go
+++ b/internal/scheduler/zone_rule_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/dispatch"
 	"github.com/wallrack/wallrack/internal/matching"
 	"github.com/wallrack/wallrack/internal/wire"
@@ -69,3 +70,30 @@
 		})
 	}
 }
+
+// Preemption must not place more tasks of a job on a worker than its zone rule allows: the work
+// stopped for the others would be wasted, and they would wait for a grant that is refused.
+func TestPreemptionPlacesOnlyTasksThatZoneRuleAllows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 1, 0)
+		cluster.platform.Params.Objectives = []config.Objective{{Kind: "wait", Class: "quote", WithinS: 10, Share: 0.9}}
+		now := time.Now().UnixMilli()
+		cluster.sendRunning(0)
+		cluster.scheduler.JobAccepted(&wire.Job{UID: "j-1", Class: "study", Team: "t", Kind: wire.KindArray, Priority: "low", Tasks: 2, CPUs: 8, EstimateS: 300, Spot: true}, nil, 0, now, 1)
+		cluster.scheduler.Pass()
+		tasks := []string{wire.TaskName("j-1", 0), wire.TaskName("j-1", 1)}
+		for i, task := range tasks {
+			cluster.grant(task, uint64(i+1))
+		}
+		cluster.sendRunning(16, tasks...)
+		cluster.scheduler.OutboxCounts()
+		cluster.scheduler.JobAccepted(&wire.Job{UID: "j-2", Class: "quote", Team: "t", Kind: wire.KindArray, Priority: "urgent", Tasks: 2, CPUs: 8, EstimateS: 300, Spread: true, Spot: true}, nil, 0, now, 2)
+		time.Sleep(time.Second)
+		cluster.sendRunning(16, tasks...)
+		cluster.scheduler.Pass()
+		halts, _ := cluster.scheduler.OutboxCounts()
+		if placed := cluster.scheduler.PlacedTasks("j-2"); placed != 1 || halts != 1 {
+			t.Errorf("%d tasks are placed and %d stopped in the only zone, in which one may run", placed, halts)
+		}
+	})
+}
