A queued task is taken back where its job's zone rule refuses the grant

Cause: Rebalance takes back placements that can't start any more by the state of the worker alone. A placement whose grant the zone rule refuses is unstartable as well; the task becomes pending and is placed, or provisioned for, where the rule allows it. Placements within the rule are not touched: a pass counts queued placements in the rule, so they fit beside those that run.

TestTaskQueuedInZoneThatItsJobHasLeftIsPlacedInItsZone failed before (the second task is still queued after 120 s beside an idle worker).

--- a/internal/planner/rebalance.go
+++ b/internal/planner/rebalance.go
@@ -109,13 +109,13 @@
 }
 
 // unstartable reports whether a queued placement can no longer be expected to start: its worker
-// is silent, unresponsive, draining, about to be reclaimed, or has too little of its lease left
-// for the task.
+// is silent, unresponsive, draining, about to be reclaimed, has too little of its lease left
+// for the task, or is in a zone where the job's zone rule by now refuses the grant.
 func (p *Planner) unstartable(placement *jobstate.Placement) bool {
 	worker := placement.Worker
 	lastSeen := jobstate.Later(worker.LastHeartbeat, placement.CreatedAt)
 	return p.state.Now.Sub(lastSeen) > p.heartbeatTimeout() || !worker.ReclaimAt.IsZero() || worker.View.Draining ||
-		!worker.UnresponsiveSince.IsZero() || !p.state.FitsLease(placement.Job, worker)
+		!worker.UnresponsiveSince.IsZero() || !p.state.FitsLease(placement.Job, worker) || !p.state.FitsZone(placement.Job, worker)
 }
 
 // overdueTask is a task whose placements are all queued and wait longer than planned.
--- a/internal/scheduler/zone_rule_test.go
+++ b/internal/scheduler/zone_rule_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -97,3 +98,52 @@
 		}
 	})
 }
+
+// A duplicate of a queued task may start in another zone than the one in which the job's other tasks
+// are queued. If all must be in one zone, those are never granted, and must not stay queued beside
+// free room that they may not use.
+func TestTaskQueuedInZoneThatItsJobHasLeftIsPlacedInItsZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 1, 0)
+		stop := cluster.run()
+		defer stop()
+		addWorker := func(name, zone string) {
+			cluster.views = append(cluster.views, dispatch.WorkerView{Name: name, Type: "m", Zone: zone, Spot: true, Session: 1, Token: 7, Dispatcher: "a"})
+		}
+		addWorker("n-000001", "z")
+		// observe sends heartbeats of workers that are full for fullS seconds each.
+		observe := func(fullS ...float64) {
+			for i, seconds := range fullS {
+				cluster.sendHeartbeat(i, seconds)
+			}
+			time.Sleep(time.Second)
+			cluster.scheduler.Pass()
+		}
+		cluster.scheduler.JobAccepted(&wire.Job{
+			UID: "j-1", Class: "c", Team: "t", Kind: wire.KindService, Priority: "normal", Tasks: 2, CPUs: 9, OneZone: true, Spot: true,
+		}, nil, 0, time.Now().UnixMilli(), 1)
+		observe(0.2, 0.2)
+		addWorker("n-000002", "y")
+		for range 20 {
+			observe(600, 0.2, 0)
+		}
+		duplicates := cluster.placementsOn("n-000002")
+		if len(duplicates) != 1 || len(cluster.placementsOn("n-000001")) != 1 {
+			t.Fatalf("queued at %v", cluster.scheduler.PlacementsOf("j-1"))
+		}
+		started := duplicates[0]
+		cluster.scheduler.GrantLocal(dispatch.GrantRequest{TaskRef: started, Token: 7, Session: 1})
+		addWorker("n-000003", "y")
+		for range 120 {
+			observe(0, 0, 600, 0)
+		}
+		if on := cluster.placementsOn("n-000003"); len(on) != 1 || on[0].Task == started.Task {
+			t.Errorf("queued at %v, want the task that does not run on n-000003", cluster.scheduler.PlacementsOf("j-1"))
+		}
+	})
+}
+
+// placementsOn returns the placements of j-1 on a worker.
+func (c *fakeCluster) placementsOn(worker string) []dispatch.TaskRef {
+	return slices.DeleteFunc(c.scheduler.PlacementsOf("j-1"), func(ref dispatch.TaskRef) bool { return ref.Worker != worker })
+}
