A worker that was drained is deleted by whoever leads, and is no capacity

Cause: the dispatcher keeps a worker drained for ever, and only the autoscaler that drained it knew why. When it lost its lease, or the first shard went to another controller, it forgot. Then nobody deleted the worker, the scheduler placed nothing on it, the plan counted its free resources for the work that waits, and scale-in kept it as needed capacity.

Change: the drain has one owner, the dispatcher, and the autoscaler follows it. Each load says whether its worker is drained. One that is drained is deleted once it is idle, whoever drained it, and is left out of the plan, of the capacity for scale-in and of the spare CPUs for cordoning. One that is no longer drained, or reports to another dispatcher, counts again. A drain ends when the worker reports tasks that another dispatcher has started meanwhile; else its free resources were lost for as long as they run.

Why it works: what the plan counts as capacity and what the scheduler may use are now the same mark, which outlives the lead. It is deleted rather than released, since the predecessor's request to delete it may still take effect.

--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -341,6 +341,7 @@
 			a.instances[load.Name] = inst
 		}
 		inst.load, inst.lastHeartbeat, inst.offer = load, load.LastHeartbeat, offer{load.Type, load.Zone, load.Spot}
+		inst.updateDraining(now)
 	}
 	a.usedCPUs += usedSmoothing * (used - a.usedCPUs)
 }
--- a/internal/autoscaler/scale_in.go
+++ b/internal/autoscaler/scale_in.go
@@ -15,6 +15,10 @@
 // nothing, since the cloud bills at least minBillingS.
 const minUptimeS = minBillingS - 5
 
+// drainConfirmation is the time from the drain of a worker within which its heartbeats may still show
+// it as not draining.
+const drainConfirmation = 2 * time.Second
+
 // cordon cordons on-demand workers, those with the smallest share of CPUs in use first, while the
 // capacity exceeds what running and pending work, the headroom and the reserve need. It returns all
 // cordoned workers. Without cordoning, tasks that could run elsewhere would prevent on-demand workers
@@ -46,7 +50,7 @@
 	spareCPUs = -a.onDemandTargetCPUs() - a.reservedCPUs() - demandedCPUs(demand)
 	for name, inst := range a.instances {
 		t, ok := a.catalog.Type(inst.offer.Type)
-		if !ok || inst.load == nil || a.isDeleting(name) || inst.load.Notice || a.unresponsive(inst, now) {
+		if !ok || inst.load == nil || a.isDeleting(name) || inst.load.Notice || a.unresponsive(inst, now) || !inst.drainingSince.IsZero() {
 			continue
 		}
 		if !inst.cordoned {
@@ -112,7 +116,7 @@
 			continue
 		}
 		totalCPUs -= t.CPUs
-		if inst.drainingSince.IsZero() && a.dispatcher.Drain(inst.name) {
+		if a.dispatcher.Drain(inst.name) {
 			inst.drainingSince = now
 		}
 	}
@@ -130,11 +134,23 @@
 	return totalCPUs-t.CPUs < target-t.CPUs/2
 }
 
+// updateDraining follows the dispatcher, which decides whether tasks start on a worker: a worker that
+// was drained in an earlier term, or by another leader, must be deleted by this one, and one that the
+// dispatcher does not drain any more, or that reports to another, counts as capacity again.
+func (i *instance) updateDraining(now time.Time) {
+	switch {
+	case !i.load.Draining && i.lastHeartbeat.Sub(i.drainingSince) > drainConfirmation:
+		i.drainingSince = time.Time{}
+	case i.load.Draining && i.drainingSince.IsZero():
+		i.drainingSince = now
+	}
+}
+
 // idleWorkers updates the time since which each worker is idle. It returns the idle workers, and
-// the CPUs of all workers.
+// the CPUs of all workers. It leaves out the workers that are being drained.
 func (a *Autoscaler) idleWorkers(now time.Time) (idle []*instance, totalCPUs float64) {
 	for name, inst := range a.instances {
-		if inst.load == nil || a.isDeleting(name) || a.unresponsive(inst, now) {
+		if inst.load == nil || a.isDeleting(name) || a.unresponsive(inst, now) || !inst.drainingSince.IsZero() {
 			continue
 		}
 		if t, ok := a.catalog.Type(inst.offer.Type); ok {
--- a/internal/controller/recorded_test.go
+++ b/internal/controller/recorded_test.go
@@ -182,6 +182,7 @@
 		FailedWorkers: map[string]string{"n-000232": "silent"}, AdmittedWork: 12345.5,
 	})
 	recorded.Check(t, "demand_reply_zones", demandReply{Demand: []planner.Demand{{ZoneUse: &jobstate.ZoneUse{Zones: map[string]int{"a": 2, "b": 1}, Unzoned: 3}}, {ZoneUse: &jobstate.ZoneUse{}}}})
+	recorded.Check(t, "demand_reply_draining", demandReply{Loads: []planner.WorkerLoad{{Draining: true}}})
 	recorded.Check(t, "demand_reply_empty", demandReply{})
 	recorded.Check(t, "demand_reply_plain", demandReply{Demand: []planner.Demand{{}}, Loads: []planner.WorkerLoad{{}}, FailedWorkers: map[string]string{}})
 	recorded.Check(t, "machines_full", []wire.MachineInfo{{Name: "n-000231", Type: "g8", Zone: "a", Spot: true, CPUs: 8, UsedCPUs: 6.5, Tasks: 3, SinceHeartbeatS: 1.25}})
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -122,7 +122,8 @@
 	return worker
 }
 
-// Drain stops task starts on an idle worker. It returns false if the worker is busy or unknown.
+// Drain stops task starts on an idle worker until its machine is deleted, or until the worker reports
+// tasks that another dispatcher has started. It returns false if the worker is busy or unknown.
 func (d *Dispatcher) Drain(name string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -199,6 +199,9 @@
 		d.haltCancelledLocked(worker)
 	}
 	worker.reconcile()
+	if worker.draining && !worker.allExited() {
+		worker.draining = false // another dispatcher has started tasks since
+	}
 	d.changed[rep.Machine] = true
 	view := d.viewLocked(worker)
 	view.Unchanged = unchanged
--- a/internal/dispatch/worker_state.go
+++ b/internal/dispatch/worker_state.go
@@ -71,10 +71,10 @@
 }
 
 // idle reports whether no task is queued and all reported tasks have exited.
-func (w *workerState) idle() bool {
-	if len(w.queue) > 0 {
-		return false
-	}
+func (w *workerState) idle() bool { return len(w.queue) == 0 && w.allExited() }
+
+// allExited reports whether all reported tasks have exited.
+func (w *workerState) allExited() bool {
 	for _, task := range w.tasks {
 		if task.state != wire.TaskExited {
 			return false
--- a/internal/planner/demand.go
+++ b/internal/planner/demand.go
@@ -33,10 +33,11 @@
 	Notice        bool                `json:"Notice"` // the cloud has given notice that it reclaims the machine
 	Faulty        bool                `json:"Faulty"` // tasks of several jobs fail on it
 	Matrix        matching.WaitMatrix `json:"Matrix"`
-	Used          matching.Resources  `json:"Used"`    // by placements that may be running
-	LastHeartbeat time.Time           `json:"Heard"`   // time of the last heartbeat
-	LastKnown     time.Time           `json:"Existed"` // time of the last heartbeat, or when this leader first learned of the worker if that is later
-	Placements    int                 `json:"Places"`  // number of placements
+	Used          matching.Resources  `json:"Used"`               // by placements that may be running
+	LastHeartbeat time.Time           `json:"Heard"`              // time of the last heartbeat
+	LastKnown     time.Time           `json:"Existed"`            // time of the last heartbeat, or when this leader first learned of the worker if that is later
+	Placements    int                 `json:"Places"`             // number of placements
+	Draining      bool                `json:"Draining,omitempty"` // its dispatcher starts no tasks on it
 }
 
 // Demand returns the work that waits for workers, in scheduling order, and the load of each
@@ -134,7 +135,7 @@
 		load := WorkerLoad{
 			Name: worker.Name, Type: worker.View.Type, Zone: worker.View.Zone, Spot: worker.View.Spot, Matrix: worker.Matrix,
 			LastHeartbeat: worker.LastHeartbeat, LastKnown: jobstate.Later(worker.LastHeartbeat, worker.KnownSince),
-			Placements: len(worker.Placements), Notice: !worker.ReclaimAt.IsZero(), Faulty: worker.Faulty(),
+			Placements: len(worker.Placements), Draining: worker.View.Draining, Notice: !worker.ReclaimAt.IsZero(), Faulty: worker.Faulty(),
 		}
 		for placement := range worker.Placements {
 			if placement.MayRun() {
