A worker on which the plan counts is not cordoned in the same step

Cause: in each step the plan uncordoned the worker for the service, and cordon cordoned it again: it took the free CPUs of spot machines, which the service may not use, for capacity to spare. The scheduler never saw the worker uncordoned, and the plan rented nothing since it counted on it.

Change: the plan keeps which tasks it placed on an on-demand worker. Such a worker is cordoned only if these fit on other machines of the plan that are not cordoned, or a spot machine is offered for them, as the next plan prefers that to a cordoned worker. The searches are bounded in each step; a worker without one stays as it is until the next.

Why it works: cordoning is now judged by the same requirements and zone rules as the plan that it follows, so no worker is both counted on and taken away.

--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -297,9 +297,10 @@
 	a.collectUnwanted(now, unwanted)
 	waitingCPUs := demandedCPUs(demand)
 	var todo decisions
-	todo.wanted, todo.order = a.plan(now, demand)
+	sim := a.plan(now, demand)
+	todo.wanted, todo.order = sim.wanted, sim.order
 	a.logState(now, loads, waitingCPUs, demandedCPUs(demand), todo.wanted)
-	todo.cordoned = a.cordon(now, demand)
+	todo.cordoned = a.cordon(now, demand, sim)
 	a.drainIdle(now, todo.wanted)
 	for _, p := range a.provisions {
 		if !p.sending {
--- a/internal/autoscaler/drain_test.go
+++ b/internal/autoscaler/drain_test.go
@@ -28,7 +28,7 @@
 	if unwanted := a.observeDraining(inst, now, true); len(unwanted) != 0 {
 		t.Errorf("deleted at once: %v", unwanted)
 	}
-	w, _ := a.plan(now, zonedDemand(&wire.Job{Kind: wire.KindArray, Tasks: 1}, 1, nil))
+	w := a.wantedByPlan(now, zonedDemand(&wire.Job{Kind: wire.KindArray, Tasks: 1}, 1, nil))
 	if len(w) != 1 {
 		t.Errorf("plan wants %v, want one machine beside the drained one", w)
 	}
@@ -53,7 +53,7 @@
 	if a.observeDraining(inst, now.Add(2*drainConfirmation), false); !inst.drainingSince.IsZero() {
 		t.Error("still draining")
 	}
-	if w, _ := a.plan(now.Add(2*drainConfirmation), zonedDemand(&wire.Job{Kind: wire.KindArray, Tasks: 1}, 1, nil)); len(w) != 0 {
+	if w := a.wantedByPlan(now.Add(2*drainConfirmation), zonedDemand(&wire.Job{Kind: wire.KindArray, Tasks: 1}, 1, nil)); len(w) != 0 {
 		t.Errorf("plan wants %v beside a worker with room", w)
 	}
 }
--- a/internal/autoscaler/plan.go
+++ b/internal/autoscaler/plan.go
@@ -28,6 +28,7 @@
 	matrix   matching.WaitMatrix // of the time after it has booted
 	bootS    float64             // remaining boot time in seconds
 	instance *instance           // nil if it is not up
+	planned  []plannedTasks      // tasks that the plan has placed on it, if it is an on-demand worker
 }
 
 // newSimulated returns an empty machine of type t.
@@ -64,15 +65,15 @@
 	if !s.offer.suits(d.Job) {
 		return n
 	}
-	if zones == nil {
-		return s.fill(d, n, maxWaitS)
-	}
 	if _, fits := s.wait(d, maxWaitS); !fits {
 		return n // most machines are full, and the room in the zone takes longer to look up
 	}
 	allowed := min(n, zones.left(s.offer.Zone))
 	placed := allowed - s.fill(d, allowed, maxWaitS)
 	zones.take(s.offer.Zone, placed)
+	if placed > 0 && s.instance != nil && !s.offer.Spot {
+		s.planned = append(s.planned, plannedTasks{d, zones, placed, maxWaitS})
+	}
 	return n - placed
 }
 
@@ -81,16 +82,19 @@
 	autoscaler *Autoscaler
 	machines   []*simulatedMachine // that accept tasks
 	cordoned   []*simulatedMachine
+	onDemand   map[*instance]*simulatedMachine // the on-demand workers that are up, cordoned or not
 	offers     []offer
 	wanted     map[offer]int
 	order      []offer // keys of wanted, in the order in which they were added
+
+	vacateSearches int // searches of vacate for other machines so far
 }
 
-// plan simulates the pending work on the existing machines. It returns how many machines of each
-// offer to provision, and the offers in the order in which they were added: first for tasks that
-// would wait too long on existing machines (see planDemand), then for headroom (addHeadroom). It
-// uncordons workers that the work needs. Called with mu held.
-func (a *Autoscaler) plan(now time.Time, demand []planner.Demand) (wanted map[offer]int, order []offer) {
+// plan simulates the pending work on the existing machines. It determines how many machines of each
+// offer to provision, and the order of the offers: first for tasks that would wait too long on
+// existing machines (see planDemand), then for headroom (addHeadroom). It uncordons workers that the
+// work needs. Called with mu held.
+func (a *Autoscaler) plan(now time.Time, demand []planner.Demand) *simulation {
 	sim := a.simulate(now)
 	bootS := a.shortestBootS()
 	for i := range demand {
@@ -100,13 +104,13 @@
 	if len(demand) > 0 || a.usedCPUs > headroomUsedShare*sim.totalCPUs() {
 		sim.addHeadroom()
 	}
-	return sim.wanted, sim.order
+	return sim
 }
 
 // simulate starts a plan with the machines that are up, booting or requested. Called with mu
 // held.
-func (a *Autoscaler) simulate(now time.Time) simulation {
-	sim := simulation{autoscaler: a, wanted: map[offer]int{}}
+func (a *Autoscaler) simulate(now time.Time) *simulation {
+	sim := &simulation{autoscaler: a, wanted: map[offer]int{}, onDemand: map[*instance]*simulatedMachine{}}
 	for name, inst := range a.instances {
 		if a.isDeleting(name) || !inst.drainingSince.IsZero() || inst.load != nil && (inst.load.Notice || inst.load.Faulty) {
 			continue
@@ -118,6 +122,9 @@
 		switch {
 		case inst.load != nil && len(inst.load.Matrix) > 0 && now.Sub(inst.lastHeartbeat) < seconds(a.op.HeartbeatTimeoutS):
 			s := &simulatedMachine{offer: inst.offer, matrix: inst.load.Matrix, instance: inst}
+			if inst.offer.onDemand(t) {
+				sim.onDemand[inst] = s
+			}
 			if inst.cordoned {
 				sim.cordoned = append(sim.cordoned, s)
 			} else {
--- a/internal/autoscaler/plan_test.go
+++ b/internal/autoscaler/plan_test.go
@@ -26,6 +26,11 @@
 	return New(Options{Platform: &config.Platform{}, Operator: &config.Operator{HeartbeatTimeoutS: 14}, Catalog: catalog, Log: log})
 }
 
+// wantedByPlan plans once and returns the machines that the plan wants.
+func (a *Autoscaler) wantedByPlan(now time.Time, demand []planner.Demand) map[offer]int {
+	return a.plan(now, demand).wanted
+}
+
 func demand(tasks int, spot bool, slack float64) []planner.Demand {
 	return []planner.Demand{{
 		Resources: matching.Resources{CPUs: 2, MemoryGB: 2}, Job: &wire.Job{Spot: spot, Kind: wire.KindArray, Tasks: tasks},
@@ -37,7 +42,7 @@
 func TestPlanOfLargestJobIsBounded(t *testing.T) {
 	a := testAutoscaler()
 	start := time.Now()
-	wanted, _ := a.plan(time.Now(), demand(wire.MaxTasksPerJob, true, 20))
+	wanted := a.wantedByPlan(time.Now(), demand(wire.MaxTasksPerJob, true, 20))
 	for o, n := range wanted {
 		if n > maxProvision*a.maxInFlight() {
 			t.Errorf("plan wants %d machines of %+v", n, o)
@@ -61,10 +66,10 @@
 		}
 		return n
 	}
-	if w, _ := a.plan(now, demand(8, true, 60)); count(w, true) == 0 || count(w, false) != 0 {
+	if w := a.wantedByPlan(now, demand(8, true, 60)); count(w, true) == 0 || count(w, false) != 0 {
 		t.Errorf("spot allowed: plan wants %v", w)
 	}
-	if w, _ := a.plan(now, demand(8, false, 60)); count(w, true) != 0 || count(w, false) == 0 {
+	if w := a.wantedByPlan(now, demand(8, false, 60)); count(w, true) != 0 || count(w, false) == 0 {
 		t.Errorf("spot not allowed: plan wants %v", w)
 	}
 	for _, o := range a.offers(now) {
@@ -72,7 +77,7 @@
 			a.refusals[o] = refusal{at: now}
 		}
 	}
-	if w, _ := a.plan(now, demand(8, true, 60)); count(w, true) != 0 {
+	if w := a.wantedByPlan(now, demand(8, true, 60)); count(w, true) != 0 {
 		t.Errorf("spot offers refused recently: plan wants %v", w)
 	}
 }
@@ -83,7 +88,7 @@
 	d := demand(40, true, 60)
 	zone := "b"
 	d[0].Job.Zone, d[0].Job.Types = &zone, []string{"small"}
-	w, _ := a.plan(time.Now(), d)
+	w := a.wantedByPlan(time.Now(), d)
 	if len(w) == 0 {
 		t.Error("nothing provisioned")
 	}
--- a/internal/autoscaler/scale_in.go
+++ b/internal/autoscaler/scale_in.go
@@ -20,10 +20,11 @@
 const drainConfirmation = 2 * time.Second
 
 // cordon cordons on-demand workers, those with the smallest share of CPUs in use first, while the
-// capacity exceeds what running and pending work, the headroom and the reserve need. It returns all
-// cordoned workers. Without cordoning, tasks that could run elsewhere would prevent on-demand workers
-// from becoming idle. Called with mu held.
-func (a *Autoscaler) cordon(now time.Time, demand []planner.Demand) map[string]bool {
+// capacity exceeds what running and pending work, the headroom and the reserve need. It cordons none
+// on which the plan counts for tasks that fit nowhere else (see vacate): the capacity may be in
+// machines that those tasks may not use. It returns all cordoned workers. Without cordoning, tasks that
+// could run elsewhere would prevent on-demand workers from becoming idle. Called with mu held.
+func (a *Autoscaler) cordon(now time.Time, demand []planner.Demand, sim *simulation) map[string]bool {
 	if now.Sub(a.leadingSince) < cordonDelay {
 		return nil // the loads are not known completely yet
 	}
@@ -33,7 +34,7 @@
 	})
 	names := map[string]bool{}
 	for _, inst := range candidates {
-		if t, _ := a.catalog.Type(inst.offer.Type); !inst.cordoned && spareCPUs > t.CPUs {
+		if t, _ := a.catalog.Type(inst.offer.Type); !inst.cordoned && spareCPUs > t.CPUs && sim.vacate(inst) {
 			inst.cordoned = true
 			spareCPUs -= t.CPUs
 		}
--- a/internal/autoscaler/zone_room.go
+++ b/internal/autoscaler/zone_room.go
@@ -47,7 +47,11 @@
 }
 
 // take counts n tasks that the plan places in a zone.
-func (z *zoneRoom) take(zone string, n int) { z.use.Add(zone, n) }
+func (z *zoneRoom) take(zone string, n int) {
+	if z != nil {
+		z.use.Add(zone, n)
+	}
+}
 
 // zoneRoomFor returns the room of a demand. If all tasks of the job must be in one zone, the plan is
 // restricted to the zone in which the machines to be provisioned cost least, and among equals to
--- a/internal/autoscaler/zone_room_test.go
+++ b/internal/autoscaler/zone_room_test.go
@@ -65,7 +65,7 @@
 func TestPlanProvisionsForLostReplicaOfSpreadService(t *testing.T) {
 	a := newZonedAutoscaler()
 	a.addMachine("a", true, 3)
-	w, _ := a.plan(time.Now(), zonedDemand(&wire.Job{Kind: wire.KindService, Tasks: 2, Spread: true}, 1, &jobstate.ZoneUse{Zones: map[string]int{"a": 1}}))
+	w := a.wantedByPlan(time.Now(), zonedDemand(&wire.Job{Kind: wire.KindService, Tasks: 2, Spread: true}, 1, &jobstate.ZoneUse{Zones: map[string]int{"a": 1}}))
 	if zones := wantedZones(w); len(w) != 1 || zones["b"]+zones["c"] != 1 {
 		t.Errorf("plan wants %v, want one machine in zone b or c", w)
 	}
@@ -76,7 +76,7 @@
 	a := newZonedAutoscaler()
 	a.addMachine("a", true, 0)
 	a.addMachine("b", true, 4)
-	w, _ := a.plan(time.Now(), zonedDemand(&wire.Job{Kind: wire.KindService, Tasks: 3, OneZone: true}, 1, &jobstate.ZoneUse{Zones: map[string]int{"a": 2}}))
+	w := a.wantedByPlan(time.Now(), zonedDemand(&wire.Job{Kind: wire.KindService, Tasks: 3, OneZone: true}, 1, &jobstate.ZoneUse{Zones: map[string]int{"a": 2}}))
 	if zones := wantedZones(w); len(w) != 1 || zones["a"] != 1 {
 		t.Errorf("plan wants %v, want one machine in zone a", w)
 	}
@@ -90,7 +90,7 @@
 		a.addMachine(zone, true, 3)
 	}
 	a.addMachine("b", true, 2)
-	w, _ := a.plan(time.Now(), zonedDemand(&wire.Job{Kind: wire.KindGang, Tasks: 9, OneZone: true}, 9, nil))
+	w := a.wantedByPlan(time.Now(), zonedDemand(&wire.Job{Kind: wire.KindGang, Tasks: 9, OneZone: true}, 9, nil))
 	if zones := wantedZones(w); len(w) != 1 || zones["b"] != 1 {
 		t.Errorf("plan wants %v, want one machine in zone b, where 5 of the 9 tasks fit", w)
 	}
@@ -107,7 +107,7 @@
 		}
 	}
 	d := zonedDemand(&wire.Job{Kind: wire.KindService, Tasks: 2, Spread: true}, 1, &jobstate.ZoneUse{Zones: map[string]int{"a": 1}})
-	if w, _ := a.plan(now, d); len(w) != 0 || d[0].Count != 1 {
+	if w := a.wantedByPlan(now, d); len(w) != 0 || d[0].Count != 1 {
 		t.Errorf("plan wants %v and leaves %d tasks", w, d[0].Count)
 	}
 }
@@ -119,7 +119,7 @@
 	same.cordoned, other.cordoned = true, true
 	d := zonedDemand(&wire.Job{Kind: wire.KindService, Tasks: 2, Spread: true}, 1, &jobstate.ZoneUse{Zones: map[string]int{"a": 1}})
 	d[0].Job.Spot = false
-	if w, _ := a.plan(time.Now(), d); len(w) != 0 || !same.cordoned || other.cordoned {
+	if w := a.wantedByPlan(time.Now(), d); len(w) != 0 || !same.cordoned || other.cordoned {
 		t.Errorf("plan wants %v; cordoned in a: %v, in b: %v", w, same.cordoned, other.cordoned)
 	}
 }
@@ -177,7 +177,7 @@
 		if c.waiting == 0 {
 			return
 		}
-		wanted, _ := a.plan(time.Now(), zonedDemand(c.job, c.waiting, &c.use))
+		wanted := a.wantedByPlan(time.Now(), zonedDemand(c.job, c.waiting, &c.use))
 		room := map[string]int{}
 		for _, zone := range testZones {
 			room[zone] = c.room[zone] + tasksPerTestMachine*wantedZones(wanted)[zone]
@@ -197,7 +197,7 @@
 
 // Demand of a controller of an earlier version has no ZoneUse; the rules apply to its waiting tasks.
 func TestPlanOfDemandWithoutZoneUseKeepsZoneRules(t *testing.T) {
-	w, _ := newZonedAutoscaler().plan(time.Now(), zonedDemand(&wire.Job{Kind: wire.KindService, Tasks: 2, Spread: true}, 2, nil))
+	w := newZonedAutoscaler().wantedByPlan(time.Now(), zonedDemand(&wire.Job{Kind: wire.KindService, Tasks: 2, Spread: true}, 2, nil))
 	zones := wantedZones(w)
 	counts := []int{zones["a"], zones["b"], zones["c"]}
 	if slices.Sort(counts); !slices.Equal(counts, []int{0, 1, 1}) {
