The autoscaler's offers, instances and observations have files of their own

The steps of two scheduler tests that stood twice, a worker's heartbeat with running tasks and the grant of an attempt, are methods of the tests' cluster; TestOnlyJobAtRiskOfMissingObjectivePreempts asserts what it did.

--- a/internal/autoscaler/autoscaler.go
+++ b/internal/autoscaler/autoscaler.go
@@ -11,14 +11,12 @@
 import (
 	"context"
 	"log/slog"
-	"math"
 	"sync"
 	"time"
 
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/planner"
 	"github.com/wallrack/wallrack/internal/usage"
-	"github.com/wallrack/wallrack/internal/wire"
 )
 
 const (
@@ -73,39 +71,6 @@
 	ShardKey(shard int) string
 }
 
-// offer is a machine type in a zone, spot or on-demand.
-type offer struct {
-	Type string
-	Zone string
-	Spot bool
-}
-
-// price returns the hourly price of a machine of the offer, whose type is t.
-func (o offer) price(t wire.MachineType) float64 {
-	if o.Spot {
-		return t.SpotPrice
-	}
-	return t.Price
-}
-
-// suits reports whether a job's requirements admit machines of the offer.
-func (o *offer) suits(job *wire.Job) bool { return job.AllowsMachine(o.Type, o.Zone, o.Spot) }
-
-// instance is a machine as the autoscaler knows it.
-type instance struct {
-	name          string
-	offer         offer
-	provisionedAt time.Time // estimate if the machine is known only from a list or a heartbeat
-	discoveredAt  time.Time // when the autoscaler first learned of the machine
-	listedAt      time.Time // when the newest list that contains the machine was requested
-	lastHeartbeat time.Time // zero if none was received
-	idleSince     time.Time // zero if it runs tasks
-	drainingSince time.Time // zero if it is not being drained
-	cordoned      bool
-	stage         string              // in the cloud's list
-	load          *planner.WorkerLoad // nil before the first heartbeat
-}
-
 // refusal records when an offer was refused, and the number of its machines at that time.
 type refusal struct {
 	at       time.Time
@@ -320,70 +285,6 @@
 	return todo
 }
 
-// observe applies the workers' loads to the instances, and adds vanished machines to unwanted.
-// Called with mu held.
-func (a *Autoscaler) observe(now time.Time, loads []planner.WorkerLoad, unwanted map[string]string) {
-	used := 0.0
-	for i := range loads {
-		load := &loads[i]
-		used += load.Used.CPUs
-		if a.vanished(load.Name, load.LastKnown) {
-			unwanted[load.Name] = "not in the cloud's list any more"
-		}
-		if load.LastHeartbeat.IsZero() {
-			continue
-		}
-		inst := a.instances[load.Name]
-		if inst == nil {
-			if a.isDeleting(load.Name) {
-				continue
-			}
-			inst = &instance{name: load.Name, discoveredAt: now, provisionedAt: now}
-			a.instances[load.Name] = inst
-		}
-		inst.load, inst.lastHeartbeat, inst.offer = load, load.LastHeartbeat, offer{load.Type, load.Zone, load.Spot}
-		inst.updateDraining(now)
-	}
-	a.usedCPUs += usedSmoothing * (used - a.usedCPUs)
-}
-
-// demandedCPUs returns the CPUs of all tasks of a demand.
-func demandedCPUs(demand []planner.Demand) float64 {
-	total := 0.0
-	for i := range demand {
-		total += demand[i].Resources.CPUs * float64(demand[i].Count)
-	}
-	return total
-}
-
-// logState logs the state at most once in logInterval: among others the CPUs of the waiting work,
-// and of the part of it for which the plan found neither a machine nor an offer. Called with mu held.
-func (a *Autoscaler) logState(now time.Time, loads []planner.WorkerLoad, waiting, unplaced float64, wanted map[offer]int) {
-	if now.Sub(a.stateLoggedAt) < logInterval {
-		return
-	}
-	a.stateLoggedAt = now
-	var total, used, spot float64
-	up, wantedMachines := 0, 0
-	for i := range loads {
-		t, ok := a.catalog.Type(loads[i].Type)
-		if !ok || loads[i].LastHeartbeat.IsZero() {
-			continue
-		}
-		up++
-		total += t.CPUs
-		used += loads[i].Used.CPUs
-		if loads[i].Spot {
-			spot += t.CPUs
-		}
-	}
-	for _, n := range wanted {
-		wantedMachines += n
-	}
-	a.log.Info("autoscaler", "machines", len(a.instances), "up", up, "cpus", total, "spot_cpus", spot, "used", used, "waiting", waiting,
-		"unplaced", unplaced, "wanted_machines", wantedMachines, "arriving", math.Round(a.arrivalCPUs))
-}
-
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/autoscaler/machine_list.go
+++ b/internal/autoscaler/machine_list.go
@@ -112,9 +112,6 @@
 	}
 }
 
-// empty reports whether a machine that is up runs no tasks.
-func (i *instance) empty() bool { return i.load != nil && i.load.Placements == 0 }
-
 // bootFailed reports whether a machine without a heartbeat exceeds the time to boot. The time
 // counts from discoveredAt if that is later than provisionedAt, which may be by the clock of
 // another controller.
--- a/internal/autoscaler/scale_in.go
+++ b/internal/autoscaler/scale_in.go
@@ -15,10 +15,6 @@
 // nothing, since the cloud bills at least minBillingS.
 const minUptimeS = minBillingS - 5
 
-// drainConfirmation is the time from the drain of a worker within which its heartbeats may still show
-// it as not draining.
-const drainConfirmation = 2 * time.Second
-
 // cordon cordons on-demand workers, those with the smallest share of CPUs in use first, while the
 // capacity exceeds what running and pending work, the headroom and the reserve need. It cordons none
 // on which the plan counts for tasks that fit nowhere else (see vacate): the capacity may be in
@@ -64,9 +60,6 @@
 	return candidates, spareCPUs
 }
 
-// onDemand reports whether an offer is on-demand although the type has spot machines too.
-func (o offer) onDemand(t wire.MachineType) bool { return !o.Spot && t.SpotPrice > 0 }
-
 // unresponsive reports whether a worker's last heartbeat is older than the heartbeat timeout.
 func (a *Autoscaler) unresponsive(inst *instance, now time.Time) bool {
 	return now.Sub(inst.lastHeartbeat) > seconds(a.op.HeartbeatTimeoutS)
@@ -135,18 +128,6 @@
 	return totalCPUs-t.CPUs < target-t.CPUs/2
 }
 
-// updateDraining follows the dispatcher, which decides whether tasks start on a worker: a worker that
-// was drained in an earlier term, or by another leader, must be deleted by this one, and one that the
-// dispatcher does not drain any more, or that reports to another, counts as capacity again.
-func (i *instance) updateDraining(now time.Time) {
-	switch {
-	case !i.load.Draining && i.lastHeartbeat.Sub(i.drainingSince) > drainConfirmation:
-		i.drainingSince = time.Time{}
-	case i.load.Draining && i.drainingSince.IsZero():
-		i.drainingSince = now
-	}
-}
-
 // idleWorkers updates the time since which each worker is idle. It returns the idle workers, and
 // the CPUs of all workers. It leaves out the workers that are being drained.
 func (a *Autoscaler) idleWorkers(now time.Time) (idle []*instance, totalCPUs float64) {
--- a/internal/scheduler/priority_test.go
+++ b/internal/scheduler/priority_test.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/wallrack/wallrack/internal/config"
-	"github.com/wallrack/wallrack/internal/dispatch"
-	"github.com/wallrack/wallrack/internal/matching"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -21,28 +19,16 @@
 		cluster.platform.Params.Objectives = []config.Objective{{Kind: "wait", Class: "quote", WithinS: 100, Share: 0.9}}
 		now := time.Now().UnixMilli()
 		cluster.scheduler.JobAccepted(&wire.Job{UID: "j-1", Class: "study", Team: "t", Kind: wire.KindArray, Priority: "low", Tasks: 2, CPUs: 8, EstimateS: 300, Spot: true}, nil, 0, now, 1)
-		view := &cluster.views[0]
-		full := []matching.Allocation{{Resources: matching.Resources{CPUs: 16, MemoryGB: 1}, RemainingS: 300}}
-		observe := func() {
-			view.Seq++
-			view.Matrix = matching.NewWaitMatrix(matching.Resources{CPUs: machineType.CPUs, MemoryGB: machineType.MemoryGB}, full, nil)
-			view.Tasks = nil
-			for i := range 2 {
-				view.Tasks = append(view.Tasks, dispatch.TaskView{Task: wire.Task{Task: wire.TaskName("j-1", i), Attempt: uint64(i + 1), State: wire.TaskRunning}})
-			}
-			cluster.scheduler.ObserveWorker(*view)
-		}
-		view.Matrix = matching.NewWaitMatrix(matching.Resources{CPUs: machineType.CPUs, MemoryGB: machineType.MemoryGB}, nil, nil)
-		view.Seq++
-		cluster.scheduler.ObserveWorker(*view)
+		cluster.sendRunning(0)
 		cluster.scheduler.Pass()
-		for i := range 2 {
-			cluster.scheduler.GrantLocal(dispatch.GrantRequest{TaskRef: dispatch.TaskRef{Worker: view.Name, Task: wire.TaskName("j-1", i), Attempt: uint64(i + 1)}, Token: 7, Session: 1})
+		tasks := []string{wire.TaskName("j-1", 0), wire.TaskName("j-1", 1)}
+		for i, task := range tasks {
+			cluster.grant(task, uint64(i+1))
 		}
-		observe()
+		cluster.sendRunning(16, tasks...)
 		cluster.scheduler.JobAccepted(&wire.Job{UID: "j-2", Class: "quote", Team: "t", Kind: wire.KindArray, Priority: "normal", Tasks: 1, CPUs: 8, EstimateS: 300, Spot: true}, nil, 0, now, 2)
 		preempted := func() int {
-			observe()
+			cluster.sendRunning(16, tasks...)
 			cluster.scheduler.OutboxCounts()
 			cluster.scheduler.Pass()
 			halts, _ := cluster.scheduler.OutboxCounts()
--- a/internal/scheduler/zone_rule_test.go
+++ b/internal/scheduler/zone_rule_test.go
@@ -1,40 +1,15 @@
 package scheduler_test
 
 import (
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/dispatch"
-	"github.com/wallrack/wallrack/internal/matching"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
-// sendRunning makes the scheduler observe a heartbeat of the first worker, on which the given tasks
-// have been running and have the given total of CPUs in use for 300 s. Each has attempt 1 + its index.
-func (c *fakeCluster) sendRunning(cpus float64, tasks ...string) {
-	var uses []matching.Allocation
-	if cpus > 0 {
-		uses = []matching.Allocation{{Resources: matching.Resources{CPUs: cpus, MemoryGB: 1}, RemainingS: 300}}
-	}
-	view := &c.views[0]
-	view.Seq++
-	view.Matrix = matching.NewWaitMatrix(matching.Resources{CPUs: machineType.CPUs, MemoryGB: machineType.MemoryGB}, uses, nil)
-	view.Tasks = nil
-	for i, task := range tasks {
-		view.Tasks = append(view.Tasks, dispatch.TaskView{Task: wire.Task{Task: task, Attempt: uint64(i + 1), State: wire.TaskRunning}})
-	}
-	c.scheduler.ObserveWorker(*view)
-}
-
-// grant grants the start of a task's attempt on the first worker.
-func (c *fakeCluster) grant(task string, attempt uint64) {
-	ref := dispatch.TaskRef{Worker: c.views[0].Name, Task: task, Attempt: attempt}
-	c.scheduler.GrantLocal(dispatch.GrantRequest{TaskRef: ref, Token: 7, Session: 1})
-}
-
 // While a replica waits for a machine in another zone, no room may be reserved for it where the zone
 // rule of its service forbids it: work of lower priority would wait beside free room for as long.
 func TestNoRoomIsReservedWhereZoneRuleForbidsTheTask(t *testing.T) {
@@ -142,8 +117,3 @@
 		}
 	})
 }
-
-// placementsOn returns the placements of j-1 on a worker.
-func (c *fakeCluster) placementsOn(worker string) []dispatch.TaskRef {
-	return slices.DeleteFunc(c.scheduler.PlacementsOf("j-1"), func(ref dispatch.TaskRef) bool { return ref.Worker != worker })
-}
