The resources of a service are not expected to become free

All on-demand workers were full of services.

Cause: a service counted as a task with the run time that the tasks of its class have on average, or 60 s. Once it had run for longer, its resources were expected to be free after 1 s and 15 % of its age. The plan counted on them and wanted no machine as long as a service was young; each service that started renewed that. A service also passed for a short task on a cordoned worker.

Evidence: at the end of a failing run one task waits, unplaced=0, wanted_machines=0, and the matrices of the full workers have all CPUs free after 3 to 17 s.

Change: OccupancyEstimate is the time for which a task holds resources, unbounded for a service. The dispatchers' matrices, the reservations in them, the fit of a task and the time that a cordoned worker stays occupied go by it. Costs go by the run estimate as before. The autoscaler's plan did so for waiting services already; the constant is shared.

--- a/internal/autoscaler/plan.go
+++ b/internal/autoscaler/plan.go
@@ -3,14 +3,13 @@
 import (
 	"time"
 
+	"github.com/wallrack/wallrack/internal/jobstate"
 	"github.com/wallrack/wallrack/internal/matching"
 	"github.com/wallrack/wallrack/internal/planner"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
 const (
-	// unboundedRunS is longer, in seconds, than the horizon of any plan.
-	unboundedRunS = 1e6
 	// bootGraceS is how much longer, in seconds, than the remaining boot time pending work may
 	// wait for a booting machine.
 	bootGraceS = 5
@@ -151,7 +150,7 @@
 func (sim *simulation) planDemand(d *planner.Demand, bootS float64) {
 	if d.Job.Gang() || d.Job.Service() {
 		// All tasks run at the same time, so none can wait for another to end.
-		d.RunS = unboundedRunS
+		d.RunS = jobstate.UnboundedRunS
 	}
 	// Spot machines are provisioned for tasks that would wait at least about as long as a machine
 	// takes to boot, on-demand machines only for tasks that would otherwise be late.
--- a/internal/autoscaler/zone_room_test.go
+++ b/internal/autoscaler/zone_room_test.go
@@ -39,7 +39,7 @@
 	name := fmt.Sprintf("n-%d", len(a.instances))
 	load := &planner.WorkerLoad{Name: name, Type: "m", Zone: zone, Spot: spot, LastHeartbeat: now, Matrix: matching.NewWaitMatrix(
 		matching.Resources{CPUs: 2 * tasksPerTestMachine, MemoryGB: 32},
-		[]matching.Allocation{{Resources: matching.Resources{CPUs: 2 * float64(tasksPerTestMachine-freeTasks)}, RemainingS: unboundedRunS}}, nil)}
+		[]matching.Allocation{{Resources: matching.Resources{CPUs: 2 * float64(tasksPerTestMachine-freeTasks)}, RemainingS: jobstate.UnboundedRunS}}, nil)}
 	inst := &instance{name: name, offer: offer{"m", zone, spot}, provisionedAt: now, discoveredAt: now, lastHeartbeat: now, load: load}
 	a.instances[name] = inst
 	return inst
--- a/internal/jobstate/estimate.go
+++ b/internal/jobstate/estimate.go
@@ -56,6 +56,19 @@
 	return defaultRunS
 }
 
+// UnboundedRunS is longer, in seconds, than the horizon of any plan.
+const UnboundedRunS = 1e6
+
+// OccupancyEstimate returns for how many seconds a task of the job is expected to hold the resources of
+// a worker once it runs. A service's tasks run until it is cancelled: if their resources counted as
+// free soon, other tasks would be expected to start there and wait in vain.
+func (j *Job) OccupancyEstimate() float64 {
+	if j.Spec.Service() {
+		return UnboundedRunS
+	}
+	return j.RunEstimate()
+}
+
 // SuccessRate estimates the share of tasks that the worker neither loses nor fails, from recent
 // tasks on the worker and, for a spot worker, on all spot workers.
 func (s *State) SuccessRate(worker *Worker) float64 {
--- a/internal/jobstate/instructions.go
+++ b/internal/jobstate/instructions.go
@@ -32,7 +32,7 @@
 	instructions := s.InstructionsFor(worker.View.Dispatcher)
 	instructions.Assign = append(instructions.Assign, dispatch.QueueEntry{
 		TaskRef: placement.Ref, Leader: s.Membership.Name(), Resources: job.Resources,
-		RunS: job.RunEstimate(), FetchS: s.FetchTime(job, worker),
+		RunS: job.OccupancyEstimate(), FetchS: s.FetchTime(job, worker),
 		Rank: job.Spec.Rank(), DueAt: job.DueAt(), Reported: isListed,
 	})
 	Notify(s.SendSignal)
--- a/internal/jobstate/reserve.go
+++ b/internal/jobstate/reserve.go
@@ -37,7 +37,7 @@
 			continue
 		}
 		resources := placement.Job.Resources
-		run := placement.Job.RunEstimate() + s.FetchTime(placement.Job, worker)
+		run := placement.Job.OccupancyEstimate() + s.FetchTime(placement.Job, worker)
 		if wait := worker.Matrix.Wait(resources, run); !math.IsInf(wait, 1) {
 			worker.Matrix = worker.Matrix.Reserve(resources, wait, run)
 		}
--- a/internal/planner/cordoned.go
+++ b/internal/planner/cordoned.go
@@ -27,7 +27,7 @@
 		if _, ok := p.evictable(placement); ok {
 			continue
 		}
-		remainingS := placement.Job.RunEstimate() - p.state.Now.Sub(placement.RunningSince).Seconds()
+		remainingS := placement.Job.OccupancyEstimate() - p.state.Now.Sub(placement.RunningSince).Seconds()
 		worker.OccupiedS = math.Max(worker.OccupiedS, remainingS)
 	}
 	return worker.OccupiedS >= minOccupiedS
--- a/internal/planner/cost.go
+++ b/internal/planner/cost.go
@@ -46,10 +46,11 @@
 		delete(job.AvoidUntil, worker.Index)
 	}
 	runS, fetchS := job.RunEstimate(), p.state.FetchTime(job, worker)
-	if worker.Cordoned && !worker.EndsWhileOccupied(fetchS+runS) {
+	occupancyS := fetchS + job.OccupancyEstimate()
+	if worker.Cordoned && !worker.EndsWhileOccupied(occupancyS) {
 		return estimate{}, false
 	}
-	waitS := p.expectedWait(worker, job.Resources, fetchS+runS)
+	waitS := p.expectedWait(worker, job.Resources, occupancyS)
 	if math.IsInf(waitS, 1) {
 		return estimate{}, false
 	}
--- a/internal/planner/pass.go
+++ b/internal/planner/pass.go
@@ -137,7 +137,7 @@
 	p.state.RecordChange(jobstate.Change{Kind: jobstate.PlacementAdded, Placement: placement})
 	jobstate.Notify(p.state.WriteSignal)
 	p.state.Stats.Placed++
-	runS := job.RunEstimate() + p.state.FetchTime(job, worker)
+	runS := job.OccupancyEstimate() + p.state.FetchTime(job, worker)
 	if startS := worker.Matrix.Wait(job.Resources, runS); !math.IsInf(startS, 1) {
 		worker.Matrix = worker.Matrix.Reserve(job.Resources, startS, runS)
 	}
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -24,7 +24,7 @@
 				break
 			}
 			use.Add(worker.View.Zone, 1)
-			worker.Matrix = worker.Matrix.Reserve(job.Resources, waitS, job.RunEstimate())
+			worker.Matrix = worker.Matrix.Reserve(job.Resources, waitS, job.OccupancyEstimate())
 			worker.RoomReserved = true
 			budget--
 		}
@@ -37,7 +37,7 @@
 // be kept from other jobs.
 func (p *Planner) earliestRoom(job *jobstate.Job, use *jobstate.ZoneUse, schedulable []*jobstate.Worker) (earliest *jobstate.Worker, waitS float64) {
 	waitS = math.Inf(1)
-	runS := job.RunEstimate()
+	runS := job.OccupancyEstimate()
 	for _, worker := range schedulable {
 		if worker.Cordoned || !p.state.AllowedOn(job, worker) || !p.state.FitsLease(job, worker) || use.Room(job.Spec, worker.View.Zone) == 0 {
 			continue
--- a/internal/testkit/autoscaled_cluster_test.go
+++ b/internal/testkit/autoscaled_cluster_test.go
@@ -42,8 +42,11 @@
 	listAge     time.Duration // age of the machine list that the cloud returns
 	listLatency time.Duration // duration of a list request
 
+	spotOffered bool // the cloud provisions spot machines, too
+
 	cloudMu          sync.Mutex
-	outageUntil      time.Time // the cloud refuses provision requests until then
+	spotMachines     map[string]bool // names of the spot machines
+	outageUntil      time.Time       // the cloud refuses provision requests until then
 	booting          []bootingMachine
 	endedMachines    map[string]bool
 	requestCounts    map[string]int      // number of requests by provision request name
@@ -81,7 +84,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = db.Close() })
-	c := &cloudCluster{cluster: newCluster(t, seed), taskDuration: variedTaskDuration, boot: boot, listAge: listLag, endedMachines: map[string]bool{}, requestCounts: map[string]int{}, provisioned: map[string][]string{}, answeredRequests: map[string]bool{}}
+	c := &cloudCluster{cluster: newCluster(t, seed), spotMachines: map[string]bool{}, taskDuration: variedTaskDuration, boot: boot, listAge: listLag, endedMachines: map[string]bool{}, requestCounts: map[string]int{}, provisioned: map[string][]string{}, answeredRequests: map[string]bool{}}
 	c.reliableStore = true
 	c.workers, c.byName = nil, map[string]*testkit.Worker{}
 	c.cfg.Params.Cloud = config.Cloud{RPS: 4, ListLagS: listLag.Seconds()}
@@ -119,6 +122,7 @@
 	var booted []*testkit.Worker
 	c.booting = slices.DeleteFunc(c.booting, func(m bootingMachine) bool {
 		up := !time.Now().Before(m.up)
+		m.worker.Spot = c.spotMachines[m.worker.Name]
 		if up && !c.endedMachines[m.worker.Name] {
 			booted = append(booted, m.worker)
 		}
@@ -285,6 +289,13 @@
 		return ""
 	}
 	recorded := slices.Contains(c.store.Keys("fleet/hire/"), "fleet/hire/"+request.Name)
+	spot := request.Spot && c.spotOffered
+	if spot { // the stand-in has on-demand machines only
+		request.Spot = false
+		if body, err = json.Marshal(request); err != nil {
+			c.fail("provision request: %v", err)
+		}
+	}
 	req.Body = io.NopCloser(strings.NewReader(string(body)))
 	c.handler.ServeHTTP(rec, req)
 	c.cloudMu.Lock()
@@ -295,6 +306,9 @@
 	var got wire.MachineNames
 	if rec.Code == http.StatusOK && json.Unmarshal(rec.Body.Bytes(), &got) == nil {
 		c.provisioned[request.Name] = got.Machines
+		for _, machine := range got.Machines {
+			c.spotMachines[machine] = spot
+		}
 	}
 	return request.Name
 }
@@ -303,7 +317,7 @@
 func (c *cloudCluster) staleList(now *httptest.ResponseRecorder) *httptest.ResponseRecorder {
 	c.cloudMu.Lock()
 	defer c.cloudMu.Unlock()
-	c.listHistory = append(c.listHistory, recordedList{time.Now(), now.Body.Bytes()})
+	c.listHistory = append(c.listHistory, recordedList{time.Now(), c.withSpotMachines(now.Body.Bytes())})
 	old := recordedList{body: []byte(`{"benches":[],"truncated":false}`)}
 	for _, l := range c.listHistory {
 		if time.Since(l.at) >= c.listAge {
@@ -316,6 +330,22 @@
 	return rec
 }
 
+// withSpotMachines returns a machine list in which the spot machines are marked.
+func (c *cloudCluster) withSpotMachines(body []byte) []byte {
+	var list wire.MachineList
+	err := json.Unmarshal(body, &list)
+	for i := range list.Machines {
+		list.Machines[i].Spot = c.spotMachines[list.Machines[i].Name]
+	}
+	if err == nil {
+		body, err = json.Marshal(list)
+	}
+	if err != nil {
+		c.fail("machine list: %v", err)
+	}
+	return body
+}
+
 // countMachines counts all machines provisioned so far and those that still exist.
 func (c *cloudCluster) countMachines() (provisioned, existing int) {
 	c.cloudMu.Lock()
--- a/internal/testkit/worker.go
+++ b/internal/testkit/worker.go
@@ -10,6 +10,7 @@
 type Worker struct {
 	Name     string
 	Zone     string
+	Spot     bool
 	Lease    time.Duration
 	RunTime  func(task string) time.Duration // run time of a task
 	OnStart  func(task string, attempt uint64)
@@ -189,7 +190,7 @@
 func (w *Worker) Report() *wire.Report {
 	w.advance()
 	w.seq++
-	r := &wire.Report{Machine: w.Name, Endpoint: "127.0.0.1:1", Type: "m", Zone: w.Zone, Session: w.session, Seq: w.seq, Token: w.token}
+	r := &wire.Report{Machine: w.Name, Endpoint: "127.0.0.1:1", Type: "m", Zone: w.Zone, Spot: w.Spot, Session: w.session, Seq: w.seq, Token: w.token}
 	for _, t := range w.tasks {
 		r.Tasks = append(r.Tasks, t.Task)
 	}
--- a/internal/testkit/zone_provisioning_test.go
+++ b/internal/testkit/zone_provisioning_test.go
@@ -150,3 +150,33 @@
 		c.stopAll()
 	})
 }
+
+// Guards against work that waits behind a service: if the resources of a service counted as free after
+// the run time that the tasks of its class have on average, the plan would count on them and want no
+// machine.
+func TestWorkBehindServiceGetsMachine(t *testing.T) {
+	// Half of the slack of a job without an objective, then the boot, with some steps of the plan.
+	const maxWait = 10*time.Second + 2*shortBoot + 2*time.Second
+	synctest.Test(t, func(t *testing.T) {
+		c := newCloudCluster(t, 7330)
+		c.taskDuration = func(task string) time.Duration {
+			if strings.HasPrefix(task, serviceUID+"/") {
+				return serviceDuration
+			}
+			return variedTaskDuration(task)
+		}
+		c.startAndSettle()
+		c.submitOnDemandJob("j-2", 4)
+		c.advance(maxProvisionWait, c.jobsEnded("j-2"))
+		c.submitToCloud(&wire.Job{UID: serviceUID, Kind: wire.KindService, Tasks: 3, CPUs: 4})
+		c.awaitTasks(3)
+		c.advance(10*time.Second, nil)
+		c.submitToCloud(&wire.Job{UID: "j-3", Kind: wire.KindArray, Tasks: 1, CPUs: 4, EstimateS: 6})
+		if !c.advance(maxWait, func() bool { return c.unfinishedTasks("j-3") == 1 }) {
+			rented, _ := c.countMachines()
+			t.Errorf("the task does not run %v after its submission; %d machines were rented", maxWait, rented)
+		}
+		c.stopAll()
+		time.Sleep(2 * shortBoot) // machines that were requested last have booted
+	})
+}
