--- a/internal/testkit/drawn_sites_test.go
+++ b/internal/testkit/drawn_sites_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/wallrack/wallrack/internal/testkit"
 	"github.com/wallrack/wallrack/internal/wire"
 )
 
@@ -27,7 +29,7 @@
 	c := newCloudCluster(t, seed)
 	s := &drawnSite{cloudCluster: c, zones: &zonedCluster{cluster: c.cluster, jobs: map[string]*zonedJob{}, startsByZone: map[string]int{}}}
 	c.spotOffered = c.planRand.IntN(4) > 0
-	c.onStart = s.zones.checkZonedStart
+	c.onStart = s.checkStart
 	c.taskDuration = func(task string) time.Duration {
 		var number, index int
 		if _, err := fmt.Sscanf(task, "j-%d/%d", &number, &index); err != nil || number%2 == 0 {
@@ -39,6 +41,15 @@
 	return s
 }
 
+// checkStart checks a task's start on a worker. The caller holds the cluster's lock.
+func (s *drawnSite) checkStart(k *testkit.Worker, task string, attempt uint64) {
+	uid, _, _ := strings.Cut(task, "/")
+	if job := s.zones.jobs[uid]; job != nil && k.Spot && !job.Spot {
+		s.fail("%s starts on the spot worker %s", task, k.Name)
+	}
+	s.zones.checkZonedStart(k, task, attempt)
+}
+
 // submitDrawn submits a job with drawn constraints. Services have even numbers.
 func (s *drawnSite) submitDrawn() {
 	s.lastJob++
