--- a/internal/testkit/drawn_sites_test.go
+++ b/internal/testkit/drawn_sites_test.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	drawnSites = 16  // number of drawn sites
+	drawnSites = 48  // number of drawn sites
 	drawnCPUs  = 100 // bound of the CPUs of all live jobs, well below those of the cloud
 )
 
@@ -140,6 +140,17 @@
 	s.advance(time.Duration(500+s.planRand.IntN(5000))*time.Millisecond, nil)
 }
 
+// interruptDrains takes the lead from the leader while workers are drained, which the cloud does not
+// delete meanwhile.
+func (s *drawnSite) interruptDrains() {
+	s.setCloudOutage(true)
+	s.advance(2*time.Minute, func() bool { return s.drainingWorkers() > 0 })
+	s.cutFromStateService(s.controllerNames...)
+	s.advance(7*time.Second, nil)
+	s.healAllLinks()
+	s.setCloudOutage(false)
+}
+
 // unfinished returns the jobs that have not ended and of which fewer tasks run than should.
 func (s *drawnSite) unfinished() (jobs []string) {
 	for _, job := range s.live {
@@ -181,7 +192,11 @@
 			s.step()
 		}
 		s.cancelDrawn(0.6)
-		s.advance(time.Duration(10+s.planRand.IntN(90))*time.Second, nil)
+		if s.planRand.IntN(2) == 0 {
+			s.interruptDrains()
+		} else {
+			s.advance(time.Duration(10+s.planRand.IntN(90))*time.Second, nil)
+		}
 	}
 	s.startStopped()
 	for range 6 {
