--- a/internal/autoscaler/plan_test.go
+++ b/internal/autoscaler/plan_test.go
@@ -17,15 +17,30 @@
 )
 
 func testAutoscaler() *Autoscaler {
+	return newTestAutoscaler(
+		wire.MachineType{Name: "small", CPUs: 8, MemoryGB: 32, Price: 0.6, SpotPrice: 0.2, BootS: 20, Zones: []string{"a", "b"}},
+		wire.MachineType{Name: "large", CPUs: 64, MemoryGB: 128, Price: 4, SpotPrice: 1.3, BootS: 40, Zones: []string{"a"}},
+	)
+}
+
+// newTestAutoscaler returns an autoscaler for machines of the types.
+func newTestAutoscaler(types ...wire.MachineType) *Autoscaler {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	catalog := NewCatalog(nil, nil, log)
-	catalog.set([]wire.MachineType{
-		{Name: "small", CPUs: 8, MemoryGB: 32, Price: 0.6, SpotPrice: 0.2, BootS: 20, Zones: []string{"a", "b"}},
-		{Name: "large", CPUs: 64, MemoryGB: 128, Price: 4, SpotPrice: 1.3, BootS: 40, Zones: []string{"a"}},
-	})
+	catalog.set(types)
 	return New(Options{Platform: &config.Platform{}, Operator: &config.Operator{HeartbeatTimeoutS: 14}, Catalog: catalog, Log: log})
 }
 
+// refuse records that the cloud refused the offers that are chosen.
+func (a *Autoscaler) refuse(chosen func(offer) bool) {
+	now := time.Now()
+	for _, o := range a.offers(now) {
+		if chosen(o) {
+			a.refusals[o] = refusal{at: now}
+		}
+	}
+}
+
 // wantedByPlan plans once and returns the machines that the plan wants.
 func (a *Autoscaler) wantedByPlan(now time.Time, demand []planner.Demand) map[offer]int {
 	return a.plan(now, demand).wanted
@@ -72,11 +87,7 @@
 	if w := a.wantedByPlan(now, demand(8, false, 60)); count(w, true) != 0 || count(w, false) == 0 {
 		t.Errorf("spot not allowed: plan wants %v", w)
 	}
-	for _, o := range a.offers(now) {
-		if o.Spot {
-			a.refusals[o] = refusal{at: now}
-		}
-	}
+	a.refuse(func(o offer) bool { return o.Spot })
 	if w := a.wantedByPlan(now, demand(8, true, 60)); count(w, true) != 0 {
 		t.Errorf("spot offers refused recently: plan wants %v", w)
 	}
--- a/internal/autoscaler/vacate_test.go
+++ b/internal/autoscaler/vacate_test.go
@@ -19,13 +19,7 @@
 // A job waits for ever if the plan counts on an on-demand worker that is cordoned in the same step,
 // because machines that the job may not use have capacity to spare.
 func TestWorkerIsNotCordonedWhileThePlanNeedsIt(t *testing.T) {
-	spotRefused := func(a *Autoscaler) {
-		for _, o := range a.offers(time.Now()) {
-			if o.Spot {
-				a.refusals[o] = refusal{at: time.Now()}
-			}
-		}
-	}
+	spotRefused := func(a *Autoscaler) { a.refuse(func(o offer) bool { return o.Spot }) }
 	for _, c := range []struct {
 		name     string
 		job      wire.Job
--- a/internal/autoscaler/zone_room_test.go
+++ b/internal/autoscaler/zone_room_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"io"
-	"log/slog"
 	"maps"
 	"slices"
 	"testing"
@@ -11,7 +9,6 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/wallrack/wallrack/internal/config"
 	"github.com/wallrack/wallrack/internal/jobstate"
 	"github.com/wallrack/wallrack/internal/matching"
 	"github.com/wallrack/wallrack/internal/planner"
@@ -26,10 +23,7 @@
 
 // newZonedAutoscaler returns an autoscaler for machines of one type in the testZones.
 func newZonedAutoscaler() *Autoscaler {
-	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	catalog := NewCatalog(nil, nil, log)
-	catalog.set([]wire.MachineType{{Name: "m", CPUs: 2 * tasksPerTestMachine, MemoryGB: 32, Price: 0.6, SpotPrice: 0.2, BootS: 20, Zones: testZones}})
-	return New(Options{Platform: &config.Platform{}, Operator: &config.Operator{HeartbeatTimeoutS: 14}, Catalog: catalog, Log: log})
+	return newTestAutoscaler(wire.MachineType{Name: "m", CPUs: 2 * tasksPerTestMachine, MemoryGB: 32, Price: 0.6, SpotPrice: 0.2, BootS: 20, Zones: testZones})
 }
 
 // addMachine adds a worker with room for the given number of tasks, whose other resources are in use
@@ -101,11 +95,7 @@
 func TestPlanWantsNothingWhereZoneRulesForbidTheTask(t *testing.T) {
 	a := newZonedAutoscaler()
 	now := time.Now()
-	for _, o := range a.offers(now) {
-		if o.Zone != "a" {
-			a.refusals[o] = refusal{at: now}
-		}
-	}
+	a.refuse(func(o offer) bool { return o.Zone != "a" })
 	d := zonedDemand(&wire.Job{Kind: wire.KindService, Tasks: 2, Spread: true}, 1, &jobstate.ZoneUse{Zones: map[string]int{"a": 1}})
 	if w := a.wantedByPlan(now, d); len(w) != 0 || d[0].Count != 1 {
 		t.Errorf("plan wants %v and leaves %d tasks", w, d[0].Count)
--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -134,6 +134,11 @@
 	c.scheduler.ObserveWorker(*view)
 }
 
+// addWorker adds a spot worker, which has sent no heartbeat yet, under fencing token 7.
+func (c *fakeCluster) addWorker(name, zone string) {
+	c.views = append(c.views, dispatch.WorkerView{Name: name, Type: "m", Zone: zone, Spot: true, Session: 1, Token: 7, Dispatcher: "a"})
+}
+
 // sendRunning makes the scheduler observe a heartbeat of the first worker, on which the given tasks
 // have been running and have the given total of CPUs in use for 300 s. Each has attempt 1 + its index.
 func (c *fakeCluster) sendRunning(cpus float64, tasks ...string) {
--- a/internal/scheduler/placement_test.go
+++ b/internal/scheduler/placement_test.go
@@ -23,7 +23,7 @@
 		observe := func(fullS ...float64) {
 			for i, seconds := range fullS {
 				if i == len(cluster.views) {
-					cluster.views = append(cluster.views, dispatch.WorkerView{Name: "n-000009", Type: "m", Zone: "z", Spot: true, Session: 1, Token: 7, Dispatcher: "a"})
+					cluster.addWorker("n-000009", "z")
 				}
 				cluster.sendHeartbeat(i, seconds)
 			}
--- a/internal/scheduler/zone_rule_test.go
+++ b/internal/scheduler/zone_rule_test.go
@@ -31,7 +31,7 @@
 				cluster.grant(ref.Task, ref.Attempt)
 				cluster.sendRunning(service.CPUs, ref.Task)
 				if service.OneZone { // the free worker is in another zone
-					cluster.views = append(cluster.views, dispatch.WorkerView{Name: "n-000009", Type: "m", Zone: "y", Spot: true, Session: 1, Token: 7, Dispatcher: "a"})
+					cluster.addWorker("n-000009", "y")
 					cluster.sendHeartbeat(1, 0)
 				}
 				cluster.scheduler.JobAccepted(&wire.Job{UID: "j-2", Class: "c", Team: "t", Kind: wire.KindArray, Priority: "low", Tasks: 1, CPUs: 8, EstimateS: 30, Spot: true}, nil, 0, now, 2)
@@ -82,10 +82,7 @@
 		cluster := newCluster(t, 1, 0)
 		stop := cluster.run()
 		defer stop()
-		addWorker := func(name, zone string) {
-			cluster.views = append(cluster.views, dispatch.WorkerView{Name: name, Type: "m", Zone: zone, Spot: true, Session: 1, Token: 7, Dispatcher: "a"})
-		}
-		addWorker("n-000001", "z")
+		cluster.addWorker("n-000001", "z")
 		// observe sends heartbeats of workers that are full for fullS seconds each.
 		observe := func(fullS ...float64) {
 			for i, seconds := range fullS {
@@ -98,7 +95,7 @@
 			UID: "j-1", Class: "c", Team: "t", Kind: wire.KindService, Priority: "normal", Tasks: 2, CPUs: 9, OneZone: true, Spot: true,
 		}, nil, 0, time.Now().UnixMilli(), 1)
 		observe(0.2, 0.2)
-		addWorker("n-000002", "y")
+		cluster.addWorker("n-000002", "y")
 		for range 20 {
 			observe(600, 0.2, 0)
 		}
@@ -108,7 +105,7 @@
 		}
 		started := duplicates[0]
 		cluster.scheduler.GrantLocal(dispatch.GrantRequest{TaskRef: started, Token: 7, Session: 1})
-		addWorker("n-000003", "y")
+		cluster.addWorker("n-000003", "y")
 		for range 120 {
 			observe(0, 0, 600, 0)
 		}
--- a/internal/testkit/drain_leadership_test.go
+++ b/internal/testkit/drain_leadership_test.go
@@ -12,15 +12,10 @@
 
 // drainingWorkers counts the workers that are drained by the controller to which they report.
 func (c *cloudCluster) drainingWorkers() (n int) {
-	c.mu.Lock()
-	reportsTo := map[string]*node{}
-	for _, k := range c.workers {
-		reportsTo[k.Name] = c.nodes[c.controllerNames[c.dispatcherOf[k]%len(c.controllerNames)]]
-	}
-	c.mu.Unlock()
-	for name, node := range reportsTo {
-		for _, view := range node.dispatcher.WorkerViews() {
-			if view.Name == name && view.Draining {
+	reportsTo := c.dispatcherNames()
+	for _, controller := range c.controllerNames {
+		for _, view := range c.nodes[controller].dispatcher.WorkerViews() {
+			if view.Draining && reportsTo[view.Name] == controller {
 				n++
 			}
 		}
--- a/internal/testkit/drawn_sites_test.go
+++ b/internal/testkit/drawn_sites_test.go
@@ -157,7 +157,7 @@
 		running := s.unfinishedTasks(job.UID)
 		switch {
 		case job.Kind == wire.KindService && running < job.Tasks, job.Kind == wire.KindArray && !s.jobsEnded(job.UID)():
-			jobs = append(jobs, fmt.Sprintf("%s (%s, %d of %d tasks run, %v CPUs, spot %v, one zone %v, spread %v, zone %v, in %v)", job.UID, job.Kind, running, job.Tasks, job.CPUs, job.Spot, job.OneZone, job.Spread, zoneOf(job), s.zones.runningByZone(job.UID, "")))
+			jobs = append(jobs, fmt.Sprintf("%s (%s, %d of %d tasks run, %v CPUs, spot %v, one zone %v, spread %v, zone %v, in %v)", job.UID, job.Kind, running, job.Tasks, job.CPUs, job.Spot, job.OneZone, job.Spread, zoneOf(job), s.tasksByZone(job.UID)))
 		}
 	}
 	return jobs
--- a/internal/testkit/zone_provisioning_test.go
+++ b/internal/testkit/zone_provisioning_test.go
@@ -31,40 +31,13 @@
 	return c
 }
 
-// machinesOfService returns the number of the job's tasks by machine.
-func (c *cloudCluster) machinesOfService() map[string]int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	tasks := map[string]int{}
-	for _, k := range c.workers {
-		for _, task := range k.UnfinishedTasks() {
-			if strings.HasPrefix(task, serviceUID+"/") {
-				tasks[k.Name]++
-			}
-		}
-	}
-	return tasks
-}
-
-// zonesOfService returns the number of the job's tasks by zone.
-func (c *cloudCluster) zonesOfService() map[string]int {
-	machines := c.machinesOfService()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	tasks := map[string]int{}
-	for name, n := range machines {
-		tasks[c.byName[name].Zone] += n
-	}
-	return tasks
-}
-
 // awaitTasks waits until n tasks of the job run, for at most maxProvisionWait.
 func (c *cloudCluster) awaitTasks(n int) {
 	c.t.Helper()
 	running := func() int { return c.unfinishedTasks(serviceUID) }
 	if !c.advance(maxProvisionWait, func() bool { return running() == n }) {
 		rented, _ := c.countMachines()
-		c.t.Errorf("%d of %d tasks of %s run after %v, in the zones %v; %d machines were rented", running(), n, serviceUID, maxProvisionWait, c.zonesOfService(), rented)
+		c.t.Errorf("%d of %d tasks of %s run after %v, in the zones %v; %d machines were rented", running(), n, serviceUID, maxProvisionWait, c.tasksByZone(serviceUID), rented)
 	}
 }
 
@@ -91,27 +64,29 @@
 // loses its machine, and the other replica's machine, in the only zone where the lost one may not
 // run, has room for both.
 func TestLostReplicaOfSpreadServiceIsReplacedInAnotherZone(t *testing.T) {
+	zones := []string{"y", "z"}
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := newServiceCluster(t, 7300+seed)
-				for _, zone := range []string{"y", "z"} {
+				for _, zone := range zones {
 					c.callCloud(hostsPath, wire.ProvisionRequest{Name: "operator-" + zone, Type: "m", Zone: zone, Number: 1})
 				}
 				c.advance(3*time.Second, nil)
 				c.submitToCloud(&wire.Job{UID: serviceUID, Kind: wire.KindService, Tasks: 2, CPUs: 2, Spread: true})
 				c.awaitTasks(2)
-				for name := range c.machinesOfService() {
-					c.loseMachine(name)
-					break
+				for _, k := range c.workersWithTasksOf(serviceUID) {
+					if k.Zone == zones[seed%2] {
+						c.loseMachine(k.Name)
+					}
 				}
 				c.advance(time.Second, nil)
 				if n := c.unfinishedTasks(serviceUID); n != 1 {
 					t.Errorf("%d replicas run after a machine was lost", n)
 				}
 				c.awaitTasks(2)
-				if zones := c.zonesOfService(); zones["y"] != 1 || zones["z"] != 1 {
-					t.Errorf("replicas by zone: %v", zones)
+				if tasks := c.tasksByZone(serviceUID); tasks["y"] != 1 || tasks["z"] != 1 {
+					t.Errorf("replicas by zone: %v", tasks)
 				}
 				c.stopAll()
 			})
@@ -128,7 +103,7 @@
 				c := newServiceCluster(t, 7310+seed)
 				c.submitToCloud(&wire.Job{UID: serviceUID, Kind: wire.KindService, Tasks: 4, CPUs: 3, OneZone: true})
 				c.awaitTasks(4)
-				if zones := c.zonesOfService(); len(zones) != 1 {
+				if zones := c.tasksByZone(serviceUID); len(zones) != 1 {
 					t.Errorf("replicas by zone: %v", zones)
 				}
 				if rented, _ := c.countMachines(); rented > 6 { // one machine a task and the headroom
--- a/internal/testkit/zones_test.go
+++ b/internal/testkit/zones_test.go
@@ -42,10 +42,18 @@
 	z.mu.Unlock()
 }
 
-// runningByZone returns the number of a job's tasks on workers in each zone, excluding one task.
-func (z *zonedCluster) runningByZone(uid, except string) map[string]int {
+// tasksByZone is runningByZone for all tasks, for callers that do not hold the cluster's lock.
+func (w *cluster) tasksByZone(uid string) map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runningByZone(uid, "")
+}
+
+// runningByZone returns the number of a job's tasks on workers in each zone, excluding one task. The
+// caller holds the cluster's lock.
+func (w *cluster) runningByZone(uid, except string) map[string]int {
 	zones := map[string]int{}
-	for _, k := range z.workers {
+	for _, k := range w.workers {
 		for _, task := range k.UnfinishedTasks() {
 			if strings.HasPrefix(task, uid+"/") && task != except {
 				zones[k.Zone]++
