Tests of the provisioning let the last machines boot before they end

No assertion failed. The trace shows the one goroutine left, the stand-in cloud booting a machine for 1.5 s: the autoscaler had rented it just before the test ended.

The fault was in the set-up of the tests; no check or bound changed.

--- a/internal/testkit/drain_leadership_test.go
+++ b/internal/testkit/drain_leadership_test.go
@@ -84,7 +84,7 @@
 				if n := c.drainingWorkers(); n > 0 {
 					t.Errorf("%d workers are still drained", n)
 				}
-				c.stopAll()
+				c.stopSite()
 			})
 		})
 	}
--- a/internal/testkit/drawn_sites_test.go
+++ b/internal/testkit/drawn_sites_test.go
@@ -206,6 +206,5 @@
 		rented, existing := s.countMachines()
 		t.Errorf("after %v, with %d machines of %d rented, these wait: %v", maxProvisionWait, existing, rented, s.unfinished())
 	}
-	s.stopAll()
-	time.Sleep(2 * shortBoot) // machines that were requested last have booted
+	s.stopSite()
 }
--- a/internal/testkit/zone_provisioning_test.go
+++ b/internal/testkit/zone_provisioning_test.go
@@ -31,6 +31,13 @@
 	return c
 }
 
+// stopSite stops all controllers and lets the machines boot that were requested last: the bubble of a
+// test must not end before.
+func (c *cloudCluster) stopSite() {
+	c.stopAll()
+	time.Sleep(2 * shortBoot)
+}
+
 // awaitTasks waits until n tasks of the job run, for at most maxProvisionWait.
 func (c *cloudCluster) awaitTasks(n int) {
 	c.t.Helper()
@@ -88,7 +95,7 @@
 				if tasks := c.tasksByZone(serviceUID); tasks["y"] != 1 || tasks["z"] != 1 {
 					t.Errorf("replicas by zone: %v", tasks)
 				}
-				c.stopAll()
+				c.stopSite()
 			})
 		})
 	}
@@ -109,7 +116,7 @@
 				if rented, _ := c.countMachines(); rented > 6 { // one machine a task and the headroom
 					t.Errorf("%d machines rented", rented)
 				}
-				c.stopAll()
+				c.stopSite()
 			})
 		})
 	}
@@ -122,7 +129,7 @@
 		c := newServiceCluster(t, 7320)
 		c.submitToCloud(&wire.Job{UID: serviceUID, Kind: wire.KindArray, Tasks: 2, CPUs: 2, EstimateS: 3600, Spread: true})
 		c.awaitTasks(2)
-		c.stopAll()
+		c.stopSite()
 	})
 }
 
@@ -151,7 +158,6 @@
 			rented, _ := c.countMachines()
 			t.Errorf("the task does not run %v after its submission; %d machines were rented", maxWait, rented)
 		}
-		c.stopAll()
-		time.Sleep(2 * shortBoot) // machines that were requested last have booted
+		c.stopSite()
 	})
 }
